--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: setup format lint test demo faults bench binary clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+format: setup
+	$(VENV)/bin/ruff format src tests
+	$(VENV)/bin/ruff check --fix src tests
+
+lint: setup
+	$(VENV)/bin/ruff format --check src tests
+	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/mypy
+
+test: setup
+	$(PYTHON) -m pytest
+
+demo: setup
+	$(PYTHON) -m radishtrack_standins.demo
+
+clean:
+	rm -rf $(VENV) build dist out
--- /dev/null
+++ b/src/radishtrack/events.py
@@ -0,0 +1,74 @@
+"""Numbered log events; `docs/events.md` is their catalogue."""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections.abc import Callable
+
+from absl import logging
+
+
+class Event(enum.Enum):
+    """A numbered event: number, severity and what happened."""
+
+    NODE_STARTED = (1001, "info", "node started")
+    NODE_DRAINING = (1002, "info", "node stops accepting work and finishes requests")
+    NODE_STOPPED = (1003, "info", "node stopped")
+    CLIENT_REFUSED = (2001, "warning", "client connection refused")
+    KEY_REVOKED = (2002, "info", "connections of a revoked key closed")
+    MEMBER_UNREACHABLE = (3001, "warning", "member does not answer status polls")
+    MEMBER_REACHABLE = (3002, "info", "member answers status polls again")
+    PRIMARY_SUSPECTED = (3003, "warning", "primary suspected; votes requested")
+    PROMOTION_STARTED = (3004, "warning", "promotion attempt started")
+    PROMOTION_WON = (3005, "warning", "promotion recorded by the platform")
+    PROMOTION_LOST = (3006, "info", "another promotion was recorded first")
+    PROMOTION_FAILED = (3007, "warning", "promotion attempt failed")
+    MEMBER_FOLLOWS = (3008, "info", "member told to follow the primary")
+    PLATFORM_UNAVAILABLE = (4001, "warning", "platform does not answer")
+    PLATFORM_AVAILABLE = (4002, "info", "platform answers again")
+    CONFIGURATION_ACCEPTED = (5001, "info", "configuration revision in force")
+    CONFIGURATION_REJECTED = (5002, "error", "configuration revision rejected")
+    PEER_REFUSED = (6001, "warning", "peer connection refused")
+    PEER_LOST = (6002, "warning", "peer connection lost")
+
+    @property
+    def number(self) -> int:
+        """The number under which the catalogue lists the event."""
+        return self.value[0]
+
+    @property
+    def severity(self) -> str:
+        """The log level: info, warning or error."""
+        return self.value[1]
+
+    @property
+    def text(self) -> str:
+        """What happened, in one clause."""
+        return self.value[2]
+
+
+_as_json = False
+
+_WRITERS: dict[str, Callable[..., None]] = {
+    "info": logging.info,
+    "warning": logging.warning,
+    "error": logging.error,
+}
+
+
+def use_json_lines(enabled: bool) -> None:
+    """Choose between text and JSON lines for all later events."""
+    global _as_json
+    _as_json = enabled
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Write one event with its fields; fields must contain no secret."""
+    writer = _WRITERS[event.severity]
+    if _as_json:
+        record = {"event": event.number, "text": event.text, **fields}
+        writer("%s", json.dumps(record, default=str))
+        return
+    details = " ".join(f"{name}={value}" for name, value in fields.items())
+    writer("R%d %s %s", event.number, event.text, details)
--- /dev/null
+++ b/src/radishtrack/group/__init__.py
@@ -0,0 +1,1 @@
+"""Database groups: member status, term evidence, failure detection and promotion."""
--- /dev/null
+++ b/src/radishtrack/group/status.py
@@ -0,0 +1,83 @@
+"""What a member reports about itself, and what the platform records of its group."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from radishtrack.session.position import History, Position
+
+
+class Role(enum.Enum):
+    """The role that a member believes it has."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+@attrs.define(frozen=True)
+class MemberStatus:
+    """One answer of one member.
+
+    Parameters
+    ----------
+    member : str
+        Name of the member.
+    term : int
+        The term that the member belongs to.
+    fenced_term : int
+        The highest term that the member was fenced for; it accepts nothing of a lower
+        term. Equal to `term` for a member in normal service.
+    role : Role
+        The role that the member believes it has.
+    position : Position
+        The end of the member's log.
+    """
+
+    member: str
+    term: int
+    fenced_term: int
+    role: Role
+    position: Position
+
+    @property
+    def is_fenced(self) -> bool:
+        """Whether the member waits for the promotion of a higher term."""
+        return self.fenced_term > self.term
+
+
+@attrs.define(frozen=True)
+class Group:
+    """The platform's record of a database group (object ``groups/<database>``).
+
+    Parameters
+    ----------
+    database : str
+        Name of the database.
+    version : int
+        Version of the platform's object, for conditional updates.
+    term : int
+        The current term.
+    primary : str
+        The member promoted for the term.
+    members : tuple of str
+        All members.
+    history : tuple of TermStart
+        Where each term began.
+    attempt : str
+        Identifier of the promotion attempt that wrote this record.
+    """
+
+    database: str
+    version: int
+    term: int
+    primary: str
+    members: tuple[str, ...]
+    history: History = ()
+    attempt: str = ""
+
+    @property
+    def fence_quorum(self) -> int:
+        """Number of members whose fencing ends a term: a majority."""
+        return len(self.members) // 2 + 1
--- /dev/null
+++ b/src/radishtrack/session/__init__.py
@@ -0,0 +1,1 @@
+"""Session consistency: log positions and the token that carries them."""
--- /dev/null
+++ b/src/radishtrack/session/position.py
@@ -0,0 +1,64 @@
+"""Log positions and the history of terms that orders them."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(frozen=True, order=True)
+class Position:
+    """A place in a database group's log.
+
+    Parameters
+    ----------
+    term : int
+        The term in which the last change was committed.
+    sequence : int
+        Number of changes in the log; continues across terms.
+    """
+
+    term: int
+    sequence: int
+
+
+@attrs.define(frozen=True)
+class TermStart:
+    """The log length at which a term began.
+
+    Parameters
+    ----------
+    term : int
+        The term.
+    sequence : int
+        The sequence of the last change before the term.
+    """
+
+    term: int
+    sequence: int
+
+
+History = tuple[TermStart, ...]
+
+
+def is_contained(position: Position, term: int, history: History) -> bool:
+    """Tell whether a position belongs to the log of `term`.
+
+    Parameters
+    ----------
+    position : Position
+        The position to look for.
+    term : int
+        The term whose log is meant.
+    history : tuple of TermStart
+        The starts of all known terms.
+
+    Returns
+    -------
+    bool
+        False if the position was discarded by a later promotion, or lies in a term
+        after `term`.
+    """
+    if position.term > term:
+        return False
+    later = (start for start in history if position.term < start.term <= term)
+    return all(position.sequence <= start.sequence for start in later)
--- /dev/null
+++ b/src/radishtrack_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for tests and demonstrations."""
--- /dev/null
+++ b/tests/test_position.py
@@ -0,0 +1,26 @@
+"""Guards the ordering of log positions across changes of primary."""
+
+from __future__ import annotations
+
+import pytest
+
+from radishtrack.session.position import Position, TermStart, is_contained
+
+HISTORY = (TermStart(1, 0), TermStart(2, 10), TermStart(3, 15))
+
+
+@pytest.mark.parametrize(
+    ("position", "term", "expected"),
+    [
+        (Position(1, 10), 2, True),
+        (Position(1, 11), 2, False),
+        (Position(1, 11), 1, True),
+        (Position(2, 15), 3, True),
+        (Position(2, 16), 3, False),
+        (Position(3, 16), 2, False),
+    ],
+)
+def test_positions_beyond_a_promotion_are_not_contained(
+    position: Position, term: int, expected: bool
+) -> None:
+    assert is_contained(position, term, HISTORY) is expected
