Add peer protocol, client frontend and member connections

Nodes exchange CBOR messages over authenticated WebSocket connections. The frontend covers what mysql-mimic leaves open: affected rows, refused logins, oversized and split packets, COM_RESET_CONNECTION. A member connection is closed as soon as the state of its answer is in doubt. Not yet run together.

--- /dev/null
+++ b/src/radishtrack/backend/connection.py
@@ -0,0 +1,218 @@
+"""One connection to a member, whose state after each step is known."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any, Final
+
+import aiomysql
+import attrs
+from aiomysql.cursors import SSCursor
+from pymysql.constants import CLIENT
+from pymysql.err import MySQLError
+
+from radishtrack.backend.member_sql import STATUS_SQL, parse_status
+
+if TYPE_CHECKING:
+    from radishtrack.backend.endpoint import MemberEndpoint
+    from radishtrack.group.status import MemberStatus
+
+CLIENT_ERRORS: Final = range(2000, 3000)
+"""Errors of the client library itself: the member's answer is missing."""
+
+CONNECT_TIMEOUT_S: Final = 1.0
+ROWS_PER_CHUNK: Final = 200
+
+
+class ConnectFailed(Exception):
+    """Raised when no connection could be made; nothing was sent."""
+
+    def __init__(self, message: str, code: int = 0) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class AnswerLost(Exception):
+    """Raised when a statement was sent and its answer didn't arrive."""
+
+
+@attrs.define(frozen=True)
+class MemberError(Exception):
+    """An error packet of the member: a definite answer."""
+
+    code: int
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self.message}"
+
+
+@attrs.define(frozen=True)
+class StatementAnswer:
+    """The member's answer to a statement without rows."""
+
+    affected_rows: int
+    insert_id: int
+
+
+@attrs.define
+class MemberConnection:
+    """A connection that is closed as soon as its state is in doubt.
+
+    Parameters
+    ----------
+    member : str
+        Name of the member.
+    raw : aiomysql.Connection
+        The library's connection.
+    """
+
+    member: str
+    raw: Any
+    in_doubt: bool = False
+    dirty: bool = False
+    last_used_ms: float = 0.0
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another session may use the connection."""
+        return not (
+            self.in_doubt
+            or self.dirty
+            or self.raw.closed
+            or self.raw.get_transaction_status()
+            or self.raw._reader.at_eof()
+        )
+
+    async def run(self, statement: str) -> StatementAnswer:
+        """Run a statement and discard rows, if any.
+
+        Raises
+        ------
+        AnswerLost
+            If the answer didn't arrive.
+        MemberError
+            If the member answered with an error.
+        """
+        async with self._step():
+            async with self.raw.cursor() as cursor:
+                affected = await cursor.execute(statement)
+                return StatementAnswer(affected, cursor.lastrowid or 0)
+
+    async def fetch(self, statement: str) -> tuple[tuple[Any, ...], ...]:
+        """Run a statement and return all its rows; errors as in `run`."""
+        async with self._step():
+            async with self.raw.cursor() as cursor:
+                await cursor.execute(statement)
+                return tuple(await cursor.fetchall())
+
+    async def read_status(self) -> MemberStatus:
+        """Return the member's status; errors as in `run`."""
+        rows = await self.fetch(STATUS_SQL)
+        return parse_status(rows[0])
+
+    async def stream(self, statement: str) -> AsyncIterator[StreamPart]:
+        """Run a statement and yield its head, then chunks of rows.
+
+        A statement without result columns yields one `StatementAnswer`. Errors as in
+        `run`, at any point.
+        """
+        async with self._step():
+            cursor = await self.raw.cursor(SSCursor)
+            await cursor.execute(statement)
+            if cursor.description is None:
+                yield StatementAnswer(cursor.rowcount, cursor.lastrowid or 0)
+                return
+            yield StreamHead(
+                tuple(column[0] for column in cursor.description),
+                tuple(column[1] for column in cursor.description),
+            )
+            while rows := await cursor.fetchmany(ROWS_PER_CHUNK):
+                yield StreamRows(tuple(rows))
+
+    def close(self) -> None:
+        """Close the socket at once."""
+        self.in_doubt = True
+        self.raw.close()
+
+    @contextlib.asynccontextmanager
+    async def _step(self) -> AsyncIterator[None]:
+        """Keep the connection in doubt until the answer is complete.
+
+        A cancelled step leaves the answer on the wire, so the connection is closed: a
+        later user would take it for its own.
+        """
+        self.in_doubt = True
+        try:
+            yield
+        except MySQLError as error:
+            code = error.args[0] if error.args else 0
+            if isinstance(code, int) and code and code not in CLIENT_ERRORS:
+                self.in_doubt = False
+                raise MemberError(code, str(error.args[-1])) from error
+            self.close()
+            raise AnswerLost(f"{self.member}: {error}") from error
+        except (OSError, EOFError, AttributeError) as error:
+            # The library raises AttributeError when its socket is already closed.
+            self.close()
+            raise AnswerLost(f"{self.member}: {error!r}") from error
+        except BaseException:
+            self.close()
+            raise
+        self.in_doubt = False
+
+
+@attrs.define(frozen=True)
+class StreamHead:
+    """Names and MySQL type codes of a result's columns."""
+
+    names: tuple[str, ...]
+    types: tuple[int, ...]
+
+
+@attrs.define(frozen=True)
+class StreamRows:
+    """A chunk of a result's rows."""
+
+    rows: tuple[tuple[str | bytes | None, ...], ...]
+
+
+StreamPart = StatementAnswer | StreamHead | StreamRows
+
+
+async def open_connection(
+    endpoint: MemberEndpoint, user: str, password: str, *, administrative: bool = False
+) -> MemberConnection:
+    """Connect to a member.
+
+    Parameters
+    ----------
+    endpoint : MemberEndpoint
+        Where the member listens.
+    user, password : str
+        The proxy's own login; never a client's.
+    administrative : bool
+        Use the administrative interface, which has no connection limit.
+
+    Raises
+    ------
+    ConnectFailed
+        If no connection could be made.
+    """
+    try:
+        raw = await aiomysql.connect(
+            host=endpoint.host,
+            port=endpoint.admin_port if administrative else endpoint.port,
+            user=user,
+            password=password,
+            autocommit=None,
+            charset="utf8mb4",
+            connect_timeout=CONNECT_TIMEOUT_S,
+            conv={},
+            client_flag=CLIENT.FOUND_ROWS,
+        )
+    except (MySQLError, OSError, EOFError, TimeoutError) as error:
+        code = error.args[0] if error.args and isinstance(error.args[0], int) else 0
+        raise ConnectFailed(f"{endpoint.member}: {error}", code) from error
+    return MemberConnection(endpoint.member, raw)
--- /dev/null
+++ b/src/radishtrack/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""The clients' side: a MySQL server over `mysql-mimic`."""
--- /dev/null
+++ b/src/radishtrack/frontend/connection.py
@@ -0,0 +1,220 @@
+"""One client connection, with what `mysql-mimic` leaves to its users."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import attrs
+from mysql_mimic.auth import IdentityProvider
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import Control, TooManyConnections
+from mysql_mimic.errors import ErrorCode as WireErrorCode
+from mysql_mimic.packets import make_error, parse_com_stmt_reset
+from mysql_mimic.server import MysqlServer
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+
+from radishtrack.events import Event, log_event
+
+PACKET_TOO_LARGE: Final = 1153
+READER_TIMEOUT_S: Final = 30.0
+HEADER_BYTES: Final = 4
+
+
+class PacketTooLarge(Exception):
+    """Raised when a client sends a packet over the limit."""
+
+
+@attrs.define
+class BoundedReader:
+    """Stream reader that refuses packets over a limit.
+
+    `mysql-mimic` reads a packet's header with ``read(4)``, which may return fewer bytes
+    when the header is split over two TCP segments, and reads a packet of any announced
+    length into memory.
+    """
+
+    reader: asyncio.StreamReader
+    max_packet_bytes: int
+
+    async def read(self, count: int) -> bytes:
+        """Return exactly `count` bytes, or none at the end of the stream."""
+        try:
+            return await self.reader.readexactly(count)
+        except asyncio.IncompleteReadError as error:
+            if error.partial:
+                raise
+            return b""
+
+    async def readexactly(self, count: int) -> bytes:
+        """Return exactly `count` bytes.
+
+        Raises
+        ------
+        PacketTooLarge
+            If `count` is over the limit.
+        """
+        if count > self.max_packet_bytes:
+            raise PacketTooLarge(
+                f"packet of {count} bytes; the limit is {self.max_packet_bytes}"
+            )
+        return await self.reader.readexactly(count)
+
+
+class ClientStream(MysqlStream):
+    """Packet stream that gives up on a client that reads nothing."""
+
+    async def drain(self) -> None:
+        """Send what is buffered, within `READER_TIMEOUT_S`."""
+        try:
+            async with asyncio.timeout(READER_TIMEOUT_S):
+                await super().drain()
+        except TimeoutError as error:
+            self.writer.transport.abort()
+            raise ConnectionClosed from error
+
+
+@attrs.define(frozen=True)
+class OkFields:
+    """What the next OK packet reports."""
+
+    affected_rows: int = 0
+    last_insert_id: int = 0
+
+
+class ClientConnection(Connection):
+    """Connection that reports affected rows, checks logins and resets sessions."""
+
+    next_ok: OkFields | None = None
+
+    async def authenticate(self, **arguments: Any) -> None:
+        """Check the login; a failed one leaves the session without a user.
+
+        `mysql-mimic` goes on to the command phase after a failed login. The session's
+        `init` ends such a connection, and `handle_query` refuses to run without a user.
+        """
+        self.session.username = None
+        await super().authenticate(**arguments)
+        if self.session.username is None:
+            self.stream.writer.close()
+
+    def ok(self, **fields: Any) -> bytes:
+        """Return an OK packet with the fields of the statement just executed."""
+        if self.next_ok is not None and not fields:
+            fields = attrs.asdict(self.next_ok)
+        self.next_ok = None
+        packet: bytes = super().ok(**fields)
+        return packet
+
+    async def command_phase(self) -> None:
+        """Serve commands until the client leaves or breaks the protocol."""
+        try:
+            await super().command_phase()
+        except PacketTooLarge as error:
+            await self.stream.write(self.error(msg=error, code=PACKET_TOO_LARGE))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Reset the session (COM_RESET_CONNECTION)."""
+        await self.session.reset()
+        self.prepared_stmts.clear()
+        await self.stream.write(self.ok())
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Reset one prepared statement; `mysql-mimic` would reset the session too."""
+        statement = self.get_stmt(parse_com_stmt_reset(data).stmt_id)
+        statement.param_buffers = None
+        statement.cursor = None
+        await self.stream.write(self.ok())
+
+
+@attrs.define
+class ConnectionControl(Control):
+    """Knows the open client connections, up to a limit."""
+
+    limit: int
+    connections: dict[int, ClientConnection] = attrs.field(factory=dict)
+    last_number: int = 0
+
+    async def add(self, connection: ClientConnection) -> int:
+        """Register a connection and return its number."""
+        if len(self.connections) >= self.limit:
+            raise TooManyConnections
+        self.last_number = self.last_number % 0xFFFFFFFF + 1
+        self.connections[self.last_number] = connection
+        return self.last_number
+
+    async def remove(self, connection_id: int) -> None:
+        """Forget a connection."""
+        self.connections.pop(connection_id, None)
+
+
+class FrontendServer(MysqlServer):
+    """MySQL server whose connections are `ClientConnection` objects."""
+
+    def __init__(
+        self,
+        session_factory: Callable[[], BaseSession],
+        control: ConnectionControl,
+        identity_provider: IdentityProvider,
+        max_packet_bytes: int,
+        refuse_reason: Callable[[], str | None],
+        **arguments: Any,
+    ) -> None:
+        super().__init__(
+            session_factory=session_factory,
+            control=control,
+            identity_provider=identity_provider,
+            **arguments,
+        )
+        self.max_packet_bytes = max_packet_bytes
+        self.refuse_reason = refuse_reason
+
+    async def _client_connected_cb(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        bounded = BoundedReader(reader, self.max_packet_bytes)
+        stream = ClientStream(bounded, writer)
+        connection = ClientConnection(
+            stream=stream,
+            session=self.session_factory(),
+            control=self.control,
+            server_capabilities=self.capabilities,
+            identity_provider=self.identity_provider,
+            ssl=self.ssl,
+        )
+        with contextlib.suppress(ConnectionError, ConnectionClosed):
+            await self._serve(connection, stream, writer)
+
+    async def _serve(
+        self,
+        connection: ClientConnection,
+        stream: ClientStream,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            reason = self.refuse_reason()
+            if reason is not None:
+                raise TooManyConnections(reason)
+            number = await self.control.add(connection)
+        except TooManyConnections as error:
+            log_event(Event.CLIENT_REFUSED, reason=error or "connection limit")
+            text = str(error) or "Too many connections"
+            await stream.write(make_error(msg=text, code=WireErrorCode.CON_COUNT_ERROR))
+            writer.close()
+            return
+        connection.connection_id = number
+        try:
+            await connection.start()
+        except (PermissionError, asyncio.IncompleteReadError, PacketTooLarge) as error:
+            log_event(Event.CLIENT_REFUSED, reason=error)
+        finally:
+            writer.close()
+            await self.control.remove(number)
+
+
+EndCallback = Callable[[], Awaitable[None]]
--- /dev/null
+++ b/src/radishtrack/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between nodes: CBOR messages over WebSocket connections."""
--- /dev/null
+++ b/src/radishtrack/peer/codec.py
@@ -0,0 +1,87 @@
+"""Encodes messages as CBOR arrays: type number, then the fields in order."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import attrs
+import cbor2
+
+from radishtrack.peer.messages import MAX_FRAME_BYTES, MESSAGE_TYPES, Message
+
+_TYPE_NUMBERS: Final = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
+_FIELD_NAMES: Final = {
+    kind: tuple(field.name for field in attrs.fields(kind)) for kind in MESSAGE_TYPES
+}
+_SCALARS: Final[dict[str, tuple[type, ...]]] = {
+    "int": (int,),
+    "str": (str,),
+    "bytes": (bytes,),
+    "bool": (bool,),
+    "float": (float, int),
+}
+_FIELD_TYPES: Final = {
+    kind: tuple(_SCALARS.get(str(field.type), (tuple,)) for field in attrs.fields(kind))
+    for kind in MESSAGE_TYPES
+}
+
+
+class CodecError(ValueError):
+    """Raised for a frame that is not a message of this protocol version."""
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message.
+
+    Raises
+    ------
+    CodecError
+        If the frame would exceed `MAX_FRAME_BYTES`.
+    """
+    kind = type(message)
+    values = [getattr(message, name) for name in _FIELD_NAMES[kind]]
+    frame = cbor2.dumps([_TYPE_NUMBERS[kind], *values])
+    if len(frame) > MAX_FRAME_BYTES:
+        raise CodecError(
+            f"{kind.__name__} needs {len(frame)} bytes; limit {MAX_FRAME_BYTES}"
+        )
+    return frame
+
+
+def decode(frame: bytes) -> Message:
+    """Return the message in a frame.
+
+    Raises
+    ------
+    CodecError
+        If the frame is not exactly one known message with fields of the right types.
+    """
+    try:
+        content: Any = cbor2.loads(frame)
+    except (cbor2.CBORDecodeError, ValueError, TypeError, RecursionError) as error:
+        raise CodecError(f"frame is not valid CBOR: {error}") from error
+    if not isinstance(content, list) or not content:
+        raise CodecError("frame is not a CBOR array with a type number")
+    number, *values = content
+    if type(number) is not int or not 0 <= number < len(MESSAGE_TYPES):
+        raise CodecError(f"unknown message type {number!r}")
+    kind = MESSAGE_TYPES[number]
+    expected = _FIELD_TYPES[kind]
+    if len(values) != len(expected):
+        raise CodecError(
+            f"{kind.__name__} has {len(values)} fields; expected {len(expected)}"
+        )
+    fields = [
+        _freeze(value) if types == (tuple,) else value
+        for value, types in zip(values, expected, strict=True)
+    ]
+    for name, value, types in zip(_FIELD_NAMES[kind], fields, expected, strict=True):
+        if type(value) not in types:
+            raise CodecError(f"{kind.__name__}.{name} has type {type(value).__name__}")
+    return kind(*fields)
+
+
+def _freeze(value: Any) -> Any:
+    if isinstance(value, list):
+        return tuple(map(_freeze, value))
+    return value
--- /dev/null
+++ b/src/radishtrack/peer/messages.py
@@ -0,0 +1,296 @@
+"""Messages between nodes; each is one CBOR array in one WebSocket frame."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+PROTOCOL_VERSION: Final = 1
+MAX_FRAME_BYTES: Final = 1 << 20
+
+Row = tuple[str | bytes | None, ...]
+
+
+@attrs.define(frozen=True)
+class Hello:
+    """Opens a connection."""
+
+    version: int
+    node: str
+    nonce: bytes
+
+
+@attrs.define(frozen=True)
+class Challenge:
+    """Answers `Hello` with proof that the server knows the fleet secret."""
+
+    version: int
+    node: str
+    nonce: bytes
+    proof: bytes
+
+
+@attrs.define(frozen=True)
+class Proof:
+    """Proves that the connecting node knows the fleet secret."""
+
+    proof: bytes
+
+
+@attrs.define(frozen=True)
+class Welcome:
+    """Ends the handshake."""
+
+    node: str
+
+
+@attrs.define(frozen=True)
+class Execute:
+    """Asks a holder to execute one statement.
+
+    Parameters
+    ----------
+    request : int
+        Identifies the request on this connection.
+    session : int
+        Identifies the client's session on this connection; transactions belong to it.
+    organisation : str
+        The organisation whose key came with the request.
+    database : str
+        The database to use.
+    statement : str
+        SQL text without options.
+    kind : str
+        A `StatementKind` value.
+    read_class : str
+        ``"strict"``, ``"session"`` or ``"aged"``; ignored for other statements.
+    max_age_ms : float
+        Accepted age of the data in milliseconds, for aged reads.
+    term, sequence : int
+        The session's position in the database; both 0 if it has none.
+    request_id : str
+        Idempotency identifier given by the client; empty if none.
+    timeout_ms : float
+        Time left for the request in milliseconds. Relative, because the clocks of
+        two nodes have no common origin.
+    dirties_session : bool
+        Whether the connection must not be reused afterwards.
+    """
+
+    request: int
+    session: int
+    organisation: str
+    database: str
+    statement: str
+    kind: str
+    read_class: str
+    max_age_ms: float
+    term: int
+    sequence: int
+    request_id: str
+    timeout_ms: float
+    dirties_session: bool
+
+
+@attrs.define(frozen=True)
+class ResultHead:
+    """Starts a result set: names and MySQL type codes of its columns."""
+
+    request: int
+    names: tuple[str, ...]
+    types: tuple[int, ...]
+
+
+@attrs.define(frozen=True)
+class Rows:
+    """A chunk of rows of a result set."""
+
+    request: int
+    rows: tuple[Row, ...]
+
+
+@attrs.define(frozen=True)
+class Credit:
+    """Permits the holder to send further `Rows` messages."""
+
+    request: int
+    chunks: int
+
+
+@attrs.define(frozen=True)
+class Done:
+    """Ends a request that ran.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    affected_rows, insert_id : int
+        As in MySQL's OK packet.
+    term, sequence : int
+        Position that the session has now seen; both 0 if unchanged.
+    served_by : str
+        The member that executed the statement.
+    role : str
+        Role of that member.
+    in_transaction : bool
+        Whether the session has an open transaction afterwards.
+    """
+
+    request: int
+    affected_rows: int
+    insert_id: int
+    term: int
+    sequence: int
+    served_by: str
+    role: str
+    in_transaction: bool
+
+
+@attrs.define(frozen=True)
+class Failed:
+    """Ends a request that failed; carries a `Failure`."""
+
+    request: int
+    step: str
+    peer: str
+    outcome: str
+    code: int
+    message: str
+    retry_after_ms: float
+    transaction_lost: bool
+
+
+@attrs.define(frozen=True)
+class Cancel:
+    """The client went away; the holder stops the request."""
+
+    request: int
+
+
+@attrs.define(frozen=True)
+class EndSession:
+    """The client's session ended; the holder rolls back its transaction."""
+
+    session: int
+
+
+@attrs.define(frozen=True)
+class VoteRequest:
+    """Asks whether the receiver can reach a member."""
+
+    request: int
+    database: str
+    member: str
+
+
+@attrs.define(frozen=True)
+class Vote:
+    """Answers `VoteRequest`."""
+
+    request: int
+    unreachable: bool
+
+
+@attrs.define(frozen=True)
+class TokenRequest:
+    """Asks the allocator of an organisation for rate tokens."""
+
+    request: int
+    organisation: str
+    sequence: int
+    tokens: float
+    demand: float
+
+
+@attrs.define(frozen=True)
+class TokenGrant:
+    """Answers `TokenRequest`."""
+
+    request: int
+    organisation: str
+    sequence: int
+    epoch: int
+    tokens: float
+    valid_ms: float
+    retry_after_ms: float
+
+
+@attrs.define(frozen=True)
+class Leaving:
+    """The sender stops accepting work."""
+
+    node: str
+
+
+@attrs.define(frozen=True)
+class CopyRequest:
+    """Asks a peer for its copies of configuration, keys and groups."""
+
+    request: int
+
+
+@attrs.define(frozen=True)
+class Copy:
+    """Answers `CopyRequest` with platform objects and the age of the last contact.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    contact_age_ms : float
+        Milliseconds since the sender last heard from the platform.
+    objects : tuple of bytes
+        CBOR-encoded ``[kind, name, version, value]`` of each object.
+    """
+
+    request: int
+    contact_age_ms: float
+    objects: tuple[bytes, ...]
+
+
+Message = (
+    Hello
+    | Challenge
+    | Proof
+    | Welcome
+    | Execute
+    | ResultHead
+    | Rows
+    | Credit
+    | Done
+    | Failed
+    | Cancel
+    | EndSession
+    | VoteRequest
+    | Vote
+    | TokenRequest
+    | TokenGrant
+    | Leaving
+    | CopyRequest
+    | Copy
+)
+
+MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
+    Hello,
+    Challenge,
+    Proof,
+    Welcome,
+    Execute,
+    ResultHead,
+    Rows,
+    Credit,
+    Done,
+    Failed,
+    Cancel,
+    EndSession,
+    VoteRequest,
+    Vote,
+    TokenRequest,
+    TokenGrant,
+    Leaving,
+    CopyRequest,
+    Copy,
+)
+"""The place in this tuple is the type number on the wire; only append."""
--- /dev/null
+++ b/src/radishtrack/peer/server.py
@@ -0,0 +1,212 @@
+"""Accepts connections of peers and hands their messages to handlers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from radishtrack.events import Event, log_event
+from radishtrack.peer.codec import CodecError, decode, encode
+from radishtrack.peer.handshake import HandshakeError, answer_hello, check_proof
+from radishtrack.peer.link import INITIAL_CREDIT_CHUNKS, PING_INTERVAL_S, PING_TIMEOUT_S
+from radishtrack.peer.messages import (
+    MAX_FRAME_BYTES,
+    Cancel,
+    Credit,
+    EndSession,
+    Execute,
+    Hello,
+    Message,
+    Proof,
+    Rows,
+    Welcome,
+)
+
+if TYPE_CHECKING:
+    import ssl
+
+HANDSHAKE_TIMEOUT_S: Final = 2.0
+READER_TIMEOUT_S: Final = 30.0
+
+ExecuteHandler = Callable[[str, Execute], AsyncIterator[Message]]
+EndSessionHandler = Callable[[str, int], Awaitable[None]]
+CallHandler = Callable[[str, Message], Awaitable[Message | None]]
+
+
+@attrs.define
+class PeerHandlers:
+    """What a node does with the messages of its peers.
+
+    Parameters
+    ----------
+    execute : callable
+        Takes the connection's identifier and a statement; yields the answer.
+    end_session : callable
+        Takes the connection's identifier and a session number.
+    end_connection : callable
+        Takes the connection's identifier; ends all sessions of the connection.
+    call : callable
+        Takes the peer's node name and any other message; returns the answer or None.
+    """
+
+    execute: ExecuteHandler
+    end_session: EndSessionHandler
+    end_connection: Callable[[str], Awaitable[None]]
+    call: CallHandler
+
+
+@attrs.define
+class _ServerLink:
+    """State of one accepted connection."""
+
+    socket: ServerConnection
+    node: str
+    identifier: str
+    handlers: PeerHandlers
+    running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
+    credits: dict[int, asyncio.Semaphore] = attrs.field(factory=dict)
+
+    async def read(self) -> None:
+        async for frame in self.socket:
+            if not isinstance(frame, bytes):
+                raise CodecError("peer sent a text frame")
+            self._dispatch(decode(frame))
+
+    async def end(self) -> None:
+        for task in self.running.values():
+            task.cancel()
+        if self.running:
+            await asyncio.wait(self.running.values())
+        await self.handlers.end_connection(self.identifier)
+
+    def _dispatch(self, message: Message) -> None:
+        match message:
+            case Credit():
+                credit = self.credits.get(message.request)
+                if credit is not None:
+                    for _ in range(min(message.chunks, INITIAL_CREDIT_CHUNKS)):
+                        credit.release()
+            case Cancel():
+                task = self.running.get(message.request)
+                if task is not None:
+                    task.cancel()
+            case _:
+                number = -id(message)
+                if isinstance(message, Execute):
+                    number = message.request
+                    self.credits[number] = asyncio.Semaphore(INITIAL_CREDIT_CHUNKS)
+                task = asyncio.create_task(self._handle(message))
+                self.running[number] = task
+                task.add_done_callback(lambda _: self._forget(number))
+
+    def _forget(self, number: int) -> None:
+        self.running.pop(number, None)
+        self.credits.pop(number, None)
+
+    async def _handle(self, message: Message) -> None:
+        # A lost connection ends the reader, which cleans up.
+        with contextlib.suppress(WebSocketException):
+            if isinstance(message, Execute):
+                await self._execute(message)
+            elif isinstance(message, EndSession):
+                await self.handlers.end_session(self.identifier, message.session)
+            else:
+                answer = await self.handlers.call(self.node, message)
+                if answer is not None:
+                    await self.socket.send(encode(answer))
+
+    async def _execute(self, message: Execute) -> None:
+        credit = self.credits[message.request]
+        answers = self.handlers.execute(self.identifier, message)
+        async with contextlib.aclosing(answers):  # type: ignore[type-var]
+            async for answer in answers:
+                if isinstance(answer, Rows):
+                    # A reader that takes nothing for this long would keep a database
+                    # connection; the request is abandoned instead.
+                    async with asyncio.timeout(READER_TIMEOUT_S):
+                        await credit.acquire()
+                await self.socket.send(encode(answer))
+
+
+async def start_peer_server(
+    host: str,
+    port: int,
+    node: str,
+    secret: bytes,
+    handlers: PeerHandlers,
+    *,
+    tls: ssl.SSLContext | None = None,
+) -> Server:
+    """Listen for peers.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address to listen on.
+    node : str
+        Name of this node.
+    secret : bytes
+        The fleet secret; peers that don't know it are refused.
+    handlers : PeerHandlers
+        What to do with messages.
+    tls : ssl.SSLContext, optional
+        Server context for TLS.
+    """
+
+    async def accept(socket: ServerConnection) -> None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                peer = await _authenticate(socket, node, secret)
+        except (
+            HandshakeError,
+            CodecError,
+            TimeoutError,
+            WebSocketException,
+        ) as error:
+            log_event(Event.PEER_REFUSED, peer=socket.remote_address, reason=error)
+            await socket.close(1008, "refused")
+            return
+        link = _ServerLink(socket, peer, f"{peer}/{socket.id}", handlers)
+        try:
+            await link.read()
+        except (CodecError, WebSocketException) as error:
+            log_event(Event.PEER_LOST, peer=peer, reason=error)
+        finally:
+            await link.end()
+
+    return await serve(
+        accept,
+        host,
+        port,
+        ssl=tls,
+        max_size=MAX_FRAME_BYTES,
+        compression=None,
+        ping_interval=PING_INTERVAL_S,
+        ping_timeout=PING_TIMEOUT_S,
+    )
+
+
+async def _authenticate(socket: ServerConnection, node: str, secret: bytes) -> str:
+    hello = decode(_as_frame(await socket.recv()))
+    if not isinstance(hello, Hello):
+        raise HandshakeError("peer did not start with Hello")
+    challenge = answer_hello(hello, node, secret)
+    await socket.send(encode(challenge))
+    proof = decode(_as_frame(await socket.recv()))
+    if not isinstance(proof, Proof):
+        raise HandshakeError("peer did not send a proof")
+    check_proof(hello, challenge, proof, secret)
+    await socket.send(encode(Welcome(node)))
+    return hello.node
+
+
+def _as_frame(frame: str | bytes) -> bytes:
+    if isinstance(frame, str):
+        raise HandshakeError("peer sent a text frame")
+    return frame
