--- /dev/null
+++ b/src/radishtrack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/radishtrack/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: text, validation, chunks, changes and the store."""
--- /dev/null
+++ b/src/radishtrack/keys/keyring.py
@@ -0,0 +1,139 @@
+"""A node's copy of all keys, built from the platform's ``keys/<organisation>``."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
+
+from radishtrack.keys.key import (
+    DIGEST_BYTES,
+    compute_verifier,
+    find_key_texts,
+    parse_key_id,
+)
+
+KIND: Final = "keys"
+"""Kind of the platform objects that hold keys."""
+
+
+@attrs.define(frozen=True)
+class Verifier:
+    """What is stored of one key that is not revoked."""
+
+    organisation: str
+    key_id: str
+    digest: bytes = attrs.field(repr=False)
+
+
+@attrs.define(frozen=True)
+class RevokedKey:
+    """A key that was active and no longer is."""
+
+    organisation: str
+    key_id: str
+
+
+@attrs.define(frozen=True)
+class OrganisationKeys:
+    """The active keys of one organisation at one version of its object."""
+
+    version: int
+    verifiers: Mapping[str, Verifier]
+
+
+@attrs.define
+class Keyring:
+    """The active keys of all organisations.
+
+    Every object only moves to a higher version, so an answer that arrives late cannot
+    make a revoked key valid again.
+    """
+
+    organisations: dict[str, OrganisationKeys] = attrs.field(factory=dict)
+
+    def find_verifiers(self, organisation: str) -> tuple[Verifier, ...]:
+        """Return the verifiers of an organisation's active keys."""
+        keys = self.organisations.get(organisation)
+        return tuple(keys.verifiers.values()) if keys else ()
+
+    def is_active(self, organisation: str, key_id: str) -> bool:
+        """Tell whether a key exists and is not revoked."""
+        keys = self.organisations.get(organisation)
+        return keys is not None and key_id in keys.verifiers
+
+    def contains_key(self, sql: str) -> bool:
+        """Tell whether a statement contains the text of an active key."""
+        return any(self._is_key(text) for text in find_key_texts(sql))
+
+    def apply_object(
+        self, organisation: str, version: int, value: Mapping[str, Any] | None
+    ) -> tuple[RevokedKey, ...]:
+        """Take a new version of an organisation's keys.
+
+        Parameters
+        ----------
+        organisation : str
+            Name of the object.
+        version : int
+            Version of the object.
+        value : mapping or None
+            Value of the object; None if it was deleted.
+
+        Returns
+        -------
+        tuple of RevokedKey
+            Keys that were active until now and are not in this version; empty if the
+            version is not higher than the present one.
+        """
+        present = self.organisations.get(organisation)
+        if present is not None and version <= present.version:
+            return ()
+        verifiers = _read_verifiers(organisation, value)
+        self.organisations[organisation] = OrganisationKeys(version, verifiers)
+        before = present.verifiers if present else {}
+        return tuple(
+            RevokedKey(organisation, key_id)
+            for key_id, verifier in before.items()
+            if verifiers.get(key_id) != verifier
+        )
+
+    def _is_key(self, text: str) -> bool:
+        key_id = parse_key_id(text) or ""
+        digest = compute_verifier(text)
+        found = (keys.verifiers.get(key_id) for keys in self.organisations.values())
+        return any(verifier and verifier.digest == digest for verifier in found)
+
+
+def make_keyring() -> Keyring:
+    """Return a keyring without keys."""
+    return Keyring()
+
+
+def _read_verifiers(
+    organisation: str, value: Mapping[str, Any] | None
+) -> dict[str, Verifier]:
+    """Return the active keys; an entry that cannot be read counts as revoked."""
+    verifiers = {}
+    entries = (value or {}).get("keys")
+    for entry in entries if isinstance(entries, list) else ():
+        verifier = _read_verifier(organisation, entry)
+        if verifier is not None:
+            verifiers[verifier.key_id] = verifier
+    return verifiers
+
+
+def _read_verifier(organisation: str, entry: object) -> Verifier | None:
+    if not isinstance(entry, dict) or entry.get("revoked"):
+        return None
+    key_id, text = entry.get("id"), entry.get("verifier")
+    if not isinstance(key_id, str) or not isinstance(text, str):
+        return None
+    try:
+        digest = bytes.fromhex(text)
+    except ValueError:
+        return None
+    return (
+        Verifier(organisation, key_id, digest) if len(digest) == DIGEST_BYTES else None
+    )
--- /dev/null
+++ b/src/radishtrack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are there, which databases they hold slots of, and planned stops."""
