--- /dev/null
+++ b/src/radishtrack/config/state.py
@@ -0,0 +1,184 @@
+"""A node's configuration: only moves to a higher valid revision."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+import attrs
+from expression import Error, Ok, Result
+
+from radishtrack._sealed import open_copy, seal_copy
+from radishtrack._validation import Problem
+from radishtrack.config._parse import read_parts
+from radishtrack.config.chunk import (
+    EMPTY_MANIFEST,
+    ChunkError,
+    Entry,
+    Manifest,
+    decode_manifest,
+    encode_manifest,
+    join_entries,
+    read_chunk,
+)
+from radishtrack.config.document import Document, make_document
+from radishtrack.events import Event, log_event
+
+COPY_KIND: Final = "config"
+
+
+@attrs.define(frozen=True)
+class Accepted:
+    """The revision is in force at this node."""
+
+    revision: int
+
+
+@attrs.define(frozen=True)
+class Stale:
+    """The revision is not higher than the one in force, so nothing changed."""
+
+    revision: int
+
+
+@attrs.define(frozen=True)
+class Rejected:
+    """The revision is not usable; the one in force stays."""
+
+    revision: int
+    reason: str
+
+
+AcceptResult = Accepted | Stale | Rejected
+
+
+@attrs.define
+class ConfigurationState:
+    """The configuration in force at a node."""
+
+    manifest: Manifest = EMPTY_MANIFEST
+    document: Document = attrs.field(factory=lambda: make_document((), (), (), ()))
+    texts: dict[str, str] = attrs.field(factory=dict)
+    """Chunks of the revision in force, by digest."""
+    entries: dict[str, tuple[Entry, ...]] = attrs.field(factory=dict)
+    """The same chunks, parsed."""
+    rejected: int = 0
+    """The last rejected revision, which is reported once."""
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; 0 if there is none."""
+        return self.manifest.revision
+
+    def find_missing(self, manifest: Manifest) -> tuple[str, ...]:
+        """Return the digests of the chunks that must be fetched for a manifest."""
+        return tuple(digest for digest in manifest.chunks if digest not in self.texts)
+
+    def accept(self, manifest: Manifest, chunks: Mapping[str, str]) -> AcceptResult:
+        """Put a revision into force if it is higher and valid.
+
+        Parameters
+        ----------
+        manifest : Manifest
+            The revision.
+        chunks : mapping
+            Texts by digest, at least those that `find_missing` named.
+        """
+        if manifest.revision <= self.revision:
+            return Stale(manifest.revision)
+        texts = {
+            digest: self.texts.get(digest) or chunks.get(digest, "")
+            for digest in manifest.chunks
+        }
+        try:
+            entries = {
+                digest: self.entries.get(digest) or read_chunk(digest, text)
+                for digest, text in texts.items()
+            }
+        except ChunkError as error:
+            return self._reject(manifest.revision, str(error))
+        result = build_document(
+            entry for digest in manifest.chunks for entry in entries[digest]
+        )
+        if result.is_error():
+            return self._reject(manifest.revision, result.error)
+        self.manifest, self.document = manifest, result.ok
+        self.texts, self.entries = texts, entries
+        log_event(
+            Event.CONFIGURATION_ACCEPTED,
+            revision=manifest.revision,
+            author=manifest.author,
+            changes=len(manifest.history[-1].changes) if manifest.history else 0,
+        )
+        return Accepted(manifest.revision)
+
+    def seal_copy(self, secret: str) -> bytes:
+        """Return an authenticated copy for a peer that starts without the platform."""
+        value = {"manifest": encode_manifest(self.manifest), "chunks": self.texts}
+        return seal_copy(COPY_KIND, value, secret)
+
+    def accept_copies(self, copies: Iterable[bytes], secret: str) -> AcceptResult:
+        """Take the highest authentic and valid revision among peers' copies."""
+        opened = [open_copy(COPY_KIND, data, secret) for data in copies]
+        found = [value for value in opened if value is not None]
+        if len(found) < len(opened):
+            log_event(
+                Event.COPY_REJECTED, kind=COPY_KIND, copies=len(opened) - len(found)
+            )
+        found.sort(key=lambda value: _get_revision(value), reverse=True)
+        result: AcceptResult = Stale(self.revision)
+        for value in found:
+            try:
+                manifest = decode_manifest(value.get("manifest"))
+            except ChunkError as error:
+                result = self._reject(_get_revision(value), str(error))
+                continue
+            chunks = value.get("chunks")
+            result = self.accept(manifest, chunks if isinstance(chunks, dict) else {})
+            if isinstance(result, Accepted):
+                log_event(Event.CONFIGURATION_COPIED, revision=result.revision)
+            if not isinstance(result, Rejected):
+                return result
+        return result
+
+    def _reject(self, revision: int, reason: str) -> Rejected:
+        if revision != self.rejected:
+            self.rejected = revision
+            log_event(
+                Event.CONFIGURATION_REJECTED,
+                revision=revision,
+                kept=self.revision,
+                reason=reason,
+            )
+        return Rejected(revision, reason)
+
+
+def make_configuration_state() -> ConfigurationState:
+    """Return the state of a node that has no configuration yet."""
+    return ConfigurationState()
+
+
+def build_document(entries: Iterable[Entry]) -> Result[Document, str]:
+    """Return the valid document of entries, or what is wrong with them."""
+    problems: list[Problem] = []
+    try:
+        parts = read_parts(join_entries(entries), problems)
+    except (TypeError, ValueError, AttributeError) as error:
+        return Error(f"entries are not a configuration: {error}")
+    if problems:
+        first = problems[0]
+        return Error(
+            f"{first.key}: expected {first.expected}, found {first.found}"
+            f" ({len(problems)} faults in all)"
+        )
+    return Ok(
+        make_document(
+            parts.owners, parts.organisations, parts.databases, parts.services
+        )
+    )
+
+
+def _get_revision(value: Mapping[str, Any]) -> int:
+    manifest = value.get("manifest")
+    revision = manifest.get("revision") if isinstance(manifest, dict) else None
+    return revision if isinstance(revision, int) else 0
--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -17,6 +17,8 @@
     NODE_STOPPED = (1003, "info", "node stopped")
     CLIENT_REFUSED = (2001, "warning", "client connection refused")
     KEY_REVOKED = (2002, "info", "connections of a revoked key closed")
+    KEYS_REFUSED = (2003, "warning", "keys may be out of date; requests refused")
+    KEYS_ACCEPTED = (2004, "info", "keys are recent enough again; requests served")
     MEMBER_UNREACHABLE = (3001, "warning", "member does not answer status polls")
     MEMBER_REACHABLE = (3002, "info", "member answers status polls again")
     PRIMARY_SUSPECTED = (3003, "warning", "primary suspected; votes requested")
@@ -29,8 +31,11 @@
     PLATFORM_AVAILABLE = (4002, "info", "platform answers again")
     CONFIGURATION_ACCEPTED = (5001, "info", "configuration revision in force")
     CONFIGURATION_REJECTED = (5002, "error", "configuration revision rejected")
+    CONFIGURATION_COPIED = (5003, "warning", "configuration taken from peers")
     PEER_REFUSED = (6001, "warning", "peer connection refused")
     PEER_LOST = (6002, "warning", "peer connection lost")
+    COPY_REJECTED = (6003, "warning", "copy from a peer is not authentic")
+    ADMIN_STARTED = (7001, "info", "metrics and health endpoints listen")
 
     @property
     def number(self) -> int:
--- a/src/radishtrack/keys/key.py
+++ b/src/radishtrack/keys/key.py
@@ -100,10 +100,11 @@
 
 
 def find_key_texts(sql: str) -> list[str]:
-    """Return every text in a statement that has the form of a key."""
-    if PREFIX not in sql:
+    """Return every text in a statement that has the form of a key, in lower case."""
+    lowered = sql.lower()
+    if PREFIX not in lowered:
         return []
-    return [match[0] for match in _KEY.finditer(sql)]
+    return [match[0] for match in _KEY.finditer(lowered)]
 
 
 def parse_key_id(text: str) -> str | None:
--- a/src/radishtrack/keys/keyring.py
+++ b/src/radishtrack/keys/keyring.py
@@ -52,6 +52,8 @@
     """
 
     organisations: dict[str, OrganisationKeys] = attrs.field(factory=dict)
+    by_id: dict[str, tuple[Verifier, ...]] = attrs.field(factory=dict)
+    """Active keys of all organisations by key identifier."""
 
     def find_verifiers(self, organisation: str) -> tuple[Verifier, ...]:
         """Return the verifiers of an organisation's active keys."""
@@ -91,6 +93,7 @@
         if present is not None and version <= present.version:
             return ()
         verifiers = _read_verifiers(organisation, value)
+        self._index(present.verifiers if present else {}, verifiers)
         self.organisations[organisation] = OrganisationKeys(version, verifiers)
         before = present.verifiers if present else {}
         return tuple(
@@ -100,10 +103,22 @@
         )
 
     def _is_key(self, text: str) -> bool:
-        key_id = parse_key_id(text) or ""
+        candidates = self.by_id.get(parse_key_id(text) or "", ())
+        if not candidates:
+            return False
         digest = compute_verifier(text)
-        found = (keys.verifiers.get(key_id) for keys in self.organisations.values())
-        return any(verifier and verifier.digest == digest for verifier in found)
+        return any(verifier.digest == digest for verifier in candidates)
+
+    def _index(
+        self, before: Mapping[str, Verifier], after: Mapping[str, Verifier]
+    ) -> None:
+        for key_id, verifier in before.items():
+            kept = (item for item in self.by_id[key_id] if item is not verifier)
+            self.by_id[key_id] = tuple(kept)
+            if not self.by_id[key_id]:
+                del self.by_id[key_id]
+        for key_id, verifier in after.items():
+            self.by_id[key_id] = (*self.by_id.get(key_id, ()), verifier)
 
 
 def make_keyring() -> Keyring:
@@ -111,6 +126,15 @@
     return Keyring()
 
 
+def encode_keys(keys: OrganisationKeys) -> dict[str, Any]:
+    """Return the active keys in the form of the platform's object."""
+    entries = [
+        {"id": verifier.key_id, "verifier": verifier.digest.hex()}
+        for verifier in keys.verifiers.values()
+    ]
+    return {"keys": entries}
+
+
 def _read_verifiers(
     organisation: str, value: Mapping[str, Any] | None
 ) -> dict[str, Verifier]:
--- /dev/null
+++ b/src/radishtrack/membership/drain.py
@@ -0,0 +1,125 @@
+"""The planned stop of a node, as a state machine without sockets or tasks."""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import Final
+
+import attrs
+from transitions import Machine
+
+MIN_DRAIN_MS: Final = 1_000.0
+"""Time for peers and load balancer to learn that the node leaves, before it closes
+idle connections on which a statement may be on its way."""
+
+BEGIN: Final = "stop_accepting"
+CLOSE: Final = "close_connections"
+END: Final = "finish"
+
+
+class DrainState(enum.Enum):
+    """Stages of a planned stop."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    CLOSING = "closing"
+    STOPPED = "stopped"
+
+
+class DrainDecision(enum.Enum):
+    """What to do with a connection or statement."""
+
+    ACCEPT = "accept"
+    REFUSE = "refuse"
+    """Not run; the client shall reconnect (error 9006)."""
+
+
+_TRANSITIONS: Final = [
+    {"trigger": BEGIN, "source": DrainState.SERVING, "dest": DrainState.DRAINING},
+    {"trigger": CLOSE, "source": DrainState.DRAINING, "dest": DrainState.CLOSING},
+    {"trigger": END, "source": DrainState.CLOSING, "dest": DrainState.STOPPED},
+]
+
+
+@attrs.define(slots=False)
+class Drain:
+    """A planned stop.
+
+    Parameters
+    ----------
+    timeout_ms : float
+        How long running statements and transactions may take, in milliseconds.
+    """
+
+    timeout_ms: float
+    state: DrainState = DrainState.SERVING
+    started_ms: float = math.inf
+    machine: Machine = attrs.field(init=False, repr=False, eq=False)
+
+    def begin(self, now_ms: float) -> bool:
+        """Start the stop; returns False if it has started before."""
+        if self.state is not DrainState.SERVING:
+            return False
+        self.started_ms = now_ms
+        return self._fire(BEGIN)
+
+    def advance(self, now_ms: float, statements: int, transactions: int) -> DrainState:
+        """Move on if the work is finished or the deadline has passed.
+
+        Parameters
+        ----------
+        now_ms : float
+            The time, in milliseconds.
+        statements : int
+            Number of statements being executed.
+        transactions : int
+            Number of open transactions.
+
+        Returns
+        -------
+        DrainState
+            The state from now on. In the state closing, the caller closes all
+            connections, rolls back what is open and then calls `end`.
+        """
+        if self.state is DrainState.DRAINING:
+            is_idle = statements == 0 and transactions == 0
+            waited_ms = now_ms - self.started_ms
+            has_finished = is_idle and waited_ms >= min(MIN_DRAIN_MS, self.timeout_ms)
+            if has_finished or waited_ms >= self.timeout_ms:
+                self._fire(CLOSE)
+        return self.state
+
+    def end(self) -> bool:
+        """Record that all connections are closed."""
+        return self._fire(END) if self.state is DrainState.CLOSING else False
+
+    def decide_connection(self) -> DrainDecision:
+        """Decide on a new connection of a client or peer."""
+        if self.state is DrainState.SERVING:
+            return DrainDecision.ACCEPT
+        return DrainDecision.REFUSE
+
+    def decide_statement(self, *, in_transaction: bool) -> DrainDecision:
+        """Decide on a statement that has just arrived from a client or peer."""
+        if self.state is DrainState.SERVING:
+            return DrainDecision.ACCEPT
+        if self.state is DrainState.DRAINING and in_transaction:
+            return DrainDecision.ACCEPT
+        return DrainDecision.REFUSE
+
+    def _fire(self, trigger: str) -> bool:
+        return bool(self.machine.events[trigger].trigger(self))
+
+
+def make_drain(timeout_ms: float) -> Drain:
+    """Return the state of a node that serves."""
+    drain = Drain(timeout_ms)
+    drain.machine = Machine(
+        model=drain,
+        states=DrainState,
+        transitions=_TRANSITIONS,
+        initial=DrainState.SERVING,
+        auto_transitions=False,
+    )
+    return drain
--- a/src/radishtrack/membership/placement.py
+++ b/src/radishtrack/membership/placement.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import bisect
 import hashlib
+import heapq
 from collections.abc import Iterable
 from typing import Final
 
@@ -13,9 +15,20 @@
 MIN_VOTERS: Final = 3
 """With fewer voters, one node's network problem could depose a primary."""
 
+ZoneOrders = dict[str, list[str]]
+"""Identifiers of a region's nodes for one database, best first, by zone."""
 
-def rank_nodes(database: str, region: str, nodes: Iterable[Node]) -> tuple[str, ...]:
-    """Return all nodes that may hold slots of a database, in placement order.
+
+def compute_weight(database: str, node_id: str) -> int:
+    """Return the rendezvous weight of a node for a database; the lowest is best."""
+    content = f"{database}\0{node_id}".encode()
+    return int.from_bytes(hashlib.blake2b(content, digest_size=8).digest(), "big")
+
+
+def rank_nodes(
+    database: str, region: str, count: int, nodes: Iterable[Node]
+) -> tuple[str, ...]:
+    """Return the first nodes of a database's placement order.
 
     Parameters
     ----------
@@ -23,27 +36,19 @@
         Name of the database.
     region : str
         Region of the database.
+    count : int
+        Number of nodes wanted.
     nodes : iterable of Node
         All known nodes; those of other regions and leaving ones are passed over.
 
     Returns
     -------
     tuple of str
-        Identifiers of nodes. The best node of every zone comes first, then the second
-        best of every zone, and so on, so that any prefix spreads over the zones.
+        Identifiers of nodes, fewer than `count` if there are not as many. The best
+        node of every zone comes first, then the second best of every zone, and so on.
     """
-    by_zone: dict[str, list[tuple[bytes, Node]]] = {}
-    for node in nodes:
-        if node.region == region and not node.leaving:
-            entry = (compute_weight(database, node.id), node)
-            by_zone.setdefault(node.zone, []).append(entry)
-    ranked: list[tuple[int, tuple[bytes, Node]]] = []
-    for entries in by_zone.values():
-        entries.sort(key=_get_weight, reverse=True)
-        ranked.extend((place, entry) for place, entry in enumerate(entries))
-    ranked.sort(key=lambda item: item[1][0], reverse=True)
-    ranked.sort(key=lambda item: item[0])
-    return tuple(entry[1].id for _, entry in ranked)
+    eligible = (node for node in nodes if node.region == region and not node.leaving)
+    return _merge_zones(database, count, _order_zones(database, eligible))
 
 
 def place_slots(
@@ -67,7 +72,7 @@
     tuple of str
         Identifiers of `slots` nodes, or of all eligible nodes if there are fewer.
     """
-    return rank_nodes(database, region, nodes)[:slots]
+    return rank_nodes(database, region, slots, nodes)
 
 
 def rank_voters(
@@ -77,49 +82,92 @@
 
     Parameters and order are as for `place_slots`.
     """
-    return rank_nodes(database, region, nodes)[: max(MIN_VOTERS, slots)]
-
-
-def compute_weight(database: str, node_id: str) -> bytes:
-    """Return the rendezvous weight of a node for a database."""
-    content = f"{database}\0{node_id}".encode()
-    return hashlib.blake2b(content, digest_size=8).digest()
-
-
-def _get_weight(entry: tuple[bytes, Node]) -> bytes:
-    return entry[0]
+    return rank_nodes(database, region, max(MIN_VOTERS, slots), nodes)
 
 
 @attrs.define
 class Placement:
-    """Placement orders of one membership view, computed when first asked for."""
+    """Placement of a changing membership view.
+
+    Orders are kept for each database and zone, so that a node that comes or goes costs
+    one search for each database instead of a hash for each database and node.
+    """
 
-    nodes: tuple[Node, ...]
-    orders: dict[tuple[str, str], tuple[str, ...]] = attrs.field(factory=dict)
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+    orders: dict[tuple[str, str], ZoneOrders] = attrs.field(factory=dict)
+    places: dict[tuple[str, str, int], tuple[str, ...]] = attrs.field(factory=dict)
 
     def place_slots(self, database: str, region: str, slots: int) -> tuple[str, ...]:
         """Return the nodes that hold a database's slots, best first."""
-        return self._get_order(database, region)[:slots]
+        return self._rank(database, region, slots)
 
     def rank_voters(self, database: str, region: str, slots: int) -> tuple[str, ...]:
         """Return the nodes that vote on a database's primary."""
-        return self._get_order(database, region)[: max(MIN_VOTERS, slots)]
-
-    def set_nodes(self, nodes: Iterable[Node]) -> None:
-        """Use another view; nothing is recomputed if it is the same."""
-        changed = tuple(nodes)
-        if changed != self.nodes:
-            self.nodes = changed
-            self.orders.clear()
-
-    def _get_order(self, database: str, region: str) -> tuple[str, ...]:
-        key = (database, region)
-        order = self.orders.get(key)
-        if order is None:
-            order = self.orders[key] = rank_nodes(database, region, self.nodes)
-        return order
+        return self._rank(database, region, max(MIN_VOTERS, slots))
+
+    def set_nodes(self, nodes: Iterable[Node]) -> bool:
+        """Use another view; returns whether it differs from the present one."""
+        present = {node.id: node for node in nodes if not node.leaving}
+        gone = [old for key, old in self.nodes.items() if not _is_same(old, present)]
+        new = [node for node in present.values() if not _is_same(node, self.nodes)]
+        self.nodes = present
+        for (database, region), zones in self.orders.items():
+            for node in gone:
+                if node.region == region:
+                    zones[node.zone].remove(node.id)
+            for node in new:
+                if node.region == region:
+                    _insert_node(database, zones.setdefault(node.zone, []), node.id)
+        if gone or new:
+            self.places.clear()
+        return bool(gone or new)
+
+    def forget_databases(self, known: Iterable[str]) -> None:
+        """Drop what is kept for databases that are not among the `known`."""
+        kept = set(known)
+        self.orders = {key: o for key, o in self.orders.items() if key[0] in kept}
+        self.places = {key: p for key, p in self.places.items() if key[0] in kept}
+
+    def _rank(self, database: str, region: str, count: int) -> tuple[str, ...]:
+        key = (database, region, count)
+        place = self.places.get(key)
+        if place is None:
+            zones = self.orders.get((database, region))
+            if zones is None:
+                eligible = (n for n in self.nodes.values() if n.region == region)
+                zones = _order_zones(database, eligible)
+                self.orders[database, region] = zones
+            place = self.places[key] = _merge_zones(database, count, zones)
+        return place
 
 
 def make_placement(nodes: Iterable[Node] = ()) -> Placement:
     """Return the placement of a membership view."""
-    return Placement(tuple(nodes))
+    return Placement({node.id: node for node in nodes if not node.leaving})
+
+
+def _order_zones(database: str, nodes: Iterable[Node]) -> ZoneOrders:
+    zones: ZoneOrders = {}
+    for node in nodes:
+        zones.setdefault(node.zone, []).append(node.id)
+    for order in zones.values():
+        order.sort(key=lambda node_id: compute_weight(database, node_id))
+    return zones
+
+
+def _insert_node(database: str, order: list[str], node_id: str) -> None:
+    bisect.insort(order, node_id, key=lambda other: compute_weight(database, other))
+
+
+def _merge_zones(database: str, count: int, zones: ZoneOrders) -> tuple[str, ...]:
+    heads = (
+        (place, compute_weight(database, node_id), node_id)
+        for order in zones.values()
+        for place, node_id in enumerate(order[:count])
+    )
+    return tuple(node_id for _, _, node_id in heapq.nsmallest(count, heads))
+
+
+def _is_same(node: Node, others: dict[str, Node]) -> bool:
+    other = others.get(node.id)
+    return other is not None and (node.zone, node.region) == (other.zone, other.region)
