--- /dev/null
+++ b/src/radishtrack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Statement classification, request options and the choice of a member."""
--- /dev/null
+++ b/src/radishtrack/routing/options.py
@@ -0,0 +1,168 @@
+"""Request options in a leading ``/*radishtrack name=value ...*/`` comment."""
+
+from __future__ import annotations
+
+import enum
+import re
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from radishtrack.errors import ErrorCode, Failure, Outcome, RequestError
+
+MAX_COMMENT_CHARACTERS: Final = 8192
+MAX_AGE_LIMIT_MS: Final = 86_400_000
+MAX_TIMEOUT_MS: Final = 600_000
+
+_MARKER: Final = "/*radishtrack"
+_LEADING_COMMENT = re.compile(r"\s*/\*(?!!)(.*?)\*/", re.DOTALL | re.ASCII)
+_NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
+_REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}", re.ASCII)
+_TOKEN = re.compile(r"[A-Za-z0-9_-]{1,4096}", re.ASCII)
+
+
+class ReadClass(enum.Enum):
+    """The consistency that a read asks for."""
+
+    STRICT = "strict"
+    SESSION = "session"
+    AGED = "aged"
+    PRIMARY = "primary"
+    """Reads inside a transaction; clients cannot ask for it by name."""
+
+
+@attrs.define(frozen=True)
+class RequestOptions:
+    """Options that a client gave with one statement.
+
+    Parameters
+    ----------
+    read_class : ReadClass or None
+        The requested class; None leaves it to the route.
+    max_age_ms : int or None
+        Greatest accepted age of the data, in milliseconds.
+    request_id : str
+        Identifier under which the request runs at most once; empty for none.
+    timeout_ms : int or None
+        Time that the client allows for the request, in milliseconds.
+    session : str
+        Session token of an earlier connection; empty for none.
+    """
+
+    read_class: ReadClass | None = None
+    max_age_ms: int | None = None
+    request_id: str = ""
+    timeout_ms: int | None = None
+    session: str = ""
+
+
+NO_OPTIONS: Final = RequestOptions()
+
+
+def make_invalid_option(message: str) -> RequestError:
+    """Return the error of a request whose options are not valid."""
+    return RequestError(
+        Failure("options", "", Outcome.NOT_RUN, ErrorCode.INVALID_OPTION, message)
+    )
+
+
+def split_options(sql: str) -> tuple[RequestOptions, str]:
+    """Separate the options from a statement.
+
+    Only comments before the first word of the statement are looked at, so text
+    inside a string literal is never taken for options. Other comments stay.
+
+    Parameters
+    ----------
+    sql : str
+        The statement as the client sent it.
+
+    Returns
+    -------
+    RequestOptions
+        The options; empty if there is no such comment.
+    str
+        The statement without the options comment.
+
+    Raises
+    ------
+    RequestError
+        With `ErrorCode.INVALID_OPTION` for an unknown, repeated or bad option.
+    """
+    if _MARKER not in sql:
+        return NO_OPTIONS, sql
+    found: re.Match[str] | None = None
+    comment = _LEADING_COMMENT.match(sql)
+    while comment is not None:
+        if _is_options(comment[1]):
+            if found is not None:
+                raise make_invalid_option("more than one radishtrack comment")
+            found = comment
+        comment = _LEADING_COMMENT.match(sql, comment.end())
+    if found is None:
+        return NO_OPTIONS, sql
+    if len(found[1]) > MAX_COMMENT_CHARACTERS:
+        raise make_invalid_option("the radishtrack comment is too long")
+    options = _parse(found[1].split()[1:])
+    return options, sql[: found.start()] + sql[found.end() :].lstrip()
+
+
+def _is_options(text: str) -> bool:
+    return text.startswith("radishtrack") and text[11:12] in ("", *" \t\r\n\f\v")
+
+
+def _parse(words: list[str]) -> RequestOptions:
+    values: dict[str, str] = {}
+    for word in words:
+        name, separator, value = word.partition("=")
+        if name not in _READERS or not separator:
+            raise make_invalid_option(f"unknown option {name[:40]!r}")
+        if name in values:
+            raise make_invalid_option(f"option {name} is given twice")
+        values[name] = value
+    fields = {
+        _FIELDS.get(name, name): _READERS[name](name, value)
+        for name, value in values.items()
+    }
+    options = RequestOptions(**fields)  # type: ignore[arg-type]
+    if options.max_age_ms is not None and options.read_class not in (
+        None,
+        ReadClass.AGED,
+    ):
+        raise make_invalid_option("max_age_ms needs class=aged")
+    return options
+
+
+def _read_class(name: str, value: str) -> ReadClass:
+    if value not in ("strict", "session", "aged"):
+        raise make_invalid_option(f"{name} must be strict, session or aged")
+    return ReadClass(value)
+
+
+def _make_number_reader(upper_limit: int) -> Callable[[str, str], int]:
+    def read(name: str, value: str) -> int:
+        if not _NUMBER.fullmatch(value) or not 1 <= int(value) <= upper_limit:
+            raise make_invalid_option(f"{name} must be 1 to {upper_limit}")
+        return int(value)
+
+    return read
+
+
+def _make_text_reader(pattern: re.Pattern[str]) -> Callable[[str, str], str]:
+    def read(name: str, value: str) -> str:
+        if not pattern.fullmatch(value):
+            raise make_invalid_option(f"{name} has characters that are not allowed")
+        return value
+
+    return read
+
+
+_FIELDS: Final = {"class": "read_class"}
+_READERS: Final[dict[str, Callable[[str, str], object]]] = {
+    "class": _read_class,
+    "max_age_ms": _make_number_reader(MAX_AGE_LIMIT_MS),
+    "request_id": _make_text_reader(_REQUEST_ID),
+    "timeout_ms": _make_number_reader(MAX_TIMEOUT_MS),
+    "session": _make_text_reader(_TOKEN),
+}
