--- /dev/null
+++ b/src/radishtrack/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Members of database groups: statements, pool, execution and monitoring."""
--- /dev/null
+++ b/src/radishtrack/group/detection.py
@@ -0,0 +1,166 @@
+"""When a member counts as failed and who starts a promotion."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from radishtrack.group.evidence import is_in_service
+from radishtrack.group.status import Group, MemberStatus, Role
+
+POLL_INTERVAL_MS: Final = 250.0
+"""Time between two status polls of a member without waiting requests."""
+
+SUSPICION_MS: Final = 1_500.0
+"""Time without a good answer after which a member is suspected."""
+
+VOTE_LIFETIME_MS: Final = 1_500.0
+"""Time for which a vote counts; an older one says nothing about the present."""
+
+RANK_DELAY_MS: Final = 500.0
+"""Delay of a promoter for each rank before it, so that attempts seldom race."""
+
+ABANDONED_MS: Final = 1_000.0
+"""Time after which fenced members without a promotion are taken over."""
+
+
+def is_good_answer(status: MemberStatus, group: Group) -> bool:
+    """Tell whether a status shows that the member fulfils its role in the group.
+
+    A recorded primary that answers but was never promoted, or was demoted by an error,
+    accepts no writes and must be suspected like one that is silent. A fenced primary is
+    left to `FencingWatch`, which needs no vote.
+    """
+    if status.member != group.primary:
+        return True
+    if status.term > group.term:
+        # The record in hand is outdated, which is no fault of the member.
+        return True
+    return status.role is Role.PRIMARY and status.term == group.term
+
+
+@attrs.define
+class Suspicion:
+    """Time of the last good answer of each member."""
+
+    answered_ms: dict[str, float] = attrs.field(factory=dict)
+
+    def watch(self, members: Iterable[str], now_ms: float) -> None:
+        """Follow exactly `members`; a new one starts as if it had just answered."""
+        self.answered_ms = {
+            member: self.answered_ms.get(member, now_ms) for member in members
+        }
+
+    def answered(self, member: str, now_ms: float) -> None:
+        """Note a good answer."""
+        if member in self.answered_ms:
+            self.answered_ms[member] = now_ms
+
+    def reset(self, member: str, now_ms: float) -> None:
+        """Give a member the full time again, for example after its promotion."""
+        self.answered(member, now_ms)
+
+    def is_suspected(self, member: str, now_ms: float) -> bool:
+        """Tell whether the member gave no good answer for `SUSPICION_MS`."""
+        answered_ms = self.answered_ms.get(member)
+        return answered_ms is not None and now_ms - answered_ms >= SUSPICION_MS
+
+
+@attrs.define(frozen=True)
+class Vote:
+    """One voter's report on the primary."""
+
+    unreachable: bool
+    received_ms: float
+
+
+@attrs.define
+class VoteTally:
+    """Votes of all voters on whether the primary is unreachable.
+
+    Parameters
+    ----------
+    voters : tuple of str
+        All voters, whether they answer or not.
+    """
+
+    voters: tuple[str, ...]
+    votes: dict[str, Vote] = attrs.field(factory=dict)
+
+    def record(self, voter: str, unreachable: bool, now_ms: float) -> None:
+        """Note the latest vote of a voter; others are ignored."""
+        if voter in self.voters:
+            self.votes[voter] = Vote(unreachable, now_ms)
+
+    def has_majority(self, now_ms: float) -> bool:
+        """Tell whether a majority of all voters reports the primary unreachable.
+
+        Voters that did not answer count as opposed: otherwise one node that is cut off
+        from everything would agree with itself.
+        """
+        agreeing = sum(
+            vote.unreachable and now_ms - vote.received_ms <= VOTE_LIFETIME_MS
+            for vote in self.votes.values()
+        )
+        return agreeing > len(self.voters) // 2
+
+
+def make_vote_tally(voters: Iterable[str]) -> VoteTally:
+    """Return a tally without votes."""
+    return VoteTally(tuple(dict.fromkeys(voters)))
+
+
+def start_delay_ms(rank: int) -> float:
+    """Return how long the node of a placement rank waits before it starts.
+
+    Parameters
+    ----------
+    rank : int
+        Place of the node in the database's placement order; 0 starts at once.
+
+    Returns
+    -------
+    float
+        Delay in milliseconds.
+    """
+    return RANK_DELAY_MS * rank
+
+
+@attrs.define
+class FencingWatch:
+    """Since when members are fenced for a term that nobody recorded."""
+
+    term: int = 0
+    since_ms: float | None = None
+
+    def observe(
+        self, statuses: Iterable[MemberStatus], group: Group, now_ms: float
+    ) -> None:
+        """Compare the members' latest statuses with the group's record."""
+        fenced = any(
+            status.member in group.members
+            and status.fenced_term > group.term
+            and not is_in_service(status, group)
+            for status in statuses
+        )
+        if not fenced:
+            self.since_ms = None
+        elif self.since_ms is None or self.term != group.term:
+            self.since_ms = now_ms
+        self.term = group.term
+
+    def is_abandoned(self, now_ms: float, rank: int = 0) -> bool:
+        """Tell whether this node should complete the promotion.
+
+        Parameters
+        ----------
+        now_ms : float
+            Current time in milliseconds.
+        rank : int
+            Place of the node in the placement order.
+        """
+        if self.since_ms is None:
+            return False
+        return now_ms - self.since_ms >= ABANDONED_MS + start_delay_ms(rank)
--- /dev/null
+++ b/src/radishtrack/group/election.py
@@ -0,0 +1,129 @@
+"""Choice of the next primary among fenced members."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from radishtrack.group.status import Group, MemberStatus
+
+
+@attrs.define(frozen=True)
+class Elected:
+    """The member to promote.
+
+    Parameters
+    ----------
+    member : str
+        Name of the member.
+    start_sequence : int
+        Length of the log with which the new term begins.
+    discards : bool
+        Whether the member's log extends beyond `start_sequence` with changes that an
+        earlier promotion left out; it must discard them before it is promoted.
+    """
+
+    member: str
+    start_sequence: int
+    discards: bool
+
+
+@attrs.define(frozen=True)
+class NotElected:
+    """No member can be promoted safely."""
+
+    reason: str
+
+
+def discard_limit(status: MemberStatus, group: Group) -> int:
+    """Return the sequence beyond which a member must discard its log.
+
+    A member that missed promotions may hold changes that one of them left out, even if
+    a later term started beyond them; a client may have been told that they did not run.
+
+    Parameters
+    ----------
+    status : MemberStatus
+        The member's status; its log is part of the log of `status.term`.
+    group : Group
+        The group with the starts of all terms.
+
+    Returns
+    -------
+    int
+        The lowest start of the terms that the member missed, or the end of its log.
+    """
+    starts = (
+        start.sequence
+        for start in group.history
+        if status.term < start.term <= group.term
+    )
+    return min(starts, default=status.position.sequence)
+
+
+def kept_sequence(status: MemberStatus, group: Group) -> int:
+    """Return how much of a member's log belongs to the log of the group's term.
+
+    Such logs are all beginnings of the same log, so their lengths alone order them.
+    """
+    return min(status.position.sequence, discard_limit(status, group))
+
+
+def elect(
+    statuses: Iterable[MemberStatus],
+    group: Group,
+    new_term: int,
+    leaving: frozenset[str] = frozenset(),
+) -> Elected | NotElected:
+    """Choose the furthest fenced member.
+
+    Parameters
+    ----------
+    statuses : iterable of MemberStatus
+        Answers to the fence command.
+    group : Group
+        The record read before fencing.
+    new_term : int
+        The term for which the members were fenced.
+    leaving : frozenset of str
+        Members that are being taken out of service.
+
+    Returns
+    -------
+    Elected or NotElected
+        The member and where the new term begins, or the reason for the refusal.
+    """
+    fenced = {
+        status.member: status
+        for status in statuses
+        if status.member in group.members
+        and status.fenced_term == new_term
+        and status.term < new_term
+    }
+    if len(fenced) < group.fence_quorum:
+        return NotElected(
+            f"{len(fenced)} of {len(group.members)} members fenced for term "
+            f"{new_term}; {group.fence_quorum} are needed"
+        )
+
+    furthest = max(kept_sequence(status, group) for status in fenced.values())
+
+    def preference(status: MemberStatus) -> tuple[bool, bool, bool, str]:
+        # The replaced primary comes after its equals because most voters cannot
+        # reach it.
+        return (
+            status.member in leaving,
+            status.position.sequence > furthest,
+            status.member == group.primary,
+            status.member,
+        )
+
+    # A leaving member that is strictly ahead is chosen all the same: it may be the
+    # only fenced member that holds an acknowledged commit, and losing the commit is
+    # worse than a second promotion when the member leaves.
+    candidates = (
+        status for status in fenced.values() if kept_sequence(status, group) == furthest
+    )
+    chosen = min(candidates, key=preference)
+    return Elected(chosen.member, furthest, chosen.position.sequence > furthest)
--- /dev/null
+++ b/src/radishtrack/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: entry, holder and the promotion of members."""
