Add the promotion attempt as a state machine

Cause: a promotion must survive lost answers, races and outages without ever promoting a member that the platform has not recorded.

It reads the record before fencing, so that an outage of the platform fences nobody, and never gives up while its update may still be carried out. Members with a lower term discard what a promotion left out before they are fenced; otherwise an answer 'did not run' could turn wrong.

--- /dev/null
+++ b/src/radishtrack/group/_attempt.py
@@ -0,0 +1,131 @@
+"""Steps and state of a promotion attempt."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+
+from radishtrack.group.detection import VoteTally
+from radishtrack.group.status import Group, MemberStatus
+
+STEP_TIMEOUT_MS: Final = 500.0
+"""Time for the answers of one step. Every step may use it twice within the 7 s that a
+change of primary may take."""
+
+MINIMUM_BACKOFF_MS: Final = 100.0
+"""First pause after a platform call without an answer."""
+
+MAXIMUM_BACKOFF_MS: Final = 1_000.0
+"""Longest pause between platform calls, so that a promotion resumes within a second."""
+
+TRY_LIMIT: Final = 3
+"""Number of times that one step asks voters or members before the attempt ends."""
+
+
+class Step(enum.Enum):
+    """Where an attempt stands."""
+
+    SUSPECT = "suspect"
+    VOTING = "voting"
+    READING = "reading"
+    FENCING = "fencing"
+    RECORDING = "recording"
+    INSTALLING = "installing"
+    DONE = "done"
+    LOST = "lost"
+    FAILED = "failed"
+
+
+FINAL_STEPS: Final = frozenset({Step.DONE, Step.LOST, Step.FAILED})
+
+TRANSITIONS: Final[tuple[tuple[Any, ...], ...]] = (
+    ("suspected", Step.SUSPECT, Step.VOTING),
+    ("took_over", Step.SUSPECT, Step.READING),
+    ("agreed", Step.VOTING, Step.READING),
+    ("votes_expired", Step.READING, Step.VOTING),
+    ("read", Step.READING, Step.FENCING),
+    ("elected", Step.FENCING, Step.RECORDING),
+    ("recorded", Step.RECORDING, Step.INSTALLING),
+    ("installed", Step.INSTALLING, Step.DONE),
+    ("superseded", (Step.READING, Step.RECORDING, Step.INSTALLING), Step.LOST),
+    (
+        "gave_up",
+        (Step.SUSPECT, Step.VOTING, Step.READING, Step.FENCING, Step.INSTALLING),
+        Step.FAILED,
+    ),
+)
+"""An attempt never gives up while recording: its update may still be carried out, and
+only the platform can tell."""
+
+
+@attrs.define(slots=False, eq=False)
+class AttemptState:
+    """State of one attempt.
+
+    The record is read before members are fenced, to see that the platform answers:
+    fencing during an outage of the platform would end strict reads without a promotion.
+
+    Parameters
+    ----------
+    group : Group
+        The latest known record.
+    attempt_id : str
+        Unique identifier, written into the record.
+    tally : VoteTally
+        Votes of the database's voters.
+    leaving : frozenset of str
+        Members that are being taken out of service.
+    """
+
+    group: Group
+    attempt_id: str
+    tally: VoteTally
+    leaving: frozenset[str]
+    trigger: Callable[[str], bool] = attrs.field(init=False)
+    state: Step = attrs.field(init=False)
+    deadline_ms: float | None = None
+    """Time at which the attempt expects `DeadlinePassed`."""
+    reason: str = ""
+    """Why the attempt was lost or failed."""
+    takes_over: bool = False
+    tries: int = 0
+    backoff_ms: float = MINIMUM_BACKOFF_MS
+    fenced: dict[str, MemberStatus] = attrs.field(factory=dict)
+    unanswered: set[str] = attrs.field(factory=set)
+    new_group: Group | None = None
+    is_promoted: bool = False
+    followers: set[str] = attrs.field(factory=set)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the attempt takes no more messages."""
+        return self.state in FINAL_STEPS
+
+    @property
+    def new_term(self) -> int:
+        """The term that the attempt tries to begin."""
+        return self.group.term + 1
+
+    def end(self, trigger: str, reason: str) -> None:
+        """End without a promotion by this attempt."""
+        self.reason = reason
+        self.trigger(trigger)
+
+    def enter(self, trigger: str, now_ms: float) -> None:
+        """Move to the next step and start its timeout."""
+        self.trigger(trigger)
+        self.tries = 1
+        self.backoff_ms = MINIMUM_BACKOFF_MS
+        self.wait(now_ms)
+
+    def wait(self, now_ms: float) -> None:
+        """Start the timeout of the current step again."""
+        self.deadline_ms = now_ms + STEP_TIMEOUT_MS
+
+    def back_off(self, now_ms: float) -> None:
+        """Pause before the next call to the platform."""
+        self.deadline_ms = now_ms + self.backoff_ms
+        self.backoff_ms = min(2 * self.backoff_ms, MAXIMUM_BACKOFF_MS)
--- a/src/radishtrack/group/election.py
+++ b/src/radishtrack/group/election.py
@@ -19,14 +19,10 @@
         Name of the member.
     start_sequence : int
         Length of the log with which the new term begins.
-    discards : bool
-        Whether the member's log extends beyond `start_sequence` with changes that an
-        earlier promotion left out; it must discard them before it is promoted.
     """
 
     member: str
     start_sequence: int
-    discards: bool
 
 
 @attrs.define(frozen=True)
@@ -108,13 +104,21 @@
         )
 
     furthest = max(kept_sequence(status, group) for status in fenced.values())
-
-    def preference(status: MemberStatus) -> tuple[bool, bool, bool, str]:
+    # A member that still holds changes which an earlier promotion left out would bring
+    # them back; it discards them before it is fenced, see `discard_limit`.
+    candidates = [
+        status
+        for status in fenced.values()
+        if status.position.sequence == kept_sequence(status, group) == furthest
+    ]
+    if not candidates:
+        return NotElected("the furthest fenced member has changes to discard first")
+
+    def preference(status: MemberStatus) -> tuple[bool, bool, str]:
         # The replaced primary comes after its equals because most voters cannot
         # reach it.
         return (
             status.member in leaving,
-            status.position.sequence > furthest,
             status.member == group.primary,
             status.member,
         )
@@ -122,8 +126,4 @@
     # A leaving member that is strictly ahead is chosen all the same: it may be the
     # only fenced member that holds an acknowledged commit, and losing the commit is
     # worse than a second promotion when the member leaves.
-    candidates = (
-        status for status in fenced.values() if kept_sequence(status, group) == furthest
-    )
-    chosen = min(candidates, key=preference)
-    return Elected(chosen.member, furthest, chosen.position.sequence > furthest)
+    return Elected(min(candidates, key=preference).member, furthest)
