--- a/src/radishtrack/backend/endpoint.py
+++ b/src/radishtrack/backend/endpoint.py
@@ -1,4 +1,4 @@
-"""Where a member listens."""
+"""Where a member of a database group is reached."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
     member : str
         Name of the member.
     host : str
-        IP address.
+        Host name or address.
     port : int
-        Port for statements; connections count against the database's limit.
+        Port for client work; counts against the connection limit.
     admin_port : int
-        Port of the administrative interface, without a limit.
+        Port of MySQL's administrative connection interface.
     zone : str
-        Availability zone.
+        Availability zone of the member.
     """
 
     member: str
