--- /dev/null
+++ b/src/radishtrack/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission at a holder: fair queueing for connections and the retry budget."""
--- /dev/null
+++ b/src/radishtrack/rates/bucket.py
@@ -0,0 +1,106 @@
+"""Token bucket in integers: admitted <= capacity + rate x time on every interval.
+
+A reserved token may be used at any time until it is settled. The bucket counts it as
+used at the latest possible time: while it is reserved, the level cannot rise above
+capacity minus reserved tokens. The interval bound then holds for the actual times of
+use and does not depend on how long a token stays reserved.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from radishtrack.rates.messages import MICRO
+
+NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
+UNITS_PER_TOKEN: Final = MICRO * 1_000_000_000
+"""One unit is what a rate of one millionth of a token per second adds in 1 ns."""
+DRIFT_NUMERATOR: Final = 1000
+DRIFT_DENOMINATOR: Final = 1001
+"""A clock may run fast by 0.1%, so the refill counts 1000 of 1001 ns."""
+
+
+@attrs.define
+class Bucket:
+    """Token bucket with reserved tokens.
+
+    Parameters
+    ----------
+    rate_micro : int
+        Refill in millionths of a token per second.
+    capacity : int
+        Largest number of tokens, reserved ones included.
+    updated_ns : int
+        Time up to which the refill is counted.
+    level_units : int
+        Free tokens, in units.
+    reserved : int
+        Tokens handed out and not yet settled.
+    """
+
+    rate_micro: int
+    capacity: int
+    updated_ns: int
+    level_units: int = 0
+    reserved: int = 0
+
+    def refill(self, now_ms: float) -> None:
+        """Count the refill up to `now_ms`."""
+        now_ns = int(now_ms * NANOSECONDS_PER_MILLISECOND)
+        # Both readings are truncated, so 1 ns of the difference may not have passed.
+        elapsed_ns = now_ns - self.updated_ns - 1
+        if elapsed_ns <= 0:
+            return
+        self.updated_ns = now_ns
+        added = self.rate_micro * elapsed_ns * DRIFT_NUMERATOR // DRIFT_DENOMINATOR
+        self.level_units = min(self.level_units + added, self.limit_units())
+
+    def limit_units(self) -> int:
+        """Return the highest level that the reserved tokens leave room for."""
+        return max(0, self.capacity - self.reserved) * UNITS_PER_TOKEN
+
+    def available(self) -> int:
+        """Return the whole tokens that are free."""
+        return self.level_units // UNITS_PER_TOKEN
+
+    def take(self, tokens: int) -> None:
+        """Use `tokens` free tokens now."""
+        self.level_units -= tokens * UNITS_PER_TOKEN
+
+    def reserve(self, tokens: int) -> None:
+        """Hand out `tokens` free tokens for use until they are settled."""
+        self.take(tokens)
+        self.reserved += tokens
+
+    def settle(self, tokens: int, returned: int = 0) -> None:
+        """End the reservation of `tokens`, of which `returned` were never used.
+
+        Call `refill` first, so that the refill up to now is held under the old
+        limit.
+        """
+        self.reserved -= tokens
+        self.level_units = min(
+            self.level_units + returned * UNITS_PER_TOKEN, self.limit_units()
+        )
+
+    def configure(self, rate_micro: int, capacity: int) -> None:
+        """Change rate and capacity from the time of the last refill."""
+        self.rate_micro = rate_micro
+        self.capacity = capacity
+        self.level_units = min(self.level_units, self.limit_units())
+
+    def wait_ms(self, tokens: int = 1) -> float:
+        """Return the refill time until `tokens` are free, infinite if never."""
+        missing = tokens * UNITS_PER_TOKEN - self.level_units
+        if missing <= 0:
+            return 0.0
+        if self.rate_micro == 0 or tokens > self.capacity:
+            return float("inf")
+        return missing / self.rate_micro / NANOSECONDS_PER_MILLISECOND
+
+
+def make_empty_bucket(rate_micro: int, capacity: int, now_ms: float) -> Bucket:
+    """Return an empty bucket at `now_ms`."""
+    return Bucket(rate_micro, capacity, int(now_ms * NANOSECONDS_PER_MILLISECOND) + 1)
--- /dev/null
+++ b/src/radishtrack/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage accounting: counters, cumulative reports and the owners' shares."""
