--- /dev/null
+++ b/src/radishtrack/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Members of database groups: statements, pools, journal and monitoring."""
--- /dev/null
+++ b/src/radishtrack_standins/member_server.py
@@ -0,0 +1,337 @@
+"""MySQL wire protocol of a member over mysql-mimic."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from typing import Any, Final
+
+import attrs
+from mysql_mimic import packets
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import LocalControl
+from mysql_mimic.results import ResultColumn
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import ColumnType, ServerStatus
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from radishtrack_standins.member_core import Member, Row
+from radishtrack_standins.member_dialect import MemberError
+from radishtrack_standins.member_faults import SeenStatement
+from radishtrack_standins.member_replica import REPLICATION_USER
+from radishtrack_standins.member_session import Answer, MemberSession, status_flags
+
+CLIENT_USERS: Final = ("radishtrack", "radishtrack_admin")
+MAIN: Final = "main"
+ADMIN: Final = "admin"
+
+_CONNECTION_ERRORS: Final = (
+    ConnectionClosed,
+    ConnectionError,
+    asyncio.IncompleteReadError,
+)
+
+
+class LoginRefusedError(Exception):
+    """The client was told that its login failed."""
+
+
+class MemberUsers(IdentityProvider):  # type: ignore[misc]
+    """The users of a member; they share one password."""
+
+    def __init__(self, password: str) -> None:
+        self.password_hash = (
+            NativePasswordAuthPlugin.create_auth_string(password) if password else None
+        )
+
+    async def get_user(self, username: str) -> Any:
+        """Return the user; an unknown one gets a hash that matches no password."""
+        known = username in (*CLIENT_USERS, REPLICATION_USER)
+        return User(
+            name=username,
+            auth_string=self.password_hash if known else "00" * 20,
+            auth_plugin=NativePasswordAuthPlugin.name,
+        )
+
+
+class _WireSession(BaseSession):  # type: ignore[misc]
+    """What mysql-mimic needs besides the connection; runs no statements."""
+
+    def __init__(self) -> None:
+        self.variables = SessionVariables(GlobalVariables())
+        self.username: str | None = None
+        self.database: str | None = None
+
+    async def use(self, database: str) -> None:
+        self.database = database
+
+
+@attrs.define
+class ServerSettings:
+    """Settings of one port.
+
+    Parameters
+    ----------
+    port_kind : str
+        `MAIN` or `ADMIN`; only connections to the main port are counted.
+    max_connections : int
+        Limit of counted connections.
+    connect_cost_ms : float
+        Time before the handshake.
+    password : str
+        Password of all users.
+    """
+
+    port_kind: str
+    max_connections: int
+    connect_cost_ms: float
+    password: str
+
+
+class MemberConnection(Connection):  # type: ignore[misc]
+    """One connection; closes after a failed login and reports affected rows."""
+
+    def __init__(
+        self, member: Member, settings: ServerSettings, stream: Any, number: int
+    ) -> None:
+        super().__init__(
+            stream=stream,
+            session=_WireSession(),
+            control=LocalControl(),
+            identity_provider=MemberUsers(settings.password),
+        )
+        self.connection_id = number
+        self.member = member
+        self.settings = settings
+        self.user = ""
+        self.engine: MemberSession | None = None
+        self.counted = False
+
+    async def serve(self) -> None:
+        """Serve the connection until it ends."""
+        faults = self.member.faults
+        try:
+            await faults.pass_clients()
+            await asyncio.sleep(self.settings.connect_cost_ms / 1000)
+            await self.connection_phase()
+            self.engine = MemberSession(self.member, self.connection_id)
+            self.engine.schema = self.session.database or ""
+            await self.command_phase()
+        except LoginRefusedError:
+            return
+        except _CONNECTION_ERRORS:
+            return
+        finally:
+            if self.engine is not None:
+                self.engine.close()
+            if self.counted:
+                self.member.observed.closed()
+
+    async def authenticate(self, username: str, *args: Any, **kwargs: Any) -> None:
+        """Check the login; count the connection before the client can use it."""
+        self.member.observed.attributes.append(dict(self.client_connect_attrs))
+        self.member.observed.users.append(username)
+        self.user = username
+        if self.settings.port_kind == MAIN and username != REPLICATION_USER:
+            await self._count()
+        await super().authenticate(username, *args, **kwargs)
+        if self.session.username is None:
+            raise LoginRefusedError
+
+    async def _count(self) -> None:
+        observed = self.member.observed
+        if self.counted:
+            return
+        if observed.connections >= self.settings.max_connections:
+            observed.connections_refused += 1
+            await self.stream.write(
+                self.error_packet(MemberError(1040, "08004", "Too many connections"))
+            )
+            raise LoginRefusedError
+        observed.opened()
+        self.counted = True
+
+    def error_packet(self, error: MemberError) -> bytes:
+        """Return the packet of an error with any code."""
+        head = b"\xff" + error.code.to_bytes(2, "little")
+        return head + b"#" + error.state.encode() + error.message.encode()
+
+    def error(self, **kwargs: Any) -> bytes:
+        """Return an error packet of mysql-mimic; a refused login has 1045."""
+        code, message = int(kwargs.get("code", 1105)), str(kwargs.get("msg", ""))
+        state = "28000" if code == 1045 else "HY000"
+        return self.error_packet(MemberError(code, state, message))
+
+    async def _pass(self) -> None:
+        faults = self.member.faults
+        if self.user == REPLICATION_USER:
+            await faults.pass_replication()
+        else:
+            await faults.pass_clients()
+
+    async def handle_query(self, data: bytes) -> None:
+        """Run one statement and answer it."""
+        assert self.engine is not None
+        await self._pass()
+        query = packets.parse_com_query(
+            capabilities=self.capabilities,
+            client_charset=CharacterSet.utf8mb4,
+            data=data,
+        )
+        if self.user != REPLICATION_USER:
+            self.member.observed.statements.append(
+                SeenStatement(self.settings.port_kind, self.user, query.sql)
+            )
+        try:
+            answer = await self.engine.run(query.sql)
+            await self._before_answer()
+            await self._answer(answer)
+        except MemberError as error:
+            await self._before_answer()
+            await self.stream.write(self.error_packet(error))
+
+    async def _before_answer(self) -> None:
+        assert self.engine is not None
+        self.status_flags = ServerStatus(status_flags(self.engine))
+        await self.member.faults.delay()
+        await self._pass()
+
+    async def _answer(self, answer: Answer) -> None:
+        if answer.rows is None:
+            await self.stream.write(
+                self.ok(
+                    affected_rows=answer.affected_rows,
+                    last_insert_id=answer.insert_id,
+                )
+            )
+            return
+        columns: list[Any] | None = None
+        sent = 0
+        async for batch in answer.rows:
+            if columns is None:
+                columns = _make_columns(answer.columns, batch)
+                self._write_head(columns)
+            sent += len(batch)
+            await self._write_batch(batch, columns, sent)
+        if columns is None:
+            self._write_head(_make_columns(answer.columns, []))
+        await self.stream.write(self.ok_or_eof())
+
+    async def _write_batch(
+        self, batch: list[Row], columns: list[Any], sent: int
+    ) -> None:
+        faults = self.member.faults
+        limit = faults.die_in_result
+        if 0 <= limit < sent and self.settings.port_kind == MAIN:
+            faults.set(die_in_result=-1)
+            kept = limit - (sent - len(batch))
+            self.stream.write_text_rows(batch[:kept], columns)
+            await self.stream.drain()
+            self.stream.writer.close()
+            raise ConnectionResetError("closed in the middle of a result")
+        self.stream.write_text_rows(batch, columns)
+        await self.stream.drain()
+
+    def _write_head(self, columns: list[Any]) -> None:
+        head = [
+            packets.make_column_count(
+                capabilities=self.capabilities, column_count=len(columns)
+            )
+        ]
+        head += [
+            packets.make_column_definition_41(
+                server_charset=CharacterSet.utf8mb4,
+                name=column.name,
+                column_type=column.type,
+                character_set=column.character_set,
+            )
+            for column in columns
+        ]
+        if not self.deprecate_eof():
+            head.append(self.eof())
+        self.stream.write_many(head)
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Change the default database."""
+        await self._pass()
+        await super().handle_init_db(data)
+        assert self.engine is not None
+        self.engine.schema = self.session.database or ""
+
+    async def handle_ping(self, data: bytes) -> None:
+        """Answer a ping."""
+        await self._pass()
+        await self._before_answer()
+        await super().handle_ping(data)
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Undo the open transaction and forget temporary tables."""
+        assert self.engine is not None
+        await self._pass()
+        self.engine.close()
+        self.engine = MemberSession(self.member, self.connection_id)
+        await self._before_answer()
+        await super().handle_reset_connection(data)
+
+
+def _make_columns(names: tuple[str, ...], rows: list[Row]) -> list[Any]:
+    return [
+        _make_column(name, next((row[i] for row in rows if row[i] is not None), None))
+        for i, name in enumerate(names)
+    ]
+
+
+def _make_column(name: str, value: object) -> Any:
+    if isinstance(value, int):
+        return ResultColumn(name, ColumnType.LONGLONG)
+    if isinstance(value, float):
+        return ResultColumn(name, ColumnType.DOUBLE)
+    if isinstance(value, bytes):
+        return ResultColumn(name, ColumnType.BLOB, CharacterSet.binary)
+    return ResultColumn(name, ColumnType.VAR_STRING)
+
+
+@attrs.define
+class MemberPort:
+    """A listening port and the tasks of its connections."""
+
+    server: asyncio.Server
+    tasks: set[asyncio.Task[None]]
+
+    @property
+    def number(self) -> int:
+        """The TCP port."""
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+async def start_port(
+    member: Member, settings: ServerSettings, host: str, port: int
+) -> MemberPort:
+    """Listen on a port of the member."""
+    logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
+    numbers = itertools.count(1)
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        stream = MysqlStream(reader, writer)
+        connection = MemberConnection(member, settings, stream, next(numbers))
+        task = asyncio.create_task(connection.serve())
+        tasks.add(task)
+        try:
+            await asyncio.wait({task})
+        finally:
+            tasks.discard(task)
+            writer.close()
+
+    return MemberPort(await asyncio.start_server(serve, host, port, backlog=512), tasks)
