Make the first answer to a replica immediate

A replica waited for the source's long poll before it entered a new term, so CALL sys.group_follow returned while the member was still fenced. The replica now asks without waiting until it has joined the term.

--- a/src/radishtrack_standins/member_replica.py
+++ b/src/radishtrack_standins/member_replica.py
@@ -87,8 +87,10 @@
         await self._connect(state.source)
         last = self.pending[-1][1] if self.pending else None
         end = last or member.log
+        # The first answer of a new source must come at once: it ends the old term here.
+        wait_ms = PULL_WAIT_MS if state.term == term else 0
         rows = await self._query(
-            f"CALL sys.group_log({term}, {end.term}, {end.sequence})"
+            f"CALL sys.group_log({term}, {end.term}, {end.sequence}, {wait_ms})"
         )
         await member.faults.pass_replication()
         if state.follow_term != term or state.fenced_term > term or state.is_primary:
