--- /dev/null
+++ b/src/radishtrack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API and VM list."""
--- /dev/null
+++ b/src/radishtrack/platform/records.py
@@ -0,0 +1,176 @@
+"""What the platform stores and answers."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+
+import attrs
+
+Json = None | bool | int | float | str | list["Json"] | dict[str, "Json"]
+Value = Mapping[str, Json]
+
+
+@attrs.define(frozen=True)
+class PlatformObject:
+    """One object at one version.
+
+    Parameters
+    ----------
+    kind, name : str
+        Identify the object.
+    version : int
+        Changes with every write; 0 if the object does not exist.
+    value : mapping or None
+        The content; None if the object was deleted.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: Value | None
+
+
+class VmState(enum.Enum):
+    """Whether a VM stays."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.define(frozen=True)
+class VmRecord:
+    """An entry of the platform's lagging list of VMs.
+
+    Parameters
+    ----------
+    id : str
+        Identifier of the VM.
+    zone, region : str
+        Where the VM runs.
+    state : VmState
+        Whether the VM stays.
+    peer_address : str
+        ``host:port`` of its node's peer protocol.
+    """
+
+    id: str
+    zone: str
+    region: str
+    state: VmState
+    peer_address: str
+
+
+@attrs.define(frozen=True)
+class Written:
+    """The write took effect and gave the object this version."""
+
+    version: int
+
+
+@attrs.define(frozen=True)
+class Conflict:
+    """The write did not take effect, since the object has this other version."""
+
+    version: int
+
+
+WriteAnswer = Written | Conflict
+
+
+@attrs.define(frozen=True)
+class WatchAnswer:
+    """Changes since the revision that the watch named.
+
+    Parameters
+    ----------
+    revision : int
+        The revision to continue from.
+    objects : tuple of PlatformObject
+        Objects changed since, in order of their versions; a deleted one has no value.
+    """
+
+    revision: int
+    objects: tuple[PlatformObject, ...]
+
+
+class PlatformUnavailable(Exception):
+    """The platform gave no usable answer.
+
+    Parameters
+    ----------
+    step : str
+        The call that failed.
+    peer : str
+        URL of the platform.
+    effect_unknown : bool
+        Whether a write may have taken effect, now or later.
+    reason : str
+        What was seen.
+    """
+
+    def __init__(
+        self, step: str, peer: str, effect_unknown: bool, reason: str = ""
+    ) -> None:
+        super().__init__(f"platform unavailable: {reason} [step={step} at {peer}]")
+        self.step = step
+        self.peer = peer
+        self.effect_unknown = effect_unknown
+        self.reason = reason
+
+
+class PlatformRefusal(Exception):
+    """The platform rejected a call for good, for example an oversized value.
+
+    Parameters
+    ----------
+    step : str
+        The call that was rejected.
+    peer : str
+        URL of the platform.
+    status : int
+        HTTP status.
+    reason : str
+        The platform's explanation.
+    """
+
+    def __init__(self, step: str, peer: str, status: int, reason: str) -> None:
+        super().__init__(
+            f"platform rejected the call: {status} {reason} [step={step} at {peer}]"
+        )
+        self.step = step
+        self.peer = peer
+        self.status = status
+        self.reason = reason
+
+
+def parse_object(data: Mapping[str, Json]) -> PlatformObject:
+    """Return an object in an answer of the platform.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or has another type.
+    """
+    value = data.get("value")
+    version = data.get("version")
+    if not isinstance(version, int) or not isinstance(value, dict | None):
+        raise ValueError(f"object {data.get('kind')}/{data.get('name')} is malformed")
+    return PlatformObject(str(data["kind"]), str(data["name"]), version, value)
+
+
+def parse_vm(data: Mapping[str, Json]) -> VmRecord:
+    """Return an entry of the VM list.
+
+    Raises
+    ------
+    ValueError
+        If the state is unknown.
+    """
+    return VmRecord(
+        id=str(data["id"]),
+        zone=str(data["zone"]),
+        region=str(data["region"]),
+        state=VmState(data["state"]),
+        peer_address=str(data["peer_address"]),
+    )
--- /dev/null
+++ b/src/radishtrack/platform/watch.py
@@ -0,0 +1,71 @@
+"""Follows objects of the platform with one pending call."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from radishtrack.events import Event, log_event
+from radishtrack.platform.budget import backoff_ms
+from radishtrack.platform.client import PlatformClient
+from radishtrack.platform.records import (
+    PlatformRefusal,
+    PlatformUnavailable,
+    WatchAnswer,
+)
+
+DEFAULT_WATCH_MS: Final = 5000.0
+
+OnChange = Callable[[WatchAnswer], None]
+OnContact = Callable[[bool], None]
+
+
+def _ignore_contact(_: bool) -> None:
+    return
+
+
+async def follow_objects(
+    client: PlatformClient,
+    kinds: Sequence[str],
+    on_change: OnChange,
+    *,
+    on_contact: OnContact = _ignore_contact,
+    timeout_ms: float = DEFAULT_WATCH_MS,
+) -> None:
+    """Report all objects of some kinds and then their changes, forever.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        The client; its `last_contact_ms` dates what was reported.
+    kinds : sequence of str
+        The kinds to follow with one pending call.
+    on_change : callable
+        Called with every answer that contains objects, and with the first one.
+    on_contact : callable
+        Called after every call with whether the platform answered.
+    timeout_ms : float
+        Time in milliseconds that the platform waits for a change. A pending call
+        shows no contact, so this bounds the age of `last_contact_ms`.
+    """
+    revision = failures = 0
+    first = True
+    while True:
+        try:
+            answer = await client.watch(kinds, revision, timeout_ms)
+        except (PlatformUnavailable, PlatformRefusal) as error:
+            failures += 1
+            on_contact(False)
+            if failures == 1:
+                log_event(Event.PLATFORM_UNAVAILABLE, reason=str(error))
+            await asyncio.sleep(backoff_ms(failures, client.random) / 1000)
+            continue
+        if failures:
+            log_event(Event.PLATFORM_AVAILABLE, failures=failures)
+        failures = 0
+        revision = answer.revision
+        if answer.objects or first:
+            on_change(answer)
+        first = False
+        on_contact(True)
