Add allocator, lease and holder's share

Change: bucket that counts granted tokens as used as late as possible, lease with epoch, fair division, standing shares lent to the allocator while it answers.

--- /dev/null
+++ b/src/radishtrack/rates/allocator.py
@@ -0,0 +1,418 @@
+"""The allocator of one organisation: keeps the token bucket and grants tokens.
+
+It counts the standing share of a holder as used, unless the holder lends it: the
+holder leaves it unused for `LOAN_MS` after it receives a grant, and says so by
+echoing the grant's stamp. The allocator counts the loan from when it made that grant.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+import attrs
+
+from radishtrack.rates.bucket import Bucket, make_empty_bucket
+from radishtrack.rates.holder_view import (
+    LOWEST_CREDIT,
+    HolderView,
+    accrue_credits,
+    fair_tokens,
+    has_contenders,
+    make_holder_view,
+)
+from radishtrack.rates.lease import (
+    LEASE_MS,
+    LeaseState,
+    LeaseWrite,
+    PendingWrite,
+    make_lease_state,
+)
+from radishtrack.rates.messages import (
+    DRIFT_MARGIN,
+    LOAN_MS,
+    MAX_GRANT_VALIDITY_MS,
+    MICRO,
+    MIN_GRANT_VALIDITY_MS,
+    STANDING_VALIDITY_MS,
+    LeaseRecord,
+    RateLimit,
+    ReleasedLevel,
+    Stamp,
+    StandingShare,
+    TokenGrant,
+    TokenRequest,
+)
+from radishtrack.rates.reservations import Reservations, make_reservations
+from radishtrack.rates.standing_plan import Amount, plan_shares
+
+LOAN_STOP_MS: Final = 4_000.0
+"""Loans are given back when the rest of the lease is this short, so that the holders
+have their standing shares before a platform outage ends the lease."""
+MIN_RETRY_MS: Final = 10.0
+MAX_RETRY_MS: Final = 1_000.0
+MAX_TURN_MS: Final = 100.0
+"""Longest pause for the sake of other holders that wait for tokens."""
+HOLDER_MEMORY_MS: Final = STANDING_VALIDITY_MS
+
+
+@attrs.define(frozen=True)
+class NotAllocator:
+    """The node that was asked does not hold the organisation's lease."""
+
+    organisation: str
+
+
+@attrs.define
+class Allocator:
+    """One node's state for the allocation of one organisation's tokens.
+
+    Parameters
+    ----------
+    organisation : str
+        The organisation.
+    limit : RateLimit
+        Configured limit of the organisation.
+    lease : LeaseState
+        Lease of the organisation.
+    """
+
+    organisation: str
+    limit: RateLimit
+    lease: LeaseState
+    bucket: Bucket | None = None
+    epoch: int = 0
+    sequence: int = 0
+    holders: dict[str, HolderView] = attrs.field(factory=dict)
+    reservations: Reservations = attrs.field(factory=make_reservations)
+    void_ms: float = -math.inf
+    """Loans from grants up to this time are void."""
+    share_seen_ms: dict[StandingShare, float] = attrs.field(factory=dict)
+    """When a share was first known to be in force."""
+    released: ReleasedLevel | None = None
+
+    def observe(self, record: LeaseRecord | None, version: int, now_ms: float) -> None:
+        """Apply what a read or a watch returned; version 0 if there is no record."""
+        pending = self.lease.own_pending(record)
+        if pending is not None:
+            self._confirm(pending, version, now_ms)
+            return
+        self.lease.see(record, version, now_ms)
+        if not self.lease.is_mine:
+            self.bucket = None
+
+    def should_acquire(self, now_ms: float) -> bool:
+        """Return whether the lease is free and this node may try to take it."""
+        return self.lease.should_acquire(now_ms)
+
+    def should_renew(self, now_ms: float) -> bool:
+        """Return whether the lease of this node is to be extended."""
+        return self.lease.should_renew(now_ms)
+
+    def prepare_write(self, now_ms: float) -> LeaseWrite:
+        """Return the write that acquires or renews the lease.
+
+        Call it directly before sending: the lease is measured from `now_ms`. After a
+        conflict, or without an answer, read the object and call `observe`.
+        """
+        revision = self.lease.next_revision()
+        oldest_ms = now_ms - HOLDER_MEMORY_MS
+        self.holders = {
+            name: view
+            for name, view in self.holders.items()
+            if view.seen_ms >= oldest_ms
+        }
+        previous = self.lease.record
+        # The holders scale their shares by the limit from which they were computed.
+        is_planned = self.lease.is_mine or previous is None
+        limit = self.limit if is_planned or previous is None else previous.limit
+        record = LeaseRecord(
+            self.organisation,
+            self.lease.node,
+            self.lease.next_epoch(),
+            revision,
+            LEASE_MS,
+            limit,
+            self._plan(revision, now_ms),
+        )
+        return self.lease.send(record, now_ms)
+
+    def on_lease_written(self, revision: int, version: int, now_ms: float) -> None:
+        """Note the platform's positive answer to a write."""
+        pending = self.lease.pending.get(revision)
+        if pending is not None:
+            self._confirm(pending, version, now_ms)
+
+    def on_holder_gone(self, holder: str) -> None:
+        """Plan no further standing share for a holder that was replaced.
+
+        A hint from the membership: its present share stays set aside while the
+        holder could still be using it.
+        """
+        view = self.holders.get(holder)
+        if view is not None:
+            view.is_gone = True
+
+    def prepare_release(self, now_ms: float) -> LeaseWrite | None:
+        """Stop granting and return the write that hands the bucket over.
+
+        After a conflict and an `observe` it may be called again.
+        """
+        record = self.lease.record
+        if self.lease.is_mine and self.bucket is not None:
+            self._advance(now_ms)
+            self.released = ReleasedLevel(self.bucket.level_units, self.bucket.reserved)
+            self.lease.give_up()
+            self.bucket = None
+        is_own = record is not None and (record.holder_node, record.epoch) == (
+            self.lease.node,
+            self.epoch,
+        )
+        if record is None or self.released is None or not is_own or record.released:
+            return None
+        revision = self.lease.next_revision()
+        return self.lease.send(
+            attrs.evolve(record, revision=revision, released=self.released), now_ms
+        )
+
+    def set_limit(self, limit: RateLimit, now_ms: float) -> None:
+        """Apply a new configuration."""
+        if self.bucket is not None:
+            self._advance(now_ms)
+        self.limit = limit
+        if self.bucket is not None:
+            self._reconfigure(now_ms)
+
+    def on_request(
+        self, request: TokenRequest, now_ms: float
+    ) -> TokenGrant | NotAllocator:
+        """Answer a holder's request.
+
+        Parameters
+        ----------
+        request : TokenRequest
+            Request as received; it may be late, repeated or out of order.
+        now_ms : float
+            Present time on this node's clock.
+
+        Returns
+        -------
+        TokenGrant or NotAllocator
+            The grant, perhaps of no tokens.
+        """
+        if self.bucket is None or not self.lease.is_held(now_ms):
+            return NotAllocator(self.organisation)
+        self._advance(now_ms)
+        view = self.holders.get(request.holder)
+        if view is None:
+            view = self.holders[request.holder] = make_holder_view(now_ms)
+        self._settle(request)
+        self._learn(view, request, now_ms)
+        self._reconfigure(now_ms)
+        if request.request_id <= view.last_request_id:
+            last = view.last_grant
+            if last is not None and last.request_id == request.request_id:
+                return last
+            return self._make_grant(request, 0, 0.0, now_ms)
+        view.last_request_id = request.request_id
+        view.last_grant = self._grant(view, request, now_ms)
+        return view.last_grant
+
+    def grant_validity_ms(self) -> float:
+        """Return the validity of grants: half of the burst at the full rate."""
+        if self.limit.rate_micro == 0:
+            return MAX_GRANT_VALIDITY_MS
+        half_burst_ms = self.limit.burst * 1000.0 * MICRO / (2 * self.limit.rate_micro)
+        return min(MAX_GRANT_VALIDITY_MS, max(MIN_GRANT_VALIDITY_MS, half_burst_ms))
+
+    def _confirm(self, pending: PendingWrite, version: int, now_ms: float) -> None:
+        if version <= self.lease.version:
+            return
+        record = pending.write.record
+        is_new = not self.lease.is_mine and record.released is None
+        self.lease.confirm(pending, version, now_ms)
+        for share in record.standing_shares:
+            self.share_seen_ms.setdefault(share, now_ms)
+        if is_new:
+            self._start(pending, now_ms)
+
+    def _start(self, pending: PendingWrite, now_ms: float) -> None:
+        self.epoch = pending.write.record.epoch
+        self.sequence = 0
+        self.holders = {}
+        self.reservations = make_reservations()
+        self.void_ms = -math.inf
+        self.released = None
+        self.share_seen_ms = {
+            share: now_ms for share in pending.write.record.standing_shares
+        }
+        # The use of the last seconds is unknown after a lapsed lease: start empty.
+        self.bucket = make_empty_bucket(self.limit.rate_micro, self.limit.burst, now_ms)
+        released = pending.replaced.released if pending.replaced else None
+        if released is not None:
+            self.bucket.level_units = released.level_units
+            self.bucket.reserved = released.outstanding
+            self.reservations.add(
+                "",
+                0,
+                released.outstanding,
+                now_ms + MAX_GRANT_VALIDITY_MS * DRIFT_MARGIN,
+            )
+        self._reconfigure(now_ms)
+
+    def _advance(self, now_ms: float) -> None:
+        """Count the refill and the expired grants up to now.
+
+        A loan that ended since the last call counts as ended at that call, which
+        errs on the low side.
+        """
+        assert self.bucket is not None
+        self._reconfigure(now_ms)
+        for expired in self.reservations.pop_expired(now_ms):
+            self.bucket.refill(expired.expires_ms)
+            self.bucket.settle(expired.tokens)
+        self.bucket.refill(now_ms)
+
+    def _reconfigure(self, now_ms: float) -> None:
+        assert self.bucket is not None
+        aside = self._set_aside(now_ms)
+        self.bucket.configure(
+            max(0, self.limit.rate_micro - aside.rate_micro),
+            max(0, self.limit.burst - aside.burst),
+        )
+
+    def _set_aside(self, now_ms: float) -> Amount:
+        """Return what holders may use of their standing shares now."""
+        records = [pending.write.record for pending in self.lease.pending.values()]
+        if self.lease.record is not None:
+            records.append(self.lease.record)
+        rates: dict[str, int] = {}
+        bursts: dict[str, int] = {}
+        for record in records:
+            for share in record.standing_shares:
+                view = self.holders.get(share.holder)
+                if view is not None and view.is_lending(now_ms):
+                    continue
+                rates[share.holder] = max(
+                    rates.get(share.holder, 0), share.held_rate_micro
+                )
+                bursts[share.holder] = max(
+                    bursts.get(share.holder, 0), share.held_burst
+                )
+        return Amount(sum(rates.values()), sum(bursts.values()))
+
+    def _settle(self, request: TokenRequest) -> None:
+        assert self.bucket is not None
+        for settlement in request.settlements:
+            freed = self.reservations.settle(request.holder, settlement)
+            self.bucket.settle(freed, min(freed, settlement.returned))
+
+    def _learn(self, view: HolderView, request: TokenRequest, now_ms: float) -> None:
+        view.seen_ms = now_ms
+        view.is_leaving |= request.leaving
+        view.revision = max(view.revision, request.standing_revision)
+        if request.request_id > view.last_request_id:
+            view.demand_per_second = request.demand_per_second
+            if request.wanted > 0:
+                view.wanted_ms = now_ms
+        echo = request.echo
+        # A stamp of another epoch is a time on another node's clock.
+        if (
+            echo is not None
+            and echo.epoch == self.epoch
+            and echo.sent_ms > self.void_ms
+        ):
+            view.lent_until_ms = max(
+                view.lent_until_ms, echo.sent_ms + LOAN_MS / DRIFT_MARGIN
+            )
+
+    def _grant(
+        self, view: HolderView, request: TokenRequest, now_ms: float
+    ) -> TokenGrant:
+        assert self.bucket is not None
+        accrue_credits(self.holders, self.bucket.rate_micro / MICRO, now_ms)
+        tokens = fair_tokens(
+            self.holders, view, request.wanted, self.bucket.available(), now_ms
+        )
+        retry_after_ms = 0.0
+        if tokens > 0:
+            self.bucket.reserve(tokens)
+            view.credit = max(LOWEST_CREDIT, view.credit - tokens)
+            self.reservations.add(
+                request.holder,
+                request.request_id,
+                tokens,
+                now_ms + self.grant_validity_ms() * DRIFT_MARGIN,
+            )
+        view.is_short = tokens < request.wanted
+        if view.is_short:
+            wait_ms = self.bucket.wait_ms()
+            if has_contenders(self.holders, view, now_ms):
+                wait_ms = max(wait_ms, min(view.wait_ms(), MAX_TURN_MS))
+            retry_after_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
+        return self._make_grant(request, tokens, retry_after_ms, now_ms)
+
+    def _make_grant(
+        self, request: TokenRequest, tokens: int, retry_after_ms: float, now_ms: float
+    ) -> TokenGrant:
+        assert self.bucket is not None
+        self.sequence += 1
+        is_loan = self.lease.until_ms - now_ms > LOAN_STOP_MS
+        if not is_loan:
+            self._void_loans(now_ms)
+        return TokenGrant(
+            self.organisation,
+            request.holder,
+            request.request_id,
+            Stamp(self.epoch, self.sequence, now_ms),
+            tokens,
+            self.grant_validity_ms(),
+            retry_after_ms,
+            tokens > 0 and 2 * self.bucket.reserved >= self.bucket.capacity,
+            is_loan,
+        )
+
+    def _void_loans(self, now_ms: float) -> None:
+        self.void_ms = now_ms
+        for view in self.holders.values():
+            view.lent_until_ms = -math.inf
+
+    def _plan(self, revision: int, now_ms: float) -> tuple[StandingShare, ...]:
+        known = self.lease.record.standing_shares if self.lease.record else ()
+        if not self.lease.is_mine:
+            return known
+        seen = {
+            holder
+            for holder, view in self.holders.items()
+            if not (view.is_leaving or view.is_gone)
+        }
+        # Holders that this allocator has not heard from keep their share for as long
+        # as it may be in use.
+        quiet = {
+            share.holder
+            for share in known
+            if share.holder not in self.holders and not self._is_settled(share, now_ms)
+        }
+        owners = {share.holder for share in known}
+        ranked = sorted(seen | quiet, key=lambda name: (name not in owners, name))
+        return plan_shares(
+            known,
+            ranked,
+            self.limit,
+            revision,
+            lambda share: self._is_settled(share, now_ms),
+        )
+
+    def _is_settled(self, share: StandingShare, now_ms: float) -> bool:
+        view = self.holders.get(share.holder)
+        if view is not None and (
+            view.is_leaving or view.revision >= share.since_revision
+        ):
+            return True
+        seen_ms = self.share_seen_ms.get(share, math.inf)
+        return now_ms - seen_ms >= STANDING_VALIDITY_MS * DRIFT_MARGIN
+
+
+def make_allocator(organisation: str, node: str, limit: RateLimit) -> Allocator:
+    """Return the state of a node that has read no lease record yet."""
+    return Allocator(organisation, limit, make_lease_state(node))
--- /dev/null
+++ b/src/radishtrack/rates/lease.py
@@ -0,0 +1,161 @@
+"""The lease of an organisation's allocator: who may grant tokens, and until when.
+
+The clocks of two nodes have no common origin. The holder of the lease measures its
+length from before it sent the write; an observer measures it from when it first saw
+that version, with a margin for the clocks' rates.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+import attrs
+
+from radishtrack.rates.messages import (
+    DRIFT_MARGIN,
+    MAX_GRANT_VALIDITY_MS,
+    LeaseRecord,
+)
+
+LEASE_MS: Final = 15_000.0
+RENEW_AFTER_MS: Final = 6_000.0
+WRITE_RETRY_MS: Final = 1_000.0
+"""Pause before a write whose outcome is unknown is repeated."""
+
+
+@attrs.define(frozen=True)
+class LeaseWrite:
+    """A conditional update of ``allocators/<organisation>``.
+
+    Parameters
+    ----------
+    record : LeaseRecord
+        New value.
+    expected_version : int
+        Version to replace; 0 if the object must not exist.
+    """
+
+    record: LeaseRecord
+    expected_version: int
+
+
+@attrs.define(frozen=True)
+class PendingWrite:
+    """A write that may or may not have taken effect."""
+
+    write: LeaseWrite
+    sent_ms: float
+    replaced: LeaseRecord | None
+
+
+@attrs.define
+class LeaseState:
+    """What one node knows about the lease of one organisation.
+
+    Parameters
+    ----------
+    node : str
+        This node, unique for each process start.
+    """
+
+    node: str
+    version: int = -1
+    """Highest version seen; -1 before the first read."""
+    record: LeaseRecord | None = None
+    first_seen_ms: float = math.inf
+    pending: dict[int, PendingWrite] = attrs.field(factory=dict)
+    """Writes in doubt, by revision."""
+    is_mine: bool = False
+    until_ms: float = -math.inf
+    """End of this node's lease."""
+    last_sent_ms: float = -math.inf
+
+    def is_held(self, now_ms: float) -> bool:
+        """Return whether this node may grant tokens."""
+        return self.is_mine and now_ms < self.until_ms
+
+    def see(self, record: LeaseRecord | None, version: int, now_ms: float) -> None:
+        """Note a version that this node did not write."""
+        if version <= self.version:
+            return
+        self.version = version
+        self.record = record
+        self.first_seen_ms = now_ms
+        # Writes in doubt expected an older version: they failed or were replaced.
+        self.pending.clear()
+        self.is_mine = False
+        self.until_ms = -math.inf
+
+    def own_pending(self, record: LeaseRecord | None) -> PendingWrite | None:
+        """Return the write in doubt that produced `record`, if this node sent it."""
+        if record is None or record.holder_node != self.node:
+            return None
+        pending = self.pending.get(record.revision)
+        return pending if pending and pending.write.record == record else None
+
+    def confirm(self, pending: PendingWrite, version: int, now_ms: float) -> None:
+        """Note that a write of this node took effect as `version`."""
+        if version <= self.version:
+            return
+        self.version = version
+        self.record = pending.write.record
+        self.first_seen_ms = now_ms
+        # The other writes in doubt expected an older version and can't succeed.
+        self.pending.clear()
+        self.is_mine = self.record.released is None
+        if self.is_mine:
+            self.until_ms = max(
+                self.until_ms, pending.sent_ms + self.record.expires_after_ms
+            )
+
+    def should_acquire(self, now_ms: float) -> bool:
+        """Return whether the lease is free and this node may try to take it."""
+        if self.is_mine or self.version < 0:
+            return False
+        if now_ms - self.last_sent_ms < WRITE_RETRY_MS:
+            return False
+        if self.record is None or self.record.released is not None:
+            return True
+        # Grants of the old allocator may be used for this long after its lease.
+        wait_ms = self.record.expires_after_ms + MAX_GRANT_VALIDITY_MS
+        return now_ms - self.first_seen_ms >= wait_ms * DRIFT_MARGIN
+
+    def should_renew(self, now_ms: float) -> bool:
+        """Return whether the lease of this node is to be extended."""
+        if not self.is_mine or now_ms - self.last_sent_ms < WRITE_RETRY_MS:
+            return False
+        return now_ms >= self.until_ms - LEASE_MS + RENEW_AFTER_MS
+
+    def next_epoch(self) -> int:
+        """Return the epoch of this node's next record."""
+        if self.record is None:
+            return 1
+        return self.record.epoch if self.is_mine else self.record.epoch + 1
+
+    def next_revision(self) -> int:
+        """Return a revision that no known write has."""
+        known = self.record.revision if self.record is not None else 0
+        return max(known, *self.pending, 0) + 1
+
+    def send(self, record: LeaseRecord, now_ms: float) -> LeaseWrite:
+        """Note that `record` is about to be written."""
+        write = LeaseWrite(record, self.version)
+        self.pending[record.revision] = PendingWrite(write, now_ms, self.record)
+        self.last_sent_ms = now_ms
+        return write
+
+    def give_up(self) -> None:
+        """Stop granting before the release is written.
+
+        A renewal in doubt is forgotten, so that seeing it later does not make this
+        node grant tokens that it has handed over.
+        """
+        self.pending.clear()
+        self.is_mine = False
+        self.until_ms = -math.inf
+
+
+def make_lease_state(node: str) -> LeaseState:
+    """Return the state of a node that has read nothing yet."""
+    return LeaseState(node)
--- a/src/radishtrack/rates/messages.py
+++ b/src/radishtrack/rates/messages.py
@@ -45,7 +45,7 @@
     return RateLimit(int(rate_per_second * MICRO), burst)
 
 
-@attrs.define(frozen=True)
+@attrs.define(frozen=True, order=True)
 class Stamp:
     """Identifies a grant as the origin of a loan.
 
@@ -55,10 +55,13 @@
         Epoch of the allocator that sent the grant.
     sequence : int
         Number of the grant within that epoch.
+    sent_ms : float
+        When the grant was made, on that allocator's clock.
     """
 
     epoch: int
     sequence: int
+    sent_ms: float
 
 
 @attrs.define(frozen=True)
--- a/src/radishtrack/rates/share.py
+++ b/src/radishtrack/rates/share.py
@@ -1,29 +1,31 @@
-"""The holder's side of an organisation's rate: grants, batches, standing share."""
+"""The holder's side of an organisation's rate: grants, batches and admission."""
 
 from __future__ import annotations
 
 import math
-from collections import deque
 from typing import Final
 
 import attrs
 
-from radishtrack.rates.bucket import Bucket
 from radishtrack.rates.demand import DemandMeter, make_demand_meter
 from radishtrack.rates.messages import (
+    MAX_GRANT_VALIDITY_MS,
     LeaseRecord,
     RateLimit,
+    Settlement,
     Stamp,
-    StandingShare,
     TokenGrant,
     TokenRequest,
 )
+from radishtrack.rates.standing_share import StandingState, make_standing_state
 
 REQUEST_TIMEOUT_MS: Final = 100.0
 FAILURE_RETRY_MS: Final = 100.0
 """Pause after a request could not be delivered to the allocator."""
 BATCH_HORIZON_MS: Final = 100.0
 """A batch covers this much of the recent demand."""
+PREFETCH_HORIZON_MS: Final = 20.0
+"""New tokens are requested when the held ones cover less than this."""
 HEARTBEAT_MS: Final = 4000.0
 """Longest pause between requests of an idle holder, so that its share stays lent."""
 RETURN_MARGIN_MS: Final = 50.0
@@ -74,6 +76,8 @@
 
 Admission = Admitted | NeedTokens | Refused
 
+ADMITTED: Final = Admitted()
+
 
 @attrs.define
 class HeldGrant:
@@ -99,51 +103,89 @@
         Configured limit of the organisation.
     demand : DemandMeter
         Recent arrivals.
+    standing : StandingState
+        Share for times without an allocator.
     """
 
     organisation: str
     holder: str
     limit: RateLimit
     demand: DemandMeter
-    grants: deque[HeldGrant] = attrs.field(factory=deque)
+    standing: StandingState
+    grants: list[HeldGrant] = attrs.field(factory=list)
+    """Grants with tokens, by time of expiry."""
+    settlements: dict[int, Settlement] = attrs.field(factory=dict)
+    """Changes of grants since the last request."""
     pending: dict[int, float] = attrs.field(factory=dict)
     """Time at which each unanswered request was sent."""
     next_request_id: int = 1
+    unmet: int = 0
+    """Requests that wait for tokens and were not counted in a token request."""
     refused_until_ms: float = -math.inf
     last_sent_ms: float = -math.inf
     epoch: int = 0
     latest_stamp: Stamp | None = None
     echo: Stamp | None = None
-    dormant_until_ms: float = -math.inf
-    """The standing share is not used before this time."""
-    standing: StandingShare | None = None
-    standing_limit: RateLimit | None = None
-    standing_revision: int = 0
-    standing_until_ms: float = -math.inf
-    standing_bucket: Bucket | None = None
+    leaving: bool = False
+    settles_soon: bool = False
+    """A used grant is to be settled as soon as no request is pending."""
 
     def try_admit(self, now_ms: float) -> Admission:
         """Decide on one request.
 
-        A caller that got `NeedTokens` and calls again for the same request uses
-        `retry_admit`, so that the request counts once as demand.
+        A caller that got `NeedTokens` decides again with `retry_admit`, so that the
+        request counts once as demand.
         """
         self.demand.count(now_ms)
         return self.retry_admit(now_ms)
 
     def retry_admit(self, now_ms: float) -> Admission:
         """Decide again on a request that waited for tokens."""
-        raise NotImplementedError
+        if self.grants and self.grants[0].expires_ms <= now_ms:
+            self._drop_expired(now_ms)
+        if self.grants:
+            return self._use_grant(self.grants[0], now_ms)
+        if self.standing.try_take(now_ms):
+            return ADMITTED
+        if now_ms < self.refused_until_ms:
+            return Refused(self.refused_until_ms - now_ms)
+        if self._is_waiting(now_ms):
+            self.unmet += 1
+            return NeedTokens(None, self.last_sent_ms + REQUEST_TIMEOUT_MS)
+        request = self._make_request(now_ms, max(1 + self.unmet, self._batch(now_ms)))
+        return NeedTokens(request, now_ms + REQUEST_TIMEOUT_MS)
 
     def on_grant(self, grant: TokenGrant, now_ms: float) -> bool:
-        """Take the tokens of a grant; return whether it was accepted."""
-        raise NotImplementedError
+        """Take the tokens of a grant; return whether they can be used."""
+        sent_ms = self.pending.pop(grant.request_id, None)
+        if sent_ms is None or grant.stamp.epoch < self.epoch:
+            return False
+        self.epoch = grant.stamp.epoch
+        self._apply_loan(grant, now_ms)
+        if grant.retry_after_ms > 0:
+            self.refused_until_ms = now_ms + grant.retry_after_ms
+        # Measured from the sending of the request, because the time for which the
+        # grant was under way is unknown to the holder.
+        expires_ms = sent_ms + min(grant.valid_ms, MAX_GRANT_VALIDITY_MS)
+        if grant.tokens <= 0:
+            return False
+        if expires_ms <= now_ms:
+            self._note(grant.request_id, 0, grant.tokens)
+            return False
+        self.grants.append(
+            HeldGrant(grant.request_id, grant.tokens, expires_ms, grant.settle_at_once)
+        )
+        self.grants.sort(key=_by_expiry)
+        return True
 
     def on_request_failed(self, request_id: int, now_ms: float) -> None:
         """Note that a request did not reach an allocator."""
-        raise NotImplementedError
+        if self.pending.pop(request_id, None) is not None:
+            self.refused_until_ms = now_ms + FAILURE_RETRY_MS
 
-    def on_record(self, record: LeaseRecord, read_sent_ms: float) -> None:
+    def on_record(
+        self, record: LeaseRecord, read_sent_ms: float, now_ms: float
+    ) -> None:
         """Apply the standing share of a lease record.
 
         Parameters
@@ -152,24 +194,140 @@
             Record as read from the platform.
         read_sent_ms : float
             When this node sent the read, or the watch call, that returned it.
+        now_ms : float
+            Present time.
         """
-        raise NotImplementedError
+        self.epoch = max(self.epoch, record.epoch)
+        if not self.leaving:
+            self.standing.apply(record, self.holder, read_sent_ms, now_ms)
 
     def tick(self, now_ms: float) -> TokenRequest | None:
         """Return a request that gives back unused tokens or renews the loan."""
-        raise NotImplementedError
+        self._drop_expired(now_ms)
+        self._give_back(now_ms)
+        is_returning = any(change.returned for change in self.settlements.values())
+        is_silent = now_ms - self.last_sent_ms >= HEARTBEAT_MS
+        if self.settles_soon and not self._is_waiting(now_ms):
+            return self._make_request(now_ms, 0)
+        if is_returning or (is_silent and self.standing.share is not None):
+            return self._make_request(now_ms, 0)
+        return None
 
     def leave(self, now_ms: float) -> TokenRequest:
-        """Return the request that gives everything back when the holder drains."""
-        raise NotImplementedError
+        """Give everything back when the holder drains."""
+        self.leaving = True
+        self.standing.give_up()
+        for grant in self.grants:
+            self._note(grant.request_id, 0, grant.tokens)
+        self.grants.clear()
+        return self._make_request(now_ms, 0)
 
     def set_limit(self, limit: RateLimit, now_ms: float) -> None:
         """Apply a new configuration."""
-        raise NotImplementedError
+        self.limit = limit
+        self.standing.set_limit(limit, now_ms)
+
+    def held_tokens(self) -> int:
+        """Return the tokens of all grants held."""
+        return sum(grant.tokens for grant in self.grants)
+
+    def _use_grant(self, grant: HeldGrant, now_ms: float) -> Admission:
+        grant.tokens -= 1
+        if grant.tokens == 0:
+            del self.grants[0]
+            self.settles_soon |= grant.settle_at_once
+        self._note(grant.request_id, grant.tokens)
+        if self._is_waiting(now_ms):
+            return ADMITTED
+        held = grant.tokens if len(self.grants) == 1 else self.held_tokens()
+        needed = self.demand.per_second(now_ms) * PREFETCH_HORIZON_MS / 1000.0
+        if now_ms >= self.refused_until_ms and held < needed - 1.0:
+            return Admitted(self._make_request(now_ms, self._batch(now_ms)))
+        if self.settles_soon:
+            return Admitted(self._make_request(now_ms, 0))
+        return ADMITTED
+
+    def _batch(self, now_ms: float) -> int:
+        return math.ceil(self.demand.per_second(now_ms) * BATCH_HORIZON_MS / 1000.0)
+
+    def _is_waiting(self, now_ms: float) -> bool:
+        return bool(self.pending) and now_ms - self.last_sent_ms < REQUEST_TIMEOUT_MS
+
+    def _make_request(self, now_ms: float, wanted: int) -> TokenRequest:
+        request_id = self.next_request_id
+        self.next_request_id += 1
+        # A grant for an older request would have expired on arrival.
+        oldest_ms = now_ms - MAX_GRANT_VALIDITY_MS
+        self.pending = {
+            known_id: sent_ms
+            for known_id, sent_ms in self.pending.items()
+            if sent_ms > oldest_ms
+        }
+        self.pending[request_id] = now_ms
+        self.last_sent_ms = now_ms
+        self.unmet = 0
+        self.settles_soon = False
+        settlements = tuple(self.settlements.values())
+        self.settlements.clear()
+        return TokenRequest(
+            self.organisation,
+            self.holder,
+            request_id,
+            wanted,
+            self.demand.per_second(now_ms),
+            settlements,
+            self.echo,
+            self.standing.revision,
+            self.leaving,
+        )
+
+    def _note(self, request_id: int, remaining: int, returned: int = 0) -> None:
+        known = self.settlements.get(request_id)
+        before = known.returned if known is not None else 0
+        self.settlements[request_id] = Settlement(
+            request_id, remaining, before + returned
+        )
+
+    def _drop_expired(self, now_ms: float) -> None:
+        while self.grants and self.grants[0].expires_ms <= now_ms:
+            grant = self.grants.pop(0)
+            self._note(grant.request_id, 0, grant.tokens)
+
+    def _give_back(self, now_ms: float) -> None:
+        for grant in list(self.grants):
+            left_ms = grant.expires_ms - now_ms
+            needed = math.ceil(self.demand.per_second(now_ms) * left_ms / 1000.0)
+            surplus = grant.tokens - needed
+            if left_ms < RETURN_MARGIN_MS and surplus > 0:
+                grant.tokens -= surplus
+                self._note(grant.request_id, grant.tokens, surplus)
+                if grant.tokens == 0:
+                    self.grants.remove(grant)
+
+    def _apply_loan(self, grant: TokenGrant, now_ms: float) -> None:
+        if self.latest_stamp is not None and grant.stamp <= self.latest_stamp:
+            return
+        self.latest_stamp = grant.stamp
+        if grant.loan:
+            self.echo = grant.stamp
+            self.standing.lend(now_ms)
+        else:
+            self.echo = None
+            self.standing.end_loan(now_ms)
+
+
+def _by_expiry(grant: HeldGrant) -> float:
+    return grant.expires_ms
 
 
 def make_share_state(
     organisation: str, holder: str, limit: RateLimit, now_ms: float
 ) -> ShareState:
     """Return the state of an organisation that holds no tokens."""
-    return ShareState(organisation, holder, limit, make_demand_meter(now_ms))
+    return ShareState(
+        organisation,
+        holder,
+        limit,
+        make_demand_meter(now_ms),
+        make_standing_state(limit),
+    )
--- /dev/null
+++ b/src/radishtrack/rates/standing_plan.py
@@ -0,0 +1,127 @@
+"""Plans the standing shares that an allocator writes into its lease record."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import attrs
+
+from radishtrack.rates.messages import RateLimit, StandingShare
+
+STANDING_DIVISOR: Final = 2
+"""Half of the limit may be held in standing shares."""
+
+
+@attrs.define(frozen=True)
+class Amount:
+    """A rate in millionths of a request per second, and a burst."""
+
+    rate_micro: int
+    burst: int
+
+
+def sum_held(shares: Iterable[StandingShare]) -> Amount:
+    """Return what the holders of `shares` may use together."""
+    held = list(shares)
+    return Amount(
+        sum(share.held_rate_micro for share in held),
+        sum(share.held_burst for share in held),
+    )
+
+
+def plan_shares(
+    known: Iterable[StandingShare],
+    holders: Iterable[str],
+    limit: RateLimit,
+    revision: int,
+    is_settled: Callable[[StandingShare], bool],
+) -> tuple[StandingShare, ...]:
+    """Divide half of the limit equally over the holders.
+
+    A share that shrinks stays set aside at its old size until its holder is known to
+    apply the new one, so growing shares only get what is free.
+
+    Parameters
+    ----------
+    known : iterable of StandingShare
+        Shares of the last record.
+    holders : iterable of str
+        Holders that are to have a share, most important first.
+    limit : RateLimit
+        Configured limit.
+    revision : int
+        Revision of the record that is planned.
+    is_settled : callable
+        Whether the holder of a share can no longer use an older, larger one.
+
+    Returns
+    -------
+    tuple of StandingShare
+        Their held parts add up to at most half of the limit, if those of `known` do.
+    """
+    half_rate = limit.rate_micro // STANDING_DIVISOR
+    half_burst = limit.burst // STANDING_DIVISOR
+    # A share without one whole request of burst could never be used.
+    chosen = list(holders)[:half_burst]
+    count = max(1, len(chosen))
+    target = Amount(half_rate // count, half_burst // count)
+    shares = {
+        share.holder: _shrink(
+            share, target, share.holder in chosen, revision, is_settled
+        )
+        for share in known
+    }
+    for holder in chosen:
+        held = sum_held(shares.values())
+        free = Amount(half_rate - held.rate_micro, half_burst - held.burst)
+        share = shares.get(holder, StandingShare(holder, 0, 0, revision, 0, 0))
+        shares[holder] = _grow(share, target, free, revision)
+    return tuple(
+        share
+        for _, share in sorted(shares.items())
+        if share.held_burst > 0 or share.held_rate_micro > 0
+    )
+
+
+def _shrink(
+    share: StandingShare,
+    target: Amount,
+    is_chosen: bool,
+    revision: int,
+    is_settled: Callable[[StandingShare], bool],
+) -> StandingShare:
+    if is_settled(share):
+        share = attrs.evolve(
+            share, held_rate_micro=share.rate_micro, held_burst=share.burst
+        )
+    rate_micro = min(share.rate_micro, target.rate_micro) if is_chosen else 0
+    burst = min(share.burst, target.burst) if is_chosen else 0
+    return _resize(share, rate_micro, burst, revision)
+
+
+def _grow(
+    share: StandingShare, target: Amount, free: Amount, revision: int
+) -> StandingShare:
+    room_rate = share.held_rate_micro + max(0, free.rate_micro)
+    room_burst = share.held_burst + max(0, free.burst)
+    rate_micro = max(share.rate_micro, min(target.rate_micro, room_rate))
+    burst = max(share.burst, min(target.burst, room_burst))
+    if burst == 0 or rate_micro == 0:
+        return share
+    return _resize(share, rate_micro, burst, revision)
+
+
+def _resize(
+    share: StandingShare, rate_micro: int, burst: int, revision: int
+) -> StandingShare:
+    if (rate_micro, burst) == (share.rate_micro, share.burst):
+        return share
+    return StandingShare(
+        share.holder,
+        rate_micro,
+        burst,
+        revision,
+        max(share.held_rate_micro, rate_micro),
+        max(share.held_burst, burst),
+    )
