--- /dev/null
+++ b/src/radishtrack/admission/admit.py
@@ -0,0 +1,126 @@
+"""The admission decision of a holder: the organisation's rate and the queue."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from radishtrack.admission.fair_queue import FairQueue
+from radishtrack.errors import ErrorCode, Failure, Outcome
+from radishtrack.rates.messages import TokenRequest
+from radishtrack.rates.share import Admitted, NeedTokens, ShareState
+
+MAX_TOKEN_WAITERS: Final = 64
+"""Requests of one organisation that may wait for tokens at one holder."""
+MAX_REFUSAL_WAIT_MS: Final = 100.0
+"""A request waits for a refused organisation's retry time up to this long."""
+
+
+@attrs.define(frozen=True)
+class Proceed:
+    """The request may take a connection from the gate.
+
+    Parameters
+    ----------
+    request : TokenRequest or None
+        To be sent to the allocator in the background.
+    """
+
+    request: TokenRequest | None
+
+
+@attrs.define(frozen=True)
+class AwaitTokens:
+    """Decide again after the next grant, or at `retry_at_ms`.
+
+    Parameters
+    ----------
+    request : TokenRequest or None
+        To be sent to the allocator now.
+    retry_at_ms : float
+        Time of the next decision if no grant arrives.
+    """
+
+    request: TokenRequest | None
+    retry_at_ms: float
+
+
+@attrs.define(frozen=True)
+class Reject:
+    """The request ends without having run.
+
+    Parameters
+    ----------
+    failure : Failure
+        Answer to the client.
+    """
+
+    failure: Failure
+
+
+AdmissionDecision = Proceed | AwaitTokens | Reject
+
+
+def decide_admission(
+    share: ShareState,
+    queue: FairQueue,
+    now_ms: float,
+    deadline_ms: float,
+    *,
+    waiting: int = 0,
+    is_retry: bool = False,
+) -> AdmissionDecision:
+    """Decide on one request of the organisation of `share`.
+
+    The queue is looked at first, because a token of a request that the queue then
+    refuses would be lost.
+
+    Parameters
+    ----------
+    share : ShareState
+        The organisation's tokens at this holder.
+    queue : FairQueue
+        Queue for the connections of the request's database.
+    now_ms, deadline_ms : float
+        Present time and the latest start of the request.
+    waiting : int
+        Other requests of the organisation that wait for tokens at this holder.
+    is_retry : bool
+        Whether this request got `AwaitTokens` before.
+
+    Returns
+    -------
+    Proceed, AwaitTokens or Reject
+        What to do with the request.
+    """
+    refused = queue.check(share.organisation, now_ms, deadline_ms)
+    if refused is not None:
+        return _reject(ErrorCode.REFUSED, refused.reason, refused.estimated_wait_ms)
+    if is_retry:
+        admission = share.retry_admit(now_ms)
+    else:
+        admission = share.try_admit(now_ms)
+    if isinstance(admission, Admitted):
+        return Proceed(admission.request)
+    if isinstance(admission, NeedTokens):
+        decision = AwaitTokens(admission.request, admission.retry_at_ms)
+        if admission.request is not None:
+            return decision
+        retry_after_ms = max(0.0, admission.retry_at_ms - now_ms)
+    else:
+        retry_after_ms = admission.retry_after_ms
+        decision = AwaitTokens(None, now_ms + retry_after_ms)
+        if retry_after_ms > MAX_REFUSAL_WAIT_MS:
+            return _reject_rate(retry_after_ms)
+    if waiting >= MAX_TOKEN_WAITERS or decision.retry_at_ms >= deadline_ms:
+        return _reject_rate(retry_after_ms)
+    return decision
+
+
+def _reject_rate(retry_after_ms: float) -> Reject:
+    return _reject(ErrorCode.OVER_RATE, "organisation is over its rate", retry_after_ms)
+
+
+def _reject(code: ErrorCode, message: str, retry_after_ms: float) -> Reject:
+    return Reject(Failure("admit", "", Outcome.NOT_RUN, code, message, retry_after_ms))
--- a/src/radishtrack/admission/fair_queue.py
+++ b/src/radishtrack/admission/fair_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from typing import Final
 
@@ -10,8 +11,11 @@
 MAX_QUANTUM: Final = 8
 """Most requests that an organisation may start in one round."""
 DEFAULT_QUEUE_LENGTH: Final = 64
+MAX_CHARGE: Final = 8
+"""Most requests that one long use of a connection is charged as."""
 SERVICE_TIME_SMOOTHING: Final = 0.05
 INITIAL_SERVICE_MS: Final = 2.0
+MIN_SERVICE_MS: Final = 0.01
 RESERVE_FROM_CONNECTIONS: Final = 4
 """From this number of connections on, no organisation may hold all of them."""
 
@@ -92,41 +96,179 @@
     max_queue_length: int = DEFAULT_QUEUE_LENGTH
     quanta: dict[str, int] = attrs.field(factory=dict)
     queues: dict[str, OrganisationQueue] = attrs.field(factory=dict)
+    """Organisations with waiting or running requests."""
     ring: OrderedDict[str, OrganisationQueue] = attrs.field(factory=OrderedDict)
     """Organisations that wait and may start a request, in service order."""
     running: int = 0
     waiting: int = 0
     waiting_quanta: int = 0
+    """Sum of the quanta of the organisations with waiting requests."""
     service_ms: float = INITIAL_SERVICE_MS
     next_ticket: int = 1
 
     def set_weights(self, weights: dict[str, float]) -> None:
-        """Apply the configured rates as weights."""
-        raise NotImplementedError
+        """Apply the configured rates as weights, relative to the smallest."""
+        smallest = min((weight for weight in weights.values() if weight > 0), default=1)
+        self.quanta = {
+            organisation: max(1, min(MAX_QUANTUM, int(weight / smallest)))
+            for organisation, weight in weights.items()
+        }
+        for organisation, queue in self.queues.items():
+            queue.quantum = self.quanta.get(organisation, 1)
+        self.waiting_quanta = sum(
+            queue.quantum for queue in self.queues.values() if queue.waiting
+        )
+
+    def set_connections(self, connections: int) -> None:
+        """Change the number of connections."""
+        self.connections = connections
+        for organisation, queue in self.queues.items():
+            self._update_ring(organisation, queue)
 
     def check(
         self, organisation: str, now_ms: float, deadline_ms: float
     ) -> QueueRefused | None:
         """Return why a request would be refused, without changing the queue."""
-        raise NotImplementedError
+        if deadline_ms <= now_ms:
+            return QueueRefused("deadline has passed", 0.0)
+        queue = self.queues.get(organisation)
+        if self._may_start(queue):
+            return None
+        own_waiting = len(queue.waiting) if queue is not None else 0
+        estimated_ms = self._estimate_ms(organisation, own_waiting)
+        if own_waiting >= self.max_queue_length:
+            return QueueRefused("queue of the organisation is full", estimated_ms)
+        if now_ms + estimated_ms > deadline_ms:
+            return QueueRefused("wait would exceed the deadline", estimated_ms)
+        return None
 
     def offer(
         self, organisation: str, now_ms: float, deadline_ms: float
     ) -> QueueDecision:
         """Start, queue or refuse a request."""
-        raise NotImplementedError
+        refused = self.check(organisation, now_ms, deadline_ms)
+        if refused is not None:
+            return refused
+        queue = self.queues.get(organisation)
+        if queue is None:
+            queue = OrganisationQueue(self.quanta.get(organisation, 1))
+            self.queues[organisation] = queue
+        if self._may_start(queue):
+            self._start(queue)
+            return Started()
+        waiter = Waiter(self.next_ticket, organisation, deadline_ms)
+        self.next_ticket += 1
+        if not queue.waiting:
+            self.waiting_quanta += queue.quantum
+        queue.waiting[waiter.ticket] = waiter
+        self.waiting += 1
+        self._update_ring(organisation, queue)
+        return Queued(waiter)
 
     def next_waiter(self, now_ms: float) -> Waiter | None:
-        """Start the next waiting request if a connection is free."""
-        raise NotImplementedError
+        """Start the next waiting request if a connection is free.
+
+        Requests whose deadline has passed are dropped. Each call is amortised O(1): it
+        serves a request, drops one or pays off a part of an earlier charge.
+        """
+        while self.running < self.connections and self.ring:
+            organisation, queue = next(iter(self.ring.items()))
+            if queue.deficit < 1:
+                queue.deficit += queue.quantum
+                if queue.deficit < 1:
+                    self.ring.move_to_end(organisation)
+                    continue
+            waiter = self._pop(queue)
+            is_expired = waiter.deadline_ms <= now_ms
+            if not is_expired:
+                queue.deficit -= 1
+                self._start(queue)
+            self._update_ring(organisation, queue)
+            if queue.deficit < 1 and organisation in self.ring:
+                self.ring.move_to_end(organisation)
+            if not is_expired:
+                return waiter
+        return None
 
     def cancel(self, waiter: Waiter) -> bool:
         """Remove a waiting request; return False if it does not wait any more."""
-        raise NotImplementedError
-
-    def finish(self, organisation: str, service_ms: float) -> None:
-        """Note that a started request has released its connection."""
-        raise NotImplementedError
+        queue = self.queues.get(waiter.organisation)
+        if queue is None or queue.waiting.pop(waiter.ticket, None) is None:
+            return False
+        self._note_removed(queue)
+        self._update_ring(waiter.organisation, queue)
+        return True
+
+    def finish(self, organisation: str, service_ms: float | None) -> None:
+        """Note that a started request has released its connection.
+
+        Parameters
+        ----------
+        organisation : str
+            Organisation of the request.
+        service_ms : float or None
+            How long the connection was held; None if it was not used.
+        """
+        queue = self.queues[organisation]
+        queue.running -= 1
+        self.running -= 1
+        if service_ms is not None:
+            if queue.waiting:
+                # The fair measure is connection time, so long uses cost more.
+                extra = int(service_ms / max(self.service_ms, MIN_SERVICE_MS)) - 1
+                queue.deficit -= max(0, min(MAX_CHARGE, extra))
+                queue.deficit = max(-MAX_CHARGE, queue.deficit)
+            self.service_ms += SERVICE_TIME_SMOOTHING * (service_ms - self.service_ms)
+        self._update_ring(organisation, queue)
+
+    def limit_per_organisation(self) -> int:
+        """Return how many connections one organisation may hold."""
+        if self.connections >= RESERVE_FROM_CONNECTIONS:
+            return self.connections - 1
+        return self.connections
+
+    def _may_start(self, queue: OrganisationQueue | None) -> bool:
+        if self.running >= self.connections or self.ring:
+            return False
+        return queue is None or (
+            not queue.waiting and queue.running < self.limit_per_organisation()
+        )
+
+    def _start(self, queue: OrganisationQueue) -> None:
+        queue.running += 1
+        self.running += 1
+
+    def _pop(self, queue: OrganisationQueue) -> Waiter:
+        _, waiter = queue.waiting.popitem(last=False)
+        self._note_removed(queue)
+        return waiter
+
+    def _note_removed(self, queue: OrganisationQueue) -> None:
+        self.waiting -= 1
+        if not queue.waiting:
+            self.waiting_quanta -= queue.quantum
+            queue.deficit = 0
+
+    def _update_ring(self, organisation: str, queue: OrganisationQueue) -> None:
+        if queue.waiting and queue.running < self.limit_per_organisation():
+            if organisation not in self.ring:
+                self.ring[organisation] = queue
+            return
+        self.ring.pop(organisation, None)
+        if not queue.waiting and not queue.running:
+            self.queues.pop(organisation, None)
+
+    def _estimate_ms(self, organisation: str, own_waiting: int) -> float:
+        quantum = self.quanta.get(organisation, 1)
+        position = own_waiting + 1
+        rounds = math.ceil(position / quantum)
+        other_quanta = self.waiting_quanta - (quantum if own_waiting else 0)
+        others = min(self.waiting - own_waiting, rounds * other_quanta)
+        all_connections = max(1, self.connections)
+        own_connections = max(1, self.limit_per_organisation())
+        return self.service_ms * max(
+            (position + others) / all_connections, position / own_connections
+        )
 
 
 def make_fair_queue(
