--- a/src/radishtrack/backend/member_commands.py
+++ b/src/radishtrack/backend/member_commands.py
@@ -3,22 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from typing import Final
 
 import attrs
 import pymysql
 
-from radishtrack.backend.endpoint import MemberEndpoint
 from radishtrack.backend.member_connection import (
     MEMBER_ERRORS,
     Connect,
     MemberConnection,
 )
-from radishtrack.backend.member_sql import fence_sql, follow_sql, promote_sql
-from radishtrack.group.election import discard_limit
+from radishtrack.backend.member_sql import (
+    STATUS_SQL,
+    fence_sql,
+    follow_sql,
+    promote_sql,
+)
+from radishtrack.group.member_steps import (
+    Fence,
+    Follow,
+    Promote,
+    ReadStatus,
+    Statement,
+    Steps,
+    fence_steps,
+    follow_steps,
+    promote_steps,
+)
 from radishtrack.group.record import GroupRecord
-from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.group.status import MemberStatus, Role
 
 COMMAND_TIMEOUT_MS: Final = 1_000.0
 """Time for one command; longer than a step of a promotion, which asks again."""
@@ -69,15 +82,7 @@
         RefusedError, UnreachableError
             If the member did not confirm the fence.
         """
-
-        async def run(connection: MemberConnection) -> MemberStatus:
-            status = await connection.read_status()
-            missed_term = status.term < record.group.term
-            if missed_term and status.fenced_term <= record.group.term:
-                await _follow(connection, status, record)
-            return await connection.run(fence_sql(term))
-
-        status = await self._run(record.endpoints[member], run)
+        status = await self._run(member, record, fence_steps(record.group, term))
         if status.fenced_term < term:
             raise RefusedError(f"{member} is not fenced for term {term}")
         return status
@@ -90,12 +95,7 @@
         RefusedError, UnreachableError
             If the member did not confirm.
         """
-
-        async def run(connection: MemberConnection) -> MemberStatus:
-            status = await connection.read_status()
-            return await _follow(connection, status, record)
-
-        return await self._run(record.endpoints[member], run)
+        return await self._run(member, record, follow_steps(record.group))
 
     async def promote(self, record: GroupRecord) -> MemberStatus:
         """Make the recorded primary accept writes in the recorded term.
@@ -107,63 +107,47 @@
         """
         group = record.group
 
-        async def run(connection: MemberConnection) -> MemberStatus:
-            return await connection.run(promote_sql(group.term))
-
-        status = await self._run(record.endpoints[group.primary], run)
+        status = await self._run(group.primary, record, promote_steps(group))
         if status.term != group.term or status.role is not Role.PRIMARY:
             raise RefusedError(f"{group.primary} is not primary of term {group.term}")
         return status
 
     async def _run(
-        self,
-        endpoint: MemberEndpoint,
-        run: Callable[[MemberConnection], Awaitable[MemberStatus]],
+        self, member: str, record: GroupRecord, steps: Steps
     ) -> MemberStatus:
         connection: MemberConnection | None = None
         try:
             async with asyncio.timeout(COMMAND_TIMEOUT_MS / 1000):
-                connection = await self.connect(endpoint)
-                return await run(connection)
+                connection = await self.connect(record.endpoints[member])
+                statement = next(steps)
+                while True:
+                    status = await connection.run(format_statement(statement, record))
+                    try:
+                        statement = steps.send(status)
+                    except StopIteration as stop:
+                        last: MemberStatus = stop.value
+                        return last
         except MEMBER_ERRORS as error:
             if is_refusal(error):
-                raise RefusedError(f"{endpoint.member}: {error}") from error
-            raise UnreachableError(f"{endpoint.member}: {error!r}") from error
+                raise RefusedError(f"{member}: {error}") from error
+            raise UnreachableError(f"{member}: {error!r}") from error
         finally:
             if connection is not None:
                 connection.close()
 
 
-async def _follow(
-    connection: MemberConnection, status: MemberStatus, record: GroupRecord
-) -> MemberStatus:
-    group = record.group
-    if status.term >= group.term or status.member == group.primary:
-        return status
-    # Fenced for this term, the member cannot join another one before the statement
-    # below, which discards what this status shows to be left out.
-    status = await connection.run(fence_sql(group.term))
-    if status.term >= group.term:
-        return status
-    primary = record.endpoints[group.primary]
-    return await connection.run(
-        follow_sql(
-            group.term, primary.host, primary.port, start_to_follow(status, group)
-        )
-    )
-
-
-def start_to_follow(status: MemberStatus, group: Group) -> int:
-    """Return the sequence beyond which a member discards when it follows.
-
-    Without anything to discard this is the start of the term itself: repeated later,
-    the statement must not cut off what the member has replicated since.
-    """
-    limit = discard_limit(status, group)
-    if status.position.sequence > limit:
-        return limit
-    starts = (start.sequence for start in group.history if start.term == group.term)
-    return next(starts, limit)
+def format_statement(statement: Statement, record: GroupRecord) -> str:
+    """Return the SQL text of a statement."""
+    match statement:
+        case ReadStatus():
+            return STATUS_SQL
+        case Fence(term):
+            return fence_sql(term)
+        case Promote(term):
+            return promote_sql(term)
+        case Follow(term, primary, start_sequence):
+            source = record.endpoints[primary]
+            return follow_sql(term, source.host, source.port, start_sequence)
 
 
 def is_refusal(error: BaseException) -> bool:
--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -193,7 +193,8 @@
         Returns
         -------
         Confirmed, StillUnknown, RanInHistory or DidNotRun
-            `StillUnknown` only at the deadline.
+            `StillUnknown` only at the deadline. A read may be returned only after
+            `Confirmed`, see `resolve_commit`.
         """
         asked_ms = self.clock.now_ms()
         result: asyncio.Future[CommitOutcome]
--- a/src/radishtrack/group/outcome.py
+++ b/src/radishtrack/group/outcome.py
@@ -87,7 +87,9 @@
     Returns
     -------
     Confirmed, StillUnknown, RanInHistory or DidNotRun
-        The last three are possible only once a later term is known.
+        The last two are possible only once a later term is known. For a read only
+        `Confirmed` counts: the other members may have acknowledged commits in that
+        later term before the read began.
     """
     if term_at_commit > group.term:
         return StillUnknown(f"no record of term {term_at_commit} yet")
--- a/src/radishtrack/group/promotion.py
+++ b/src/radishtrack/group/promotion.py
@@ -8,13 +8,6 @@
 import attrs
 from transitions import Machine
 
-from radishtrack.group._attempt import (
-    STEP_TIMEOUT_MS,
-    TRANSITIONS,
-    TRY_LIMIT,
-    AttemptState,
-    Step,
-)
 from radishtrack.group.detection import make_vote_tally
 from radishtrack.group.election import Elected, NotElected, elect
 from radishtrack.group.evidence import count_confirming_replicas
@@ -43,6 +36,13 @@
     RecordGroup,
     VotesReceived,
 )
+from radishtrack.group.promotion_state import (
+    STEP_TIMEOUT_MS,
+    TRANSITIONS,
+    TRY_LIMIT,
+    AttemptState,
+    Step,
+)
 from radishtrack.group.status import Group
 from radishtrack.session.position import TermStart
 
--- /dev/null
+++ b/src/radishtrack/proxy/promoter.py
@@ -0,0 +1,383 @@
+"""Runs promotions of one database and repairs members that missed one."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Coroutine
+from typing import Any, Final
+
+import attrs
+
+from radishtrack.backend.member_commands import (
+    MemberCommands,
+    RefusedError,
+    UnreachableError,
+)
+from radishtrack.backend.monitor import Monitor
+from radishtrack.events import Event, log_event
+from radishtrack.group.detection import (
+    SUSPICION_MS,
+    FencingWatch,
+    start_delay_ms,
+)
+from radishtrack.group.promotion import PromotionAttempt, make_promotion_attempt
+from radishtrack.group.promotion_messages import (
+    Action,
+    AdoptGroup,
+    AskVotes,
+    DeadlinePassed,
+    FenceMembers,
+    FencingAbandoned,
+    FollowMember,
+    GroupRead,
+    GroupRecorded,
+    MemberFenced,
+    MemberFollowed,
+    MemberPromoted,
+    MemberRefused,
+    MemberUnreachable,
+    Message,
+    PlatformDidNotAnswer,
+    PrimaryAnswered,
+    PrimarySuspected,
+    PromoteMember,
+    ReadGroup,
+    RecordConflicted,
+    RecordGroup,
+    VotesReceived,
+)
+from radishtrack.group.promotion_state import Step
+from radishtrack.group.record import GroupRecord
+from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.proxy.group_store import (
+    GroupStore,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from radishtrack.proxy.promoter_place import PromoterPlace, RequestVotes
+
+TICK_MS: Final = 100.0
+"""Time between two looks at the members' statuses."""
+
+PAUSE_MS: Final = 1_000.0
+"""Time between two attempts, two repairs of a member or two reads of the record."""
+
+ANSWER_TIMEOUT_MS: Final = 500.0
+"""Time for the answers of voters and of the platform; one step of an attempt."""
+
+
+class Promoter:
+    """Promotions of one database; see `make_promoter`."""
+
+    def __init__(
+        self,
+        place: PromoterPlace,
+        record: GroupRecord,
+        monitor: Monitor,
+        store: GroupStore,
+        commands: MemberCommands,
+        request_votes: RequestVotes,
+    ) -> None:
+        self.place = place
+        self.record = record
+        self.monitor = monitor
+        self.store = store
+        self.commands = commands
+        self.request_votes = request_votes
+        self.fencing = FencingWatch()
+        self.suspected_ms: float | None = None
+        self.not_before_ms = 0.0
+        self.repaired_ms: dict[str, float] = {}
+        self.read_ms = 0.0
+        self.attempt: PromotionAttempt | None = None
+        self.messages: asyncio.Queue[Message] = asyncio.Queue()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.loop_task: asyncio.Task[None] | None = None
+
+    @property
+    def database(self) -> str:
+        """Name of the database."""
+        return self.record.group.database
+
+    def start(self) -> None:
+        """Start to watch the members."""
+        self.loop_task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Cancel everything; another holder completes an attempt that is under way."""
+        tasks = [*self.tasks]
+        if self.loop_task is not None:
+            tasks.append(self.loop_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def update_record(self, record: GroupRecord) -> None:
+        """Use a newer record, for example from a watch on the platform."""
+        current = self.record.group
+        if record.group.version <= current.version or record.group.term < current.term:
+            return
+        self.record = record
+        self.monitor.update_group(record.group, record.endpoints)
+
+    async def _run(self) -> None:
+        while True:
+            first = self._find_reason(self.monitor.clock.now_ms())
+            if first is None:
+                self._repair(self.monitor.clock.now_ms())
+                await asyncio.sleep(TICK_MS / 1000)
+                continue
+            await self._attempt(first)
+            self.not_before_ms = self.monitor.clock.now_ms() + PAUSE_MS
+
+    def _find_reason(self, now_ms: float) -> Message | None:
+        group = self.record.group
+        rank = self.place.rank()
+        self.fencing.observe(self._recent_statuses(now_ms), group, now_ms)
+        if not self.monitor.is_suspected(group.primary):
+            self.suspected_ms = None
+        elif self.suspected_ms is None:
+            self.suspected_ms = now_ms
+        if now_ms < self.not_before_ms:
+            return None
+        if self.fencing.is_abandoned(now_ms, rank):
+            return FencingAbandoned()
+        if self.suspected_ms is None:
+            return None
+        due_ms = self.suspected_ms + start_delay_ms(rank)
+        return PrimarySuspected() if now_ms >= due_ms else None
+
+    def _recent_statuses(self, now_ms: float) -> list[MemberStatus]:
+        return [
+            status
+            for member, status in self.monitor.latest.items()
+            if now_ms - self.monitor.answered_ms(member) <= SUSPICION_MS
+        ]
+
+    async def _attempt(self, first: Message) -> None:
+        attempt = make_promotion_attempt(
+            self.record.group,
+            f"{self.place.node}-{uuid.uuid4()}",
+            self.place.voters(),
+            self.place.leaving(),
+        )
+        self.attempt = attempt
+        self.messages = asyncio.Queue()
+        primary = self.record.group.primary
+        event = (
+            Event.PRIMARY_SUSPECTED
+            if isinstance(first, PrimarySuspected)
+            else Event.PROMOTION_STARTED
+        )
+        log_event(event, database=self.database, primary=primary)
+        message = first
+        while True:
+            step = attempt.state
+            for action in attempt.handle(message, self.monitor.clock.now_ms()):
+                self._perform(action)
+            self._log_step(attempt, step)
+            if attempt.is_over:
+                return
+            message = await self._next_message(attempt, primary)
+
+    async def _next_message(self, attempt: PromotionAttempt, primary: str) -> Message:
+        while True:
+            if not self.messages.empty():
+                return self.messages.get_nowait()
+            now_ms = self.monitor.clock.now_ms()
+            if attempt.deadline_ms is not None and now_ms >= attempt.deadline_ms:
+                return DeadlinePassed()
+            wait_ms = TICK_MS
+            if attempt.deadline_ms is not None:
+                wait_ms = min(wait_ms, attempt.deadline_ms - now_ms)
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    return await self.messages.get()
+            except TimeoutError:
+                early = attempt.state in (Step.VOTING, Step.READING)
+                if early and not self.monitor.is_suspected(primary):
+                    return PrimaryAnswered()
+
+    def _log_step(self, attempt: PromotionAttempt, before: Step) -> None:
+        if attempt.state is before:
+            return
+        event = {
+            Step.READING: Event.PROMOTION_STARTED,
+            Step.INSTALLING: Event.PROMOTION_WON,
+            Step.LOST: Event.PROMOTION_LOST,
+            Step.FAILED: Event.PROMOTION_FAILED,
+        }.get(attempt.state)
+        if event is not None:
+            log_event(
+                event,
+                database=self.database,
+                term=attempt.new_term,
+                attempt=attempt.attempt_id,
+                reason=attempt.reason,
+            )
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case AskVotes():
+                self._spawn(self._ask_votes(self.record.group.primary))
+            case ReadGroup():
+                self._spawn(self._read_group())
+            case FenceMembers(members, _, term):
+                for member in members:
+                    self._spawn(self._fence(member, term))
+            case RecordGroup(group, expected_version):
+                self._spawn(self._record(group, expected_version))
+            case PromoteMember():
+                self._spawn(self._promote())
+            case FollowMember(member):
+                self._spawn(self._follow(member))
+            case AdoptGroup(group):
+                self.update_record(attrs.evolve(self.record, group=group))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _ask_votes(self, primary: str) -> None:
+        messages = self.messages
+        votes: dict[str, bool] = {}
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000):
+                votes.update(await self.request_votes(self.database, primary))
+        except (OSError, TimeoutError):
+            pass
+        votes[self.place.node] = self.monitor.is_suspected(primary)
+        messages.put_nowait(VotesReceived(votes))
+
+    async def _read_group(self) -> None:
+        messages = self.messages
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000):
+                record = await self.store.read(self.database)
+        except (StoreUnavailableError, TimeoutError):
+            messages.put_nowait(PlatformDidNotAnswer())
+            return
+        self.update_record(record)
+        messages.put_nowait(GroupRead(record.group))
+
+    async def _record(self, group: Group, expected_version: int) -> None:
+        messages = self.messages
+        record = attrs.evolve(self.record, group=group)
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000):
+                version = await self.store.write(record, expected_version)
+        except StoreConflictError:
+            messages.put_nowait(RecordConflicted())
+        except (StoreUnavailableError, TimeoutError):
+            messages.put_nowait(PlatformDidNotAnswer())
+        else:
+            messages.put_nowait(GroupRecorded(version))
+
+    async def _fence(self, member: str, term: int) -> None:
+        messages = self.messages
+        try:
+            status = await self.commands.fence(member, self.record, term)
+        except RefusedError as error:
+            messages.put_nowait(MemberRefused(member, str(error)))
+        except UnreachableError:
+            messages.put_nowait(MemberUnreachable(member))
+        else:
+            messages.put_nowait(MemberFenced(status))
+
+    async def _promote(self) -> None:
+        messages, member = self.messages, self.record.group.primary
+        try:
+            await self.commands.promote(self.record)
+        except RefusedError as error:
+            messages.put_nowait(MemberRefused(member, str(error)))
+        except UnreachableError:
+            messages.put_nowait(MemberUnreachable(member))
+        else:
+            messages.put_nowait(MemberPromoted(member))
+
+    async def _follow(self, member: str) -> None:
+        messages, record = self.messages, self.record
+        try:
+            await self.commands.follow(member, record)
+        except RefusedError as error:
+            messages.put_nowait(MemberRefused(member, str(error)))
+        except UnreachableError:
+            messages.put_nowait(MemberUnreachable(member))
+        else:
+            log_event(
+                Event.MEMBER_FOLLOWS,
+                database=self.database,
+                member=member,
+                primary=record.group.primary,
+                term=record.group.term,
+            )
+            messages.put_nowait(MemberFollowed(member))
+
+    def _repair(self, now_ms: float) -> None:
+        group = self.record.group
+        for status in self._recent_statuses(now_ms):
+            if status.member not in self.record.endpoints:
+                continue
+            if status.term > group.term:
+                self._refresh(now_ms)
+            elif _needs_repair(status, group) and self._is_due(status.member, now_ms):
+                is_primary = status.member == group.primary
+                self._spawn(
+                    self._promote() if is_primary else self._follow(status.member)
+                )
+
+    def _is_due(self, member: str, now_ms: float) -> bool:
+        if now_ms - self.repaired_ms.get(member, -PAUSE_MS) < PAUSE_MS:
+            return False
+        self.repaired_ms[member] = now_ms
+        return True
+
+    def _refresh(self, now_ms: float) -> None:
+        if now_ms - self.read_ms >= PAUSE_MS:
+            self.read_ms = now_ms
+            self._spawn(self._read_group())
+
+
+def _needs_repair(status: MemberStatus, group: Group) -> bool:
+    if status.fenced_term > group.term:
+        # Waits for a promotion; `FencingWatch` decides when to complete it.
+        return False
+    if status.term < group.term:
+        return True
+    return status.member != group.primary and status.role is Role.PRIMARY
+
+
+def make_promoter(
+    place: PromoterPlace,
+    record: GroupRecord,
+    monitor: Monitor,
+    store: GroupStore,
+    commands: MemberCommands,
+    request_votes: RequestVotes,
+) -> Promoter:
+    """Return a promoter that has not been started.
+
+    Parameters
+    ----------
+    place : PromoterPlace
+        This node's place among the voters.
+    record : GroupRecord
+        The latest known record.
+    monitor : Monitor
+        The monitor of the same group, started by the caller.
+    store : GroupStore
+        Reads and updates the record.
+    commands : MemberCommands
+        Sends commands to members.
+    request_votes : callable
+        Takes database and member; returns, for each voter that answered, whether the
+        member is unreachable for it.
+
+    Returns
+    -------
+    Promoter
+        Call `start` in a running event loop.
+    """
+    return Promoter(place, record, monitor, store, commands, request_votes)
