Add TCP relay and complete the member's fault switches

Partitions need traffic that is held back without closing sockets, and lost answers need a connection that ends before or after a commit. The relay holds bytes back while cut and delivers them late, as TCP does.

Also: a fence waits for a change of source under way, since the end of a log that is being shortened is not final; the first key of a multi-row INSERT is reported as MySQL does; functions of the session are replaced by literals, so that a replica can repeat the statement.

--- a/src/radishtrack_standins/member_core.py
+++ b/src/radishtrack_standins/member_core.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import TYPE_CHECKING, Final, Protocol
 
@@ -67,6 +69,7 @@
     state_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Replaced after every change of the group state."""
     group_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    connection_numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
     def status_row(self) -> Row:
         """Return the member's status."""
@@ -93,7 +96,8 @@
     async def lock_writes(self) -> None:
         """Take the write lock, or raise the lock wait error."""
         try:
-            await asyncio.wait_for(self.log.write_lock.acquire(), LOCK_WAIT_S)
+            async with asyncio.timeout(LOCK_WAIT_S):
+                await self.log.write_lock.acquire()
         except TimeoutError:
             raise MemberError(
                 1205, "HY000", "Lock wait timeout exceeded; try restarting transaction"
@@ -105,11 +109,16 @@
             session.abort()
 
     async def fence(self, term: int) -> None:
-        """End all terms below `term` on this member."""
-        self.state.fence(term)
-        if self.state.is_fenced:
-            self.abort_transactions()
-        self.notify_state()
+        """End all terms below `term` on this member.
+
+        Waits for a change of source that is under way: its end of the log is not
+        final until the log has been shortened.
+        """
+        async with self.group_lock:
+            self.state.fence(term)
+            if self.state.is_fenced:
+                self.abort_transactions()
+            self.notify_state()
 
     async def promote(self, term: int) -> None:
         """Become the primary of `term`."""
@@ -157,7 +166,8 @@
         entries = self.log.entries(end, PULL_ENTRIES)
         if not entries and wait_ms > 0:
             try:
-                await asyncio.wait_for(grown.wait(), wait_ms / 1000)
+                async with asyncio.timeout(wait_ms / 1000):
+                    await grown.wait()
             except TimeoutError:
                 pass
             else:
--- a/src/radishtrack_standins/member_dialect.py
+++ b/src/radishtrack_standins/member_dialect.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-import sqlite3
 import uuid
 from datetime import UTC, datetime
 from typing import Final
@@ -42,6 +41,9 @@
 _UUID: Final = re.compile(r"\bUUID\s*\(\s*\)", re.IGNORECASE)
 _RANDOM: Final = re.compile(r"\bRAND\s*\(\s*\)", re.IGNORECASE)
 _SLEEP: Final = re.compile(r"\bSLEEP\s*\(\s*([\d.]+)\s*\)", re.IGNORECASE)
+_SESSION_FUNCTION: Final = re.compile(
+    r"\b(LAST_INSERT_ID|CONNECTION_ID|DATABASE|SCHEMA|VERSION)\s*\(\s*\)", re.IGNORECASE
+)
 _VARIABLE: Final = re.compile(
     r"@@(?:(?:session|global|local)\s*\.\s*)?(\w+)", re.IGNORECASE
 )
@@ -147,6 +149,7 @@
     sql = _UUID.sub(lambda _: f"'{uuid.uuid4()}'", sql)
     sql = _RANDOM.sub(lambda _: repr(uuid.uuid4().int / 2**128), sql)
     sql = _SLEEP.sub("0", sql)
+    sql = _SESSION_FUNCTION.sub(lambda m: variables[m.group(1).lower()], sql)
     return _VARIABLE.sub(lambda m: variables.get(m.group(1).lower(), "NULL"), sql)
 
 
@@ -158,7 +161,8 @@
     text : str
         Statement of a client.
     variables : dict
-        Values of system variables as SQL literals, by lower-case name.
+        Values of system variables and of functions of the session as SQL literals, by
+        lower-case name.
     """
     sql, literals = _lift_literals(text.strip())
     sql = sql.strip().rstrip(";").strip()
@@ -212,7 +216,7 @@
 )
 
 
-def translate_error(error: sqlite3.Error | sqlite3.Warning) -> MemberError:
+def translate_error(error: Exception) -> MemberError:
     """Return the MySQL error that stands for an error of sqlite."""
     text = str(error)
     for fragment, code, state in _MESSAGES:
--- a/src/radishtrack_standins/member_faults.py
+++ b/src/radishtrack_standins/member_faults.py
@@ -36,8 +36,15 @@
     die_in_result: int = -1
     """Rows of the next result that are sent before the socket is closed."""
     die_before_commit: bool = False
+    """Ends the process before the next commit takes effect."""
     die_after_commit: bool = False
+    """Ends the process after the next commit, before its answer."""
+    drop_before_commit: bool = False
+    """Closes the connection of the next commit before it takes effect."""
+    drop_after_commit: bool = False
+    """Closes the connection of the next commit after it took effect."""
     replication_lag_ms: float = 0.0
+    """Time between receiving and applying a change."""
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def set(self, **values: object) -> None:
@@ -52,6 +59,11 @@
         while self.cut_clients or self.freeze:
             await self.changed.wait()
 
+    async def pass_connecting(self) -> None:
+        """Wait while nobody can get an answer; the user is not known yet."""
+        while self.freeze or (self.cut_clients and self.cut_replication):
+            await self.changed.wait()
+
     async def pass_replication(self) -> None:
         """Wait while replication is cut or the member is frozen."""
         while self.cut_replication or self.freeze:
@@ -68,14 +80,20 @@
             await asyncio.sleep(self.delay_ms / 1000)
 
     def before_commit(self) -> None:
-        """End the process at once if it shall die before its next commit."""
+        """Die or drop the connection if that is set to happen before a commit."""
         if self.die_before_commit:
             os._exit(1)
+        if self.drop_before_commit:
+            self.drop_before_commit = False
+            raise ConnectionAbortedError("dropped before a commit")
 
     def after_commit(self) -> None:
-        """End the process at once if it shall die after its next commit."""
+        """Die or drop the connection if that is set to happen after a commit."""
         if self.die_after_commit:
             os._exit(1)
+        if self.drop_after_commit:
+            self.drop_after_commit = False
+            raise ConnectionAbortedError("dropped after a commit")
 
 
 @attrs.define
--- a/src/radishtrack_standins/member_replica.py
+++ b/src/radishtrack_standins/member_replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sqlite3
 import time
 from collections import deque
 from collections.abc import Coroutine
@@ -10,6 +11,7 @@
 
 import aiomysql
 import pymysql
+from absl import logging
 
 from radishtrack_standins.member_log import LogEntry
 
@@ -57,10 +59,13 @@
         self.arrived = asyncio.Event()
 
     async def run(self) -> None:
-        """Pull and apply forever."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._pull_forever())
-            tasks.create_task(self._apply_forever())
+        """Pull and apply until a change of the source cannot be repeated here."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._pull_forever())
+                tasks.create_task(self._apply_forever())
+        except* sqlite3.Error:
+            logging.exception("%s: replication stopped", self.member.name)
 
     async def _pull_forever(self) -> None:
         while True:
@@ -107,8 +112,9 @@
 
     async def _discard(self, sequence: int, term: int) -> None:
         self.pending.clear()
-        async with self.member.log.write_lock:
-            if self.member.state.follow_term == term:
+        async with self.member.group_lock, self.member.log.write_lock:
+            state = self.member.state
+            if state.follow_term == state.fenced_term == term and not state.is_primary:
                 await self.member.log.truncate(sequence)
 
     def _receive(self, rows: list[Any]) -> None:
--- a/src/radishtrack_standins/member_server.py
+++ b/src/radishtrack_standins/member_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import logging
 from typing import Any, Final
 
@@ -95,16 +94,14 @@
 class MemberConnection(Connection):  # type: ignore[misc]
     """One connection; closes after a failed login and reports affected rows."""
 
-    def __init__(
-        self, member: Member, settings: ServerSettings, stream: Any, number: int
-    ) -> None:
+    def __init__(self, member: Member, settings: ServerSettings, stream: Any) -> None:
         super().__init__(
             stream=stream,
             session=_WireSession(),
             control=LocalControl(),
             identity_provider=MemberUsers(settings.password),
         )
-        self.connection_id = number
+        self.connection_id = next(member.connection_numbers)
         self.member = member
         self.settings = settings
         self.user = ""
@@ -115,7 +112,7 @@
         """Serve the connection until it ends."""
         faults = self.member.faults
         try:
-            await faults.pass_clients()
+            await faults.pass_connecting()
             await asyncio.sleep(self.settings.connect_cost_ms / 1000)
             await self.connection_phase()
             self.engine = MemberSession(self.member, self.connection_id)
@@ -136,6 +133,8 @@
         self.member.observed.attributes.append(dict(self.client_connect_attrs))
         self.member.observed.users.append(username)
         self.user = username
+        self.session.username = None
+        await self._pass()
         if self.settings.port_kind == MAIN and username != REPLICATION_USER:
             await self._count()
         await super().authenticate(username, *args, **kwargs)
@@ -193,11 +192,15 @@
         except MemberError as error:
             await self._before_answer()
             await self.stream.write(self.error_packet(error))
+        except ConnectionAbortedError:
+            self.stream.writer.transport.abort()
+            raise
 
     async def _before_answer(self) -> None:
         assert self.engine is not None
         self.status_flags = ServerStatus(status_flags(self.engine))
-        await self.member.faults.delay()
+        if self.user != REPLICATION_USER:
+            await self.member.faults.delay()
         await self._pass()
 
     async def _answer(self, answer: Answer) -> None:
@@ -262,6 +265,15 @@
         assert self.engine is not None
         self.engine.schema = self.session.database or ""
 
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Refuse prepared statements."""
+        text = data.decode(errors="replace")
+        self.member.observed.statements.append(
+            SeenStatement(self.settings.port_kind, self.user, text)
+        )
+        message = "the stand-in does not support prepared statements"
+        await self.stream.write(self.error_packet(MemberError(1295, "HY000", message)))
+
     async def handle_ping(self, data: bytes) -> None:
         """Answer a ping."""
         await self._pass()
@@ -320,12 +332,11 @@
 ) -> MemberPort:
     """Listen on a port of the member."""
     logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
-    numbers = itertools.count(1)
     tasks: set[asyncio.Task[None]] = set()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         stream = MysqlStream(reader, writer)
-        connection = MemberConnection(member, settings, stream, next(numbers))
+        connection = MemberConnection(member, settings, stream)
         task = asyncio.create_task(connection.serve())
         tasks.add(task)
         try:
--- a/src/radishtrack_standins/member_session.py
+++ b/src/radishtrack_standins/member_session.py
@@ -6,7 +6,7 @@
 import re
 import sqlite3
 from collections.abc import AsyncIterator
-from typing import Any, Final
+from typing import Final
 
 import attrs
 
@@ -22,6 +22,7 @@
 
 CHANGES: Final = frozenset({"INSERT", "UPDATE", "DELETE", "REPLACE"})
 DEFINITIONS: Final = frozenset({"CREATE", "DROP", "ALTER", "TRUNCATE"})
+UNSUPPORTED: Final = frozenset({"KILL", "FLUSH", "GRANT", "PREPARE", "EXECUTE"})
 READS: Final = frozenset({"SELECT", "WITH", "SHOW", "DESCRIBE", "DESC", "VALUES"})
 _TEMPORARY: Final = re.compile(
     r"CREATE\s+TEMPORARY\s+TABLE\s+(?:IF\s+NOT\s+EXISTS\s+)?`?(\w+)`?", re.I
@@ -60,17 +61,13 @@
         self.temporary_tables: set[str] = set()
         self.insert_id = 0
         self.schema = ""
-        for name, function in (
-            ("connection_id", lambda: self.connection_id),
-            ("last_insert_id", lambda: self.insert_id),
-            ("database", lambda: self.schema or None),
-            ("version", lambda: "8.0.36"),
-        ):
-            self.database.create_function(name, 0, function)
+        self.key_tables: dict[str, bool] = {}
+        """Whether a table generates keys, by name."""
         member.sessions.add(self)
 
     def variables(self) -> dict[str, str]:
-        """Return system variables as SQL literals."""
+        """Return system variables and results of functions as SQL literals."""
+        quoted_schema = "'" + self.schema.replace("'", "''") + "'"
         return {
             "autocommit": str(int(self.autocommit)),
             "version": "'8.0.36'",
@@ -78,6 +75,9 @@
             "max_allowed_packet": "67108864",
             "read_only": str(int(not self.member.state.accepts_changes)),
             "last_insert_id": str(self.insert_id),
+            "connection_id": str(self.connection_id),
+            "database": quoted_schema if self.schema else "NULL",
+            "schema": quoted_schema if self.schema else "NULL",
         }
 
     async def run(self, text: str) -> Answer:
@@ -94,9 +94,10 @@
             return Answer(group.columns, _single_batch(group.rows))
         if statement.sleep_ms:
             await asyncio.sleep(statement.sleep_ms / 1000)
+            await self.member.faults.pass_running()
         try:
             return await self._dispatch(statement)
-        except (sqlite3.Error, sqlite3.Warning) as error:
+        except (sqlite3.Error, sqlite3.Warning, ValueError) as error:
             raise translate_error(error) from error
 
     async def _dispatch(self, statement: Statement) -> Answer:
@@ -117,12 +118,13 @@
             self.member.require_writable()
             raise MemberError(1213, "40001", "transaction was rolled back")
         if keyword in ("ROLLBACK", "SAVEPOINT", "RELEASE"):
-            await self._lock()
+            if self.member.state.accepts_changes:
+                await self._lock()
             self.database.execute(statement.sql)
             return Answer()
         if keyword == "SET":
             return self._set(text)
-        if keyword in ("USE", "LOCK", "UNLOCK", "DO", "KILL", "FLUSH", "ANALYZE"):
+        if keyword in ("USE", "LOCK", "UNLOCK", "DO", "ANALYZE"):
             return Answer()
         if keyword in READS:
             return await self._read(statement)
@@ -130,6 +132,8 @@
             return await self._change(statement)
         if keyword in DEFINITIONS:
             return await self._define(statement)
+        if keyword in UNSUPPORTED:
+            raise MemberError(1235, "42000", f"the stand-in does not support {keyword}")
         raise MemberError(
             1064, "42000", f"You have an error in your SQL syntax: {text}"
         )
@@ -169,20 +173,25 @@
         if self.database.in_transaction:
             self.database.execute("COMMIT")
         await self.member.lock_writes()
+        try:
+            await self.member.faults.pass_running()
+            self.member.require_writable()
+            self.database.execute("BEGIN IMMEDIATE")
+        except BaseException:
+            self.member.log.write_lock.release()
+            raise
         self.holds_lock = True
-        self.database.execute("BEGIN IMMEDIATE")
 
     async def _change(self, statement: Statement) -> Answer:
         temporary = statement.target in self.temporary_tables
         if temporary:
-            return self._execute(statement.sql)
+            return self._execute(statement)
         self.member.require_writable()
         if not self.autocommit:
             self.in_transaction = True
         await self._lock()
         try:
-            self.member.require_writable()
-            answer = self._execute(statement.sql)
+            answer = self._execute(statement)
         except BaseException:
             if not self.in_transaction:
                 self.rollback()
@@ -193,16 +202,26 @@
             self.commit()
         return answer
 
-    def _execute(self, sql: str) -> Answer:
-        cursor = self.database.execute(sql)
+    def _execute(self, statement: Statement) -> Answer:
+        cursor = self.database.execute(statement.sql)
         affected = max(cursor.rowcount, 0)
-        inserted = cursor.lastrowid or 0
-        is_insert = sql.lstrip()[:7].upper().startswith(("INSERT", "REPLACE"))
-        insert_id = inserted if is_insert and affected else 0
-        self.insert_id = insert_id or self.insert_id
+        insert_id = 0
+        inserts = statement.keyword in ("INSERT", "REPLACE") and affected > 0
+        if inserts and self._generates_keys(statement.target):
+            # MySQL reports the first key of a statement, sqlite the last one.
+            insert_id = max((cursor.lastrowid or 0) - affected + 1, 0)
+            self.insert_id = insert_id or self.insert_id
         cursor.close()
         return Answer(affected_rows=affected, insert_id=insert_id)
 
+    def _generates_keys(self, table: str) -> bool:
+        if table not in self.key_tables:
+            row = self.database.execute(
+                "SELECT sql FROM sqlite_master WHERE lower(name) = ?", (table,)
+            ).fetchone()
+            self.key_tables[table] = row is not None and "AUTOINCREMENT" in row[0]
+        return self.key_tables[table]
+
     async def _define(self, statement: Statement) -> Answer:
         temporary = _TEMPORARY.match(statement.text)
         if temporary or statement.target in self.temporary_tables:
@@ -214,11 +233,10 @@
             return Answer()
         # Definitions commit the open transaction, as in MySQL.
         self.commit()
-        self.member.require_writable()
+        self.key_tables.clear()
         await self._lock()
         try:
-            self.member.require_writable()
-            affected = self._execute(statement.sql).affected_rows
+            affected = self._execute(statement).affected_rows
         except BaseException:
             self.rollback()
             raise
@@ -238,10 +256,10 @@
             except MemberError:
                 self.rollback()
                 raise
-            self.member.faults.before_commit()
             member = self.member
+            member.faults.before_commit()
             member.log.append(self.database, member.state.term, self.changes)
-            self.member.faults.after_commit()
+            member.faults.after_commit()
         elif self.database.in_transaction:
             self.database.execute("COMMIT")
         self._end()
@@ -273,6 +291,6 @@
         self.database.close()
 
 
-def status_flags(session: MemberSession) -> Any:
+def status_flags(session: MemberSession) -> int:
     """Return the flags of the MySQL protocol for the transaction state."""
     return (1 if session.in_transaction else 0) | (2 if session.autocommit else 0)
--- /dev/null
+++ b/src/radishtrack_standins/relay.py
@@ -0,0 +1,195 @@
+"""TCP relay that can be cut, refused or delayed, to inject partitions."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+from typing import Any, Final
+
+import attrs
+from aiohttp import web
+
+HOST: Final = "127.0.0.1"
+CHUNK_BYTES: Final = 65_536
+QUEUED_CHUNKS: Final = 64
+
+Chunk = tuple[float, bytes]
+"""Time in seconds by the loop's clock at which it is due, and the bytes."""
+
+
+@attrs.define
+class RelayFaults:
+    """Switches of a relay; all off at first.
+
+    While a direction is cut its bytes are held back, also the end of a stream, and
+    sockets stay open. They are delivered late once it is healed, as TCP does.
+    """
+
+    cut_to_target: bool = False
+    cut_from_target: bool = False
+    refuse: bool = False
+    """Closes the listening socket and resets all connections."""
+    delay_ms: float = 0.0
+    """Added to every chunk in each direction."""
+
+
+class Relay:
+    """Forwards connections from one port to a target."""
+
+    def __init__(self, target_host: str, target_port: int) -> None:
+        self.target_host = target_host
+        self.target_port = target_port
+        self.port = 0
+        self.faults = RelayFaults()
+        self.changed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.connections_opened = 0
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; port 0 chooses a free port."""
+        self.server = await asyncio.start_server(self._accept, HOST, port)
+        self.port = int(self.server.sockets[0].getsockname()[1])
+
+    async def set(self, **values: Any) -> None:
+        """Change switches of `RelayFaults` by name."""
+        self.faults = attrs.evolve(self.faults, **values)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        if self.faults.refuse:
+            await self._stop()
+        elif self.server is None:
+            await self.start(self.port)
+
+    async def cut(self) -> None:
+        """Hold back both directions."""
+        await self.set(cut_to_target=True, cut_from_target=True)
+
+    async def heal(self) -> None:
+        """Forward again what was cut or refused."""
+        await self.set(cut_to_target=False, cut_from_target=False, refuse=False)
+
+    async def close(self) -> None:
+        """Stop listening and reset all connections."""
+        await self._stop()
+
+    async def _stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.create_task(self._forward(reader, writer))
+        self.tasks.add(task)
+        self.connections_opened += 1
+        await asyncio.wait({task})
+        self.tasks.discard(task)
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writers = [writer]
+        try:
+            while self._is_cut(True):
+                await self.changed.wait()
+            back_reader, back_writer = await asyncio.open_connection(
+                self.target_host, self.target_port
+            )
+            writers.append(back_writer)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._pump(reader, back_writer, True))
+                tasks.create_task(self._pump(back_reader, writer, False))
+        except* OSError:
+            pass
+        finally:
+            for each in writers:
+                each.transport.abort()
+
+    def _is_cut(self, to_target: bool) -> bool:
+        faults = self.faults
+        return faults.cut_to_target if to_target else faults.cut_from_target
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to: bool
+    ) -> None:
+        queue: asyncio.Queue[Chunk] = asyncio.Queue(QUEUED_CHUNKS)
+        filling = asyncio.create_task(self._fill(reader, queue))
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                due, data = await queue.get()
+                await asyncio.sleep(max(0.0, due - loop.time()))
+                while self._is_cut(to):
+                    await self.changed.wait()
+                if not data:
+                    writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+        finally:
+            filling.cancel()
+
+    async def _fill(
+        self, reader: asyncio.StreamReader, queue: asyncio.Queue[Chunk]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        data = b"-"
+        while data:
+            try:
+                data = await reader.read(CHUNK_BYTES)
+            except OSError:
+                data = b""
+            await queue.put((loop.time() + self.faults.delay_ms / 1000, data))
+
+
+async def start_relay(target_host: str, target_port: int, *, port: int = 0) -> Relay:
+    """Start a relay in the running event loop."""
+    relay = Relay(target_host, target_port)
+    await relay.start(port)
+    return relay
+
+
+def make_control(relay: Relay) -> web.Application:
+    """Return the HTTP application with ``POST /control``."""
+
+    async def control(request: web.Request) -> web.Response:
+        try:
+            await relay.set(**await request.json())
+        except TypeError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        return web.json_response(attrs.asdict(relay.faults))
+
+    application = web.Application()
+    application.router.add_post("/control", control)
+    return application
+
+
+async def _serve(arguments: argparse.Namespace) -> None:
+    host, port = arguments.target.rsplit(":", 1)
+    relay = await start_relay(host, int(port), port=arguments.port)
+    runner = web.AppRunner(make_control(relay), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, HOST, arguments.control_port).start()
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    control_port = runner.addresses[0][1]
+    print(f"relay port={relay.port} control_port={control_port}", flush=True)
+    await stopped.wait()
+    await relay.close()
+    await runner.cleanup()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(prog="radishtrack_standins.relay")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--control-port", type=int, default=0)
+    parser.add_argument("--target", required=True, help="HOST:PORT")
+    asyncio.run(_serve(parser.parse_args()))
