--- a/src/radishtrack/backend/connection.py
+++ b/src/radishtrack/backend/connection.py
@@ -95,17 +95,15 @@
         MemberError
             If the member answered with an error.
         """
-        async with self._step():
-            async with self.raw.cursor() as cursor:
-                affected = await cursor.execute(statement)
-                return StatementAnswer(affected, cursor.lastrowid or 0)
+        async with self._step(), self.raw.cursor() as cursor:
+            affected = await cursor.execute(statement)
+            return StatementAnswer(affected, cursor.lastrowid or 0)
 
     async def fetch(self, statement: str) -> tuple[tuple[Any, ...], ...]:
         """Run a statement and return all its rows; errors as in `run`."""
-        async with self._step():
-            async with self.raw.cursor() as cursor:
-                await cursor.execute(statement)
-                return tuple(await cursor.fetchall())
+        async with self._step(), self.raw.cursor() as cursor:
+            await cursor.execute(statement)
+            return tuple(await cursor.fetchall())
 
     async def read_status(self) -> MemberStatus:
         """Return the member's status; errors as in `run`."""
--- /dev/null
+++ b/src/radishtrack/backend/database.py
@@ -0,0 +1,111 @@
+"""Everything that a holder keeps for one database."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Final
+
+import attrs
+
+from radishtrack.admission.gate import Gate
+from radishtrack.admission.retry_budget import RetryBudget
+from radishtrack.backend.connection import MemberConnection
+from radishtrack.backend.monitor import Monitor
+from radishtrack.backend.pool import ConnectionPool
+from radishtrack.clock import Clock
+from radishtrack.errors import make_not_run
+from radishtrack.group.status import Group, MemberStatus
+
+FRESH_STATUS_MS: Final = 1_500.0
+"""A member whose last answer is older gets no reads that rely on it."""
+
+RETRY_PAUSE_MS: Final = 25.0
+
+
+@attrs.define
+class DatabaseBackend:
+    """One database as a holder sees it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the database.
+    zone : str
+        Availability zone of this node.
+    monitor : Monitor
+        Status of the members and confirmation of commits.
+    pool : ConnectionPool
+        Connections to the members.
+    gate : Gate
+        Permits for the connections, shared fairly among organisations.
+    retries : RetryBudget
+        Limits repeated work.
+    clock : Clock
+        Time of deadlines.
+    leaving : callable
+        Returns the members that get no new work.
+    """
+
+    name: str
+    zone: str
+    monitor: Monitor
+    pool: ConnectionPool
+    gate: Gate
+    retries: RetryBudget
+    clock: Clock
+    leaving: Callable[[], frozenset[str]]
+
+    @property
+    def group(self) -> Group:
+        """The group as last recorded by the platform."""
+        return self.monitor.group
+
+    def remaining_s(self, deadline_ms: float) -> float:
+        """Return the seconds left until a deadline, at least 0."""
+        return max(0.0, (deadline_ms - self.clock.now_ms()) / 1000)
+
+    def list_answering(self) -> dict[str, MemberStatus]:
+        """Return the last status of each member that answered recently."""
+        oldest_ms = self.clock.now_ms() - FRESH_STATUS_MS
+        return {
+            member: status
+            for member, status in self.monitor.latest.items()
+            if self.monitor.answered_ms(member) >= oldest_ms
+        }
+
+    def list_zones(self) -> dict[str, str]:
+        """Return the availability zone of each member."""
+        return {name: point.zone for name, point in self.pool.endpoints.items()}
+
+    @asynccontextmanager
+    async def connect(
+        self, member: str, organisation: str, deadline_ms: float
+    ) -> AsyncIterator[MemberConnection]:
+        """Wait for a permit, then use a connection to a member.
+
+        Raises
+        ------
+        RequestError
+            Not run, if there is no permit in time.
+        ConnectFailed
+            If no connection could be made.
+        """
+        async with (
+            self.gate.connection(organisation, deadline_ms),
+            self.pool.connection(member) as connection,
+        ):
+            yield connection
+
+    async def pause(self, step: str, deadline_ms: float) -> None:
+        """Wait before another attempt.
+
+        Raises
+        ------
+        RequestError
+            Not run, if the deadline has passed.
+        """
+        if self.remaining_s(deadline_ms) <= RETRY_PAUSE_MS / 1000:
+            raise make_not_run(step, "deadline passed", peer=self.group.primary)
+        await asyncio.sleep(RETRY_PAUSE_MS / 1000)
--- /dev/null
+++ b/src/radishtrack/backend/transaction.py
@@ -0,0 +1,200 @@
+"""A client's transaction: one pinned connection to the primary."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from typing import Final
+
+import attrs
+
+from radishtrack.backend.connection import (
+    AnswerLost,
+    ConnectFailed,
+    MemberConnection,
+    MemberError,
+    StatementAnswer,
+    StreamHead,
+    StreamRows,
+)
+from radishtrack.backend.database import DatabaseBackend
+from radishtrack.backend.member_sql import READ_ONLY_ERROR
+from radishtrack.backend.write import RETRIED_ERRORS, confirm_commit
+from radishtrack.errors import (
+    ErrorCode,
+    Failure,
+    Outcome,
+    RequestError,
+    make_not_run,
+    make_unknown,
+)
+from radishtrack.group.outcome import position_of_commit
+from radishtrack.group.status import Group
+from radishtrack.peer.messages import Done, Execute, Message, ResultHead, Rows
+
+TRANSACTION_LOST_STEP: Final = "transaction"
+
+
+@attrs.define
+class Transaction:
+    """An open transaction.
+
+    Parameters
+    ----------
+    backend : DatabaseBackend
+        The database.
+    organisation : str
+        The only organisation that may use it.
+    group : Group
+        The group's record when the transaction began.
+    connection : MemberConnection
+        The pinned connection.
+    resources : AsyncExitStack
+        Gives the connection and its permit back.
+    """
+
+    backend: DatabaseBackend
+    organisation: str
+    group: Group
+    connection: MemberConnection
+    resources: AsyncExitStack
+    last_used_ms: float
+    is_busy: bool = False
+
+    async def run(self, request: Execute, deadline_ms: float) -> AsyncIterator[Message]:
+        """Run one statement inside the transaction.
+
+        Raises
+        ------
+        RequestError
+            Not run, if the transaction was lost; nothing of it was committed.
+        MemberError
+            The member's own error; the transaction stays open.
+        """
+        answer = StatementAnswer(0, 0)
+        self.connection.dirty = self.connection.dirty or request.dirties_session
+        try:
+            async with asyncio.timeout(self.backend.remaining_s(deadline_ms)) as limit:
+                async for part in self.connection.stream(request.statement):
+                    match part:
+                        case StatementAnswer():
+                            answer = part
+                        case StreamHead():
+                            yield ResultHead(request.request, part.names, part.types)
+                        case StreamRows():
+                            yield Rows(request.request, part.rows)
+                            # A long result is limited by its reader, not by the
+                            # deadline of its first row.
+                            limit.reschedule(None)
+        except (AnswerLost, TimeoutError) as error:
+            raise make_transaction_lost(str(error), self.group.primary) from error
+        except MemberError as error:
+            if error.code == READ_ONLY_ERROR:
+                raise make_transaction_lost(str(error), self.group.primary) from error
+            raise
+        yield self._make_done(request, answer, in_transaction=True)
+
+    async def commit(self, request: Execute, deadline_ms: float) -> Done:
+        """Commit and confirm.
+
+        Raises
+        ------
+        RequestError
+            Unknown, if the answer to the commit is missing or not confirmed in time;
+            not run, if the commit was refused or discarded.
+        """
+        primary = self.group.primary
+        try:
+            async with asyncio.timeout(self.backend.remaining_s(deadline_ms)):
+                await self.connection.run("COMMIT")
+                status = await self.connection.read_status()
+        except (AnswerLost, TimeoutError) as error:
+            raise make_unknown("commit", str(error), peer=primary) from error
+        except MemberError as error:
+            self.connection.close()
+            raise make_transaction_lost(str(error), primary) from error
+        finally:
+            await self.resources.aclose()
+        position = position_of_commit(status, self.group)
+        if position is None:
+            raise make_unknown("commit", "primary was replaced", peer=primary)
+        if not await confirm_commit(self.backend, self.group, position, deadline_ms):
+            raise make_not_run(
+                "commit", "discarded by a change of primary", peer=primary
+            )
+        done = self._make_done(request, StatementAnswer(0, 0), in_transaction=False)
+        return attrs.evolve(done, term=position.term, sequence=position.sequence)
+
+    async def roll_back(self) -> None:
+        """Roll back; the connection is closed if that fails."""
+        try:
+            async with asyncio.timeout(1.0):
+                await self.connection.run("ROLLBACK")
+        except (AnswerLost, MemberError, TimeoutError):
+            self.connection.close()
+        finally:
+            await self.resources.aclose()
+
+    def _make_done(
+        self, request: Execute, answer: StatementAnswer, *, in_transaction: bool
+    ) -> Done:
+        return Done(
+            request.request,
+            answer.affected_rows,
+            answer.insert_id,
+            0,
+            0,
+            self.group.primary,
+            "primary",
+            in_transaction,
+        )
+
+
+def make_transaction_lost(reason: str, member: str) -> RequestError:
+    """Return the error of a transaction that ended without a commit."""
+    return RequestError(
+        Failure(
+            TRANSACTION_LOST_STEP,
+            member,
+            Outcome.NOT_RUN,
+            ErrorCode.REFUSED,
+            f"the transaction was rolled back: {reason}",
+        )
+    )
+
+
+async def begin_transaction(
+    backend: DatabaseBackend, request: Execute, deadline_ms: float
+) -> Transaction:
+    """Open a transaction on the primary, waiting for a promotion if need be.
+
+    Raises
+    ------
+    RequestError
+        Not run, if no primary takes it in time.
+    """
+    while True:
+        group = backend.group
+        resources = AsyncExitStack()
+        try:
+            connection = await resources.enter_async_context(
+                backend.connect(group.primary, request.organisation, deadline_ms)
+            )
+            async with asyncio.timeout(backend.remaining_s(deadline_ms)):
+                await connection.run(request.statement)
+        except (ConnectFailed, AnswerLost, TimeoutError):
+            await resources.aclose()
+        except MemberError as error:
+            await resources.aclose()
+            if error.code not in RETRIED_ERRORS:
+                raise
+        except BaseException:
+            await resources.aclose()
+            raise
+        else:
+            now_ms = backend.clock.now_ms()
+            return Transaction(
+                backend, request.organisation, group, connection, resources, now_ms
+            )
+        await backend.pause("begin", deadline_ms)
--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -28,7 +28,7 @@
     """Raised when a client sends a packet over the limit."""
 
 
-@attrs.define
+@attrs.define(slots=False)
 class BoundedReader:
     """Stream reader that refuses packets over a limit.
 
@@ -40,6 +40,15 @@
     reader: asyncio.StreamReader
     max_packet_bytes: int
 
+    @property
+    def _transport(self) -> asyncio.BaseTransport:
+        return self.reader._transport  # type: ignore[attr-defined,no-any-return]
+
+    @_transport.setter
+    def _transport(self, transport: asyncio.BaseTransport) -> None:
+        # The library replaces the reader's transport when TLS starts.
+        self.reader._transport = transport  # type: ignore[attr-defined]
+
     async def read(self, count: int) -> bytes:
         """Return exactly `count` bytes, or none at the end of the stream."""
         try:
@@ -215,6 +224,3 @@
         finally:
             writer.close()
             await self.control.remove(number)
-
-
-EndCallback = Callable[[], Awaitable[None]]
--- /dev/null
+++ b/src/radishtrack/frontend/session.py
@@ -0,0 +1,223 @@
+"""The session of one client: statements that the proxy answers, and all others."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import AsyncIterator, Callable
+from typing import Any, Final
+
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.session import BaseSession
+from mysql_mimic.types import ColumnType, ServerStatus
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from radishtrack.errors import ErrorCode, RequestError
+from radishtrack.frontend.columns import make_column
+from radishtrack.frontend.connection import ClientConnection, OkFields
+from radishtrack.peer.messages import Rows
+from radishtrack.proxy.entry import ClientState, Entry, PreparedRequest, Reply
+from radishtrack.routing.statement import Kind, Local
+from radishtrack.session.token import encode_token
+
+SESSION_ATTRIBUTE: Final = "radishtrack_session"
+
+_GLOBAL_VARIABLES: Final = GlobalVariables()
+_VARIABLE: Final = re.compile(
+    r"@@(?:(?:session|global|local)\.)?(?P<name>\w+)"
+    r"(?:\s+as\s+`?(?P<alias>\w+)`?)?",
+    re.IGNORECASE,
+)
+_USE: Final = re.compile(r"\s*use\s+`?(?P<name>[^`\s;]+)`?\s*;?\s*", re.IGNORECASE)
+_LIKE: Final = re.compile(r"like\s+'(?P<pattern>[^']*)'", re.IGNORECASE)
+
+
+class ClientSession(BaseSession):
+    """Adapter between `mysql-mimic` and the entry."""
+
+    def __init__(self, entry: Entry, number: int) -> None:
+        self.entry = entry
+        self.state = ClientState(number)
+        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self.username: str | None = None
+        self.connection: ClientConnection | None = None
+
+    @property
+    def database(self) -> str | None:
+        """The selected database."""
+        return self.state.database or None
+
+    @database.setter
+    def database(self, name: str | None) -> None:
+        self.state.database = name or ""
+
+    async def init(self, connection: ClientConnection) -> None:
+        """Start the session of a client that has shown a valid key.
+
+        Raises
+        ------
+        PermissionError
+            If the login failed.
+        """
+        if self.username is None:
+            raise PermissionError("login failed")
+        self.connection = connection
+        self._adopt_login()
+        token = connection.client_connect_attrs.get(SESSION_ATTRIBUTE)
+        if token:
+            self.entry.apply_token(self.state, token)
+        self._update_status()
+
+    async def close(self) -> None:
+        """Roll back what the client left open."""
+        await self.entry.end_session(self.state)
+
+    async def reset(self) -> None:
+        """Return to the state after a login; positions are kept."""
+        await self.entry.end_session(self.state)
+        if self.username is not None:
+            self._adopt_login()
+        self.state.autocommit = True
+        self.state.last_insert_id = 0
+        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self._update_status()
+
+    async def use(self, database: str) -> None:
+        """Select a database."""
+        self.state.database = database
+
+    async def handle_query(self, sql: str, attributes: dict[str, str]) -> Any:
+        """Answer one statement; nothing is evaluated or parsed by `mysql-mimic`."""
+        if self.username is None or self.connection is None:
+            raise MysqlError("login failed", ErrorCode.ACCESS_DENIED)
+        try:
+            self.entry.check_client(self.state)
+            prepared = self.entry.read_statement(self.state, sql)
+            if prepared.statement.kind is Kind.SHOW_SESSION:
+                return self._show_session()
+            if prepared.statement.kind is Kind.LOCAL:
+                return await self._answer_locally(prepared)
+            reply = await self.entry.execute(self.state, prepared)
+            return self._make_result(reply)
+        except RequestError as error:
+            raise _make_error(error) from error
+        finally:
+            self._update_status()
+
+    def _adopt_login(self) -> None:
+        organisation, _, key_id = (self.username or "").partition("/")
+        if organisation != self.state.organisation:
+            self.state.positions.clear()
+        self.state.organisation, self.state.key_id = organisation, key_id
+
+    def _update_status(self) -> None:
+        if self.connection is None:
+            return
+        flags = ServerStatus(0)
+        if self.state.autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.state.in_transaction:
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        self.connection.status_flags = flags
+
+    def _make_result(self, reply: Reply) -> ResultSet | None:
+        if reply.head is not None and reply.rows is not None:
+            columns = [
+                make_column(name, type_code)
+                for name, type_code in zip(
+                    reply.head.names, reply.head.types, strict=True
+                )
+            ]
+            return ResultSet(_iterate_rows(reply.rows, self._update_status), columns)
+        if reply.done is not None and self.connection is not None:
+            self.connection.next_ok = OkFields(
+                reply.done.affected_rows, reply.done.insert_id
+            )
+        return None
+
+    def _show_session(self) -> ResultSet:
+        token = encode_token(
+            self.state.positions, self.state.organisation, self.entry.secret
+        )
+        return _make_text_result(("token",), ((token,),))
+
+    async def _answer_locally(self, prepared: PreparedRequest) -> ResultSet | None:
+        match prepared.statement.local:
+            case Local.SELECT_VARIABLES:
+                return self._select_variables(prepared.text)
+            case Local.SELECT_LAST_INSERT_ID:
+                identifier = str(self.state.last_insert_id)
+                column = make_column("LAST_INSERT_ID()", ColumnType.LONGLONG)
+                return ResultSet([(identifier,)], [column])
+            case Local.AUTOCOMMIT_ON:
+                await self._set_autocommit(True)
+            case Local.AUTOCOMMIT_OFF:
+                await self._set_autocommit(False)
+            case Local.SHOW_VARIABLES:
+                return self._show_variables(prepared.text)
+            case Local.SHOW_WARNINGS:
+                return _make_text_result(("Level", "Code", "Message"), ())
+            case Local.USE:
+                found = _USE.fullmatch(prepared.text)
+                if found is not None:
+                    self.state.database = found["name"]
+        return None
+
+    async def _set_autocommit(self, enabled: bool) -> None:
+        if enabled and self.state.in_transaction:
+            # MySQL commits the open transaction when autocommit is switched on.
+            commit = self.entry.read_statement(self.state, "COMMIT")
+            await self.entry.execute(self.state, commit)
+        self.state.autocommit = enabled
+
+    def _select_variables(self, sql: str) -> ResultSet:
+        found = tuple(_VARIABLE.finditer(sql))
+        names = tuple(match["alias"] or match[0] for match in found)
+        values = tuple(self._get_variable(match["name"]) for match in found)
+        return _make_text_result(names, (values,))
+
+    def _get_variable(self, name: str) -> str | None:
+        if name.lower() == "autocommit":
+            return "1" if self.state.autocommit else "0"
+        value = self.variables.get(name)
+        if isinstance(value, bool):
+            return "1" if value else "0"
+        return None if value is None else str(value)
+
+    def _show_variables(self, sql: str) -> ResultSet:
+        like = _LIKE.search(sql)
+        pattern = re.escape(like["pattern"] if like else "%")
+        matcher = re.compile(
+            pattern.replace("%", ".*").replace(r"\_", ".").replace("_", "."),
+            re.IGNORECASE,
+        )
+        rows = tuple(
+            (name, self._get_variable(name))
+            for name in sorted(self.variables)
+            if matcher.fullmatch(name)
+        )
+        return _make_text_result(("Variable_name", "Value"), rows)
+
+
+async def _iterate_rows(
+    chunks: AsyncIterator[Rows], when_done: Callable[[], None]
+) -> AsyncIterator[tuple[str | bytes | None, ...]]:
+    try:
+        async for chunk in chunks:
+            for row in chunk.rows:
+                yield row
+    except RequestError as error:
+        raise _make_error(error) from error
+    finally:
+        when_done()
+
+
+def _make_text_result(
+    names: tuple[str, ...], rows: tuple[tuple[str | None, ...], ...]
+) -> ResultSet:
+    columns = [ResultColumn(name=name, type=ColumnType.VARCHAR) for name in names]
+    return ResultSet(list(rows), columns)
+
+
+def _make_error(error: RequestError) -> MysqlError:
+    return MysqlError(str(error.failure), error.failure.code)
--- /dev/null
+++ b/src/radishtrack/proxy/entry.py
@@ -0,0 +1,470 @@
+"""The entry's side of a request: key, options, class, route and session."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+from typing import Final
+
+import attrs
+
+from radishtrack.backend.transaction import make_transaction_lost
+from radishtrack.clock import Clock
+from radishtrack.config.document import Document
+from radishtrack.config.model import Database, Organisation, Route
+from radishtrack.errors import (
+    ErrorCode,
+    Failure,
+    Outcome,
+    RequestError,
+    make_not_run,
+)
+from radishtrack.keys.freshness import Refuse
+from radishtrack.keys.keyring import Keyring
+from radishtrack.membership.drain import Drain, DrainDecision
+from radishtrack.metrics import Metrics
+from radishtrack.peer.messages import Done, Execute, Failed, Message, ResultHead, Rows
+from radishtrack.proxy.router import Router
+from radishtrack.routing.options import ReadClass, RequestOptions, split_options
+from radishtrack.routing.route import EffectiveClass, RouteClass, effective_class
+from radishtrack.routing.statement import Kind, Statement
+from radishtrack.session.position import Position
+from radishtrack.session.token import decode_token
+
+OPEN_ORGANISATION: Final = "open"
+_ENDING_KINDS: Final = frozenset({Kind.COMMIT.value, Kind.ROLLBACK.value})
+_ANY_CLASS: Final = EffectiveClass(ReadClass.STRICT)
+
+
+@attrs.define
+class ClientState:
+    """What the entry keeps for one client connection.
+
+    Parameters
+    ----------
+    number : int
+        Session number, unique at this node.
+    organisation : str
+        The organisation that the key belongs to.
+    key_id : str
+        The key that was presented.
+    """
+
+    number: int
+    organisation: str = ""
+    key_id: str = ""
+    database: str = ""
+    positions: dict[str, Position] = attrs.field(factory=dict)
+    autocommit: bool = True
+    in_transaction: bool = False
+    holder: str = ""
+    """The holder of the open transaction, or of one that was lost."""
+    transaction_database: str = ""
+    transaction_lost: bool = False
+    """The way to the holder failed inside a transaction that is not ended yet."""
+    token_refused: bool = False
+    last_insert_id: int = 0
+
+
+@attrs.define(frozen=True)
+class Reply:
+    """Answer to one statement.
+
+    Parameters
+    ----------
+    head : ResultHead or None
+        Columns; None for a statement without a result.
+    rows : async iterator or None
+        Chunks of rows; raises `RequestError` if the result breaks off.
+    done : Done or None
+        The end of a statement without a result.
+    """
+
+    head: ResultHead | None = None
+    rows: AsyncIterator[Rows] | None = None
+    done: Done | None = None
+
+
+@attrs.define
+class Entry:
+    """Decides on each statement of the clients of this node.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time of deadlines.
+    secret : bytes
+        Authenticates session tokens.
+    timeout_ms : float
+        Time of a request for which the client states none, in milliseconds.
+    keyring : Keyring
+        Active keys.
+    get_document : callable
+        Returns the configuration in force.
+    check_freshness : callable
+        Returns `Refuse` if this node's copy of the keys is too old.
+    classify : callable
+        Classifies statements.
+    router : Router
+        Sends statements to holders.
+    drain : Drain
+        State of a planned stop.
+    metrics : Metrics
+        What is measured for each organisation.
+    """
+
+    clock: Clock
+    secret: bytes
+    timeout_ms: float
+    keyring: Keyring
+    get_document: Callable[[], Document]
+    check_freshness: Callable[[], Refuse | None]
+    classify: Callable[[str], Statement]
+    router: Router
+    drain: Drain
+    metrics: Metrics
+    running: int = 0
+    refused_until_ms: dict[str, float] = attrs.field(factory=dict)
+    """Organisations over their rate, and when a retry makes sense."""
+
+    def check_client(self, state: ClientState) -> None:
+        """Check that the client may still send statements.
+
+        Raises
+        ------
+        RequestError
+            Not run, if its key was revoked or can't be checked, or the node stops.
+        """
+        if state.organisation != OPEN_ORGANISATION and not self.keyring.is_active(
+            state.organisation, state.key_id
+        ):
+            raise _make_denied("the key is not valid")
+        stale = self.check_freshness()
+        if stale is not None:
+            raise make_not_run("keys", f"keys can't be checked: {stale.reason}")
+        decision = self.drain.decide_statement(in_transaction=state.in_transaction)
+        if decision is DrainDecision.REFUSE:
+            raise RequestError(
+                Failure(
+                    "drain",
+                    self.router.node.id,
+                    Outcome.NOT_RUN,
+                    ErrorCode.DRAINING,
+                    "this node stops; connect again",
+                )
+            )
+
+    def read_statement(self, state: ClientState, sql: str) -> PreparedRequest:
+        """Parse options and classify.
+
+        Raises
+        ------
+        RequestError
+            Not run, for invalid options, a refused statement or one with a key in it.
+        """
+        options, statement_text = split_options(sql)
+        if "rtk_" in statement_text and self.keyring.contains_key(statement_text):
+            raise make_not_run("keys", "the statement contains a key")
+        statement = self.classify(statement_text)
+        if statement.kind is Kind.REFUSED:
+            raise make_not_run("classify", statement.reason)
+        if options.session:
+            self.apply_token(state, options.session)
+        return PreparedRequest(options, statement, statement_text)
+
+    def apply_token(self, state: ClientState, text: str) -> None:
+        """Take over the positions in a session token.
+
+        A token that does not count makes all reads strict until the session has
+        positions of its own: what the client wrote before is not known.
+        """
+        decoded = decode_token(text, state.organisation, self.secret)
+        if decoded.is_error():
+            state.token_refused = True
+            return
+        state.token_refused = False
+        for database, position in decoded.ok.items():
+            _advance(state, database, position)
+
+    async def execute(self, state: ClientState, prepared: PreparedRequest) -> Reply:
+        """Execute a statement and return its answer, which may still be streaming.
+
+        Raises
+        ------
+        RequestError
+            With the outcome that is known.
+        """
+        if state.transaction_lost:
+            return self._end_lost(state, prepared.statement.kind)
+        started_ms = self.clock.now_ms()
+        messages = self._run(state, prepared)
+        first = await anext(messages)
+        if isinstance(first, ResultHead):
+            return Reply(first, self._stream_rows(state, messages, started_ms))
+        async with aclosing(messages):  # type: ignore[type-var]
+            done = self._finish(state, first, prepared, started_ms)
+        return Reply(done=done)
+
+    async def end_session(self, state: ClientState) -> None:
+        """Roll back what the client has open."""
+        if state.holder:
+            await self.router.end_session(state.holder, state.number)
+        state.in_transaction = False
+        state.holder = ""
+
+    def _end_lost(self, state: ClientState, kind: Kind) -> Reply:
+        # Statements that the client sends as part of the lost transaction must not
+        # run on their own.
+        if kind in (Kind.COMMIT, Kind.ROLLBACK):
+            state.transaction_lost = False
+        if kind is Kind.ROLLBACK:
+            return Reply(done=Done(0, 0, 0, 0, 0, "", "", False))
+        raise make_transaction_lost("its holder was lost", "")
+
+    async def _run(
+        self, state: ClientState, prepared: PreparedRequest
+    ) -> AsyncIterator[Message]:
+        self.running += 1
+        try:
+            database = self._find_database(state)
+            organisation = self._check_access(state, database, prepared.statement)
+            wants_transaction = not state.autocommit and prepared.statement.kind in (
+                Kind.READ,
+                Kind.WRITE,
+            )
+            if wants_transaction and not state.in_transaction:
+                await self._begin_implicit(state, database)
+            request = self._make_execute(state, database, organisation, prepared)
+            self._check_known_refusal(request.organisation)
+            is_read = prepared.statement.kind is Kind.READ
+            async for message in self._send(state, database, request, is_read):
+                yield message
+        finally:
+            self.running -= 1
+
+    async def _send(
+        self, state: ClientState, database: Database, request: Execute, is_read: bool
+    ) -> AsyncIterator[Message]:
+        if state.holder:
+            # Everything of a session with a transaction goes to the same holder.
+            numbered = attrs.evolve(request, request=next(self.router.numbers))
+            messages = self.router.execute_at(state.holder, numbered)
+        else:
+            holders = self.router.list_holders(
+                database.name, database.region, database.slots
+            )
+            if request.kind == Kind.BEGIN.value:
+                holders = holders[:1]
+                state.holder = holders[0] if holders else ""
+            messages = self.router.execute(holders, request, is_read=is_read)
+        try:
+            async with aclosing(messages):  # type: ignore[type-var]
+                async for message in messages:
+                    yield message
+        except RequestError:
+            if state.holder:
+                # The holder or the way to it failed; it rolls back by itself.
+                state.transaction_lost = (
+                    state.in_transaction and request.kind not in _ENDING_KINDS
+                )
+                await self.end_session(state)
+            raise
+
+    async def _begin_implicit(self, state: ClientState, database: Database) -> None:
+        begin = PreparedRequest(RequestOptions(), Statement(Kind.BEGIN), "BEGIN")
+        organisation = self._check_access(state, database, begin.statement)
+        request = self._make_execute(state, database, organisation, begin)
+        started_ms = self.clock.now_ms()
+        async for message in self._send(state, database, request, False):
+            self._finish(state, message, begin, started_ms)
+
+    def _find_database(self, state: ClientState) -> Database:
+        name = state.transaction_database if state.holder else state.database
+        database = self.get_document().databases.get(name)
+        if database is None:
+            message = f"unknown database {name!r}" if name else "no database selected"
+            raise RequestError(
+                Failure("route", "", Outcome.NOT_RUN, ErrorCode.NO_SERVICE, message)
+            )
+        return database
+
+    def _check_access(
+        self, state: ClientState, database: Database, statement: Statement
+    ) -> Organisation | None:
+        document = self.get_document()
+        organisation = document.organisations.get(state.organisation)
+        if organisation is not None and organisation.owner == database.owner:
+            return organisation
+        is_read = statement.kind is Kind.READ
+        route = document.find_route(database.name, statement.tables, is_read)
+        if is_read and route is not None and route.open:
+            return organisation
+        raise RequestError(
+            Failure(
+                "route",
+                "",
+                Outcome.NOT_RUN,
+                ErrorCode.NO_SERVICE,
+                f"{state.organisation} has no access to database {database.name}",
+            )
+        )
+
+    def _make_execute(
+        self,
+        state: ClientState,
+        database: Database,
+        organisation: Organisation | None,
+        prepared: PreparedRequest,
+    ) -> Execute:
+        options, statement = prepared.options, prepared.statement
+        position = state.positions.get(database.name)
+        effective = _ANY_CLASS
+        if statement.kind is Kind.READ:
+            route = self._find_route(database, statement)
+            effective = effective_class(
+                options,
+                RouteClass(ReadClass(route.read_class.value), route.max_age_ms or None),
+                position is not None,
+                state.in_transaction,
+                state.token_refused and position is None,
+            )
+        if statement.reads_session and not state.in_transaction:
+            raise make_not_run(
+                "classify", "the statement depends on earlier ones; use a transaction"
+            )
+        if state.holder == "":
+            state.transaction_database = database.name
+        return Execute(
+            0,
+            state.number,
+            organisation.name if organisation else state.organisation,
+            database.name,
+            prepared.text,
+            statement.kind.value,
+            effective.read_class.value,
+            float(effective.max_age_ms),
+            position.term if position else 0,
+            position.sequence if position else 0,
+            options.request_id,
+            float(options.timeout_ms or self.timeout_ms),
+            statement.dirties_session,
+        )
+
+    def _find_route(self, database: Database, statement: Statement) -> Route:
+        route = self.get_document().find_route(database.name, statement.tables, True)
+        if route is None:
+            raise RequestError(
+                Failure(
+                    "route",
+                    "",
+                    Outcome.NOT_RUN,
+                    ErrorCode.NO_SERVICE,
+                    f"no route of {database.name} names {', '.join(statement.tables)}",
+                )
+            )
+        return route
+
+    def _check_known_refusal(self, organisation: str) -> None:
+        until_ms = self.refused_until_ms.get(organisation)
+        if until_ms is None:
+            return
+        left_ms = until_ms - self.clock.now_ms()
+        if left_ms > 0:
+            raise make_over_rate(left_ms)
+        del self.refused_until_ms[organisation]
+
+    def _finish(
+        self,
+        state: ClientState,
+        message: Message,
+        prepared: PreparedRequest | None,
+        started_ms: float,
+    ) -> Done:
+        if isinstance(message, Failed):
+            self._note_failed(state, message)
+            raise RequestError(_make_failure(message))
+        if not isinstance(message, Done):
+            raise make_not_run("forward", "the holder sent an unexpected message")
+        state.in_transaction = message.in_transaction
+        if not message.in_transaction:
+            state.holder = ""
+        if message.term:
+            position = Position(message.term, message.sequence)
+            _advance(state, state.transaction_database, position)
+        if message.insert_id:
+            state.last_insert_id = message.insert_id
+        elapsed_ms = self.clock.now_ms() - started_ms
+        label = prepared.statement.kind.value if prepared else Kind.READ.value
+        self.metrics.observe_statement(state.organisation, label, "ran", elapsed_ms)
+        if message.role and label == Kind.READ.value:
+            self.metrics.count_read(message.role)
+        return message
+
+    def _note_failed(self, state: ClientState, message: Failed) -> None:
+        if message.transaction_lost:
+            state.in_transaction = True
+        elif not state.in_transaction:
+            state.holder = ""
+        if message.code == ErrorCode.OVER_RATE and message.retry_after_ms > 0:
+            now_ms = self.clock.now_ms()
+            self.refused_until_ms[state.organisation] = now_ms + message.retry_after_ms
+        self.metrics.observe_statement(state.organisation, "", message.outcome, 0.0)
+
+    async def _stream_rows(
+        self, state: ClientState, messages: AsyncIterator[Message], started_ms: float
+    ) -> AsyncIterator[Rows]:
+        async with aclosing(messages):  # type: ignore[type-var]
+            async for message in messages:
+                if isinstance(message, Rows):
+                    yield message
+                else:
+                    self._finish(state, message, None, started_ms)
+                    return
+        # Without the final message the result is not complete.
+        raise make_not_run("forward", "the result broke off")
+
+
+@attrs.define(frozen=True)
+class PreparedRequest:
+    """A statement with its options and classification."""
+
+    options: RequestOptions
+    statement: Statement
+    text: str
+
+
+def make_over_rate(retry_after_ms: float) -> RequestError:
+    """Return the error of a request above its organisation's rate."""
+    return RequestError(
+        Failure(
+            "admit",
+            "",
+            Outcome.NOT_RUN,
+            ErrorCode.OVER_RATE,
+            f"over the organisation's rate; retry in {retry_after_ms:.0f} ms",
+            retry_after_ms,
+        )
+    )
+
+
+def _make_denied(message: str) -> RequestError:
+    return RequestError(
+        Failure("keys", "", Outcome.NOT_RUN, ErrorCode.ACCESS_DENIED, message)
+    )
+
+
+def _make_failure(message: Failed) -> Failure:
+    return Failure(
+        message.step,
+        message.peer,
+        Outcome(message.outcome),
+        message.code,
+        message.message,
+        message.retry_after_ms,
+    )
+
+
+def _advance(state: ClientState, database: str, position: Position) -> None:
+    known = state.positions.get(database)
+    if known is None or position > known:
+        state.positions[database] = position
--- /dev/null
+++ b/src/radishtrack/proxy/holder.py
@@ -0,0 +1,215 @@
+"""The holder's side of a request: admission, execution and the typed answer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+
+from radishtrack.backend.connection import MemberError
+from radishtrack.backend.database import DatabaseBackend
+from radishtrack.backend.journal import JournalEntry, make_entry
+from radishtrack.backend.read import run_read
+from radishtrack.backend.transaction import (
+    TRANSACTION_LOST_STEP,
+    Transaction,
+    begin_transaction,
+    make_transaction_lost,
+)
+from radishtrack.backend.write import run_write
+from radishtrack.clock import Clock
+from radishtrack.errors import Failure, Outcome, RequestError, make_not_run
+from radishtrack.peer.messages import Done, Execute, Failed, Message
+from radishtrack.routing.options import make_invalid_option
+from radishtrack.routing.statement import Kind
+
+SessionKey = tuple[str, int]
+"""Identifier of a peer connection, and the session number on it."""
+
+Admit = Callable[[str, float], Awaitable[None]]
+"""Takes organisation and deadline; raises `RequestError` if the rate is used up."""
+
+
+@attrs.define
+class Holder:
+    """Executes statements on the databases whose slots this node holds.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time of deadlines.
+    admit : callable
+        Admission by the organisation's rate.
+    databases : dict of str to DatabaseBackend
+        The databases held, by name.
+    transactions : dict
+        Open transactions by connection and session.
+    lost_sessions : set
+        Sessions whose transaction was lost and that have not ended it yet.
+    """
+
+    clock: Clock
+    admit: Admit
+    databases: dict[str, DatabaseBackend] = attrs.field(factory=dict)
+    transactions: dict[SessionKey, Transaction] = attrs.field(factory=dict)
+    lost_sessions: set[SessionKey] = attrs.field(factory=set)
+    running: int = 0
+
+    async def execute(
+        self, connection: str, request: Execute
+    ) -> AsyncIterator[Message]:
+        """Execute one statement; every failure becomes a `Failed` message."""
+        key = (connection, request.session)
+        deadline_ms = self.clock.now_ms() + request.timeout_ms
+        self.running += 1
+        try:
+            async for message in self._dispatch(key, request, deadline_ms):
+                yield message
+        except RequestError as error:
+            yield await self._make_failed(key, request, error.failure)
+        except MemberError as error:
+            yield await self._make_failed(key, request, _describe(error))
+        finally:
+            self.running -= 1
+
+    async def end_session(self, connection: str, session: int) -> None:
+        """Roll back the transaction of a session that ended."""
+        self.lost_sessions.discard((connection, session))
+        transaction = self.transactions.pop((connection, session), None)
+        if transaction is not None:
+            await transaction.roll_back()
+
+    async def end_connection(self, connection: str) -> None:
+        """Roll back the transactions of all sessions of a connection."""
+        keys = {*self.transactions, *self.lost_sessions}
+        for owner, session in keys:
+            if owner == connection:
+                await self.end_session(owner, session)
+
+    async def end_idle(self, limit_ms: float) -> None:
+        """Roll back transactions that were not used for `limit_ms` milliseconds."""
+        oldest_ms = self.clock.now_ms() - limit_ms
+        for key, transaction in tuple(self.transactions.items()):
+            if not transaction.is_busy and transaction.last_used_ms < oldest_ms:
+                del self.transactions[key]
+                self.lost_sessions.add(key)
+                await transaction.roll_back()
+
+    async def _dispatch(
+        self, key: SessionKey, request: Execute, deadline_ms: float
+    ) -> AsyncIterator[Message]:
+        kind = Kind(request.kind)
+        transaction = self.transactions.get(key)
+        if key in self.lost_sessions:
+            yield self._end_lost(key, request, kind)
+            return
+        if transaction is not None:
+            async for message in self._continue(key, transaction, request, deadline_ms):
+                yield message
+            return
+        if kind in (Kind.COMMIT, Kind.ROLLBACK):
+            yield _make_empty_done(request)
+            return
+        backend = self.databases.get(request.database)
+        if backend is None:
+            raise make_not_run("hold", f"no slot of {request.database} is held here")
+        await self.admit(request.organisation, deadline_ms)
+        backend.retries.count_request(self.clock.now_ms())
+        if kind is Kind.BEGIN:
+            opened = await begin_transaction(backend, request, deadline_ms)
+            self.transactions[key] = opened
+            yield attrs.evolve(_make_empty_done(request), in_transaction=True)
+        elif kind is Kind.READ:
+            async for message in run_read(backend, request, deadline_ms):
+                yield message
+        else:
+            entry = _make_entry(request)
+            async for message in run_write(backend, request, deadline_ms, entry):
+                yield message
+
+    async def _continue(
+        self,
+        key: SessionKey,
+        transaction: Transaction,
+        request: Execute,
+        deadline_ms: float,
+    ) -> AsyncIterator[Message]:
+        kind = Kind(request.kind)
+        if transaction.organisation != request.organisation:
+            raise make_not_run("transaction", "belongs to another organisation")
+        if transaction.backend.name != request.database:
+            raise make_not_run("transaction", "is open in another database")
+        if kind in (Kind.BEGIN, Kind.DDL):
+            raise make_not_run("transaction", "end the open transaction first")
+        if request.request_id:
+            raise make_invalid_option("request_id can't be used in a transaction")
+        if kind is Kind.COMMIT:
+            del self.transactions[key]
+            yield await transaction.commit(request, deadline_ms)
+            return
+        if kind is Kind.ROLLBACK:
+            del self.transactions[key]
+            await transaction.roll_back()
+            yield _make_empty_done(request)
+            return
+        # Each statement counts against the rate, also inside a transaction.
+        await self.admit(request.organisation, deadline_ms)
+        transaction.is_busy = True
+        try:
+            async for message in transaction.run(request, deadline_ms):
+                yield message
+        finally:
+            transaction.is_busy = False
+            transaction.last_used_ms = self.clock.now_ms()
+            if transaction.connection.in_doubt:
+                await self._drop(key, transaction)
+
+    async def _drop(self, key: SessionKey, transaction: Transaction) -> None:
+        if self.transactions.pop(key, None) is not None:
+            self.lost_sessions.add(key)
+            transaction.connection.close()
+            await transaction.resources.aclose()
+
+    def _end_lost(self, key: SessionKey, request: Execute, kind: Kind) -> Message:
+        # Statements that the client sends as part of the lost transaction must not
+        # run on their own.
+        if kind in (Kind.COMMIT, Kind.ROLLBACK):
+            self.lost_sessions.discard(key)
+        if kind is Kind.ROLLBACK:
+            return _make_empty_done(request)
+        raise make_transaction_lost("it ended before this statement", "")
+
+    async def _make_failed(
+        self, key: SessionKey, request: Execute, failure: Failure
+    ) -> Failed:
+        transaction = self.transactions.get(key)
+        if failure.step == TRANSACTION_LOST_STEP and transaction is not None:
+            await self._drop(key, transaction)
+        return Failed(
+            request.request,
+            failure.step,
+            failure.peer,
+            failure.outcome.value,
+            failure.code,
+            failure.message,
+            failure.retry_after_ms,
+            key in self.lost_sessions,
+        )
+
+
+def _make_entry(request: Execute) -> JournalEntry | None:
+    if not request.request_id:
+        return None
+    try:
+        return make_entry(request.organisation, request.request_id, request.statement)
+    except ValueError as error:
+        raise make_invalid_option(str(error)) from error
+
+
+def _make_empty_done(request: Execute) -> Done:
+    return Done(request.request, 0, 0, 0, 0, "", "", False)
+
+
+def _describe(error: MemberError) -> Failure:
+    # The member refused the statement as a whole, so nothing of it took effect.
+    return Failure("execute", "", Outcome.NOT_RUN, error.code, error.message)
--- /dev/null
+++ b/src/radishtrack/proxy/node.py
@@ -0,0 +1,406 @@
+"""One node: all parts put together, and the tasks that feed them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import ssl
+from collections.abc import Coroutine
+from functools import partial
+from typing import Any, Final
+
+import attrs
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from websockets.asyncio.server import Server
+
+from radishtrack.admin import AdminServer, Readiness, start_admin
+from radishtrack.clock import Clock, make_system_clock
+from radishtrack.config.chunk import ChunkError, decode_manifest
+from radishtrack.config.state import ConfigurationState, make_configuration_state
+from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
+from radishtrack.events import Event, log_event
+from radishtrack.frontend.connection import ConnectionControl, FrontendServer
+from radishtrack.frontend.identity import KeyIdentityProvider
+from radishtrack.frontend.session import ClientSession
+from radishtrack.group.record import RecordError, parse_record
+from radishtrack.keys.key import verify_scramble
+from radishtrack.keys.keyring import KIND as KEYS_KIND
+from radishtrack.keys.keyring import Keyring, make_keyring
+from radishtrack.membership.drain import Drain, DrainState, make_drain
+from radishtrack.membership.nodes import Membership, Node, make_membership
+from radishtrack.membership.placement import Placement, make_placement
+from radishtrack.metrics import Metrics, make_metrics
+from radishtrack.peer.link import open_link
+from radishtrack.peer.messages import Leaving, Message
+from radishtrack.peer.server import PeerHandlers, start_peer_server
+from radishtrack.platform.client import PlatformClient, make_platform_client
+from radishtrack.platform.records import (
+    PlatformRefusal,
+    PlatformUnavailable,
+    VmRecord,
+    VmState,
+    WatchAnswer,
+)
+from radishtrack.platform.watch import follow_objects
+from radishtrack.proxy.entry import OPEN_ORGANISATION, Entry
+from radishtrack.proxy.holder import Holder
+from radishtrack.proxy.router import Router
+from radishtrack.proxy.slots import Slots
+from radishtrack.routing.statement import make_classifier
+from radishtrack.settings import Settings
+
+GROUPS_KIND: Final = "groups"
+WATCHED_KINDS: Final = (MANIFEST_KIND, KEYS_KIND, GROUPS_KIND)
+VM_LIST_INTERVAL_S: Final = 2.0
+RECONCILE_INTERVAL_S: Final = 0.5
+CHUNK_RETRY_S: Final = 0.2
+DRAIN_STEP_S: Final = 0.05
+
+
+@attrs.define
+class NodeServer:
+    """A running node.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    clock : Clock
+        Time of all parts.
+    """
+
+    settings: Settings
+    clock: Clock
+    node: Node
+    metrics: Metrics
+    keyring: Keyring
+    configuration: ConfigurationState
+    membership: Membership
+    placement: Placement
+    platform: PlatformClient
+    holder: Holder
+    router: Router
+    slots: Slots
+    drain: Drain
+    entry: Entry
+    control: ConnectionControl
+    frontend: FrontendServer | None = None
+    peer_server: Server | None = None
+    admin: AdminServer | None = None
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    manifest_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    manifest_value: object = None
+    stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def start(self) -> None:
+        """Listen and start all tasks."""
+        listen = self.settings.listen
+        self.peer_server = await start_peer_server(
+            listen.peer_host,
+            listen.peer_port,
+            self.node.id,
+            self.settings.peers.secret.encode(),
+            PeerHandlers(
+                self.holder.execute,
+                self.holder.end_session,
+                self.holder.end_connection,
+                self._answer_peer,
+            ),
+        )
+        for work in (
+            self._follow_platform(),
+            self._follow_manifest(),
+            self._follow_vms(),
+            self._reconcile_often(),
+            self._end_idle_often(),
+        ):
+            self._spawn(work)
+        numbers = itertools.count(1)
+        self.frontend = FrontendServer(
+            session_factory=lambda: ClientSession(self.entry, next(numbers)),
+            control=self.control,
+            identity_provider=KeyIdentityProvider(self._check_key),
+            max_packet_bytes=self.settings.limits.max_statement_bytes,
+            refuse_reason=self._refuse_reason,
+            capabilities=DEFAULT_SERVER_CAPABILITIES,
+            ssl=_make_client_tls(self.settings),
+        )
+        await self.frontend.start_server(
+            host=listen.client_host, port=listen.client_port
+        )
+        self.admin = await start_admin(
+            listen.admin_host, listen.admin_port, self.metrics, self._check_ready
+        )
+        log_event(
+            Event.NODE_STARTED,
+            node=self.node.id,
+            client_port=self.frontend.sockets()[0].getsockname()[1],
+            peer_port=listen.peer_port,
+        )
+
+    async def run(self) -> None:
+        """Serve until a stop is requested, then finish what runs."""
+        await self.stopping.wait()
+        await self._announce(VmState.LEAVING)
+        self.drain.begin(self.clock.now_ms())
+        log_event(Event.NODE_DRAINING, node=self.node.id)
+        self.membership.leave()
+        if self.frontend is not None:
+            self.frontend.close()
+        for link in self.router.links.values():
+            if not link.closed:
+                await link.send(Leaving(self.node.id))
+        while self.drain.state is DrainState.DRAINING:
+            self.drain.advance(
+                self.clock.now_ms(),
+                self.entry.running + self.holder.running,
+                len(self.holder.transactions),
+            )
+            await asyncio.sleep(DRAIN_STEP_S)
+        await self.close()
+        self.drain.end()
+        log_event(Event.NODE_STOPPED, node=self.node.id)
+
+    async def close(self) -> None:
+        """Close all connections and cancel all tasks."""
+        for connection in tuple(self.control.connections.values()):
+            connection.stream.writer.close()
+        for task in tuple(self.tasks):
+            task.cancel()
+        if self.tasks:
+            await asyncio.wait(self.tasks)
+        for owner, session in tuple(self.holder.transactions):
+            await self.holder.end_session(owner, session)
+        await self.slots.close()
+        await self.router.close()
+        if self.peer_server is not None:
+            self.peer_server.close()
+            await self.peer_server.wait_closed()
+        if self.admin is not None:
+            await self.admin.close()
+        await self.platform.close()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._forget_task)
+
+    def _forget_task(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # No task ends by itself; going on without one would break guarantees.
+            log_event(Event.TASK_FAILED, error=repr(task.exception()))
+            self.stopping.set()
+
+    def _check_key(
+        self, organisation: str, nonce: bytes, scramble: bytes
+    ) -> str | None:
+        if organisation == OPEN_ORGANISATION:
+            return "" if not scramble else None
+        for verifier in self.keyring.find_verifiers(organisation):
+            if verify_scramble(verifier.digest, nonce, scramble):
+                return verifier.key_id
+        return None
+
+    def _refuse_reason(self) -> str | None:
+        if self.drain.state is not DrainState.SERVING:
+            return "this node stops"
+        return None
+
+    def _check_ready(self) -> Readiness:
+        if self.drain.state is not DrainState.SERVING:
+            return Readiness(False, "draining")
+        if self.configuration.revision == 0:
+            return Readiness(False, "no configuration")
+        return Readiness(True)
+
+    async def _answer_peer(self, peer: str, message: Message) -> Message | None:
+        match message:
+            case Leaving(node=node):
+                self.membership.note_leaving(node, 0, self.clock.now_ms())
+        return None
+
+    async def _follow_platform(self) -> None:
+        await follow_objects(self.platform, WATCHED_KINDS, self._apply_objects)
+
+    def _apply_objects(self, answer: WatchAnswer) -> None:
+        for found in answer.objects:
+            if found.kind == KEYS_KIND:
+                revoked = self.keyring.apply_object(
+                    found.name, found.version, found.value
+                )
+                for key in revoked:
+                    self._close_revoked(key.organisation, key.key_id)
+            elif found.kind == GROUPS_KIND and found.value is not None:
+                try:
+                    record = parse_record(found.name, found.version, found.value)
+                except RecordError as error:
+                    log_event(Event.GROUP_RECORD_INVALID, reason=error)
+                    continue
+                self.slots.update_record(record)
+            elif found.name == MANIFEST_NAME and found.value is not None:
+                self.manifest_value = found.value
+                self.manifest_changed.set()
+
+    def _close_revoked(self, organisation: str, key_id: str) -> None:
+        closed = 0
+        for connection in tuple(self.control.connections.values()):
+            state = connection.session.state
+            if (state.organisation, state.key_id) == (organisation, key_id):
+                connection.stream.writer.close()
+                closed += 1
+        log_event(Event.KEY_REVOKED, organisation=organisation, closed=closed)
+
+    async def _follow_manifest(self) -> None:
+        while True:
+            await self.manifest_changed.wait()
+            self.manifest_changed.clear()
+            try:
+                await self._accept_manifest(self.manifest_value)
+            except (PlatformUnavailable, PlatformRefusal):
+                # The chunks are needed before the revision can be in force.
+                await asyncio.sleep(CHUNK_RETRY_S)
+                self.manifest_changed.set()
+
+    async def _accept_manifest(self, value: object) -> None:
+        try:
+            manifest = decode_manifest(value)
+        except ChunkError as error:
+            log_event(Event.CONFIGURATION_REJECTED, reason=error)
+            return
+        chunks: dict[str, str] = {}
+        for digest in self.configuration.find_missing(manifest):
+            found = await self.platform.get(CHUNK_KIND, digest)
+            if found is not None and found.value is not None:
+                chunks[digest] = str(found.value["text"])
+        self.configuration.accept(manifest, chunks)
+        self._reconcile()
+
+    async def _follow_vms(self) -> None:
+        await self._announce(VmState.LIVE)
+        while True:
+            try:
+                listed = await self.platform.vms()
+            except (PlatformUnavailable, PlatformRefusal):
+                pass
+            else:
+                self.membership.apply_list(map(_make_node, listed))
+            await asyncio.sleep(VM_LIST_INTERVAL_S)
+
+    async def _announce(self, state: VmState) -> None:
+        record = VmRecord(
+            self.node.id,
+            self.node.zone,
+            self.node.region,
+            state,
+            self.node.peer_address,
+        )
+        try:
+            await self.platform.announce(record)
+        except (PlatformUnavailable, PlatformRefusal) as error:
+            log_event(Event.PLATFORM_UNAVAILABLE, reason=error)
+
+    async def _reconcile_often(self) -> None:
+        while True:
+            self._reconcile()
+            await asyncio.sleep(RECONCILE_INTERVAL_S)
+
+    def _reconcile(self) -> None:
+        self.placement.set_nodes(self.membership.list_nodes(self.clock.now_ms()))
+        is_leaving = self.drain.state is not DrainState.SERVING
+        self.slots.reconcile(self.configuration.document, is_leaving=is_leaving)
+
+    async def _end_idle_often(self) -> None:
+        limit_ms = self.settings.limits.idle_transaction_ms
+        while True:
+            await asyncio.sleep(min(1.0, limit_ms / 2000))
+            await self.holder.end_idle(limit_ms)
+
+
+def make_node_server(settings: Settings, clock: Clock) -> NodeServer:
+    """Return a node that is not started yet."""
+    listen = settings.listen
+    node = Node(
+        settings.node.id,
+        settings.node.zone,
+        settings.node.region,
+        f"{listen.peer_host}:{listen.peer_port}",
+    )
+    secret = settings.peers.secret.encode()
+    keyring = make_keyring()
+    metrics = make_metrics()
+    configuration = make_configuration_state()
+    membership = make_membership(node)
+    placement = make_placement()
+    drain = make_drain(settings.limits.drain_timeout_ms)
+    holder = Holder(clock, _admit_all)
+    router = Router(
+        node,
+        clock,
+        holder,
+        membership,
+        placement,
+        partial(open_link, node=node.id, secret=secret),
+    )
+    entry = Entry(
+        clock,
+        secret,
+        settings.limits.request_timeout_ms,
+        keyring,
+        lambda: configuration.document,
+        lambda: None,
+        make_classifier(),
+        router,
+        drain,
+        metrics,
+    )
+    return NodeServer(
+        settings,
+        clock,
+        node,
+        metrics,
+        keyring,
+        configuration,
+        membership,
+        placement,
+        make_platform_client(settings.platform.url, clock),
+        holder,
+        router,
+        Slots(node, clock, settings.database_login, holder, placement),
+        drain,
+        entry,
+        ConnectionControl(settings.limits.max_client_connections),
+    )
+
+
+async def serve(settings: Settings) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    server = make_node_server(settings, make_system_clock())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, server.stopping.set)
+    await server.start()
+    await server.run()
+
+
+async def _admit_all(organisation: str, deadline_ms: float) -> None:
+    return
+
+
+def _make_node(record: VmRecord) -> Node:
+    return Node(
+        record.id,
+        record.zone,
+        record.region,
+        record.peer_address,
+        record.state is VmState.LEAVING,
+    )
+
+
+def _make_client_tls(settings: Settings) -> ssl.SSLContext | None:
+    if not settings.listen.tls_certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.listen.tls_certificate, settings.listen.tls_key)
+    return context
--- /dev/null
+++ b/src/radishtrack/proxy/slots.py
@@ -0,0 +1,154 @@
+"""Opens and closes databases as slots and group records change."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+import attrs
+
+from radishtrack.admission.gate import make_gate
+from radishtrack.admission.retry_budget import make_retry_budget
+from radishtrack.backend.connection import open_connection
+from radishtrack.backend.database import DatabaseBackend
+from radishtrack.backend.member_connection import make_connect
+from radishtrack.backend.monitor import make_monitor
+from radishtrack.backend.pool import make_pool
+from radishtrack.clock import Clock
+from radishtrack.config.document import Document
+from radishtrack.config.model import Database
+from radishtrack.group.record import GroupRecord
+from radishtrack.membership.nodes import Node
+from radishtrack.membership.placement import Placement
+from radishtrack.proxy.holder import Holder
+from radishtrack.settings import DatabaseLogin
+
+GatesChanged = Callable[[str], None]
+
+
+@attrs.define
+class Slots:
+    """Keeps a holder's databases equal to the slots that placement gives it.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    clock : Clock
+        Time for the databases' parts.
+    login : DatabaseLogin
+        The proxy's own login at the members.
+    holder : Holder
+        Whose databases are opened and closed.
+    placement : Placement
+        Who holds which slots.
+    records : dict of str to GroupRecord
+        The platform's group records, by database.
+    """
+
+    node: Node
+    clock: Clock
+    login: DatabaseLogin
+    holder: Holder
+    placement: Placement
+    records: dict[str, GroupRecord] = attrs.field(factory=dict)
+    closing: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    def update_record(self, record: GroupRecord) -> None:
+        """Take a group record; an older version is ignored."""
+        name = record.group.database
+        known = self.records.get(name)
+        if known is not None and record.group.version <= known.group.version:
+            return
+        self.records[name] = record
+        backend = self.holder.databases.get(name)
+        if backend is not None:
+            backend.monitor.update_group(record.group, record.endpoints)
+            backend.pool.replace_endpoints(record.endpoints)
+
+    def reconcile(self, document: Document, *, is_leaving: bool = False) -> None:
+        """Open databases whose slot is held here, and close the others."""
+        wanted = {
+            database.name: database
+            for database in document.databases.values()
+            if not is_leaving and self._is_held(database)
+        }
+        for name in self.holder.databases.keys() - wanted.keys():
+            self._close(name)
+        weights = {part.name: part.rate for part in document.organisations.values()}
+        for database in wanted.values():
+            backend = self.holder.databases.get(database.name)
+            record = self.records.get(database.name)
+            if backend is None and record is not None:
+                backend = self._open(database, record, document)
+            if backend is not None:
+                backend.pool.limit = database.connections_per_slot
+                backend.gate.set_connections(database.connections_per_slot)
+                backend.gate.set_weights(weights)
+                backend.leaving = partial(_list_leaving, database)
+
+    async def close(self) -> None:
+        """Close all databases."""
+        for name in tuple(self.holder.databases):
+            self._close(name)
+        if self.closing:
+            await asyncio.wait(self.closing)
+
+    def _is_held(self, database: Database) -> bool:
+        if database.region != self.node.region:
+            return False
+        nodes = self.placement.place_slots(
+            database.name, database.region, database.slots
+        )
+        return self.node.id in nodes
+
+    def _open(
+        self, database: Database, record: GroupRecord, document: Document
+    ) -> DatabaseBackend:
+        connect = partial(
+            open_connection, user=self.login.user, password=self.login.password
+        )
+        monitor = make_monitor(
+            record.group,
+            record.endpoints,
+            self.clock,
+            make_connect(self.login.password),
+        )
+        monitor.start()
+        limit = database.connections_per_slot
+        backend = DatabaseBackend(
+            database.name,
+            self.node.zone,
+            monitor,
+            make_pool(record.endpoints, limit, connect, self.clock),
+            make_gate(self.clock, limit),
+            make_retry_budget(),
+            self.clock,
+            partial(_list_leaving, database),
+        )
+        self.holder.databases[database.name] = backend
+        return backend
+
+    def _close(self, name: str) -> None:
+        backend = self.holder.databases.pop(name)
+        task = asyncio.create_task(self._finish(backend))
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
+    async def _finish(self, backend: DatabaseBackend) -> None:
+        # Running requests and transactions keep the database until they end.
+        while self._is_used(backend):
+            await asyncio.sleep(0.1)
+        await backend.monitor.stop()
+        backend.pool.close()
+
+    def _is_used(self, backend: DatabaseBackend) -> bool:
+        return any(backend.pool.in_use.values()) or any(
+            transaction.backend is backend
+            for transaction in self.holder.transactions.values()
+        )
+
+
+def _list_leaving(database: Database) -> frozenset[str]:
+    return frozenset(member.name for member in database.members if member.leaving)
