Add the command line

Commands get the platform as a context, so tests pass an in-memory one; the real client comes from the platform package.

--- /dev/null
+++ b/src/radishtrack/cli/_platform.py
@@ -0,0 +1,87 @@
+"""Connects commands to the platform's client."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+from radishtrack.cli._context import NamedObject, PlatformAccess, VmEntry
+from radishtrack.clock import make_system_clock
+from radishtrack.config.store import (
+    ObjectStore,
+    StoredObject,
+    StoreUnavailable,
+    WriteResult,
+)
+from radishtrack.platform.client import PlatformClient, make_platform_client
+from radishtrack.platform.records import (
+    PlatformUnavailable,
+    VmRecord,
+    VmState,
+    Written,
+)
+
+
+@contextlib.asynccontextmanager
+async def open_platform(url: str) -> AsyncIterator[PlatformAccess]:
+    """Yield the operations of the platform at `url`."""
+    client = make_platform_client(url, make_system_clock())
+    try:
+        yield make_platform_access(client)
+    finally:
+        await client.close()
+
+
+def make_object_store(client: PlatformClient) -> ObjectStore:
+    """Return the reads and conditional writes of a client."""
+
+    async def get(kind: str, name: str) -> StoredObject | None:
+        try:
+            found = await client.get(kind, name)
+        except PlatformUnavailable as error:
+            raise StoreUnavailable(str(error)) from error
+        return StoredObject(found.version, found.value) if found else None
+
+    async def put(kind: str, name: str, value: Any, version: int) -> WriteResult:
+        try:
+            answer = await client.put(kind, name, value, version)
+        except PlatformUnavailable:
+            return WriteResult.UNKNOWN
+        if isinstance(answer, Written):
+            return WriteResult.WRITTEN
+        return WriteResult.CONFLICT
+
+    return ObjectStore(get, put)
+
+
+def make_platform_access(client: PlatformClient) -> PlatformAccess:
+    """Return the operations that commands use."""
+
+    async def list_objects(kind: str) -> tuple[NamedObject, ...]:
+        try:
+            found = await client.list_objects(kind)
+        except PlatformUnavailable as error:
+            raise StoreUnavailable(str(error)) from error
+        return tuple(NamedObject(item.name, item.version, item.value) for item in found)
+
+    async def list_vms() -> tuple[VmEntry, ...]:
+        try:
+            found = await client.vms()
+        except PlatformUnavailable as error:
+            raise StoreUnavailable(str(error)) from error
+        return tuple(
+            VmEntry(vm.id, vm.zone, vm.region, vm.state.value, vm.peer_address)
+            for vm in found
+        )
+
+    async def announce_leaving(vm: VmEntry) -> None:
+        record = VmRecord(vm.id, vm.zone, vm.region, VmState.LEAVING, vm.peer_address)
+        try:
+            await client.announce(record)
+        except PlatformUnavailable as error:
+            raise StoreUnavailable(str(error)) from error
+
+    return PlatformAccess(
+        make_object_store(client), list_objects, list_vms, announce_leaving
+    )
--- a/src/radishtrack/config/_lines.py
+++ b/src/radishtrack/config/_lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping
 from typing import Final
 
 from radishtrack._validation import KeyPath
@@ -38,7 +39,7 @@
     return lines
 
 
-def find_line(lines: dict[KeyPath, int], path: KeyPath) -> int:
+def find_line(lines: Mapping[KeyPath, int], path: KeyPath) -> int:
     """Return the line of a path, or of the nearest table around it."""
     for length in range(len(path), 0, -1):
         if path[:length] in lines:
@@ -46,10 +47,10 @@
     return 1
 
 
-def find_error_line(message: str) -> int:
-    """Return the line that a message of `tomllib` names, or 1."""
+def find_error_line(message: str, text: str) -> int:
+    """Return the line that a message of `tomllib` names, or the last one."""
     position = _POSITION.search(message)
-    return int(position[1]) if position else 1
+    return int(position[1]) if position else max(1, len(text.splitlines()))
 
 
 def _resolve_header(
--- a/src/radishtrack/config/change.py
+++ b/src/radishtrack/config/change.py
@@ -8,8 +8,9 @@
 
 import attrs
 
-from radishtrack.config.chunk import KINDS, list_entries
+from radishtrack.config.chunk import list_entries
 from radishtrack.config.document import Document
+from radishtrack.config.model import PART_KINDS
 
 
 class Action(enum.Enum):
@@ -82,7 +83,7 @@
     changes = [_compare(key, old.get(key), new.get(key)) for key in old | new]
     found = (change for change in changes if change is not None)
     return tuple(
-        sorted(found, key=lambda change: (KINDS.index(change.kind), change.name))
+        sorted(found, key=lambda change: (PART_KINDS.index(change.kind), change.name))
     )
 
 
--- a/src/radishtrack/config/chunk.py
+++ b/src/radishtrack/config/chunk.py
@@ -10,7 +10,14 @@
 import attrs
 
 from radishtrack.config.document import Document
-from radishtrack.config.model import Database, Organisation, Owner, Route, Service
+from radishtrack.config.model import (
+    PART_KINDS,
+    Database,
+    Organisation,
+    Owner,
+    Route,
+    Service,
+)
 
 MAX_CHUNK_BYTES: Final = 6_144
 """Splitting in halves at this size leaves chunks of about 4 KB on average."""
@@ -20,8 +27,6 @@
 HISTORY_LINES: Final = 12
 HISTORY_LINE_CHARACTERS: Final = 200
 
-KINDS: Final = ("owner", "organisation", "database", "service")
-
 Entry = tuple[str, dict[str, Any]]
 """The kind of a part and the part in the form of the operators' text."""
 
@@ -185,9 +190,20 @@
         raise ChunkError(f"chunk {digest[:12]} is not a list of entries") from error
 
 
+def encode_chunk(text: str) -> dict[str, Any]:
+    """Return the value of the platform object that holds a chunk."""
+    return {"text": text}
+
+
+def decode_chunk(value: object) -> str:
+    """Return the text of a platform object's value; empty if it is none."""
+    text = value.get("text") if isinstance(value, dict) else None
+    return text if isinstance(text, str) else ""
+
+
 def join_entries(entries: Iterable[Entry]) -> dict[str, list[dict[str, Any]]]:
     """Return entries in the form of a parsed text, sorted by name."""
-    content: dict[str, list[dict[str, Any]]] = {kind: [] for kind in KINDS}
+    content: dict[str, list[dict[str, Any]]] = {kind: [] for kind in PART_KINDS}
     for kind, entry in entries:
         content.setdefault(kind, []).append(entry)
     for parts in content.values():
--- a/src/radishtrack/config/document.py
+++ b/src/radishtrack/config/document.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from types import MappingProxyType
-from typing import Final
+from typing import Any, Final
 
 import attrs
 from expression import Error, Ok, Result
 
-from radishtrack._validation import Problem
+from radishtrack._validation import KeyPath, Problem, format_path
 from radishtrack.config._lines import find_error_line, find_line, index_lines
 from radishtrack.config._parse import read_parts
 from radishtrack.config.model import (
     ANY_TABLE,
+    PART_KINDS,
     Database,
     Organisation,
     Owner,
@@ -49,6 +50,24 @@
         return f"{self.file}:{self.line}: {self.reason}"
 
 
+@attrs.define(frozen=True)
+class Source:
+    """One text and the name of the file that it comes from."""
+
+    file: str
+    text: str
+
+
+@attrs.define(frozen=True)
+class _Origin:
+    """Where an entry of a joined configuration comes from."""
+
+    file: str
+    lines: Mapping[KeyPath, int]
+    index: int
+    """Place of the entry among those of its kind in the file."""
+
+
 DocumentResult = Result["Document", tuple[ConfigError, ...]]
 
 
@@ -143,24 +162,50 @@
     Result
         The document, or every error that the text has.
     """
-    try:
-        content = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        line = find_error_line(str(error))
-        return Error((ConfigError(file, line, f"expected TOML: {error}"),))
+    return parse_sources([Source(file, text)])
+
+
+def parse_sources(sources: Sequence[Source]) -> DocumentResult:
+    """Read and validate several texts that together are one configuration.
+
+    Parameters
+    ----------
+    sources : sequence of Source
+        The texts, for example one of each owner.
+
+    Returns
+    -------
+    Result
+        The document, or every error with the file and line where it is.
+    """
+    contents: dict[str, list[Any]] = {}
+    errors: list[ConfigError] = []
     problems: list[Problem] = []
-    parts = read_parts(content, problems)
-    if problems:
-        lines = index_lines(text)
-        errors = [
-            ConfigError(
-                file,
-                find_line(lines, problem.path),
-                f"{problem.key}: expected {problem.expected}, found {problem.found}",
+    origins: dict[str, list[_Origin]] = {}
+    for source in sources:
+        try:
+            content = tomllib.loads(source.text)
+        except tomllib.TOMLDecodeError as error:
+            line = find_error_line(str(error), source.text)
+            errors.append(ConfigError(source.file, line, f"expected TOML: {error}"))
+            continue
+        lines = index_lines(source.text)
+        for key, value in content.items():
+            if key in PART_KINDS and not isinstance(value, list):
+                line = find_line(lines, (key,))
+                reason = f"{key}: expected tables headed [[{key}]], found one value"
+                errors.append(ConfigError(source.file, line, reason))
+            items = value if isinstance(value, list) else [value]
+            contents.setdefault(key, []).extend(items)
+            origins.setdefault(key, []).extend(
+                _Origin(source.file, lines, index) for index in range(len(items))
             )
-            for problem in problems
-        ]
-        return Error(tuple(sorted(errors, key=lambda error: error.line)))
+    if errors:
+        return Error(tuple(errors))
+    parts = read_parts(contents, problems)
+    if problems:
+        found = (_locate_problem(problem, origins) for problem in problems)
+        return Error(tuple(sorted(found, key=lambda error: (error.file, error.line))))
     return Ok(
         make_document(
             parts.owners, parts.organisations, parts.databases, parts.services
@@ -168,6 +213,18 @@
     )
 
 
+def _locate_problem(
+    problem: Problem, origins: Mapping[str, Sequence[_Origin]]
+) -> ConfigError:
+    kind, index = problem.path[0], problem.path[1] if len(problem.path) > 1 else 0
+    origin = origins[str(kind)][int(index)]
+    path = (kind, origin.index, *problem.path[2:])
+    line = find_line(origin.lines, path)
+    key = format_path(path[:1] if len(problem.path) == 1 else path)
+    reason = f"{key}: expected {problem.expected}, found {problem.found}"
+    return ConfigError(origin.file, line, reason)
+
+
 def _combine_routes(routes: list[Route]) -> Route:
     strictest = max(
         routes, key=lambda route: (_STRICTNESS[route.read_class], -route.max_age_ms)
--- a/src/radishtrack/config/model.py
+++ b/src/radishtrack/config/model.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+PART_KINDS: Final = ("owner", "organisation", "database", "service")
+"""Headings of the operators' text."""
+
 READ_STATEMENT: Final = "select"
 WRITE_STATEMENTS: Final = ("insert", "update", "delete", "replace")
 STATEMENTS: Final = (READ_STATEMENT, *WRITE_STATEMENTS)
--- a/src/radishtrack/config/store.py
+++ b/src/radishtrack/config/store.py
@@ -15,7 +15,9 @@
     ChunkError,
     Entry,
     Manifest,
+    decode_chunk,
     decode_manifest,
+    encode_chunk,
     encode_manifest,
     make_next_manifest,
     read_chunk,
@@ -225,7 +227,7 @@
 async def _write_chunk(store: ObjectStore, digest: str, text: str) -> bool:
     """Create a chunk; a conflict means that the same content is there already."""
     for _ in range(WRITE_ATTEMPTS):
-        result = await store.put(CHUNK_KIND, digest, text, 0)
+        result = await store.put(CHUNK_KIND, digest, encode_chunk(text), 0)
         if result is not WriteResult.UNKNOWN:
             return True
     return False
@@ -240,6 +242,6 @@
 
 async def _fetch_chunk(store: ObjectStore, digest: str) -> str:
     found = await store.get(CHUNK_KIND, digest)
-    if found is None or not isinstance(found.value, str):
+    if found is None:
         raise ChunkError(f"chunk {digest[:12]} is missing")
-    return found.value
+    return decode_chunk(found.value)
--- a/src/radishtrack/keys/freshness.py
+++ b/src/radishtrack/keys/freshness.py
@@ -8,8 +8,9 @@
 
 import attrs
 
-CUT_OFF_AFTER_MS: Final = 5_000.0
-"""A node without contact for so long counts as cut off from the platform."""
+CUT_OFF_AFTER_MS: Final = 7_500.0
+"""A node without contact for so long counts as cut off from the platform; a watch
+that ends without a change takes 5 s, and a call that fails 2 s more."""
 
 SILENCE_LIMIT_MS: Final = 30_000.0
 """How long a revocation may go unseen by a node that is cut off from all others."""
--- /dev/null
+++ b/src/radishtrack/keys/store.py
@@ -0,0 +1,123 @@
+"""Issues and revokes keys in the platform's ``keys/<organisation>`` objects."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+
+from radishtrack.config.store import ObjectStore, StoreUnavailable, WriteResult
+from radishtrack.keys.key import IssuedKey
+from radishtrack.keys.keyring import KIND
+
+WRITE_ATTEMPTS: Final = 8
+
+Entries = tuple["KeyEntry", ...]
+
+
+class KeyNotFound(LookupError):
+    """Raised if the organisation has no key with this identifier."""
+
+
+@attrs.define(frozen=True)
+class KeyEntry:
+    """One key as the platform stores it.
+
+    Parameters
+    ----------
+    id : str
+        Identifier of the key.
+    verifier : str
+        SHA1(SHA1(key)) in hexadecimal.
+    created : str
+        When it was issued, in ISO 8601.
+    revoked : str
+        When it was revoked, in ISO 8601; empty if it is active.
+    """
+
+    id: str
+    verifier: str = attrs.field(repr=False)
+    created: str
+    revoked: str = ""
+
+
+async def fetch_keys(store: ObjectStore, organisation: str) -> Entries:
+    """Return all keys of an organisation, revoked ones included."""
+    found = await store.get(KIND, organisation)
+    return read_entries(found.value if found else None)
+
+
+async def add_key(store: ObjectStore, issued: IssuedKey, created: str) -> Entries:
+    """Store an issued key; returns the organisation's keys.
+
+    Raises
+    ------
+    StoreUnavailable
+        If the platform does not answer; the key may or may not be stored, and is
+        harmless if nobody was given its text.
+    """
+    entry = KeyEntry(issued.key_id, issued.verifier_hex, created)
+
+    def append_entry(entries: Entries) -> Entries:
+        return entries if entry in entries else (*entries, entry)
+
+    return await _update(store, issued.organisation, append_entry)
+
+
+async def revoke_key(
+    store: ObjectStore, organisation: str, key_id: str, revoked: str
+) -> Entries:
+    """Mark a key as revoked; returns the organisation's keys.
+
+    Raises
+    ------
+    KeyNotFound
+        If there is no such key.
+    StoreUnavailable
+        If the platform does not answer; revoking again is safe.
+    """
+
+    def mark_entry(entries: Entries) -> Entries:
+        if all(entry.id != key_id for entry in entries):
+            raise KeyNotFound(key_id)
+        return tuple(
+            attrs.evolve(entry, revoked=revoked)
+            if entry.id == key_id and not entry.revoked
+            else entry
+            for entry in entries
+        )
+
+    return await _update(store, organisation, mark_entry)
+
+
+async def _update(
+    store: ObjectStore, organisation: str, change: Callable[[Entries], Entries]
+) -> Entries:
+    """Repeat a conditional update until it is in force, whoever else writes."""
+    for _ in range(WRITE_ATTEMPTS):
+        found = await store.get(KIND, organisation)
+        present = read_entries(found.value if found else None)
+        wanted = change(present)
+        if wanted == present:
+            return present
+        value = {"keys": [attrs.asdict(entry) for entry in wanted]}
+        version = found.version if found else 0
+        result = await store.put(KIND, organisation, value, version)
+        if result is WriteResult.WRITTEN:
+            return wanted
+    raise StoreUnavailable(f"the keys of {organisation} could not be updated")
+
+
+def read_entries(value: Any) -> Entries:
+    """Return the keys in the value of a platform object; None holds no keys."""
+    entries = value.get("keys", []) if isinstance(value, dict) else []
+    return tuple(
+        KeyEntry(
+            entry["id"],
+            entry["verifier"],
+            entry.get("created") or "",
+            entry.get("revoked") or "",
+        )
+        for entry in entries
+    )
