--- a/src/radishtrack/_validation.py
+++ b/src/radishtrack/_validation.py
@@ -179,12 +179,16 @@
         return tuple(dict.fromkeys(value))
 
     def read_table(self, key: str, *, required: bool = True) -> TableReader:
-        """Return a reader of a table inside this one; empty if it is missing."""
+        """Return a reader of a table inside this one.
+
+        A table that is missing is one problem; its keys are not reported as well.
+        """
         value = self._take(key, None if required else {}, "a table")
-        if value is not None and not isinstance(value, dict):
+        if isinstance(value, dict):
+            return TableReader(value, (*self.path, key), self.problems)
+        if value is not None:
             self.add_problem(key, "a table", describe_value(value))
-        table = value if isinstance(value, dict) else {}
-        return TableReader(table, (*self.path, key), self.problems)
+        return TableReader({}, (*self.path, key), [])
 
     def read_tables(self, key: str) -> list[TableReader]:
         """Return a reader for each table of an array of tables."""
--- a/src/radishtrack/cli/_platform.py
+++ b/src/radishtrack/cli/_platform.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from radishtrack.cli._context import NamedObject, PlatformAccess, VmEntry
+from radishtrack.cli._context import CommandError, NamedObject, PlatformAccess, VmEntry
 from radishtrack.clock import make_system_clock
 from radishtrack.config.store import (
     ObjectStore,
@@ -16,6 +16,7 @@
 )
 from radishtrack.platform.client import PlatformClient, make_platform_client
 from radishtrack.platform.records import (
+    PlatformRefusal,
     PlatformUnavailable,
     VmRecord,
     VmState,
@@ -29,6 +30,8 @@
     client = make_platform_client(url, make_system_clock())
     try:
         yield make_platform_access(client)
+    except PlatformRefusal as error:
+        raise CommandError(str(error)) from error
     finally:
         await client.close()
 
--- a/src/radishtrack/config/store.py
+++ b/src/radishtrack/config/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
@@ -31,6 +32,7 @@
 CHUNK_KIND: Final = "config-chunk"
 
 WRITE_ATTEMPTS: Final = 5
+SECOND_MS: Final = 1_000.0
 
 
 class WriteResult(enum.Enum):
@@ -63,10 +65,13 @@
         Takes kind and name; returns the object or None; raises `StoreUnavailable`.
     put : callable
         Takes kind, name, value and expected version (0: must not exist).
+    retry_pause_ms : float
+        Pause after a write without an answer, in milliseconds.
     """
 
     get: Callable[[str, str], Awaitable[StoredObject | None]]
     put: Callable[[str, str, Any, int], Awaitable[WriteResult]]
+    retry_pause_ms: float = 200.0
 
 
 @attrs.define(frozen=True)
@@ -202,6 +207,7 @@
             return Applied(manifest.revision, manifest.history[-1].changes)
         if result is WriteResult.CONFLICT:
             return await _resolve_conflict(store, manifest, seen)
+        await asyncio.sleep(store.retry_pause_ms / SECOND_MS)
     return Unresolved(manifest.apply_id)
 
 
@@ -230,6 +236,7 @@
         result = await store.put(CHUNK_KIND, digest, encode_chunk(text), 0)
         if result is not WriteResult.UNKNOWN:
             return True
+        await asyncio.sleep(store.retry_pause_ms / SECOND_MS)
     return False
 
 
--- a/src/radishtrack/keys/store.py
+++ b/src/radishtrack/keys/store.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
 
-from radishtrack.config.store import ObjectStore, StoreUnavailable, WriteResult
+from radishtrack.config.store import (
+    SECOND_MS,
+    ObjectStore,
+    StoreUnavailable,
+    WriteResult,
+)
 from radishtrack.keys.key import IssuedKey
 from radishtrack.keys.keyring import KIND
 
@@ -106,6 +112,7 @@
         result = await store.put(KIND, organisation, value, version)
         if result is WriteResult.WRITTEN:
             return wanted
+        await asyncio.sleep(store.retry_pause_ms / SECOND_MS)
     raise StoreUnavailable(f"the keys of {organisation} could not be updated")
 
 
