--- a/src/radishtrack/config/store.py
+++ b/src/radishtrack/config/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
@@ -15,7 +16,9 @@
     ChunkError,
     Entry,
     Manifest,
+    decode_chunk,
     decode_manifest,
+    encode_chunk,
     encode_manifest,
     make_next_manifest,
     read_chunk,
@@ -29,6 +32,7 @@
 CHUNK_KIND: Final = "config-chunk"
 
 WRITE_ATTEMPTS: Final = 5
+SECOND_MS: Final = 1_000.0
 
 
 class WriteResult(enum.Enum):
@@ -61,10 +65,13 @@
         Takes kind and name; returns the object or None; raises `StoreUnavailable`.
     put : callable
         Takes kind, name, value and expected version (0: must not exist).
+    retry_pause_ms : float
+        Pause after a write without an answer, in milliseconds.
     """
 
     get: Callable[[str, str], Awaitable[StoredObject | None]]
     put: Callable[[str, str, Any, int], Awaitable[WriteResult]]
+    retry_pause_ms: float = 200.0
 
 
 @attrs.define(frozen=True)
@@ -200,6 +207,7 @@
             return Applied(manifest.revision, manifest.history[-1].changes)
         if result is WriteResult.CONFLICT:
             return await _resolve_conflict(store, manifest, seen)
+        await asyncio.sleep(store.retry_pause_ms / SECOND_MS)
     return Unresolved(manifest.apply_id)
 
 
@@ -225,9 +233,10 @@
 async def _write_chunk(store: ObjectStore, digest: str, text: str) -> bool:
     """Create a chunk; a conflict means that the same content is there already."""
     for _ in range(WRITE_ATTEMPTS):
-        result = await store.put(CHUNK_KIND, digest, text, 0)
+        result = await store.put(CHUNK_KIND, digest, encode_chunk(text), 0)
         if result is not WriteResult.UNKNOWN:
             return True
+        await asyncio.sleep(store.retry_pause_ms / SECOND_MS)
     return False
 
 
@@ -240,6 +249,6 @@
 
 async def _fetch_chunk(store: ObjectStore, digest: str) -> str:
     found = await store.get(CHUNK_KIND, digest)
-    if found is None or not isinstance(found.value, str):
+    if found is None:
         raise ChunkError(f"chunk {digest[:12]} is missing")
-    return found.value
+    return decode_chunk(found.value)
