--- a/src/radishtrack/admission/admit.py
+++ b/src/radishtrack/admission/admit.py
@@ -97,10 +97,7 @@
     refused = queue.check(share.organisation, now_ms, deadline_ms)
     if refused is not None:
         return _reject(ErrorCode.REFUSED, refused.reason, refused.estimated_wait_ms)
-    if is_retry:
-        admission = share.retry_admit(now_ms)
-    else:
-        admission = share.try_admit(now_ms)
+    admission = share.retry_admit(now_ms) if is_retry else share.try_admit(now_ms)
     if isinstance(admission, Admitted):
         return Proceed(admission.request)
     if isinstance(admission, NeedTokens):
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -15,15 +15,19 @@
 from websockets.asyncio.server import Server
 
 from radishtrack.admin import AdminServer, Readiness, start_admin
+from radishtrack.backend.member_commands import MemberCommands
+from radishtrack.backend.member_connection import make_connect
+from radishtrack.backend.monitor import Monitor
 from radishtrack.clock import Clock, make_system_clock
 from radishtrack.config.chunk import ChunkError, decode_manifest
+from radishtrack.config.model import Database
 from radishtrack.config.state import ConfigurationState, make_configuration_state
 from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
 from radishtrack.events import Event, log_event
 from radishtrack.frontend.connection import ConnectionControl, FrontendServer
 from radishtrack.frontend.identity import KeyIdentityProvider
 from radishtrack.frontend.session import ClientSession
-from radishtrack.group.record import RecordError, parse_record
+from radishtrack.group.record import GroupRecord, RecordError, parse_record
 from radishtrack.keys.key import verify_scramble
 from radishtrack.keys.keyring import KIND as KEYS_KIND
 from radishtrack.keys.keyring import Keyring, make_keyring
@@ -32,7 +36,7 @@
 from radishtrack.membership.placement import Placement, make_placement
 from radishtrack.metrics import Metrics, make_metrics
 from radishtrack.peer.link import open_link
-from radishtrack.peer.messages import Leaving, Message
+from radishtrack.peer.messages import Leaving, Message, VoteRequest
 from radishtrack.peer.server import PeerHandlers, start_peer_server
 from radishtrack.platform.client import PlatformClient, make_platform_client
 from radishtrack.platform.records import (
@@ -44,9 +48,13 @@
 )
 from radishtrack.platform.watch import follow_objects
 from radishtrack.proxy.entry import OPEN_ORGANISATION, Entry
+from radishtrack.proxy.group_store import make_group_store
 from radishtrack.proxy.holder import Holder
+from radishtrack.proxy.promoter import Promoter, make_promoter
+from radishtrack.proxy.promoter_place import PromoterPlace
 from radishtrack.proxy.router import Router
-from radishtrack.proxy.slots import Slots
+from radishtrack.proxy.slots import MakePromoter, Slots
+from radishtrack.proxy.votes import Votes
 from radishtrack.routing.statement import make_classifier
 from radishtrack.settings import Settings
 
@@ -84,6 +92,7 @@
     slots: Slots
     drain: Drain
     entry: Entry
+    votes: Votes
     control: ConnectionControl
     frontend: FrontendServer | None = None
     peer_server: Server | None = None
@@ -217,6 +226,8 @@
 
     async def _answer_peer(self, peer: str, message: Message) -> Message | None:
         match message:
+            case VoteRequest():
+                return await self.votes.answer(message)
             case Leaving(node=node):
                 self.membership.note_leaving(node, 0, self.clock.now_ms())
         return None
@@ -273,7 +284,7 @@
         for digest in self.configuration.find_missing(manifest):
             found = await self.platform.get(CHUNK_KIND, digest)
             if found is not None and found.value is not None:
-                chunks[digest] = str(found.value["text"])
+                chunks[digest] = str(found.value.get("text"))
         self.configuration.accept(manifest, chunks)
         self._reconcile()
 
@@ -355,6 +366,10 @@
         drain,
         metrics,
     )
+    platform = make_platform_client(settings.platform.url, clock)
+    slots = Slots(node, clock, settings.database_login, holder, placement)
+    votes = Votes(clock, settings.database_login, router, slots)
+    slots.make_promoter = _make_promoter_factory(votes, platform)
     return NodeServer(
         settings,
         clock,
@@ -364,16 +379,54 @@
         configuration,
         membership,
         placement,
-        make_platform_client(settings.platform.url, clock),
+        platform,
         holder,
         router,
-        Slots(node, clock, settings.database_login, holder, placement),
+        slots,
         drain,
         entry,
+        votes,
         ConnectionControl(settings.limits.max_client_connections),
     )
 
 
+def _make_promoter_factory(votes: Votes, platform: PlatformClient) -> MakePromoter:
+    store = make_group_store(platform)
+
+    def make(database: Database, record: GroupRecord, monitor: Monitor) -> Promoter:
+        slots = votes.slots
+
+        def list_voters() -> tuple[str, ...]:
+            return slots.placement.rank_voters(
+                database.name, database.region, database.slots
+            )
+
+        def compute_rank() -> int:
+            voters = list_voters()
+            name = slots.node.id
+            return voters.index(name) if name in voters else len(voters)
+
+        async def request_votes(name: str, member: str) -> dict[str, bool]:
+            return await votes.request(list_voters(), name, member)
+
+        def list_members_leaving() -> frozenset[str]:
+            backend = slots.holder.databases.get(database.name)
+            return backend.leaving() if backend else frozenset()
+
+        return make_promoter(
+            PromoterPlace(
+                slots.node.id, compute_rank, list_voters, list_members_leaving
+            ),
+            record,
+            monitor,
+            store,
+            MemberCommands(make_connect(votes.login.password)),
+            request_votes,
+        )
+
+    return make
+
+
 async def serve(settings: Settings) -> None:
     """Run a node until SIGTERM or SIGINT."""
     server = make_node_server(settings, make_system_clock())
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -13,7 +13,7 @@
 from radishtrack.backend.connection import open_connection
 from radishtrack.backend.database import DatabaseBackend
 from radishtrack.backend.member_connection import make_connect
-from radishtrack.backend.monitor import make_monitor
+from radishtrack.backend.monitor import Monitor, make_monitor
 from radishtrack.backend.pool import make_pool
 from radishtrack.clock import Clock
 from radishtrack.config.document import Document
@@ -22,9 +22,10 @@
 from radishtrack.membership.nodes import Node
 from radishtrack.membership.placement import Placement
 from radishtrack.proxy.holder import Holder
+from radishtrack.proxy.promoter import Promoter
 from radishtrack.settings import DatabaseLogin
 
-GatesChanged = Callable[[str], None]
+MakePromoter = Callable[[Database, GroupRecord, Monitor], Promoter]
 
 
 @attrs.define
@@ -52,6 +53,9 @@
     login: DatabaseLogin
     holder: Holder
     placement: Placement
+    make_promoter: MakePromoter | None = None
+    """Set once the node's parts exist; without it nothing is promoted from here."""
+    promoters: dict[str, Promoter] = attrs.field(factory=dict)
     records: dict[str, GroupRecord] = attrs.field(factory=dict)
     closing: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -66,6 +70,9 @@
         if backend is not None:
             backend.monitor.update_group(record.group, record.endpoints)
             backend.pool.replace_endpoints(record.endpoints)
+        promoter = self.promoters.get(name)
+        if promoter is not None:
+            promoter.update_record(record)
 
     def reconcile(self, document: Document, *, is_leaving: bool = False) -> None:
         """Open databases whose slot is held here, and close the others."""
@@ -128,15 +135,24 @@
             partial(_list_leaving, database),
         )
         self.holder.databases[database.name] = backend
+        if self.make_promoter is not None:
+            promoter = self.make_promoter(database, record, monitor)
+            promoter.start()
+            self.promoters[database.name] = promoter
         return backend
 
     def _close(self, name: str) -> None:
         backend = self.holder.databases.pop(name)
-        task = asyncio.create_task(self._finish(backend))
+        promoter = self.promoters.pop(name, None)
+        task = asyncio.create_task(self._finish(backend, promoter))
         self.closing.add(task)
         task.add_done_callback(self.closing.discard)
 
-    async def _finish(self, backend: DatabaseBackend) -> None:
+    async def _finish(
+        self, backend: DatabaseBackend, promoter: Promoter | None
+    ) -> None:
+        if promoter is not None:
+            await promoter.stop()
         # Running requests and transactions keep the database until they end.
         while self._is_used(backend):
             await asyncio.sleep(0.1)
--- /dev/null
+++ b/src/radishtrack/proxy/votes.py
@@ -0,0 +1,98 @@
+"""Asks voters whether a member is unreachable, and answers such questions."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import Final
+
+import attrs
+
+from radishtrack.backend.member_connection import MEMBER_ERRORS, make_connect
+from radishtrack.clock import Clock
+from radishtrack.peer.link import LinkClosed
+from radishtrack.peer.messages import Vote, VoteRequest
+from radishtrack.proxy.router import Router
+from radishtrack.proxy.slots import Slots
+from radishtrack.settings import DatabaseLogin
+
+PROBE_TIMEOUT_S: Final = 0.4
+RECENT_ANSWER_MS: Final = 300.0
+
+
+@attrs.define
+class Votes:
+    """A node's votes on the reachability of members.
+
+    Parameters
+    ----------
+    clock : Clock
+        Dates answers of members.
+    login : DatabaseLogin
+        The proxy's own login at the members.
+    router : Router
+        Connections to the other voters.
+    slots : Slots
+        Group records, and the monitors of the databases held here.
+    """
+
+    clock: Clock
+    login: DatabaseLogin
+    router: Router
+    slots: Slots
+    numbers: itertools.count[int] = attrs.field(
+        factory=lambda: itertools.count(-1, step=-1)
+    )
+    """Negative, so that they never equal the number of a statement on a link."""
+
+    async def request(
+        self, voters: tuple[str, ...], database: str, member: str
+    ) -> dict[str, bool]:
+        """Ask the other voters; those that do not answer are left out."""
+        others = [name for name in voters if name != self.router.node.id]
+        answers = await asyncio.gather(
+            *(self._ask(name, database, member) for name in others)
+        )
+        return {
+            name: answer
+            for name, answer in zip(others, answers, strict=True)
+            if answer is not None
+        }
+
+    async def answer(self, request: VoteRequest) -> Vote:
+        """Tell whether this node can't reach a member, by a poll that starts now."""
+        is_reachable = await self._probe(request.database, request.member)
+        return Vote(request.request, not is_reachable)
+
+    async def _ask(self, name: str, database: str, member: str) -> bool | None:
+        number = next(self.numbers)
+        try:
+            link = await self.router.get_link(name)
+            answer = await link.call(
+                VoteRequest(number, database, member), number, 2 * PROBE_TIMEOUT_S
+            )
+        except LinkClosed:
+            return None
+        return answer.unreachable if isinstance(answer, Vote) else None
+
+    async def _probe(self, database: str, member: str) -> bool:
+        backend = self.slots.holder.databases.get(database)
+        if backend is not None and member in backend.monitor.latest:
+            age_ms = self.clock.now_ms() - backend.monitor.answered_ms(member)
+            if age_ms <= RECENT_ANSWER_MS:
+                return True
+        record = self.slots.records.get(database)
+        if record is None or member not in record.endpoints:
+            # An unknown member can't be judged; the vote must not count against it.
+            return True
+        connect = make_connect(self.login.password)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection = await connect(record.endpoints[member])
+                try:
+                    await connection.read_status()
+                finally:
+                    connection.close()
+        except MEMBER_ERRORS:
+            return False
+        return True
