Make four mechanisms of the stand-ins testable and fix a port mix-up

Switching off each mechanism showed four tests that stayed green: closing after a refused login, discarding before the source answers, ending transactions at a fence, and reading again after a conflict with an own late write.

A test replaced a digit inside the platform's port number and failed when the port contained a 9; it uses the version now. Malformed answers of the platform count as unavailable, so that following objects goes on.

--- a/src/radishtrack/platform/client.py
+++ b/src/radishtrack/platform/client.py
@@ -5,8 +5,8 @@
 import asyncio
 import json
 import random as random_module
-from collections.abc import AsyncIterator, Iterable, Mapping
-from typing import Any, Final
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from typing import Any, Final, TypeVar
 from urllib.parse import quote
 
 import aiohttp
@@ -38,6 +38,8 @@
 RESOLVE_TRIES: Final = 8
 READS: Final = frozenset({"GET"})
 
+_T = TypeVar("_T")
+
 
 @attrs.define(frozen=True)
 class _Answer:
@@ -71,7 +73,9 @@
     ) -> PlatformObject | None:
         """Return an object, or None if it does not exist."""
         answer = await self._call("get", "GET", _path(kind, name), priority)
-        return parse_object(answer.data) if answer.status == 200 else None
+        if answer.status != 200:
+            return None
+        return self._parse("get", parse_object, answer.data)
 
     async def list_objects(
         self, kind: str, *, priority: Priority = Priority.NORMAL
@@ -79,7 +83,7 @@
         """Return all objects of a kind."""
         path = f"/objects/{quote(kind, safe='')}"
         answer = await self._call("list", "GET", path, priority)
-        return tuple(parse_object(item) for item in answer.data["objects"])
+        return self._parse("list", _parse_objects, answer.data)
 
     async def put(
         self,
@@ -204,15 +208,14 @@
         # The platform answers at once if it is asked for all objects.
         wait_ms = timeout_ms if after > 0 else 0.0
         answer = await self._call("watch", "GET", path, priority, wait_ms=wait_ms)
-        objects = tuple(parse_object(item) for item in answer.data["objects"])
-        return WatchAnswer(int(answer.data["revision"]), objects)
+        return self._parse("watch", _parse_watch, answer.data)
 
     async def vms(
         self, *, priority: Priority = Priority.NORMAL
     ) -> tuple[VmRecord, ...]:
         """Return the platform's lagging list of VMs."""
         answer = await self._call("vms", "GET", "/vms", priority)
-        return tuple(parse_vm(item) for item in answer.data["vms"])
+        return self._parse("vms", _parse_vms, answer.data)
 
     async def announce(
         self, vm: VmRecord, *, priority: Priority = Priority.NORMAL
@@ -237,7 +240,7 @@
         priority: Priority,
     ) -> WriteAnswer:
         answer = await self._call(step, method, path, priority, body)
-        version = int(answer.data["version"])
+        version = self._parse(step, _parse_version, answer.data, is_write=True)
         return Conflict(version) if answer.status == 409 else Written(version)
 
     async def _call(
@@ -287,6 +290,20 @@
             reason = str(error) or type(error).__name__
             raise PlatformUnavailable(step, self.url, is_write, reason) from error
 
+    def _parse(
+        self,
+        step: str,
+        parse: Callable[[Any], _T],
+        data: Any,
+        *,
+        is_write: bool = False,
+    ) -> _T:
+        try:
+            return parse(data)
+        except (KeyError, TypeError, ValueError) as error:
+            reason = f"malformed answer: {error!r}"
+            raise PlatformUnavailable(step, self.url, is_write, reason) from error
+
     def _open_session(self) -> aiohttp.ClientSession:
         if self.session is None:
             self.session = aiohttp.ClientSession()
@@ -299,7 +316,7 @@
         change was produced after the whole wait.
         """
         produced_ms = sent_ms
-        if wait_ms and answer.status == 200 and not answer.data["objects"]:
+        if wait_ms and answer.status == 200 and _is_unchanged(answer.data):
             produced_ms = min(sent_ms + wait_ms, self.clock.now_ms())
         if self.last_contact_ms is None or produced_ms > self.last_contact_ms:
             self.last_contact_ms = produced_ms
@@ -321,6 +338,26 @@
         return text
 
 
+def _parse_objects(data: Any) -> tuple[PlatformObject, ...]:
+    return tuple(parse_object(item) for item in data["objects"])
+
+
+def _parse_watch(data: Any) -> WatchAnswer:
+    return WatchAnswer(int(data["revision"]), _parse_objects(data))
+
+
+def _parse_vms(data: Any) -> tuple[VmRecord, ...]:
+    return tuple(parse_vm(item) for item in data["vms"])
+
+
+def _parse_version(data: Any) -> int:
+    return int(data["version"])
+
+
+def _is_unchanged(data: Any) -> bool:
+    return isinstance(data, dict) and data.get("objects") == []
+
+
 def _carries(found: PlatformObject, attempt: str) -> bool:
     return found.value is not None and found.value.get("attempt") == attempt
 
--- a/src/radishtrack_standins/member_control.py
+++ b/src/radishtrack_standins/member_control.py
@@ -23,7 +23,8 @@
     """Return the HTTP application.
 
     ``POST /control`` takes the switches of `Faults` by name. ``GET /status``,
-    ``/statements``, ``/connections`` and ``/rows/{table}`` show what the member holds.
+    ``/statements?contains=TEXT``, ``/connections`` and ``/rows/{table}`` show what the
+    member holds.
     """
 
     async def control(request: web.Request) -> web.Response:
@@ -40,11 +41,17 @@
         row = member.status_row()
         return web.json_response(dict(zip(STATUS_COLUMNS, row, strict=True)))
 
-    async def statements(_: web.Request) -> web.Response:
+    async def statements(request: web.Request) -> web.Response:
         observed = member.observed
+        wanted = request.query.get("contains", "")
         return web.json_response(
             {
-                "statements": [attrs.asdict(seen) for seen in observed.statements],
+                "statements": [
+                    attrs.asdict(seen)
+                    for seen in observed.statements
+                    if wanted in seen.text
+                ],
+                "total": observed.statements_total,
                 "attributes": observed.attributes,
                 "users": observed.users,
             }
--- a/src/radishtrack_standins/member_faults.py
+++ b/src/radishtrack_standins/member_faults.py
@@ -103,6 +103,9 @@
     statements: deque[SeenStatement] = attrs.field(
         factory=lambda: deque(maxlen=KEPT_STATEMENTS)
     )
+    """The latest statements of clients."""
+    statements_total: int = 0
+    """All statements, also those that are no longer kept."""
     attributes: list[dict[str, str]] = attrs.field(factory=list)
     """Connection attributes of each connection."""
     users: list[str] = attrs.field(factory=list)
@@ -112,6 +115,11 @@
     connections_refused: int = 0
     connections_opened: int = 0
 
+    def saw(self, statement: SeenStatement) -> None:
+        """Keep a statement."""
+        self.statements.append(statement)
+        self.statements_total += 1
+
     def opened(self) -> None:
         """Count a connection."""
         self.connections += 1
--- a/src/radishtrack_standins/member_server.py
+++ b/src/radishtrack_standins/member_server.py
@@ -182,7 +182,7 @@
             data=data,
         )
         if self.user != REPLICATION_USER:
-            self.member.observed.statements.append(
+            self.member.observed.saw(
                 SeenStatement(self.settings.port_kind, self.user, query.sql)
             )
         try:
@@ -268,7 +268,7 @@
     async def handle_stmt_prepare(self, data: bytes) -> None:
         """Refuse prepared statements."""
         text = data.decode(errors="replace")
-        self.member.observed.statements.append(
+        self.member.observed.saw(
             SeenStatement(self.settings.port_kind, self.user, text)
         )
         message = "the stand-in does not support prepared statements"
--- a/tests/test_member_standin.py
+++ b/tests/test_member_standin.py
@@ -184,7 +184,17 @@
     assert caught.value.args[0] == 1045
     async with connected(member.port, password="secret") as connection:
         assert await rows(connection, "SELECT 1") == [(1,)]
-    assert [seen.text for seen in member.member.observed.statements][-1] == "SELECT 1"
+
+    reader, writer = await asyncio.open_connection(HOST, member.port)
+    await reader.readexactly(4)
+    flags = 0x0008_8200
+    login = flags.to_bytes(4, "little") + b"\0\0\0\1\x2d" + bytes(23)
+    login += b"radishtrack\0\x14" + b"x" * 20 + b"mysql_native_password\0"
+    writer.write(len(login).to_bytes(3, "little") + b"\1" + login)
+    writer.write(b"\x09\0\0\0\3SELECT 2")
+    assert b"Access denied" in await asyncio.wait_for(reader.read(), 2)
+    texts = [seen.text for seen in member.member.observed.statements]
+    assert texts == ["SET AUTOCOMMIT = 1", "SELECT 1"]
 
 
 async def test_a_replica_repeats_changes_after_its_lag(make: MakeMember) -> None:
@@ -227,6 +237,22 @@
     assert await status(member, fence_sql(2)) == fenced
 
 
+async def test_a_transaction_of_an_ended_term_cannot_commit_in_the_next_one(
+    make: MakeMember,
+) -> None:
+    member = await make()
+    async with connected(member.port) as connection:
+        await run(connection, TABLE)
+        await connection.begin()
+        await run(connection, "INSERT INTO orders (note) VALUES ('a')")
+        await status(member, fence_sql(2))
+        await status(member, promote_sql(2))
+        with pytest.raises(pymysql.err.OperationalError) as caught:
+            await connection.commit()
+        assert caught.value.args[0] == 1213
+        assert await rows(connection, "SELECT * FROM orders") == []
+
+
 async def test_a_fenced_replica_stops_applying(make: MakeMember) -> None:
     primary = await make("M1")
     replica = await make("M2", source=source_of(primary), replication_lag_ms=60.0)
@@ -293,6 +319,20 @@
             assert await rows(connection, "SELECT * FROM orders") == [(1, "kept")]
 
 
+async def test_following_discards_before_the_source_answers(make: MakeMember) -> None:
+    member = await make()
+    async with connected(member.port) as connection:
+        await run(connection, TABLE)
+        await run(connection, "INSERT INTO orders (note) VALUES ('lost')")
+        await connection.begin()
+        await run(connection, "INSERT INTO orders (note) VALUES ('open')")
+        await status(member, fence_sql(2))
+        followed = await status(member, follow_sql(2, HOST, 9, 1))
+        assert followed.position == Position(1, 1)
+        async with connected(member.port) as other:
+            assert await rows(other, "SELECT * FROM orders") == []
+
+
 async def test_a_member_that_missed_a_term_discards_what_that_term_lacked(
     make: MakeMember,
 ) -> None:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -169,25 +169,41 @@
     assert (stored.value == MINE) == isinstance(answer, Written)
 
 
-async def test_a_write_that_arrives_after_its_answer_was_given_up(
-    platform: RunningPlatform, client: PlatformClient
+async def test_a_write_that_arrives_between_reading_and_repeating(
+    platform: RunningPlatform,
+    client: PlatformClient,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The write takes effect between the reading and the repeated write."""
-    client.timeout_ms = 60
-    await apply_switches(platform.faults, {"delay_ms": 100})
+    """The conflict with the own late write must not be reported as a conflict."""
+    read = client.get
 
-    async def speed_up() -> None:
-        await asyncio.sleep(0.08)
-        await apply_switches(platform.faults, {"delay_ms": 0})
+    async def read_then_arrive(kind: str, name: str, **options: Any) -> Any:
+        found = await read(kind, name, **options)
+        platform.store.write(kind, name, MINE, 0)
+        return found
 
-    helper = asyncio.create_task(speed_up())
+    monkeypatch.setattr(client, "get", read_then_arrive)
+    await apply_switches(platform.faults, {"lose_requests_count": 1})
     answer = await client.put_resolving("groups", "a", MINE, 0, "mine")
-    await helper
-    await asyncio.sleep(0.15)
-    assert isinstance(answer, Written)
     stored = platform.store.get("groups", "a")
     assert stored is not None
-    assert (stored.version, stored.value) == (answer.version, MINE)
+    assert answer == Written(stored.version)
+    assert platform.faults.counts["put"] == 2
+
+
+async def test_a_malformed_answer_is_an_unavailable_platform(
+    platform: RunningPlatform, client: PlatformClient
+) -> None:
+    """A load balancer can answer for the platform; following must not end then."""
+    client.url = f"{platform.url}/control/counts?"
+    for call in (
+        client.watch(["groups"], 3, 50),
+        client.list_objects("groups"),
+        client.vms(),
+        client.get("groups", "a"),
+    ):
+        with pytest.raises(PlatformUnavailable, match="malformed"):
+            await call
 
 
 async def test_an_unresolved_write_is_reported_as_unknown(
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -130,12 +130,13 @@
     await call(http, "POST", f"{platform.url}/control", switches)
     url = f"{platform.url}/objects/groups/a"
     with pytest.raises(aiohttp.ClientError):
-        # POST-like single delivery: a new connection and a body that is not repeated.
         await put_once(url)
     assert (await call(http, "GET", url))[0] == (200 if applied else 404)
 
 
 async def put_once(url: str) -> None:
+    """Send a body that the HTTP library cannot repeat after a lost connection."""
+
     async def body() -> AsyncIterator[bytes]:
         yield b'{"value": {}, "expected_version": 0}'
 
@@ -166,10 +167,10 @@
 async def test_an_outage_ends_pending_watches_and_heals(
     platform: RunningPlatform, http: aiohttp.ClientSession, outage: str
 ) -> None:
-    await put(http, platform, "a", 0)
+    _, version = await put(http, platform, "a", 0)
     control = f"{platform.control_url}/control"
-    url = f"{platform.url}/watch?kind=groups&after=9&timeout_ms=5000"
-    waiting = asyncio.create_task(call(http, "GET", url.replace("9", "2")))
+    url = f"{platform.url}/watch?kind=groups&after={version}&timeout_ms=5000"
+    waiting = asyncio.create_task(call(http, "GET", url))
     await asyncio.sleep(0.05)
     await call(http, "POST", control, {"outage": outage})
     if outage == "silent":
