Limit the handshake of replicas and close test sockets

A source that accepts the TCP connection but stays silent held a replica until its group state changed, since the MySQL library limits only the TCP connection. The whole handshake is limited now. A cut member is tested with new connections too.

--- a/src/radishtrack_standins/member_replica.py
+++ b/src/radishtrack_standins/member_replica.py
@@ -158,14 +158,15 @@
             return
         self._disconnect()
         host, port = source.rsplit(":", 1)
-        self.connection = await aiomysql.connect(
-            host=host,
-            port=int(port),
-            user=REPLICATION_USER,
-            password=self.password,
-            connect_timeout=CONNECT_TIMEOUT_S,
-            autocommit=None,
-        )
+        # The library limits only the TCP connection, not a silent handshake.
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            self.connection = await aiomysql.connect(
+                host=host,
+                port=int(port),
+                user=REPLICATION_USER,
+                password=self.password,
+                autocommit=None,
+            )
         self.address = source
 
     async def _query(self, sql: str) -> list[Any]:
--- a/tests/test_member_standin.py
+++ b/tests/test_member_standin.py
@@ -193,6 +193,7 @@
     writer.write(len(login).to_bytes(3, "little") + b"\1" + login)
     writer.write(b"\x09\0\0\0\3SELECT 2")
     assert b"Access denied" in await asyncio.wait_for(reader.read(), 2)
+    writer.close()
     texts = [seen.text for seen in member.member.observed.statements]
     assert texts == ["SET AUTOCOMMIT = 1", "SELECT 1"]
 
--- a/tests/test_member_standin_faults.py
+++ b/tests/test_member_standin_faults.py
@@ -39,6 +39,11 @@
         connection.close()
 
 
+async def connect_and_close(port: int) -> None:
+    async with connected(port):
+        pass
+
+
 async def query(connection: Any, sql: str) -> list[tuple[Any, ...]]:
     async with connection.cursor() as cursor:
         await cursor.execute(sql)
@@ -68,10 +73,12 @@
     async with connected(member.port) as connection:
         await control(member.control_port, **{switch: True})
         asking = asyncio.create_task(query(connection, "SELECT 1"))
-        done, _ = await asyncio.wait({asking}, timeout=0.1)
+        connecting = asyncio.create_task(connect_and_close(member.admin_port))
+        done, _ = await asyncio.wait({asking, connecting}, timeout=0.1)
         assert not done
         await control(member.control_port, **{switch: False})
         assert await asking == [(1,)]
+        await connecting
 
 
 async def test_a_frozen_member_commits_nothing(member: RunningMember) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -87,6 +87,7 @@
         await asyncio.open_connection(HOST, relay.port)
     with pytest.raises(ConnectionRefusedError):
         await asyncio.open_connection(HOST, relay.port)
+    writer.close()
     await relay.heal()
     reader, writer = await asyncio.open_connection(HOST, relay.port)
     writer.write(b"two\n")
