--- a/src/radishtrack/cli/main.py
+++ b/src/radishtrack/cli/main.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 from typing import Final
 
+import uvloop
+
 from radishtrack import __version__
 from radishtrack.cli._arguments import EXIT_CODES
 from radishtrack.cli._config import add_config_commands
@@ -76,7 +78,8 @@
 
     arguments = make_parser().parse_args(argv)
     try:
-        return int(asyncio.run(run_command(arguments, Context(open_platform))))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return int(runner.run(run_command(arguments, Context(open_platform))))
     except KeyboardInterrupt:
         return int(ExitCode.FAILED)
 
--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -73,18 +73,47 @@
         return await self.reader.readexactly(count)
 
 
-class ClientStream(MysqlStream):
-    """Packet stream that gives up on a client that reads nothing."""
+@attrs.define(slots=False)
+class TimedWriter:
+    """Stream writer that gives up on a client that reads nothing.
+
+    The library's packet stream is a compiled class that can't be extended, so its
+    reader and writer are wrapped instead.
+    """
+
+    writer: asyncio.StreamWriter
+
+    @property
+    def transport(self) -> asyncio.WriteTransport:
+        """The connection's transport."""
+        return self.writer.transport
+
+    @property
+    def _transport(self) -> asyncio.WriteTransport:
+        return self.writer.transport
+
+    @_transport.setter
+    def _transport(self, transport: asyncio.WriteTransport) -> None:
+        # The library replaces the writer's transport when TLS starts.
+        self.writer._transport = transport  # type: ignore[attr-defined]
+
+    def write(self, data: bytes) -> None:
+        """Buffer data for sending."""
+        self.writer.write(data)
 
     async def drain(self) -> None:
-        """Send what is buffered, within `READER_TIMEOUT_S`."""
+        """Wait until the client has read enough, within `READER_TIMEOUT_S`."""
         try:
             async with asyncio.timeout(READER_TIMEOUT_S):
-                await super().drain()
+                await self.writer.drain()
         except TimeoutError as error:
             self.writer.transport.abort()
             raise ConnectionClosed from error
 
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
+
 
 @attrs.define(frozen=True)
 class OkFields:
@@ -187,7 +216,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         bounded = BoundedReader(reader, self.max_packet_bytes)
-        stream = ClientStream(bounded, writer)
+        stream = MysqlStream(bounded, TimedWriter(writer))
         connection = ClientConnection(
             stream=stream,
             session=self.session_factory(),
@@ -202,7 +231,7 @@
     async def _serve(
         self,
         connection: ClientConnection,
-        stream: ClientStream,
+        stream: MysqlStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -19,7 +19,7 @@
 from radishtrack.backend.member_connection import make_connect
 from radishtrack.backend.monitor import Monitor
 from radishtrack.clock import Clock, make_system_clock
-from radishtrack.config.chunk import ChunkError, decode_manifest
+from radishtrack.config.chunk import ChunkError, decode_chunk, decode_manifest
 from radishtrack.config.model import Database
 from radishtrack.config.state import ConfigurationState, make_configuration_state
 from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
@@ -284,7 +284,7 @@
         for digest in self.configuration.find_missing(manifest):
             found = await self.platform.get(CHUNK_KIND, digest)
             if found is not None and found.value is not None:
-                chunks[digest] = str(found.value.get("text"))
+                chunks[digest] = decode_chunk(found.value)
         self.configuration.accept(manifest, chunks)
         self._reconcile()
 
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -18,6 +18,7 @@
 from radishtrack.clock import Clock
 from radishtrack.config.document import Document
 from radishtrack.config.model import Database
+from radishtrack.events import Event, log_event
 from radishtrack.group.record import GroupRecord
 from radishtrack.membership.nodes import Node
 from radishtrack.membership.placement import Placement
@@ -138,6 +139,8 @@
         if self.make_promoter is not None:
             promoter = self.make_promoter(database, record, monitor)
             promoter.start()
+            if promoter.loop_task is not None:
+                promoter.loop_task.add_done_callback(_report_end)
             self.promoters[database.name] = promoter
         return backend
 
@@ -166,5 +169,10 @@
         )
 
 
+def _report_end(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log_event(Event.TASK_FAILED, error=repr(task.exception()))
+
+
 def _list_leaving(database: Database) -> frozenset[str]:
     return frozenset(member.name for member in database.members if member.leaving)
