Answer 'did not run' only from a lower bound of the commit's place

Cause: the model of racing promoters found a commit reported as not run that a later primary held. The position read after a commit can include later commits of others; it is an upper bound and proves only that a commit is contained in a later term.

Change: resolve_commit takes the log's length before the statement was sent and answers DidNotRun only if the new term starts at or before it.

--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -52,6 +52,7 @@
 
     position: Position
     term: int
+    sequence_before: int
     asked_ms: float
     result: asyncio.Future[CommitOutcome]
 
@@ -174,7 +175,11 @@
             return self.board.collect(asked_ms)
 
     async def wait_confirmed(
-        self, position: Position, term: int, deadline_ms: float
+        self,
+        position: Position,
+        term: int,
+        deadline_ms: float,
+        sequence_before: int = 0,
     ) -> CommitOutcome:
         """Wait for the outcome of a commit or for the position of a read.
 
@@ -189,6 +194,8 @@
             The primary's term, reported with the position.
         deadline_ms : float
             Latest time to return, on the monitor's clock, in milliseconds.
+        sequence_before : int, optional
+            Lower bound of the commit's place in the log, see `resolve_commit`.
 
         Returns
         -------
@@ -199,7 +206,7 @@
         asked_ms = self.clock.now_ms()
         result: asyncio.Future[CommitOutcome]
         result = asyncio.get_running_loop().create_future()
-        waiter = CommitWaiter(position, term, asked_ms, result)
+        waiter = CommitWaiter(position, term, sequence_before, asked_ms, result)
         if not self.commit_waiters:
             self._wake(self._confirming_members())
         self.commit_waiters.add(waiter)
--- a/src/radishtrack/group/outcome.py
+++ b/src/radishtrack/group/outcome.py
@@ -68,11 +68,33 @@
     return None if status.is_fenced else position_of_commit(status, group)
 
 
+def sequence_before(status: MemberStatus, group: Group) -> int:
+    """Return a length that the log surely had before a statement was sent.
+
+    Parameters
+    ----------
+    status : MemberStatus
+        A status of the primary, answered before the statement was sent.
+    group : Group
+        The record by which the primary was chosen.
+    """
+    position = position_of_commit(status, group)
+    return 0 if position is None else position.sequence
+
+
 def resolve_commit(
-    position: Position, term_at_commit: int, status_round: StatusRound, group: Group
+    position: Position,
+    term_at_commit: int,
+    status_round: StatusRound,
+    group: Group,
+    sequence_before: int = 0,
 ) -> CommitOutcome:
     """Decide the outcome of a commit.
 
+    The position is read after the commit and can include later commits of others. It
+    is an upper bound, which proves that a commit is contained in a later term; only the
+    lower bound proves that it is not.
+
     Parameters
     ----------
     position : Position
@@ -83,6 +105,8 @@
         Answers received after the commit.
     group : Group
         The latest known record of the group.
+    sequence_before : int, optional
+        From `sequence_before`; 0 if nothing is known.
 
     Returns
     -------
@@ -102,8 +126,10 @@
     }
     if len(starts) < group.term - term_at_commit:
         return StillUnknown(f"the starts of terms after {term_at_commit} are not known")
-    if any(position.sequence > sequence for sequence in starts.values()):
+    if starts and min(starts.values()) <= sequence_before:
         return DidNotRun()
+    if starts and min(starts.values()) < position.sequence:
+        return StillUnknown("a promotion may have left the commit out")
     confirmed = confirmed_position(status_round, group)
     if confirmed is None or confirmed.sequence < position.sequence:
         # A commit that a later term contains is not safe yet either: a primary that
--- a/src/radishtrack/group/promotion.py
+++ b/src/radishtrack/group/promotion.py
@@ -91,7 +91,7 @@
         model=attempt,
         states=Step,
         initial=Step.SUSPECT,
-        transitions=list(TRANSITIONS),
+        transitions=[list(transition) for transition in TRANSITIONS],
         auto_transitions=False,
     )
     return attempt
--- /dev/null
+++ b/tests/test_group_model.py
@@ -0,0 +1,534 @@
+"""Guards acknowledged commits and strict reads against any order of events.
+
+Several promoters and holders work on a model of the members. Every statement and
+answer may be lost, delayed, repeated or reordered, members stop and return, and nodes
+work with outdated records.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import ClassVar
+
+import attrs
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from group_model import ModelMember, ModelPlatform, RefusedStatement, make_model
+from radishtrack.group.evidence import (
+    ServePrimary,
+    ServeReplicas,
+    ServeReplicasAtLeast,
+    StatusRound,
+    choose_strict,
+    is_in_service,
+)
+from radishtrack.group.member_steps import (
+    Statement,
+    Steps,
+    fence_steps,
+    follow_steps,
+    promote_steps,
+)
+from radishtrack.group.outcome import (
+    Confirmed,
+    DidNotRun,
+    RanInHistory,
+    StillUnknown,
+    position_of_commit,
+    position_of_read,
+    resolve_commit,
+    sequence_before,
+)
+from radishtrack.group.promotion import PromotionAttempt, make_promotion_attempt
+from radishtrack.group.promotion_messages import (
+    Action,
+    AdoptGroup,
+    AskVotes,
+    DeadlinePassed,
+    FenceMembers,
+    FencingAbandoned,
+    FollowMember,
+    GroupRead,
+    GroupRecorded,
+    MemberFenced,
+    MemberFollowed,
+    MemberPromoted,
+    MemberRefused,
+    MemberUnreachable,
+    Message,
+    PlatformDidNotAnswer,
+    PrimarySuspected,
+    PromoteMember,
+    ReadGroup,
+    RecordConflicted,
+    RecordGroup,
+    VotesReceived,
+)
+from radishtrack.group.status import Group, MemberStatus
+from radishtrack.session.position import Position, is_contained
+
+FATES = ("carried out", "carried out", "carried out", "answer lost", "lost", "repeated")
+SEEDS = st.integers(0, 2**16)
+NODES = st.integers(0, 1)
+VOTERS = ("p", "q", "r")
+SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=100,
+    stateful_step_count=50,
+    database=None,
+    # Shrinking a schedule takes minutes and would outlast the whole test run.
+    phases=(Phase.generate,),
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@attrs.define(eq=False)
+class Job:
+    """A call under way; `finish` takes its fate."""
+
+    member: str
+    finish: Callable[[str], None]
+
+
+@attrs.define
+class Promoter:
+    """A node that promotes, with what it knows and what it has under way."""
+
+    group: Group
+    attempt: PromotionAttempt | None = None
+    jobs: list[Job] = attrs.field(factory=list)
+    """Calls under way."""
+
+    def add(self, member: str, finish: Callable[[str], None]) -> None:
+        """Start a call; an empty member means the platform."""
+        self.jobs.append(Job(member, finish))
+
+
+@attrs.define(eq=False)
+class Request:
+    """A commit or a strict read at a holder."""
+
+    group: Group
+    started: set[int]
+    """Commits acknowledged before it began."""
+    number: int = 0
+    primary: str = ""
+    is_read: bool = False
+    ids: set[int] | None = None
+    position: Position | None = None
+    before: int = 0
+    statuses: dict[str, MemberStatus] = attrs.field(factory=dict)
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Random schedules of one group; subclasses set the number of members."""
+
+    size: ClassVar[int] = 3
+
+    @initialize()
+    def _set_up(self) -> None:
+        self.now_ms = 0.0
+        self.members: dict[str, ModelMember]
+        self.platform: ModelPlatform
+        self.members, self.platform = make_model(self.size)
+        self.promoters = [Promoter(self.platform.group) for _ in range(2)]
+        self.holder_groups = [self.platform.group for _ in range(2)]
+        self.requests: list[Request] = []
+        self.acknowledged: set[int] = set()
+        self.discarded: set[int] = set()
+        self.next_number = 1
+        self.attempts = 0
+        self.steps = 0
+        self.names = sorted(self.members)
+
+    def _make_random(self, seed: int) -> Random:
+        # Small steps of a schedule are drawn from here: drawn from hypothesis, most
+        # schedules would end before a promotion does.
+        self.steps += 1
+        return Random(f"{seed} {self.steps}")
+
+    # Members and the platform
+
+    @rule(seed=SEEDS)
+    def _replicate(self, seed: int) -> None:
+        self._replicate_some(self._make_random(seed))
+
+    def _replicate_some(self, random: Random) -> None:
+        for name in random.sample(self.names, random.randint(1, self.size)):
+            member = self.members[name]
+            source = self.members.get(member.source)
+            if source is not None and member.is_up and source.is_up:
+                member.replicate(source, random.choice((1, 2, 100)))
+
+    @rule(seed=SEEDS)
+    def _stop_or_restart(self, seed: int) -> None:
+        random = self._make_random(seed)
+        for member in self.members.values():
+            member.is_up = random.random() < 0.7
+        self.platform.is_up = random.random() < 0.8
+
+    @rule(index=NODES, promoter=st.booleans())
+    def _refresh(self, index: int, promoter: bool) -> None:
+        if not promoter:
+            self.holder_groups[index] = self.platform.group
+        elif self.promoters[index].attempt is None:
+            self.promoters[index].group = self.platform.group
+
+    # Promotions
+
+    @rule(index=NODES, seed=SEEDS)
+    def _start_attempt(self, index: int, seed: int) -> None:
+        random = self._make_random(seed)
+        first = random.choice((FencingAbandoned(), PrimarySuspected()))
+        self._start(self.promoters[index], first)
+        self._run_jobs(self.promoters[index], random)
+
+    @rule(index=NODES, seed=SEEDS)
+    def _continue_jobs(self, index: int, seed: int) -> None:
+        self._run_jobs(self.promoters[index], self._make_random(seed))
+
+    @rule(delta_ms=st.sampled_from([100.0, 600.0]))
+    def _pass_time(self, delta_ms: float) -> None:
+        self.now_ms += delta_ms
+        for promoter in self.promoters:
+            if promoter.attempt is not None:
+                self._tell(promoter, promoter.attempt, DeadlinePassed())
+
+    @rule(index=NODES, seed=SEEDS)
+    def _repair(self, index: int, seed: int) -> None:
+        promoter = self.promoters[index]
+        for name in promoter.group.members:
+            steps = follow_steps(promoter.group)
+            if name == promoter.group.primary:
+                steps = promote_steps(promoter.group)
+            self._command(promoter, name, steps, lambda message: None)
+        self._run_jobs(promoter, self._make_random(seed))
+
+    @rule(index=NODES, seed=SEEDS)
+    def _replace_primary(self, index: int, seed: int) -> None:
+        """Promote as in a failure of the primary that others cannot see."""
+        random = self._make_random(seed)
+        promoter = self.promoters[index]
+        promoter.group = self.platform.group
+        promoter.jobs.clear()
+        # As many as can be missing from a fence quorum; mostly the primary is.
+        missing = self.size - promoter.group.fence_quorum
+        others = [name for name in self.names if name != promoter.group.primary]
+        random.shuffle(others)
+        order = [promoter.group.primary, *others]
+        cut_off = set(order[:missing] if random.random() < 0.8 else others[:missing])
+        self._start(promoter, FencingAbandoned())
+        for _ in range(random.choice((12, 20, 60))):
+            if promoter.jobs:
+                job = promoter.jobs.pop(0)
+                job.finish("lost" if job.member in cut_off else "carried out")
+        if random.random() < 0.5:
+            self.holder_groups[index] = self.platform.group
+
+    def _start(self, promoter: Promoter, first: Message) -> None:
+        self.attempts += 1
+        promoter.attempt = make_promotion_attempt(
+            promoter.group, f"attempt {self.attempts}", VOTERS
+        )
+        self._tell(promoter, promoter.attempt, first)
+
+    def _run_jobs(self, promoter: Promoter, random: Random) -> None:
+        """Continue some calls in any order; some runs lose or repeat much."""
+        reliable = random.random() < 0.6
+        cut_off = set(random.sample(self.names, random.choice((0, 1, 1, 2))))
+        for _ in range(random.choice((1, 3, 10, 60))):
+            if not promoter.jobs:
+                return
+            job = promoter.jobs.pop(random.randrange(len(promoter.jobs)))
+            fate = "carried out" if reliable else random.choice(FATES)
+            job.finish("lost" if job.member in cut_off else fate)
+
+    def _tell(
+        self, promoter: Promoter, attempt: PromotionAttempt, message: Message
+    ) -> None:
+        if promoter.attempt is not attempt:
+            return
+        for action in attempt.handle(message, self.now_ms):
+            self._perform(promoter, attempt, action)
+        if attempt.is_over:
+            promoter.attempt = None
+
+    def _perform(
+        self, promoter: Promoter, attempt: PromotionAttempt, action: Action
+    ) -> None:
+        def tell(message: Message) -> None:
+            self._tell(promoter, attempt, message)
+
+        match action:
+            case AskVotes():
+                tell(VotesReceived(dict.fromkeys(VOTERS, True)))
+            case ReadGroup():
+                promoter.add("", lambda fate: self._read(tell, fate))
+            case RecordGroup(group, version):
+                promoter.add(
+                    "", lambda fate: self._record(promoter, tell, group, version, fate)
+                )
+            case FenceMembers(names, group, term):
+                for name in names:
+                    self._command(promoter, name, fence_steps(group, term), tell)
+            case PromoteMember(name, group):
+                self._command(promoter, name, promote_steps(group), tell)
+            case FollowMember(name, group):
+                self._command(promoter, name, follow_steps(group), tell)
+            case AdoptGroup(group):
+                promoter.group = group
+
+    def _read(self, tell: Callable[[Message], None], fate: str) -> None:
+        if not self.platform.is_up or fate in ("lost", "answer lost"):
+            tell(PlatformDidNotAnswer())
+        else:
+            tell(GroupRead(self.platform.group))
+
+    def _record(
+        self,
+        promoter: Promoter,
+        tell: Callable[[Message], None],
+        group: Group,
+        version: int,
+        fate: str,
+    ) -> None:
+        if fate == "repeated":
+            # The first copy is still under way when the platform seems to be silent.
+            promoter.add(
+                "", lambda later: self._record(promoter, tell, group, version, later)
+            )
+        if not self.platform.is_up or fate in ("lost", "repeated"):
+            tell(PlatformDidNotAnswer())
+            return
+        written = self.platform.write(group, version)
+        if written is not None:
+            self._check_record()
+        if fate == "answer lost":
+            tell(PlatformDidNotAnswer())
+        else:
+            tell(RecordConflicted() if written is None else GroupRecorded(written))
+
+    def _command(
+        self,
+        promoter: Promoter,
+        name: str,
+        steps: Steps,
+        tell: Callable[[Message], None],
+    ) -> None:
+        answers: dict[str, Callable[[MemberStatus], Message]] = {
+            "fence_steps": MemberFenced,
+            "follow_steps": lambda status: MemberFollowed(name),
+            "promote_steps": lambda status: MemberPromoted(name),
+        }
+        answer = answers[steps.__name__]
+
+        def send(statement: Statement) -> None:
+            promoter.add(name, lambda fate: execute(statement, fate))
+
+        def execute(statement: Statement, fate: str) -> None:
+            member = self.members[name]
+            if not member.is_up or fate == "lost":
+                tell(MemberUnreachable(name))
+                return
+            try:
+                status = member.run(statement)
+            except RefusedStatement:
+                tell(MemberRefused(name, "stale term"))
+                return
+            if fate == "repeated":
+                promoter.add(name, lambda later: self._repeat(name, statement, later))
+            if fate == "answer lost":
+                tell(MemberUnreachable(name))
+                return
+            try:
+                send(steps.send(status))
+            except StopIteration as stop:
+                tell(answer(stop.value))
+
+        send(next(steps))
+
+    def _repeat(self, name: str, statement: Statement, fate: str) -> None:
+        member = self.members[name]
+        if member.is_up and fate != "lost":
+            try:
+                member.run(statement)
+            except RefusedStatement:
+                return
+
+    # Requests at holders
+
+    @rule(index=NODES, seed=SEEDS)
+    def _write(self, index: int, seed: int) -> None:
+        group = self.holder_groups[index]
+        member = self.members[group.primary]
+        before = sequence_before(member.status(), group)
+        if member.is_up and member.commit(self.next_number):
+            request = Request(group, set(), self.next_number, group.primary)
+            request.before = before
+            self.next_number += 1
+            self._begin(request, index, self._make_random(seed))
+
+    @rule(index=NODES, seed=SEEDS)
+    def _read_strictly(self, index: int, seed: int) -> None:
+        request = Request(
+            self.holder_groups[index], set(self.acknowledged), is_read=True
+        )
+        self._begin(request, index, self._make_random(seed))
+
+    @rule(index=NODES, seed=SEEDS)
+    def _continue_request(self, index: int, seed: int) -> None:
+        random = self._make_random(seed)
+        for request in random.sample(self.requests, len(self.requests)):
+            self._advance(request, index, random)
+
+    def _begin(self, request: Request, index: int, random: Random) -> None:
+        # Few open requests, so that most of them are continued.
+        self.requests = [*self.requests[-5:], request]
+        for _ in range(random.choice((0, 1, 4))):
+            self._advance(request, index, random)
+            self._replicate_some(random)
+
+    def _advance(self, request: Request, index: int, random: Random) -> None:
+        if request not in self.requests:
+            return
+        if request.primary and request.position is None:
+            self._read_position(request)
+            return
+        for name in random.sample(self.names, random.randint(0, self.size)):
+            if self.members[name].is_up:
+                request.statuses[name] = self.members[name].status()
+        if request.position is not None:
+            self._resolve(request, self.holder_groups[index])
+        else:
+            self._choose(request)
+
+    def _read_position(self, request: Request) -> None:
+        if not self.members[request.primary].is_up:
+            return
+        status = self.members[request.primary].status()
+        choose = position_of_read if request.is_read else position_of_commit
+        request.position = choose(status, request.group)
+        if request.position is None:
+            self.requests.remove(request)
+
+    def _resolve(self, request: Request, group: Group) -> None:
+        status_round = StatusRound(0.0, request.statuses)
+        assert request.position is not None
+        outcome = resolve_commit(
+            request.position, request.group.term, status_round, group, request.before
+        )
+        match outcome:
+            case StillUnknown():
+                return
+            case Confirmed() if request.is_read:
+                self._serve(request, request.ids)
+            case Confirmed():
+                self._check_current(request)
+                self.acknowledged.add(request.number)
+            case RanInHistory() if not request.is_read:
+                self.acknowledged.add(request.number)
+            case DidNotRun() if not request.is_read:
+                self.discarded.add(request.number)
+        self.requests.remove(request)
+
+    def _choose(self, request: Request) -> None:
+        status_round = StatusRound(0.0, request.statuses)
+        names: tuple[str, ...] = ()
+        match choose_strict(status_round, request.group):
+            case ServeReplicas(found, _):
+                names = found
+            case ServeReplicasAtLeast(position):
+                names = tuple(
+                    status.member
+                    for status in request.statuses.values()
+                    if is_in_service(status, request.group)
+                    and status.position.sequence >= position.sequence
+                )
+            case ServePrimary():
+                request.primary = request.group.primary
+                request.ids = self.members[request.primary].ids()
+                request.statuses = {}
+        for name in names:
+            self._serve(request, self.members[name].ids())
+        if names:
+            self.requests.remove(request)
+
+    # Checks
+
+    def _serve(self, request: Request, ids: set[int] | None) -> None:
+        assert ids is not None
+        assert request.started <= ids, "a strict read missed an acknowledged commit"
+
+    def _check_current(self, request: Request) -> None:
+        group = self.platform.group
+        position = Position(request.group.term, request.position.sequence)
+        assert is_contained(position, group.term, group.history), (
+            "a commit of a replaced primary was acknowledged"
+        )
+
+    def _check_record(self) -> None:
+        group = self.platform.group
+        kept = self.members[group.primary].log[: group.history[-1].sequence]
+        ids = {number for _, number in kept}
+        assert self.acknowledged <= ids, "a promotion lost an acknowledged commit"
+        assert not self.discarded & ids, "a commit that did not run came back"
+
+    @invariant()
+    def _one_primary_for_each_term(self) -> None:
+        primaries = {
+            term: names for term, names in self.platform.primaries.items() if names
+        }
+        assert all(len(names) == 1 for names in primaries.values())
+
+    @invariant()
+    def _discarded_commits_are_in_no_current_log(self) -> None:
+        term = self.platform.group.term
+        for member in self.members.values():
+            if member.term == term:
+                assert not self.discarded & member.ids()
+
+    def teardown(self) -> None:
+        """Bring everything back: a promotion completes and loses nothing."""
+        if not hasattr(self, "members"):
+            return
+        for member in self.members.values():
+            member.is_up = True
+        self.platform.is_up = True
+        group = self.platform.group
+        promoter = Promoter(group)
+        attempt = make_promotion_attempt(group, "last", VOTERS)
+        promoter.attempt = attempt
+        self._tell(promoter, attempt, FencingAbandoned())
+        while promoter.jobs:
+            promoter.jobs.pop(0).finish("carried out")
+        assert self.platform.group.term == group.term + 1
+        for member in self.members.values():
+            if member.source in self.members:
+                member.replicate(self.members[member.source], 1_000)
+            assert member.term == group.term + 1
+            assert self.acknowledged <= member.ids()
+            assert not self.discarded & member.ids()
+
+
+class FiveMemberMachine(GroupMachine):
+    """Five members: one replica more than the primary is no quorum."""
+
+    size = 5
+
+
+@pytest.mark.parametrize("machine", [GroupMachine, FiveMemberMachine])
+def test_no_schedule_loses_an_acknowledged_commit(
+    machine: type[GroupMachine],
+) -> None:
+    run_state_machine_as_test(machine, settings=SETTINGS)
