--- a/src/radishtrack/admission/admit.py
+++ b/src/radishtrack/admission/admit.py
@@ -97,10 +97,8 @@
     refused = queue.check(share.organisation, now_ms, deadline_ms)
     if refused is not None:
         return _reject(ErrorCode.REFUSED, refused.reason, refused.estimated_wait_ms)
-    if is_retry:
-        admission = share.retry_admit(now_ms)
-    else:
-        admission = share.try_admit(now_ms)
+    decide = share.retry_admit if is_retry else share.try_admit
+    admission = decide(now_ms)
     if isinstance(admission, Admitted):
         return Proceed(admission.request)
     if isinstance(admission, NeedTokens):
--- a/src/radishtrack/rates/allocator.py
+++ b/src/radishtrack/rates/allocator.py
@@ -44,7 +44,7 @@
     TokenRequest,
 )
 from radishtrack.rates.reservations import Reservations, make_reservations
-from radishtrack.rates.standing_plan import Amount, plan_shares
+from radishtrack.rates.standing_plan import Amount, plan_shares, sum_set_aside
 
 LOAN_STOP_MS: Final = 4_000.0
 """Loans are given back when the rest of the lease is this short, so that the holders
@@ -286,20 +286,10 @@
         records = [pending.write.record for pending in self.lease.pending.values()]
         if self.lease.record is not None:
             records.append(self.lease.record)
-        rates: dict[str, int] = {}
-        bursts: dict[str, int] = {}
-        for record in records:
-            for share in record.standing_shares:
-                view = self.holders.get(share.holder)
-                if view is not None and view.is_lending(now_ms):
-                    continue
-                rates[share.holder] = max(
-                    rates.get(share.holder, 0), share.held_rate_micro
-                )
-                bursts[share.holder] = max(
-                    bursts.get(share.holder, 0), share.held_burst
-                )
-        return Amount(sum(rates.values()), sum(bursts.values()))
+        lending = {
+            name for name, view in self.holders.items() if view.is_lending(now_ms)
+        }
+        return sum_set_aside(records, lending)
 
     def _settle(self, request: TokenRequest) -> None:
         assert self.bucket is not None
@@ -381,11 +371,7 @@
         known = self.lease.record.standing_shares if self.lease.record else ()
         if not self.lease.is_mine:
             return known
-        seen = {
-            holder
-            for holder, view in self.holders.items()
-            if not (view.is_leaving or view.is_gone)
-        }
+        seen = {name for name, view in self.holders.items() if view.is_wanted()}
         # Holders that this allocator has not heard from keep their share for as long
         # as it may be in use.
         quiet = {
--- a/src/radishtrack/rates/holder_view.py
+++ b/src/radishtrack/rates/holder_view.py
@@ -49,6 +49,10 @@
         """Return whether the holder surely leaves its standing share unused."""
         return self.is_leaving or now_ms < self.lent_until_ms
 
+    def is_wanted(self) -> bool:
+        """Return whether the holder is to have a standing share."""
+        return not (self.is_leaving or self.is_gone)
+
     def is_contending(self, now_ms: float) -> bool:
         """Return whether the holder competes for tokens."""
         return now_ms - self.wanted_ms <= CONTENTION_MS
--- a/src/radishtrack/rates/standing_plan.py
+++ b/src/radishtrack/rates/standing_plan.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from radishtrack.rates.messages import RateLimit, StandingShare
+from radishtrack.rates.messages import LeaseRecord, RateLimit, StandingShare
 
 STANDING_DIVISOR: Final = 2
 """Half of the limit may be held in standing shares."""
@@ -21,6 +21,9 @@
     burst: int
 
 
+NOTHING: Final = Amount(0, 0)
+
+
 def sum_held(shares: Iterable[StandingShare]) -> Amount:
     """Return what the holders of `shares` may use together."""
     held = list(shares)
@@ -30,6 +33,32 @@
     )
 
 
+def sum_set_aside(records: Iterable[LeaseRecord], lending: set[str]) -> Amount:
+    """Return the most that holders may use, whichever of `records` is in force.
+
+    Parameters
+    ----------
+    records : iterable of LeaseRecord
+        The record in force and those of writes in doubt.
+    lending : set of str
+        Holders that leave their share unused.
+    """
+    largest: dict[str, Amount] = {}
+    for record in records:
+        for share in record.standing_shares:
+            if share.holder in lending:
+                continue
+            known = largest.get(share.holder, NOTHING)
+            largest[share.holder] = Amount(
+                max(known.rate_micro, share.held_rate_micro),
+                max(known.burst, share.held_burst),
+            )
+    return Amount(
+        sum(amount.rate_micro for amount in largest.values()),
+        sum(amount.burst for amount in largest.values()),
+    )
+
+
 def plan_shares(
     known: Iterable[StandingShare],
     holders: Iterable[str],
