Let the rate state machine hoard tokens and burst

Cause: with steady use, an unsound token rarely shows as a violation. Change: rules that collect tokens without use and spend everything at once.

--- a/src/radishtrack/rates/share.py
+++ b/src/radishtrack/rates/share.py
@@ -152,7 +152,7 @@
         if self._is_waiting(now_ms):
             self.unmet += 1
             return NeedTokens(None, self.last_sent_ms + REQUEST_TIMEOUT_MS)
-        request = self._make_request(now_ms, max(1 + self.unmet, self._batch(now_ms)))
+        request = self.make_request(now_ms, max(1 + self.unmet, self._batch(now_ms)))
         return NeedTokens(request, now_ms + REQUEST_TIMEOUT_MS)
 
     def on_grant(self, grant: TokenGrant, now_ms: float) -> bool:
@@ -208,9 +208,9 @@
         is_returning = any(change.returned for change in self.settlements.values())
         is_silent = now_ms - self.last_sent_ms >= HEARTBEAT_MS
         if self.settles_soon and not self._is_waiting(now_ms):
-            return self._make_request(now_ms, 0)
+            return self.make_request(now_ms, 0)
         if is_returning or (is_silent and self.standing.share is not None):
-            return self._make_request(now_ms, 0)
+            return self.make_request(now_ms, 0)
         return None
 
     def leave(self, now_ms: float) -> TokenRequest:
@@ -220,7 +220,36 @@
         for grant in self.grants:
             self._note(grant.request_id, 0, grant.tokens)
         self.grants.clear()
-        return self._make_request(now_ms, 0)
+        return self.make_request(now_ms, 0)
+
+    def make_request(self, now_ms: float, wanted: int) -> TokenRequest:
+        """Return a request for `wanted` tokens, or only a report if that is 0."""
+        request_id = self.next_request_id
+        self.next_request_id += 1
+        # A grant for an older request would have expired on arrival.
+        oldest_ms = now_ms - MAX_GRANT_VALIDITY_MS
+        self.pending = {
+            known_id: sent_ms
+            for known_id, sent_ms in self.pending.items()
+            if sent_ms > oldest_ms
+        }
+        self.pending[request_id] = now_ms
+        self.last_sent_ms = now_ms
+        self.unmet = 0
+        self.settles_soon = False
+        settlements = tuple(self.settlements.values())
+        self.settlements.clear()
+        return TokenRequest(
+            self.organisation,
+            self.holder,
+            request_id,
+            wanted,
+            self.demand.per_second(now_ms),
+            settlements,
+            self.echo,
+            self.standing.revision,
+            self.leaving,
+        )
 
     def set_limit(self, limit: RateLimit, now_ms: float) -> None:
         """Apply a new configuration."""
@@ -242,9 +271,9 @@
         held = grant.tokens if len(self.grants) == 1 else self.held_tokens()
         needed = self.demand.per_second(now_ms) * PREFETCH_HORIZON_MS / 1000.0
         if now_ms >= self.refused_until_ms and held < needed - 1.0:
-            return Admitted(self._make_request(now_ms, self._batch(now_ms)))
+            return Admitted(self.make_request(now_ms, self._batch(now_ms)))
         if self.settles_soon:
-            return Admitted(self._make_request(now_ms, 0))
+            return Admitted(self.make_request(now_ms, 0))
         return ADMITTED
 
     def _batch(self, now_ms: float) -> int:
@@ -253,34 +282,6 @@
     def _is_waiting(self, now_ms: float) -> bool:
         return bool(self.pending) and now_ms - self.last_sent_ms < REQUEST_TIMEOUT_MS
 
-    def _make_request(self, now_ms: float, wanted: int) -> TokenRequest:
-        request_id = self.next_request_id
-        self.next_request_id += 1
-        # A grant for an older request would have expired on arrival.
-        oldest_ms = now_ms - MAX_GRANT_VALIDITY_MS
-        self.pending = {
-            known_id: sent_ms
-            for known_id, sent_ms in self.pending.items()
-            if sent_ms > oldest_ms
-        }
-        self.pending[request_id] = now_ms
-        self.last_sent_ms = now_ms
-        self.unmet = 0
-        self.settles_soon = False
-        settlements = tuple(self.settlements.values())
-        self.settlements.clear()
-        return TokenRequest(
-            self.organisation,
-            self.holder,
-            request_id,
-            wanted,
-            self.demand.per_second(now_ms),
-            settlements,
-            self.echo,
-            self.standing.revision,
-            self.leaving,
-        )
-
     def _note(self, request_id: int, remaining: int, returned: int = 0) -> None:
         known = self.settlements.get(request_id)
         before = known.returned if known is not None else 0
--- a/tests/rate_world.py
+++ b/tests/rate_world.py
@@ -118,6 +118,8 @@
         self.known_node: dict[str, str] = {}
         self.demand: dict[str, int] = {}
         self.default_demand = demand
+        self.hoarded = 0
+        """Tokens that each holder asks for without use; 0 for normal demand."""
         self.paused: set[str] = set()
         self.cut: set[str] = set()
         """Nodes without any contact."""
@@ -290,6 +292,11 @@
     def act_holder(self, name: str) -> None:
         now_ms = self.now(name)
         self.read(name, now_ms)
+        if self.hoarded:
+            if not self.holders[name].pending:
+                request = self.holders[name].make_request(now_ms, self.hoarded)
+                self.ask(name, request)
+            return
         request = self.holders[name].tick(now_ms)
         if request is not None:
             self.ask(name, request)
--- a/tests/test_rate_claim.py
+++ b/tests/test_rate_claim.py
@@ -37,7 +37,10 @@
     """Faults in any order on two allocators and some holders."""
 
     @initialize(
-        limit=LIMITS, speeds=SPEEDS, seed=st.integers(0, 9999), holders=st.integers(1, 4)
+        limit=LIMITS,
+        speeds=SPEEDS,
+        seed=st.integers(0, 9999),
+        holders=st.integers(1, 4),
     )
     def start(
         self, limit: object, speeds: tuple[float, ...], seed: int, holders: int
@@ -52,6 +55,22 @@
     def nodes(self) -> list[str]:
         return [*self.world.allocators, *self.world.holders]
 
+    @rule(duration_ms=st.sampled_from([60, 400, 3000]), tokens=st.sampled_from([1, 20]))
+    def hoard(self, duration_ms: float, tokens: int) -> None:
+        """Collect tokens without use, so that an unsound token shows in a burst."""
+        self.world.hoarded = tokens
+        self.world.run(duration_ms, 20)
+
+    @rule()
+    def burst(self) -> None:
+        self.world.hoarded = 0
+        old, self.world.demand = (
+            self.world.demand,
+            dict.fromkeys(self.world.holders, 200),
+        )
+        self.world.run(60, 10)
+        self.world.demand = {name: old.get(name, 5) for name in self.world.holders}
+
     @rule(duration_ms=st.sampled_from([20, 200, 600, 2000]))
     def run_for(self, duration_ms: float) -> None:
         self.world.run(duration_ms, 10)
@@ -125,6 +144,7 @@
     def change_demand(self, index: int, demand: int) -> None:
         name = self.pick(self.world.holders, index)
         if not self.world.holders[name].leaving:
+            self.world.hoarded = 0
             self.world.demand[name] = demand
 
     @rule(limit=LIMITS)
