--- a/src/radishtrack/usage/counter.py
+++ b/src/radishtrack/usage/counter.py
@@ -42,6 +42,15 @@
             self.connection_ms + other.connection_ms,
         )
 
+    def __sub__(self, other: UsageTotals) -> UsageTotals:
+        return UsageTotals(
+            self.statements - other.statements,
+            self.rows - other.rows,
+            self.bytes_in - other.bytes_in,
+            self.bytes_out - other.bytes_out,
+            self.connection_ms - other.connection_ms,
+        )
+
 
 @attrs.define
 class MutableTotals:
--- a/tests/rate_world.py
+++ b/tests/rate_world.py
@@ -2,6 +2,7 @@
 platform's conditional updates, with an oracle for the interval bound.
 """
 
+# ruff: noqa: D101, D102
 from __future__ import annotations
 
 import heapq
--- a/tests/test_rate_claim.py
+++ b/tests/test_rate_claim.py
@@ -2,6 +2,7 @@
 burst + rate x length, under any mix of faults.
 """
 
+# ruff: noqa: D102
 from __future__ import annotations
 
 import math
@@ -15,9 +16,9 @@
     precondition,
     rule,
 )
-from rate_world import RateWorld
 
 from radishtrack.rates.messages import make_rate_limit
+from rate_world import RateWorld
 
 LIMITS = st.sampled_from(
     [
