--- /dev/null
+++ b/tests/test_config_store.py
@@ -0,0 +1,252 @@
+"""Guards that racing operators and lost answers never lose or repeat a change."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import Any
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from memory_store import MemoryPlatform
+from radishtrack.config.change import diff_documents, render_changes
+from radishtrack.config.chunk import (
+    MAX_CHUNK_BYTES,
+    AppliedChange,
+    ChunkError,
+    decode_manifest,
+    split_document,
+)
+from radishtrack.config.document import Document, make_document
+from radishtrack.config.model import (
+    Database,
+    Member,
+    Organisation,
+    Owner,
+    Route,
+    Service,
+)
+from radishtrack.config.store import (
+    Applied,
+    ApplyResult,
+    LostRace,
+    ObjectStore,
+    StoredObject,
+    Unchanged,
+    Unresolved,
+    apply_document,
+    fetch_revision,
+)
+
+FAULTS = ("ok", "lost request", "lost answer", "late")
+
+
+def make_fleet(
+    rate: float = 1.0, databases: int = 1, organisations: int = 1
+) -> Document:
+    names = [f"db-{number}" for number in range(databases)]
+    members = tuple(Member(f"m{n}", f"10.0.0.{n}", 3306, 3307, f"z{n}") for n in "123")
+    return make_document(
+        [Owner("o")],
+        [Organisation(f"org-{n}", "o", rate, 10) for n in range(organisations)],
+        [Database(name, "o", "r", 2, 15, members) for name in names],
+        [
+            Service(f"s-{name}", name, (), (Route(f"s-{name}", "r", name, ("t",)),))
+            for name in names
+        ],
+    )
+
+
+async def apply_rate(
+    store: ObjectStore, rate: float, *, seen: int, author: str, apply_id: str = ""
+) -> ApplyResult:
+    return await apply_document(
+        store,
+        make_fleet(rate),
+        seen=seen,
+        author=author,
+        apply_id=apply_id or f"{author}-{rate}",
+    )
+
+
+async def fetch_rate(store: ObjectStore) -> float:
+    revision = await fetch_revision(store)
+    return revision.document.organisations["org-0"].rate
+
+
+async def test_an_applied_document_is_read_back() -> None:
+    store = MemoryPlatform().make_store()
+    assert (await fetch_revision(store)).manifest.revision == 0
+    result = await apply_rate(store, 5, seen=0, author="kari")
+    assert isinstance(result, Applied)
+    assert result.revision == 1
+    assert "added owner o" in result.changes
+    assert await fetch_rate(store) == 5
+    again = await apply_rate(store, 5, seen=1, author="kari", apply_id="other")
+    assert again == Unchanged(1)
+
+
+async def test_the_loser_learns_the_winners_author_and_changes() -> None:
+    store = MemoryPlatform().make_store()
+    await apply_rate(store, 1, seen=0, author="kari")
+    await apply_rate(store, 2, seen=1, author="mari")
+    change = "changed organisation org-0: rate 1 -> 2"
+    result = await apply_rate(store, 3, seen=1, author="jaan")
+    assert result == LostRace(1, 2, (AppliedChange(2, "mari-2", "mari", (change,)),))
+    assert await fetch_rate(store) == 2
+
+
+async def test_exactly_one_of_two_operators_at_the_same_moment_wins() -> None:
+    platform = MemoryPlatform()
+    store = platform.make_store()
+    await apply_rate(store, 1, seen=0, author="kari")
+    both_read = asyncio.Barrier(2)
+
+    async def get_together(kind: str, name: str) -> StoredObject | None:
+        found = await store.get(kind, name)
+        if kind == "config" and found and found.version <= first_version:
+            await both_read.wait()
+        return found
+
+    first_version = platform.objects["config", "manifest"].version
+    together = attrs.evolve(store, get=get_together)
+    results = await asyncio.gather(
+        apply_rate(together, 2, seen=1, author="mari"),
+        apply_rate(together, 3, seen=1, author="jaan"),
+    )
+    assert sorted(type(result).__name__ for result in results) == [
+        "Applied",
+        "LostRace",
+    ]
+    (lost,) = (result for result in results if isinstance(result, LostRace))
+    (won,) = (result for result in results if isinstance(result, Applied))
+    assert lost.winners[0].changes == won.changes
+
+
+@pytest.mark.parametrize("faults", list(itertools.product(FAULTS, repeat=3)))
+async def test_a_lost_answer_is_resolved_and_applies_once(
+    faults: tuple[str, ...],
+) -> None:
+    platform = MemoryPlatform(["ok", *faults])
+    store = platform.make_store()
+    await apply_rate(store, 1, seen=0, author="kari")
+    result = await apply_rate(store, 2, seen=1, author="mari")
+    assert isinstance(result, Applied)
+    assert result.revision == 2
+    revision = await fetch_revision(store)
+    assert revision.manifest.revision == 2
+    assert platform.written_kinds.count("config") == 2
+
+
+async def test_an_attempt_without_answers_is_resolved_by_running_it_again() -> None:
+    platform = MemoryPlatform(["lost answer"] + ["lost request"] * 4)
+    store = platform.make_store()
+    result = await apply_rate(store, 1, seen=0, author="kari", apply_id="a")
+    assert result == Unresolved("a")
+    await apply_rate(store, 2, seen=1, author="mari")
+    result = await apply_rate(store, 1, seen=0, author="kari", apply_id="a")
+    assert isinstance(result, Applied)
+    assert result.revision == 1
+    assert await fetch_rate(store) == 2
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    faults=st.lists(st.sampled_from(FAULTS), max_size=12),
+    attempts=st.lists(st.integers(0, 4), min_size=2, max_size=6),
+)
+def test_every_reported_result_is_true(faults: list[str], attempts: list[int]) -> None:
+    """Operators who are behind lose; those told "applied" are in the history."""
+
+    async def run() -> None:
+        platform = MemoryPlatform(faults)
+        store = platform.make_store()
+        applied = []
+        for number, behind in enumerate(attempts):
+            known = (await fetch_revision(store)).manifest.revision
+            seen = max(0, known - behind)
+            result = await apply_rate(store, number + 1, seen=seen, author=f"{number}")
+            if isinstance(result, Applied):
+                assert seen == known
+                applied.append((result.revision, f"{number}"))
+        manifest = (await fetch_revision(store)).manifest
+        history = [(change.revision, change.author) for change in manifest.history]
+        assert set(applied) <= set(history)
+        assert [revision for revision, _ in history] == list(
+            range(1, manifest.revision + 1)
+        )
+
+    asyncio.run(run())
+
+
+async def test_a_damaged_chunk_is_an_error() -> None:
+    platform = MemoryPlatform()
+    store = platform.make_store()
+    await apply_rate(store, 1, seen=0, author="kari")
+    key = next(key for key in platform.objects if key[0] == "config-chunk")
+    platform.objects[key] = StoredObject(9, {"text": "[]"})
+    with pytest.raises(ChunkError, match="other content"):
+        await fetch_revision(store)
+
+
+def change_one(document: Document, name: str) -> Document:
+    databases = dict(document.databases)
+    databases[name] = attrs.evolve(databases[name], connections=99)
+    return attrs.evolve(document, databases=databases)
+
+
+def test_a_one_entry_change_touches_one_chunk() -> None:
+    document = make_fleet(databases=200, organisations=300)
+    before = split_document(document)
+    touched = [
+        len(set(split_document(change_one(document, name))) - set(before))
+        for name in list(document.databases)[:40]
+    ]
+    # A chunk that grows over the limit is divided.
+    assert max(touched) <= 2
+    assert touched.count(1) >= 38
+    sizes = [len(text) for text in before.values()]
+    assert max(sizes) <= MAX_CHUNK_BYTES
+    assert 3_000 <= sum(sizes) / len(sizes) <= 5_000
+
+
+def test_the_order_of_the_text_does_not_matter() -> None:
+    document = make_fleet(databases=20)
+    turned = attrs.evolve(
+        document, databases=dict(reversed(document.databases.items()))
+    )
+    assert split_document(turned) == split_document(document)
+
+
+def test_the_difference_names_entries_and_values() -> None:
+    before = make_fleet(rate=1, databases=2)
+    database = before.databases["db-0"]
+    members = (attrs.evolve(database.members[0], leaving=True), *database.members[1:2])
+    after = make_document(
+        [Owner("o"), Owner("p")],
+        before.organisations.values(),
+        [attrs.evolve(database, connections=20, members=members)],
+        [before.services["s-db-0"]],
+    )
+    assert render_changes(diff_documents(before, after)) == (
+        "added owner p",
+        "changed database db-0: connections 15 -> 20, member[m1].leaving false -> true,"
+        " member[m3].name m3 -> nothing, member[m3].host 10.0.0.3 -> nothing,"
+        " member[m3].port 3306 -> nothing, member[m3].admin_port 3307 -> nothing,"
+        " member[m3].zone z3 -> nothing, member[m3].leaving false -> nothing",
+        "removed database db-1",
+        "removed service s-db-1",
+    )
+    assert diff_documents(after, after) == ()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [None, {}, [], {"revision": "1", "chunks": [], "history": []}, {"revision": 0}],
+)
+def test_a_malformed_manifest_is_an_error(value: Any) -> None:
+    with pytest.raises(ChunkError):
+        decode_manifest(value)
