Read only the changed chunk of a new revision

Accepting a one-entry change read and checked all entries and held the event loop. Parts are now kept by chunk, and only references between parts are checked again.

An attempt repeated with an edited file was reported as applied. The history now keeps the digest of the chunk list, and the repetition is refused.

The catalogue also lists the events that the node and the group records added.

--- a/src/radishtrack/cli/main.py
+++ b/src/radishtrack/cli/main.py
@@ -16,7 +16,7 @@
 from radishtrack.cli._node import add_node_commands
 from radishtrack.cli._usage import add_usage_command
 from radishtrack.config.chunk import ChunkError
-from radishtrack.config.store import StoreUnavailable
+from radishtrack.config.store import ApplyMismatch, StoreUnavailable
 
 DESCRIPTION: Final = """\
 Database proxy with session consistency for owners who share one proxy layer.
@@ -65,6 +65,9 @@
     except StoreUnavailable as error:
         context.note(f"radishtrack: {error}")
         return ExitCode.UNAVAILABLE
+    except ApplyMismatch as error:
+        context.note(f"radishtrack: not applied: {error}")
+        return ExitCode.FAILED
     except ChunkError as error:
         context.note(f"radishtrack: the stored configuration is damaged: {error}")
         return ExitCode.FAILED
--- a/src/radishtrack/config/_parse.py
+++ b/src/radishtrack/config/_parse.py
@@ -81,21 +81,49 @@
     Parts
         Usable only if there was no problem.
     """
+    parts = read_single_parts(content, problems)
+    check_parts(parts, problems)
+    return parts
+
+
+def read_single_parts(content: Mapping[str, Any], problems: list[Problem]) -> Parts:
+    """Return the parts, each checked by itself only."""
     root = TableReader(content, (), problems)
-    owners = [_read_owner(table) for table in root.read_tables("owner")]
-    organisations = [
-        _read_organisation(table) for table in root.read_tables("organisation")
-    ]
-    databases = [_read_database(table) for table in root.read_tables("database")]
-    services = [_read_service(table) for table in root.read_tables("service")]
+    parts = Parts(
+        tuple(_read_owner(table) for table in root.read_tables("owner")),
+        tuple(_read_organisation(table) for table in root.read_tables("organisation")),
+        tuple(_read_database(table) for table in root.read_tables("database")),
+        tuple(_read_service(table) for table in root.read_tables("service")),
+    )
     root.finish()
-    _check_unique(("owner",), owners, problems)
-    _check_unique(("organisation",), organisations, problems)
-    _check_unique(("database",), databases, problems)
-    _check_unique(("service",), services, problems)
-    _check_references(owners, organisations, databases, services, problems)
-    _check_routes(services, problems)
-    return Parts(tuple(owners), tuple(organisations), tuple(databases), tuple(services))
+    return parts
+
+
+def check_parts(parts: Parts, problems: list[Problem]) -> None:
+    """Check what concerns several parts: names, references, cycles and routes."""
+    _check_unique(("owner",), parts.owners, problems)
+    _check_unique(("organisation",), parts.organisations, problems)
+    _check_unique(("database",), parts.databases, problems)
+    _check_unique(("service",), parts.services, problems)
+    _check_references(parts, problems)
+    _check_cycles(parts.services, problems)
+    _check_routes(parts.services, problems)
+
+
+def join_parts(several: Iterable[Parts]) -> Parts:
+    """Return the parts of several pieces as one, sorted by name."""
+    pieces = tuple(several)
+    return Parts(
+        _join_named(piece.owners for piece in pieces),
+        _join_named(piece.organisations for piece in pieces),
+        _join_named(piece.databases for piece in pieces),
+        _join_named(piece.services for piece in pieces),
+    )
+
+
+def _join_named(several: Iterable[Iterable[_Part]]) -> tuple[_Part, ...]:
+    joined = (part for parts in several for part in parts)
+    return tuple(sorted(joined, key=lambda part: part.name))
 
 
 def _read_name(table: TableReader) -> str:
@@ -228,35 +256,28 @@
         seen.add(part.name)
 
 
-def _check_references(
-    owners: list[Owner],
-    organisations: list[Organisation],
-    databases: list[Database],
-    services: list[Service],
-    problems: list[Problem],
-) -> None:
+def _check_references(parts: Parts, problems: list[Problem]) -> None:
     def check(path: KeyPath, kind: str, name: str, known: Iterable[str]) -> None:
         if name and name not in known:
             found = f"unknown {kind} {name!r}{suggest_name(name, known)}"
             problems.append(Problem(path, f"the name of an existing {kind}", found))
 
-    owner_names = {owner.name: None for owner in owners}
-    database_names = {database.name: None for database in databases}
-    service_names = {service.name: None for service in services}
-    for index, organisation in enumerate(organisations):
+    owner_names = {owner.name: None for owner in parts.owners}
+    database_names = {database.name: None for database in parts.databases}
+    service_names = {service.name: None for service in parts.services}
+    for index, organisation in enumerate(parts.organisations):
         path: KeyPath = ("organisation", index, "owner")
         check(path, "owner", organisation.owner, owner_names)
-    for index, database in enumerate(databases):
+    for index, database in enumerate(parts.databases):
         check(("database", index, "owner"), "owner", database.owner, owner_names)
-    for index, service in enumerate(services):
+    for index, service in enumerate(parts.services):
         path = ("service", index, "database")
         check(path, "database", service.database, database_names)
         for name in service.depends_on:
             check(("service", index, "depends_on"), "service", name, service_names)
-    _check_cycles(services, problems)
 
 
-def _check_cycles(services: list[Service], problems: list[Problem]) -> None:
+def _check_cycles(services: tuple[Service, ...], problems: list[Problem]) -> None:
     """Report each cycle once, at the service at which it is entered first."""
     edges = {service.name: service.depends_on for service in services}
     indices = {service.name: index for index, service in enumerate(services)}
@@ -282,7 +303,7 @@
                 trail.append(target)
 
 
-def _check_routes(services: list[Service], problems: list[Problem]) -> None:
+def _check_routes(services: tuple[Service, ...], problems: list[Problem]) -> None:
     """Report a table whose reads or writes belong to two routes."""
     taken: dict[tuple[str, str, bool], str] = {}
     for service_index, service in enumerate(services):
--- a/src/radishtrack/config/chunk.py
+++ b/src/radishtrack/config/chunk.py
@@ -49,12 +49,15 @@
         The operator.
     changes : tuple of str
         What changed, one line each, shortened.
+    content : str
+        Digest of the revision's chunk list.
     """
 
     revision: int
     apply_id: str
     author: str
     changes: tuple[str, ...]
+    content: str
 
 
 @attrs.define(frozen=True)
@@ -108,9 +111,16 @@
         hidden = len(lines) - HISTORY_LINES + 1
         lines = [*lines[: HISTORY_LINES - 1], f"and {hidden} more"]
     revision = manifest.revision + 1
-    change = AppliedChange(revision, apply_id, author, tuple(lines))
+    digests = tuple(sorted(chunks))
+    content = compute_content(digests)
+    change = AppliedChange(revision, apply_id, author, tuple(lines), content)
     history = (*manifest.history, change)[-HISTORY_ENTRIES:]
-    return Manifest(revision, tuple(sorted(chunks)), history)
+    return Manifest(revision, digests, history)
+
+
+def compute_content(chunks: Iterable[str]) -> str:
+    """Return a digest of a list of chunk digests, in any order."""
+    return compute_digest("".join(sorted(chunks)))
 
 
 def encode_manifest(manifest: Manifest) -> dict[str, Any]:
@@ -124,6 +134,7 @@
                 "apply_id": change.apply_id,
                 "author": change.author,
                 "changes": list(change.changes),
+                "content": change.content,
             }
             for change in manifest.history
         ],
@@ -185,9 +196,10 @@
     if compute_digest(text) != digest:
         raise ChunkError(f"chunk {digest[:12]} has other content than its digest says")
     try:
-        return tuple((kind, entry) for kind, entry in json.loads(text))
+        entries = tuple((str(kind), dict(entry)) for kind, entry in json.loads(text))
     except (TypeError, ValueError) as error:
         raise ChunkError(f"chunk {digest[:12]} is not a list of entries") from error
+    return entries
 
 
 def encode_chunk(text: str) -> dict[str, Any]:
@@ -280,6 +292,7 @@
             change["apply_id"],
             change["author"],
             tuple(change["changes"]),
+            change["content"],
         )
         for change in value["history"]
     )
--- a/src/radishtrack/config/state.py
+++ b/src/radishtrack/config/state.py
@@ -6,15 +6,13 @@
 from typing import Any, Final
 
 import attrs
-from expression import Error, Ok, Result
 
 from radishtrack._sealed import open_copy, seal_copy
 from radishtrack._validation import Problem
-from radishtrack.config._parse import read_parts
+from radishtrack.config._parse import Parts, check_parts, join_parts, read_single_parts
 from radishtrack.config.chunk import (
     EMPTY_MANIFEST,
     ChunkError,
-    Entry,
     Manifest,
     decode_manifest,
     encode_manifest,
@@ -60,8 +58,8 @@
     document: Document = attrs.field(factory=lambda: make_document((), (), (), ()))
     texts: dict[str, str] = attrs.field(factory=dict)
     """Chunks of the revision in force, by digest."""
-    entries: dict[str, tuple[Entry, ...]] = attrs.field(factory=dict)
-    """The same chunks, parsed."""
+    parts: dict[str, Parts] = attrs.field(factory=dict)
+    """The same chunks, read. A change costs reading one chunk, not all."""
     rejected: int = 0
     """The last rejected revision, which is reported once."""
 
@@ -91,19 +89,15 @@
             for digest in manifest.chunks
         }
         try:
-            entries = {
-                digest: self.entries.get(digest) or read_chunk(digest, text)
+            parts = {
+                digest: self.parts.get(digest) or _read_chunk_parts(digest, text)
                 for digest, text in texts.items()
             }
+            document = _join_document(parts.values())
         except ChunkError as error:
             return self._reject(manifest.revision, str(error))
-        result = build_document(
-            entry for digest in manifest.chunks for entry in entries[digest]
-        )
-        if result.is_error():
-            return self._reject(manifest.revision, result.error)
-        self.manifest, self.document = manifest, result.ok
-        self.texts, self.entries = texts, entries
+        self.manifest, self.document = manifest, document
+        self.texts, self.parts = texts, parts
         log_event(
             Event.CONFIGURATION_ACCEPTED,
             revision=manifest.revision,
@@ -158,24 +152,49 @@
     return ConfigurationState()
 
 
-def build_document(entries: Iterable[Entry]) -> Result[Document, str]:
-    """Return the valid document of entries, or what is wrong with them."""
+def build_document(chunks: Mapping[str, str]) -> Document:
+    """Return the document that chunks hold.
+
+    Parameters
+    ----------
+    chunks : mapping
+        Texts by digest.
+
+    Raises
+    ------
+    ChunkError
+        If a chunk is damaged or the document is not valid.
+    """
+    return _join_document(
+        _read_chunk_parts(digest, text) for digest, text in chunks.items()
+    )
+
+
+def _read_chunk_parts(digest: str, text: str) -> Parts:
+    problems: list[Problem] = []
+    content = join_entries(read_chunk(digest, text))
+    parts = read_single_parts(content, problems)
+    _refuse_problems(problems)
+    return parts
+
+
+def _join_document(several: Iterable[Parts]) -> Document:
     problems: list[Problem] = []
-    try:
-        parts = read_parts(join_entries(entries), problems)
-    except (TypeError, ValueError, AttributeError) as error:
-        return Error(f"entries are not a configuration: {error}")
+    parts = join_parts(several)
+    check_parts(parts, problems)
+    _refuse_problems(problems)
+    return make_document(
+        parts.owners, parts.organisations, parts.databases, parts.services
+    )
+
+
+def _refuse_problems(problems: list[Problem]) -> None:
     if problems:
         first = problems[0]
-        return Error(
+        raise ChunkError(
             f"{first.key}: expected {first.expected}, found {first.found}"
             f" ({len(problems)} faults in all)"
         )
-    return Ok(
-        make_document(
-            parts.owners, parts.organisations, parts.databases, parts.services
-        )
-    )
 
 
 def _get_revision(value: Mapping[str, Any]) -> int:
--- a/src/radishtrack/config/store.py
+++ b/src/radishtrack/config/store.py
@@ -14,14 +14,13 @@
     EMPTY_MANIFEST,
     AppliedChange,
     ChunkError,
-    Entry,
     Manifest,
+    compute_content,
     decode_chunk,
     decode_manifest,
     encode_chunk,
     encode_manifest,
     make_next_manifest,
-    read_chunk,
     split_document,
 )
 from radishtrack.config.document import Document
@@ -55,6 +54,10 @@
     """Raised if the platform does not answer a read."""
 
 
+class ApplyMismatch(ValueError):
+    """Raised if an attempt is repeated with another content."""
+
+
 @attrs.define(frozen=True)
 class ObjectStore:
     """The platform operations that applying needs.
@@ -136,16 +139,11 @@
     StoreUnavailable
         If the platform does not answer.
     ChunkError
-        If a chunk is missing or damaged.
+        If a chunk is missing or damaged, or the document is not valid.
     """
     manifest, version = await _fetch_manifest(store)
-    entries: list[Entry] = []
-    for digest in manifest.chunks:
-        entries.extend(read_chunk(digest, await _fetch_chunk(store, digest)))
-    result = build_document(entries)
-    if result.is_error():
-        raise ChunkError(f"revision {manifest.revision} is not valid: {result.error}")
-    return Revision(manifest, version, result.ok)
+    chunks = {digest: await _fetch_chunk(store, digest) for digest in manifest.chunks}
+    return Revision(manifest, version, build_document(chunks))
 
 
 async def apply_document(
@@ -176,14 +174,21 @@
     ------
     StoreUnavailable
         If the platform does not answer before anything was written.
+    ApplyMismatch
+        If an attempt with the same identifier applied another content.
     """
     present = await fetch_revision(store)
     manifest = present.manifest
+    chunks = split_document(document)
     if done := manifest.find_apply(apply_id):
+        if done.content != compute_content(chunks):
+            raise ApplyMismatch(
+                f"attempt {apply_id} applied another content as revision "
+                f"{done.revision} by {done.author}"
+            )
         return Applied(done.revision, done.changes)
     if manifest.revision != seen:
         return _lose_race(seen, manifest)
-    chunks = split_document(document)
     if set(chunks) == set(manifest.chunks):
         return Unchanged(manifest.revision)
     for digest in sorted(set(chunks) - set(manifest.chunks)):
--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -32,6 +32,8 @@
     CONFIGURATION_ACCEPTED = (5001, "info", "configuration revision in force")
     CONFIGURATION_REJECTED = (5002, "error", "configuration revision rejected")
     CONFIGURATION_COPIED = (5003, "warning", "configuration taken from peers")
+    TASK_FAILED = (1090, "error", "task failed; node stops")
+    GROUP_RECORD_INVALID = (3090, "error", "group record can not be read")
     PEER_REFUSED = (6001, "warning", "peer connection refused")
     PEER_LOST = (6002, "warning", "peer connection lost")
     COPY_REJECTED = (6003, "warning", "copy from a peer is not authentic")
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -17,6 +17,7 @@
     MAX_CHUNK_BYTES,
     AppliedChange,
     ChunkError,
+    compute_content,
     decode_manifest,
     split_document,
 )
@@ -31,6 +32,7 @@
 )
 from radishtrack.config.store import (
     Applied,
+    ApplyMismatch,
     ApplyResult,
     LostRace,
     ObjectStore,
@@ -95,7 +97,9 @@
     await apply_rate(store, 2, seen=1, author="mari")
     change = "changed organisation org-0: rate 1 -> 2"
     result = await apply_rate(store, 3, seen=1, author="jaan")
-    assert result == LostRace(1, 2, (AppliedChange(2, "mari-2", "mari", (change,)),))
+    content = compute_content(split_document(make_fleet(2)))
+    won = AppliedChange(2, "mari-2", "mari", (change,), content)
+    assert result == LostRace(1, 2, (won,))
     assert await fetch_rate(store) == 2
 
 
@@ -153,6 +157,14 @@
     assert await fetch_rate(store) == 2
 
 
+async def test_an_attempt_repeated_with_an_edited_file_is_refused() -> None:
+    store = MemoryPlatform().make_store()
+    await apply_rate(store, 1, seen=0, author="kari", apply_id="a")
+    with pytest.raises(ApplyMismatch, match="revision 1 by kari"):
+        await apply_rate(store, 2, seen=0, author="kari", apply_id="a")
+    assert await fetch_rate(store) == 1
+
+
 @settings(derandomize=True, deadline=None, max_examples=60)
 @given(
     faults=st.lists(st.sampled_from(FAULTS), max_size=12),
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -26,7 +26,7 @@
 
 SECRET = "a peer secret of the fleet"
 NONCE = bytes(range(1, 21))
-ISSUED = issue_key("verksted", secrets.token_bytes)
+ISSUED = issue_key("verksted", lambda count: bytes(range(count)))
 
 
 def make_value(*key_ids: str, revoked: tuple[str, ...] = ()) -> dict[str, Any]:
@@ -196,6 +196,7 @@
         "now",
     )
     assert ISSUED.text not in str(platform.objects)
+    assert platform.written_kinds == ["keys", "keys"]
 
 
 async def test_an_unknown_key_or_a_dead_platform_is_an_error() -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -154,6 +154,14 @@
     assert list_avoided(membership, 1) == []
 
 
+def test_an_answer_of_an_earlier_incarnation_changes_nothing() -> None:
+    membership = make_view()
+    membership.note_answer("n001", 7)
+    membership.note_refusal("n001", 0)
+    membership.note_answer("n001", 6)
+    assert list_avoided(membership, 1) == ["n001"]
+
+
 def test_a_leaving_node_stays_so_until_a_later_incarnation_answers() -> None:
     membership = make_view()
     membership.note_leaving("n001", 7, 0)
