--- a/src/radishtrack/routing/_form.py
+++ b/src/radishtrack/routing/_form.py
@@ -43,8 +43,8 @@
     "number": "0",
     "executable": "\x01",
     "comment": " ",
-    # The parser takes any double dash for a comment, MySQL takes this one for two
-    # signs.
+    # Two signs. A comment after them becomes a space, which would make the double dash
+    # the start of a comment.
     "minus": "- -",
     "broken": "\x02",
 }
--- a/src/radishtrack/routing/route.py
+++ b/src/radishtrack/routing/route.py
@@ -134,6 +134,7 @@
 _SESSION: Final = EffectiveClass(ReadClass.SESSION)
 _PRIMARY: Final = EffectiveClass(ReadClass.PRIMARY)
 _STRICT_ROUND: Final = StrictRound()
+_START: Final = Position(0, 0)
 
 
 def effective_class(
@@ -269,18 +270,14 @@
     for member, status in request.statuses.items():
         if member in request.leaving or member == group.primary:
             continue
-        if status.role is not Role.REPLICA or status.term != group.term:
+        if status.role is not Role.REPLICA:
             continue
         if is_aged and not _is_young(request, member):
             continue
-        needed = request.position or _START
-        if contains_position(status, needed, group):
+        if contains_position(status, request.position or _START, group):
             yield member
 
 
-_START: Final = Position(0, 0)
-
-
 def _is_young(request: ReadRequest, member: str) -> bool:
     age_ms = request.ages_ms.get(member)
     return age_ms is not None and age_ms <= request.effective.max_age_ms
