Refuse statements that name system schemas

A client could send CALL sys.group_fence(9): a call is not parsed, so it was classified as a write and would have ended the term of a database group. Table names of parsed statements, schemas of function calls, and the text of statements that are not parsed are now checked. An alias named sys stays usable.

--- a/src/radishtrack/routing/_rules.py
+++ b/src/radishtrack/routing/_rules.py
@@ -140,6 +140,11 @@
     r"\bLAST_INSERT_ID\s*\(\s*[^\s)]",
     _I,
 )
+SYSTEM_NAME: Final = re.compile(
+    r"(?<![\w$])`?(?:mysql|performance_schema|sys)`?\s*\.|"
+    r"USE\s+`?(?:mysql|performance_schema|sys)\b|\bprocesslist\b",
+    _I,
+)
 SYSTEM_SCHEMAS: Final = frozenset({"mysql", "performance_schema", "sys"})
 SYSTEM_TABLES: Final = frozenset({"processlist", "innodb_trx", "user_privileges"})
 
--- a/src/radishtrack/routing/statement.py
+++ b/src/radishtrack/routing/statement.py
@@ -149,7 +149,10 @@
     for pattern, reason in _rules.REFUSED:
         if pattern.match(text):
             return _refuse(text, reason)
-    return _classify_simple(text) or _classify_parsed(text)
+    tree = _parse(text)
+    if _names_system_schema(text, tree):
+        return _refuse(text, "system schemas are reserved to the database's operators")
+    return _classify_simple(text) or _classify_parsed(text, tree)
 
 
 def _refuse(text: str, reason: str) -> Statement:
@@ -209,11 +212,8 @@
     return None
 
 
-def _classify_parsed(text: str) -> Statement:
-    tree = _parse(text)
+def _classify_parsed(text: str, tree: exp.Expression | None) -> Statement:
     tables = () if tree is None else tuple(dict.fromkeys(_iterate_tables(tree)))
-    if any(_is_system_table(table) for table in tables):
-        return _refuse(text, "this system table would show the work of other clients")
     is_read = (
         tree is not None
         and _rules.QUERY.match(text) is not None
@@ -283,6 +283,15 @@
             yield f"{table.db}.{table.name}" if table.db else table.name
 
 
+def _names_system_schema(text: str, tree: exp.Expression | None) -> bool:
+    if tree is None:
+        return _rules.SYSTEM_NAME.search(text) is not None
+    calls = (dot.this.name.lower() for dot in tree.find_all(exp.Dot))
+    return any(_is_system_table(table) for table in _iterate_tables(tree)) or any(
+        schema in _rules.SYSTEM_SCHEMAS for schema in calls
+    )
+
+
 def _is_system_table(table: str) -> bool:
     schema, _, name = table.lower().rpartition(".")
     return schema in _rules.SYSTEM_SCHEMAS or (
