--- /dev/null
+++ b/src/radishtrack/bench/experiment.py
@@ -0,0 +1,310 @@
+"""Experiments and targets as TOML, validated as a whole."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from typing import Any, Final, TypeVar
+
+import attrs
+from expression import Error, Ok, Result
+
+SIGNALS: Final = ("SIGTERM", "SIGKILL", "SIGSTOP", "SIGCONT")
+CARRIERS: Final = ("attribute", "comment")
+
+_T = TypeVar("_T")
+
+
+@attrs.define(frozen=True)
+class Problem:
+    """One thing that is wrong in a TOML text.
+
+    Parameters
+    ----------
+    place : str
+        Where it is, for example ``"organisations[2].limit_per_s"``.
+    reason : str
+        What is wrong.
+    """
+
+    place: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.reason}"
+
+
+def _positive() -> Any:
+    return attrs.field(metadata={"above": 0})
+
+
+@attrs.define(frozen=True)
+class OrganisationLoad:
+    """The load that one organisation offers.
+
+    Parameters
+    ----------
+    name : str
+        The organisation, which is also the MySQL user.
+    offered_per_s : float
+        Statements that it sends in a second.
+    limit_per_s : float
+        Rate that it is entitled to; 0 for no limit.
+    burst : float
+        Statements that it may send at once.
+    sessions : int
+        Number of its connections.
+    """
+
+    name: str
+    offered_per_s: float = _positive()
+    limit_per_s: float = 0.0
+    burst: float = 0.0
+    sessions: int = attrs.field(default=2, metadata={"above": 0})
+
+
+@attrs.define(frozen=True)
+class Mix:
+    """Relative frequency of each operation; `max_age_ms` is that of aged reads."""
+
+    booking: float = 0.0
+    status: float = 0.0
+    aged: float = 0.0
+    session_read: float = 0.0
+    receipt: float = 0.0
+    max_age_ms: int = attrs.field(default=2000, metadata={"above": 0})
+
+
+@attrs.define(frozen=True)
+class Overload:
+    """One organisation sends a multiple of its load for a time."""
+
+    organisation: str
+    factor: float = _positive()
+    end_s: float = _positive()
+    start_s: float = 0.0
+
+
+@attrs.define(frozen=True)
+class Roaming:
+    """Sessions move to another address after each period; 0 for never.
+
+    `carrier` is how the new connection gets the token.
+    """
+
+    every_s: float = 0.0
+    carrier: str = "attribute"
+
+
+@attrs.define(frozen=True)
+class Fault:
+    """Something that is done to a named process or control port.
+
+    Parameters
+    ----------
+    at_s : float
+        Time from the start of the load, in seconds.
+    target : str
+        Name under which the targets list the process or the control port.
+    body : dict
+        JSON body of an HTTP POST to the control port.
+    signal : str
+        Signal for the process; empty for an HTTP POST.
+    """
+
+    at_s: float
+    target: str
+    body: dict[str, Any] = attrs.field(factory=dict)
+    signal: str = ""
+
+
+@attrs.define(frozen=True)
+class Experiment:
+    """One load with its faults."""
+
+    name: str
+    organisations: tuple[OrganisationLoad, ...]
+    mix: Mix
+    duration_s: float = _positive()
+    database: str = ""
+    seed: int = 1
+    statement_timeout_s: float = attrs.field(default=10.0, metadata={"above": 0})
+    receipt_attempts: int = attrs.field(default=3, metadata={"above": 0})
+    queue_limit: int = attrs.field(default=2000, metadata={"above": 0})
+    overloads: tuple[Overload, ...] = ()
+    roaming: Roaming = attrs.field(factory=Roaming)
+    faults: tuple[Fault, ...] = ()
+
+
+@attrs.define(frozen=True)
+class Targets:
+    """Where the load goes; given by whoever started the processes.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        MySQL addresses as ``host:port``.
+    keys : dict
+        Password of each organisation.
+    default_key : str
+        Password of organisations without an entry in `keys`.
+    user : str
+        MySQL user for all organisations; empty to use the organisation's name.
+    database : str
+        Overrides the database of the experiment.
+    controls : dict
+        URL of each control port by name.
+    pids : dict
+        Process number of each process by name.
+    measured_pids : tuple of int
+        Processes whose CPU time is reported.
+    dump : tuple of str
+        Addresses of the database members; the rows of the primary among them count.
+    dump_user, dump_password, dump_database : str
+        Login for the dump.
+    metrics : tuple of str
+        URLs of the proxies' metrics.
+    reads_metric, reads_label : str
+        Counter of reads, and its label that is ``replica`` or ``primary``.
+    """
+
+    addresses: tuple[str, ...]
+    keys: dict[str, str] = attrs.field(factory=dict)
+    default_key: str = ""
+    user: str = ""
+    database: str = ""
+    controls: dict[str, str] = attrs.field(factory=dict)
+    pids: dict[str, int] = attrs.field(factory=dict)
+    measured_pids: tuple[int, ...] = ()
+    dump: tuple[str, ...] = ()
+    dump_user: str = ""
+    dump_password: str = ""
+    dump_database: str = ""
+    metrics: tuple[str, ...] = ()
+    reads_metric: str = "radishtrack_reads_total"
+    reads_label: str = "role"
+
+
+def parse_experiment(text: str) -> Result[Experiment, tuple[Problem, ...]]:
+    """Read an experiment and check it as a whole.
+
+    Parameters
+    ----------
+    text : str
+        TOML text.
+
+    Returns
+    -------
+    Result
+        The experiment, or everything that is wrong with it.
+    """
+    return _parse(Experiment, text, _iterate_experiment_problems)
+
+
+def parse_targets(text: str) -> Result[Targets, tuple[Problem, ...]]:
+    """Read the targets and check them as a whole."""
+    return _parse(Targets, text, _iterate_target_problems)
+
+
+def _parse(kind: type[_T], text: str, check: Any) -> Result[_T, tuple[Problem, ...]]:
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Error((Problem("text", str(error)),))
+    problems: list[Problem] = []
+    value = _read(kind, table, "", problems)
+    if not problems:
+        problems.extend(check(value))
+    return Error(tuple(problems)) if problems else Ok(value)
+
+
+def _read(kind: Any, table: Any, place: str, problems: list[Problem]) -> Any:
+    if not isinstance(table, dict):
+        problems.append(Problem(place, "must be a table"))
+        return None
+    attrs.resolve_types(kind)
+    fields = {field.name: field for field in attrs.fields(kind)}
+    prefix = f"{place}." if place else ""
+    problems.extend(
+        Problem(prefix + name, "unknown name") for name in table if name not in fields
+    )
+    values = {}
+    for name, field in fields.items():
+        if name in table:
+            found = _read_value(field.type, table[name], prefix + name, problems)
+            limit = field.metadata.get("above")
+            if limit is not None and found is not None and not found > limit:
+                problems.append(Problem(prefix + name, f"must be above {limit}"))
+            values[name] = found
+        elif field.default is attrs.NOTHING:
+            problems.append(Problem(prefix + name, "missing"))
+    return None if problems else kind(**values)
+
+
+def _read_value(kind: Any, value: Any, place: str, problems: list[Problem]) -> Any:
+    if attrs.has(kind):
+        return _read(kind, value, place, problems)
+    if getattr(kind, "__origin__", None) is tuple:
+        if not isinstance(value, list):
+            problems.append(Problem(place, "must be a list"))
+            return None
+        return tuple(
+            _read_value(kind.__args__[0], item, f"{place}[{index}]", problems)
+            for index, item in enumerate(value)
+        )
+    if kind is float and isinstance(value, int) and not isinstance(value, bool):
+        value = float(value)
+    expected = getattr(kind, "__origin__", kind)
+    if not isinstance(value, expected) or isinstance(value, bool):
+        problems.append(Problem(place, f"must be a {expected.__name__}"))
+        return None
+    return value
+
+
+def _iterate_experiment_problems(found: Experiment) -> Iterator[Problem]:
+    names = [organisation.name for organisation in found.organisations]
+    if not names:
+        yield Problem("organisations", "at least one is needed")
+    if len(set(names)) < len(names):
+        yield Problem("organisations", "a name occurs twice")
+    for index, organisation in enumerate(found.organisations):
+        if organisation.limit_per_s < 0 or organisation.burst < 0:
+            yield Problem(f"organisations[{index}]", "limits must not be negative")
+    mix = found.mix
+    weights = (mix.booking, mix.status, mix.aged, mix.session_read, mix.receipt)
+    if min(weights) < 0 or sum(weights) <= 0:
+        yield Problem("mix", "needs non-negative weights, one of them positive")
+    for index, overload in enumerate(found.overloads):
+        if overload.organisation not in names:
+            yield Problem(f"overloads[{index}].organisation", "unknown organisation")
+        if not 0 <= overload.start_s < overload.end_s <= found.duration_s:
+            yield Problem(f"overloads[{index}]", "must lie within the duration")
+    if found.roaming.every_s < 0 or found.roaming.carrier not in CARRIERS:
+        yield Problem("roaming", f"needs every_s >= 0 and carrier of {CARRIERS}")
+    for index, fault in enumerate(found.faults):
+        if not 0 <= fault.at_s <= found.duration_s:
+            yield Problem(f"faults[{index}].at_s", "must lie within the duration")
+        if fault.signal and (fault.signal not in SIGNALS or fault.body):
+            yield Problem(f"faults[{index}]", f"needs a body or one of {SIGNALS}")
+
+
+def _iterate_target_problems(found: Targets) -> Iterator[Problem]:
+    if not found.addresses:
+        yield Problem("addresses", "at least one is needed")
+    for index, address in enumerate((*found.addresses, *found.dump)):
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+            yield Problem(f"address {index}", "must be host:port")
+    for name, pid in found.pids.items():
+        if pid <= 1:
+            yield Problem(f"pids.{name}", "must be above 1")
+
+
+def iterate_missing_targets(
+    experiment: Experiment, targets: Targets
+) -> Iterator[Problem]:
+    """Name the faults whose process or control port the targets do not list."""
+    for index, fault in enumerate(experiment.faults):
+        known = targets.pids if fault.signal else targets.controls
+        if fault.target not in known:
+            yield Problem(f"faults[{index}].target", f"no target {fault.target!r}")
--- /dev/null
+++ b/src/radishtrack/bench/observe.py
@@ -0,0 +1,222 @@
+"""What is read from outside the load: rows, metrics and CPU time; and the faults."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+import attrs
+from prometheus_client.parser import text_string_to_metric_families
+
+from radishtrack.bench.client import (
+    BOOKING_TABLE,
+    RECEIPT_TABLE,
+    Login,
+    ReachError,
+    open_connection,
+    run_statement,
+)
+from radishtrack.bench.experiment import Experiment, Fault, Targets
+from radishtrack.bench.ledger import Told
+from radishtrack.bench.schedule import Operation
+
+DUMP_TIMEOUT_S: Final = 30.0
+DUMP_PAUSE_S: Final = 0.5
+HTTP_TIMEOUT_S: Final = 5.0
+STATUS_SQL: Final = (
+    "SELECT member, term, fenced_term, role, position_term, position_sequence"
+    " FROM performance_schema.database_group_status"
+)
+TABLES_SQL: Final = (
+    f"CREATE TABLE IF NOT EXISTS {BOOKING_TABLE} (id BIGINT AUTO_INCREMENT PRIMARY "
+    "KEY, organisation VARCHAR(64), marker VARCHAR(64), state VARCHAR(16))",
+    f"CREATE TABLE IF NOT EXISTS {RECEIPT_TABLE} (id BIGINT AUTO_INCREMENT PRIMARY "
+    "KEY, organisation VARCHAR(64), marker VARCHAR(64), amount BIGINT)",
+    f"CREATE INDEX {BOOKING_TABLE}_marker ON {BOOKING_TABLE} (marker)",
+)
+
+
+@attrs.define(frozen=True)
+class FaultRecord:
+    """A fault as it was done; `error` is empty if it was accepted."""
+
+    at_ms: float
+    name: str
+    error: str = ""
+
+
+@attrs.define(frozen=True)
+class ReadCounts:
+    """Reads by the role of the member that served them."""
+
+    replica: float = 0.0
+    primary: float = 0.0
+
+    @property
+    def replica_share(self) -> float | None:
+        """The share of reads that replicas served; None without reads."""
+        total = self.replica + self.primary
+        return self.replica / total if total > 0 else None
+
+    def minus(self, earlier: ReadCounts) -> ReadCounts:
+        """Return the reads since `earlier`."""
+        return ReadCounts(
+            self.replica - earlier.replica, self.primary - earlier.primary
+        )
+
+
+async def find_primary(targets: Targets) -> Login | None:
+    """Return the login of the primary of the highest term among the members."""
+    found: list[tuple[int, Login]] = []
+    for address in targets.dump:
+        login = Login(
+            address, targets.dump_user, targets.dump_password, targets.dump_database
+        )
+        term = await _read_primary_term(login)
+        if term is not None:
+            found.append((term, login))
+    return max(found, key=lambda pair: pair[0])[1] if found else None
+
+
+async def _read_primary_term(login: Login) -> int | None:
+    try:
+        connection = await open_connection(login, HTTP_TIMEOUT_S)
+    except ReachError:
+        return None
+    answer = await run_statement(connection, STATUS_SQL, HTTP_TIMEOUT_S)
+    connection.close()
+    if answer.told is not Told.OK or not answer.rows:
+        return 0
+    _, term, fenced_term, role, *_ = answer.rows[0]
+    is_primary = role == "primary" and int(term) == int(fenced_term)
+    return int(term) if is_primary else None
+
+
+async def run_on_primary(targets: Targets, statements: tuple[str, ...]) -> None:
+    """Run statements directly on the primary; errors of the database are ignored.
+
+    Raises
+    ------
+    ReachError
+        If no member says that it is the primary.
+    """
+    login = await find_primary(targets)
+    if login is None:
+        raise ReachError(Told.NOT_CONNECTED)
+    connection = await open_connection(login, HTTP_TIMEOUT_S)
+    for sql in statements:
+        await run_statement(connection, sql, HTTP_TIMEOUT_S)
+    connection.close()
+
+
+async def dump_markers(targets: Targets, run: str) -> dict[Operation, list[str]] | None:
+    """Return the markers of a run's rows on the primary.
+
+    Returns
+    -------
+    dict or None
+        None if no primary answered in time, or the targets name no members.
+    """
+    if not targets.dump:
+        return None
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + DUMP_TIMEOUT_S
+    while loop.time() < deadline:
+        login = await find_primary(targets)
+        rows = None if login is None else await _read_markers(login, run)
+        if rows is not None:
+            return rows
+        await asyncio.sleep(DUMP_PAUSE_S)
+    return None
+
+
+async def _read_markers(login: Login, run: str) -> dict[Operation, list[str]] | None:
+    try:
+        connection = await open_connection(login, HTTP_TIMEOUT_S)
+    except ReachError:
+        return None
+    tables = ((Operation.BOOKING, BOOKING_TABLE), (Operation.RECEIPT, RECEIPT_TABLE))
+    rows: dict[Operation, list[str]] = {}
+    for operation, table in tables:
+        sql = f"SELECT marker FROM {table} WHERE marker LIKE '{run}-%'"
+        answer = await run_statement(connection, sql, DUMP_TIMEOUT_S)
+        if answer.told is not Told.OK:
+            connection.close()
+            return None
+        rows[operation] = [str(row[0]) for row in answer.rows]
+    connection.close()
+    return rows
+
+
+async def read_counts(targets: Targets) -> ReadCounts | None:
+    """Add up the reads of all proxies; None if the targets name no metrics."""
+    if not targets.metrics:
+        return None
+    totals = {"replica": 0.0, "primary": 0.0}
+    timeout = aiohttp.ClientTimeout(total=HTTP_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        for url in targets.metrics:
+            try:
+                async with http.get(url) as response:
+                    text = await response.text()
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+            for role, value in _iterate_reads(text, targets):
+                totals[role] += value
+    return ReadCounts(totals["replica"], totals["primary"])
+
+
+def _iterate_reads(text: str, targets: Targets) -> Iterator[tuple[str, float]]:
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            role = sample.labels.get(targets.reads_label)
+            if sample.name == targets.reads_metric and role in ("replica", "primary"):
+                yield role, sample.value
+
+
+def read_cpu_s(pids: tuple[int, ...]) -> float:
+    """Return the CPU time of processes so far, in seconds; ended ones count 0."""
+    ticks = 0
+    for pid in pids:
+        try:
+            text = Path(f"/proc/{pid}/stat").read_text()
+        except OSError:
+            continue
+        # The name in parentheses may contain spaces; user and system time are the
+        # 12th and 13th fields after it.
+        fields = text.rpartition(")")[2].split()
+        ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+async def run_faults(
+    experiment: Experiment, targets: Targets, started_s: float
+) -> list[FaultRecord]:
+    """Do the experiment's faults at their times."""
+    loop = asyncio.get_running_loop()
+    records = []
+    for fault in sorted(experiment.faults, key=lambda fault: fault.at_s):
+        await asyncio.sleep(max(0.0, started_s + fault.at_s - loop.time()))
+        error = await _do_fault(fault, targets)
+        name = f"{fault.signal or fault.body} {fault.target}"
+        records.append(FaultRecord((loop.time() - started_s) * 1000, name, error))
+    return records
+
+
+async def _do_fault(fault: Fault, targets: Targets) -> str:
+    try:
+        if fault.signal:
+            os.kill(targets.pids[fault.target], signal.Signals[fault.signal])
+            return ""
+        timeout = aiohttp.ClientTimeout(total=HTTP_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as http:
+            url = targets.controls[fault.target]
+            async with http.post(url, json=fault.body) as response:
+                return "" if response.status < 300 else f"HTTP {response.status}"
+    except (OSError, aiohttp.ClientError, KeyError) as error:
+        return f"{type(error).__name__}: {error}"
