Make the pass-through accept any login and report judgement counts

The pass-through asked the driver's result for an attribute that it doesn't have and refused every statement; it now tells rows from none by the column description.

--- a/src/radishtrack/bench/passthrough.py
+++ b/src/radishtrack/bench/passthrough.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import logging
 import signal
 from collections.abc import Sequence
@@ -18,7 +19,7 @@
 import pymysql
 import uvloop
 from mysql_mimic import packets
-from mysql_mimic.auth import SimpleIdentityProvider
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
 from mysql_mimic.connection import Connection
 from mysql_mimic.control import LocalControl
 from mysql_mimic.results import ResultColumn, ResultSet
@@ -41,6 +42,24 @@
     password: str
 
 
+class _AnyPassword(NativePasswordAuthPlugin):  # type: ignore[misc]
+    """Costs as much as a real check, and accepts everything."""
+
+    def password_matches(self, **kwargs: Any) -> bool:
+        super().password_matches(**kwargs)
+        return True
+
+
+class _AnyUser(IdentityProvider):  # type: ignore[misc]
+    """Accepts every user."""
+
+    def get_plugins(self) -> Sequence[Any]:
+        return [_AnyPassword()]
+
+    async def get_user(self, username: str) -> Any:
+        return User(name=username, auth_plugin=_AnyPassword.name)
+
+
 class PassthroughSession(BaseSession):  # type: ignore[misc]
     """Passes each statement to the client's own connection to the target."""
 
@@ -79,7 +98,7 @@
         """Run one statement; returns None for a statement without rows."""
         await self.upstream.query(sql)
         result = self.upstream._result
-        if not result.has_result and result.description is None:
+        if result.description is None:
             return None
         columns = [_make_column(field) for field in result.description]
         return ResultSet(rows=result.rows, columns=columns)
@@ -151,14 +170,12 @@
             stream=MysqlStream(reader, writer),
             session=PassthroughSession(target),
             control=LocalControl(),
-            identity_provider=SimpleIdentityProvider(),
+            identity_provider=_AnyUser(),
         )
-        try:
+        ended = (ConnectionError, EOFError, pymysql.err.MySQLError)
+        with contextlib.suppress(*ended, asyncio.CancelledError):
             await connection.start()
-        except (ConnectionError, pymysql.err.MySQLError, EOFError):
-            pass
-        finally:
-            writer.close()
+        writer.close()
 
     return await asyncio.start_server(serve, HOST, port)
 
--- a/src/radishtrack/bench/report.py
+++ b/src/radishtrack/bench/report.py
@@ -22,6 +22,7 @@
 MICROSECONDS_PER_SECOND: Final = 1_000_000
 LONGEST_LATENCY_US: Final = 3_600_000_000
 SIGNIFICANT_FIGURES: Final = 3
+SHOWN_MARKERS: Final = 10
 REFUSALS: Final = frozenset(
     {Told.REFUSED, Told.OVER_RATE, Told.NO_SERVICE, Told.DRAINING}
 )
@@ -325,6 +326,16 @@
             f"{service.served:>6} {service.share:>6.3f} {service.refused:>7} "
             f"{service.refused_within_rate:>8}"
         )
+    if run.judgement is not None:
+        judged = run.judgement
+        yield (
+            f"  writes: {judged.acknowledged} acknowledged, {judged.not_run} not run, "
+            f"{judged.unknown} unknown ({judged.unknown_present} of them present); "
+            f"{judged.rows_expected} rows expected by reads"
+        )
+        broken = (*judged.lost, *judged.duplicated, *judged.ran_although_refused)
+        if broken:
+            yield f"  broken promises: {', '.join(broken[:SHOWN_MARKERS])}"
     for fault in run.faults:
         error = f" ({fault.error})" if fault.error else ""
         yield f"  fault at {fault.at_ms / 1000:.2f} s: {fault.name}{error}"
