--- a/src/radishtrack/bench/client.py
+++ b/src/radishtrack/bench/client.py
@@ -14,8 +14,6 @@
 from radishtrack.bench.ledger import Ledger, MissedRow, Told, Write, classify_error
 from radishtrack.bench.schedule import Arrival, Operation
 
-BOOKING_TABLE: Final = "bench_booking"
-RECEIPT_TABLE: Final = "bench_receipt"
 RECONNECT_PAUSE_S: Final = 0.05
 SESSION_ATTRIBUTE: Final = "radishtrack_session"
 
@@ -163,36 +161,39 @@
 def make_request(world: World, session: Session, arrival: Arrival) -> Request:
     """Return the statement of one request, as of now."""
     operation, own = arrival.operation, session.own_marker
+    experiment = world.experiment
     marker = make_marker(world, arrival)
     if operation is Operation.BOOKING:
         return Request(
-            f"INSERT INTO {BOOKING_TABLE} (organisation, marker, state) VALUES "
-            f"('{arrival.organisation}', '{marker}', 'taken')"
+            f"INSERT INTO {experiment.booking_table} (organisation, marker, state) "
+            f"VALUES ('{arrival.organisation}', '{marker}', 'taken')"
         )
     if operation is Operation.RECEIPT:
         return Request(
-            f"/*radishtrack request_id={marker}*/ INSERT INTO {RECEIPT_TABLE} "
-            f"(organisation, marker, amount) VALUES "
-            f"('{arrival.organisation}', '{marker}', {arrival.number})"
+            f"/*radishtrack request_id={marker}*/ "
+            f"INSERT INTO {experiment.receipt_table} (organisation, marker, amount) "
+            f"VALUES ('{arrival.organisation}', '{marker}', {arrival.number})"
         )
     if operation is Operation.STATUS:
         other = world.ledger.latest_before(world.now_ms())
-        return _make_read("/*radishtrack class=strict*/ ", own, other)
+        return _make_read(experiment, "/*radishtrack class=strict*/ ", own, other)
     if operation is Operation.AGED:
-        age_ms = world.experiment.mix.max_age_ms
+        age_ms = experiment.mix.max_age_ms
         other = world.ledger.latest_before(world.now_ms() - age_ms)
-        return _make_read(
-            f"/*radishtrack class=aged max_age_ms={age_ms}*/ ", own, other
-        )
-    return _make_read("", own, None)
+        options = f"/*radishtrack class=aged max_age_ms={age_ms}*/ "
+        return _make_read(experiment, options, own, other)
+    return _make_read(experiment, "", own, None)
 
 
-def _make_read(options: str, own: str, other: str | None) -> Request:
+def _make_read(
+    experiment: Experiment, options: str, own: str, other: str | None
+) -> Request:
     expected = [(own, True)] if own else []
     if other is not None and other != own:
         expected.append((other, False))
     markers = ", ".join(f"'{marker}'" for marker, _ in expected) or "'none'"
-    sql = f"{options}SELECT marker FROM {BOOKING_TABLE} WHERE marker IN ({markers})"
+    table = experiment.booking_table
+    sql = f"{options}SELECT marker FROM {table} WHERE marker IN ({markers})"
     return Request(sql, tuple(expected))
 
 
--- a/src/radishtrack/bench/experiment.py
+++ b/src/radishtrack/bench/experiment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from collections.abc import Iterator
 from typing import Any, Final, TypeVar
@@ -11,6 +12,11 @@
 
 SIGNALS: Final = ("SIGTERM", "SIGKILL", "SIGSTOP", "SIGCONT")
 CARRIERS: Final = ("attribute", "comment")
+PRIMARY: Final = "primary"
+"""Fault target that stands for the primary at that moment."""
+PREVIOUS: Final = "previous"
+"""Fault target that stands for the member last found as the primary."""
+_TABLE_NAME: Final = re.compile(r"[a-z_][a-z0-9_]{0,40}", re.ASCII)
 
 _T = TypeVar("_T")
 
@@ -105,7 +111,8 @@
     at_s : float
         Time from the start of the load, in seconds.
     target : str
-        Name under which the targets list the process or the control port.
+        Name under which the targets list the process or the control port, or
+        `PRIMARY` or `PREVIOUS`.
     body : dict
         JSON body of an HTTP POST to the control port.
     signal : str
@@ -127,6 +134,8 @@
     mix: Mix
     duration_s: float = _positive()
     database: str = ""
+    booking_table: str = "bench_booking"
+    receipt_table: str = "bench_receipt"
     seed: int = 1
     statement_timeout_s: float = attrs.field(default=10.0, metadata={"above": 0})
     receipt_attempts: int = attrs.field(default=3, metadata={"above": 0})
@@ -159,7 +168,10 @@
     measured_pids : tuple of int
         Processes whose CPU time is reported.
     dump : tuple of str
-        Addresses of the database members; the rows of the primary among them count.
+        Addresses of the database members, best their administrative ones; the rows
+        of the primary among them count.
+    dump_names : tuple of str
+        Name of each of these members in `controls` and `pids`.
     dump_user, dump_password, dump_database : str
         Login for the dump.
     metrics : tuple of str
@@ -177,6 +189,7 @@
     pids: dict[str, int] = attrs.field(factory=dict)
     measured_pids: tuple[int, ...] = ()
     dump: tuple[str, ...] = ()
+    dump_names: tuple[str, ...] = ()
     dump_user: str = ""
     dump_password: str = ""
     dump_database: str = ""
@@ -274,6 +287,11 @@
     weights = (mix.booking, mix.status, mix.aged, mix.session_read, mix.receipt)
     if min(weights) < 0 or sum(weights) <= 0:
         yield Problem("mix", "needs non-negative weights, one of them positive")
+    for name in (found.booking_table, found.receipt_table):
+        if not _TABLE_NAME.fullmatch(name):
+            yield Problem("tables", f"{name!r} is not a plain table name")
+    if found.booking_table == found.receipt_table:
+        yield Problem("tables", "bookings and receipts need different tables")
     for index, overload in enumerate(found.overloads):
         if overload.organisation not in names:
             yield Problem(f"overloads[{index}].organisation", "unknown organisation")
@@ -295,6 +313,8 @@
         host, _, port = address.rpartition(":")
         if not host or not port.isdecimal() or not 0 < int(port) < 65536:
             yield Problem(f"address {index}", "must be host:port")
+    if found.dump_names and len(found.dump_names) != len(found.dump):
+        yield Problem("dump_names", "must name each member of dump")
     for name, pid in found.pids.items():
         if pid <= 1:
             yield Problem(f"pids.{name}", "must be above 1")
@@ -306,5 +326,7 @@
     """Name the faults whose process or control port the targets do not list."""
     for index, fault in enumerate(experiment.faults):
         known = targets.pids if fault.signal else targets.controls
-        if fault.target not in known:
+        is_by_role = fault.target in (PRIMARY, PREVIOUS)
+        needed = targets.dump_names if is_by_role else (fault.target,)
+        if not needed or not set(needed) <= set(known):
             yield Problem(f"faults[{index}].target", f"no target {fault.target!r}")
--- a/src/radishtrack/bench/load.py
+++ b/src/radishtrack/bench/load.py
@@ -117,7 +117,7 @@
     reads_after = await read_counts(targets)
     if reads_before is not None and reads_after is not None:
         result.reads = reads_after.minus(reads_before)
-    rows = await dump_markers(targets, run)
+    rows = await dump_markers(experiment, targets, run)
     result.judgement = None if rows is None else judge(result.ledger, rows)
     return result
 
--- a/src/radishtrack/bench/main.py
+++ b/src/radishtrack/bench/main.py
@@ -21,7 +21,7 @@
     parse_targets,
 )
 from radishtrack.bench.load import RunResult, run_experiment
-from radishtrack.bench.observe import TABLES_SQL, ReadCounts, run_on_primary
+from radishtrack.bench.observe import ReadCounts, make_tables_sql, run_on_primary
 from radishtrack.bench.plots import plot_run
 from radishtrack.bench.report import (
     SeriesReport,
@@ -108,7 +108,7 @@
 async def _run_all(job: Job, options: argparse.Namespace) -> SeriesReport:
     options.out.mkdir(parents=True, exist_ok=True)
     if options.create_tables:
-        await run_on_primary(job.targets, TABLES_SQL)
+        await run_on_primary(job.targets, make_tables_sql(job.experiment))
     share = _read_share(options.reads_table)
     reports = []
     for number, experiment in enumerate(_iterate_repeats(job.experiment, options)):
--- a/src/radishtrack/bench/observe.py
+++ b/src/radishtrack/bench/observe.py
@@ -14,14 +14,12 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from radishtrack.bench.client import (
-    BOOKING_TABLE,
-    RECEIPT_TABLE,
     Login,
     ReachError,
     open_connection,
     run_statement,
 )
-from radishtrack.bench.experiment import Experiment, Fault, Targets
+from radishtrack.bench.experiment import PREVIOUS, PRIMARY, Experiment, Fault, Targets
 from radishtrack.bench.ledger import Told
 from radishtrack.bench.schedule import Operation
 
@@ -32,13 +30,6 @@
     "SELECT member, term, fenced_term, role, position_term, position_sequence"
     " FROM performance_schema.database_group_status"
 )
-TABLES_SQL: Final = (
-    f"CREATE TABLE IF NOT EXISTS {BOOKING_TABLE} (id BIGINT AUTO_INCREMENT PRIMARY "
-    "KEY, organisation VARCHAR(64), marker VARCHAR(64), state VARCHAR(16))",
-    f"CREATE TABLE IF NOT EXISTS {RECEIPT_TABLE} (id BIGINT AUTO_INCREMENT PRIMARY "
-    "KEY, organisation VARCHAR(64), marker VARCHAR(64), amount BIGINT)",
-    f"CREATE INDEX {BOOKING_TABLE}_marker ON {BOOKING_TABLE} (marker)",
-)
 
 
 @attrs.define(frozen=True)
@@ -70,6 +61,19 @@
         )
 
 
+def make_tables_sql(experiment: Experiment) -> tuple[str, ...]:
+    """Return the statements that create the tables of an experiment."""
+    bookings, receipts = experiment.booking_table, experiment.receipt_table
+    head = "id BIGINT AUTO_INCREMENT PRIMARY KEY, organisation VARCHAR(64)"
+    return (
+        f"CREATE TABLE IF NOT EXISTS {bookings} "
+        f"({head}, marker VARCHAR(64), state VARCHAR(16))",
+        f"CREATE TABLE IF NOT EXISTS {receipts} "
+        f"({head}, marker VARCHAR(64), amount BIGINT)",
+        f"CREATE INDEX {bookings}_marker ON {bookings} (marker)",
+    )
+
+
 async def find_primary(targets: Targets) -> Login | None:
     """Return the login of the primary of the highest term among the members."""
     found: list[tuple[int, Login]] = []
@@ -114,7 +118,9 @@
     connection.close()
 
 
-async def dump_markers(targets: Targets, run: str) -> dict[Operation, list[str]] | None:
+async def dump_markers(
+    experiment: Experiment, targets: Targets, run: str
+) -> dict[Operation, list[str]] | None:
     """Return the markers of a run's rows on the primary.
 
     Returns
@@ -128,19 +134,24 @@
     deadline = loop.time() + DUMP_TIMEOUT_S
     while loop.time() < deadline:
         login = await find_primary(targets)
-        rows = None if login is None else await _read_markers(login, run)
+        rows = None if login is None else await _read_markers(experiment, login, run)
         if rows is not None:
             return rows
         await asyncio.sleep(DUMP_PAUSE_S)
     return None
 
 
-async def _read_markers(login: Login, run: str) -> dict[Operation, list[str]] | None:
+async def _read_markers(
+    experiment: Experiment, login: Login, run: str
+) -> dict[Operation, list[str]] | None:
     try:
         connection = await open_connection(login, HTTP_TIMEOUT_S)
     except ReachError:
         return None
-    tables = ((Operation.BOOKING, BOOKING_TABLE), (Operation.RECEIPT, RECEIPT_TABLE))
+    tables = (
+        (Operation.BOOKING, experiment.booking_table),
+        (Operation.RECEIPT, experiment.receipt_table),
+    )
     rows: dict[Operation, list[str]] = {}
     for operation, table in tables:
         sql = f"SELECT marker FROM {table} WHERE marker LIKE '{run}-%'"
@@ -200,22 +211,34 @@
     """Do the experiment's faults at their times."""
     loop = asyncio.get_running_loop()
     records = []
+    primary = ""
     for fault in sorted(experiment.faults, key=lambda fault: fault.at_s):
         await asyncio.sleep(max(0.0, started_s + fault.at_s - loop.time()))
-        error = await _do_fault(fault, targets)
-        name = f"{fault.signal or fault.body} {fault.target}"
-        records.append(FaultRecord((loop.time() - started_s) * 1000, name, error))
+        if fault.target == PRIMARY:
+            primary = await find_primary_name(targets)
+        name = primary if fault.target in (PRIMARY, PREVIOUS) else fault.target
+        error = await _do_fault(fault, name, targets)
+        text = f"{fault.signal or fault.body} {fault.target} {name}"
+        records.append(FaultRecord((loop.time() - started_s) * 1000, text, error))
     return records
 
 
-async def _do_fault(fault: Fault, targets: Targets) -> str:
+async def find_primary_name(targets: Targets) -> str:
+    """Return the name of the primary; empty if none says that it is the primary."""
+    login = await find_primary(targets)
+    if login is None:
+        return ""
+    return targets.dump_names[targets.dump.index(login.address)]
+
+
+async def _do_fault(fault: Fault, name: str, targets: Targets) -> str:
     try:
         if fault.signal:
-            os.kill(targets.pids[fault.target], signal.Signals[fault.signal])
+            os.kill(targets.pids[name], signal.Signals[fault.signal])
             return ""
         timeout = aiohttp.ClientTimeout(total=HTTP_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as http:
-            url = targets.controls[fault.target]
+            url = targets.controls[name]
             async with http.post(url, json=fault.body) as response:
                 return "" if response.status < 300 else f"HTTP {response.status}"
     except (OSError, aiohttp.ClientError, KeyError) as error:
