Name every table that a statement reads

All names defined in any WITH were left out of the table list. A definition that reads the table of its own name, or a name defined in an inner scope only, hid that table from access checks by route. Now only names of the outermost WITH are left out, and only where they are visible; DUAL is no table. The new cases fail with the old code.

--- a/src/radishtrack/routing/statement.py
+++ b/src/radishtrack/routing/statement.py
@@ -5,7 +5,7 @@
 import enum
 import functools
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final
 
 import attrs
@@ -277,10 +277,40 @@
 
 
 def _iterate_tables(tree: exp.Expression) -> Iterator[str]:
-    names = {cte.alias_or_name for cte in tree.find_all(exp.CTE)}
+    with_clause = tree.args.get("with_")
+    expressions = [] if with_clause is None else with_clause.expressions
+    # Only the outermost WITH counts: its names are visible everywhere, except in the
+    # definitions up to the one that introduces them.
+    definitions = {cte.alias: number for number, cte in enumerate(expressions)}
+    is_recursive = bool(with_clause is not None and with_clause.recursive)
+    numbers = {id(cte): number for number, cte in enumerate(expressions)}
     for table in tree.find_all(exp.Table):
-        if table.name and (table.db or table.name not in names):
-            yield f"{table.db}.{table.name}" if table.db else table.name
+        if not table.name or _is_dual(table):
+            continue
+        defined = definitions.get(table.name)
+        if not table.db and defined is not None:
+            inside = _find_definition(table, numbers)
+            if (
+                inside is None
+                or defined < inside
+                or (is_recursive and defined == inside)
+            ):
+                continue
+        yield f"{table.db}.{table.name}" if table.db else table.name
+
+
+def _is_dual(table: exp.Table) -> bool:
+    is_plain = not table.db and not table.this.args.get("quoted")
+    return is_plain and table.name.upper() == "DUAL"
+
+
+def _find_definition(node: exp.Expression, numbers: Mapping[int, int]) -> int | None:
+    parent = node.parent
+    while parent is not None:
+        if id(parent) in numbers:
+            return numbers[id(parent)]
+        parent = parent.parent
+    return None
 
 
 def _names_system_schema(text: str, tree: exp.Expression | None) -> bool:
--- a/tests/test_statement.py
+++ b/tests/test_statement.py
@@ -165,9 +165,27 @@
     assert classify(sql).dirties_session
 
 
-def test_tables_are_named_without_common_table_expressions() -> None:
-    sql = "WITH c AS (SELECT 1 FROM s.a) SELECT * FROM c JOIN `b b` ON 1 IN (SELECT 2)"
-    assert sorted(classify(sql).tables) == ["b b", "s.a"]
+@pytest.mark.parametrize(
+    ("sql", "tables"),
+    [
+        ("WITH c AS (SELECT 1 FROM s.a) SELECT * FROM c JOIN `b b`", ["b b", "s.a"]),
+        ("WITH a AS (SELECT 1), b AS (SELECT * FROM a) SELECT * FROM b, a", []),
+        ("WITH RECURSIVE n AS (SELECT 1 UNION SELECT n FROM n) SELECT n FROM n", []),
+        ("WITH a AS (SELECT 1) SELECT * FROM a UNION SELECT * FROM b", ["b"]),
+        ("WITH a AS (SELECT * FROM a) SELECT * FROM a", ["a"]),
+        ("WITH b AS (SELECT * FROM a), a AS (SELECT 1) SELECT * FROM a", ["a"]),
+        ("SELECT * FROM (WITH a AS (SELECT 1) SELECT * FROM a) x JOIN a", ["a"]),
+        ("WITH a AS (SELECT 1) SELECT * FROM s.a", ["s.a"]),
+        ("SELECT 1 FROM a WHERE b IN (TABLE c)", ["a", "c"]),
+        ("SELECT 1 FROM dual", []),
+        ("SELECT 1 FROM `dual`, s.dual", ["dual", "s.dual"]),
+    ],
+)
+def test_a_common_table_expression_hides_no_table(sql: str, tables: list[str]) -> None:
+    """Guards access by route: each table that is read has to be named."""
+    statement = classify(sql)
+    assert statement.kind is Kind.READ
+    assert sorted(statement.tables) == tables
 
 
 def test_digits_in_names_are_not_taken_for_literals() -> None:
