Confirm commits by both bounds of their place in the log

Cause: a position read after a commit can include later commits of others, so a promotion that starts below it does not prove that the commit was discarded.

--- a/src/radishtrack/backend/journal.py
+++ b/src/radishtrack/backend/journal.py
@@ -72,14 +72,22 @@
     return JournalEntry(organisation, request_id, digest)
 
 
+@attrs.define(frozen=True)
+class JournaledAnswer:
+    """Answer of a journaled request, and whether an earlier run gave it."""
+
+    answer: StatementAnswer
+    is_repeat: bool
+
+
 async def run_journaled(
     connection: MemberConnection, entry: JournalEntry, statement: str
-) -> StatementAnswer:
+) -> JournaledAnswer:
     """Run a statement once in a transaction with its journal row.
 
     Returns
     -------
-    StatementAnswer
+    JournaledAnswer
         Of this run, or of the earlier run under the same identifier.
 
     Raises
@@ -96,7 +104,7 @@
         recorded = await _insert_entry(connection, entry)
         if recorded is not None:
             await connection.run("ROLLBACK")
-            return recorded
+            return JournaledAnswer(recorded, True)
         answer = await connection.run(statement)
         await connection.run(
             f"UPDATE {JOURNAL_TABLE} SET affected_rows = {answer.affected_rows:d}, "
@@ -106,7 +114,7 @@
     except (MemberError, RequestError):
         await connection.run("ROLLBACK")
         raise
-    return answer
+    return JournaledAnswer(answer, False)
 
 
 async def _insert_entry(
--- a/src/radishtrack/backend/read.py
+++ b/src/radishtrack/backend/read.py
@@ -19,7 +19,7 @@
     StreamRows,
 )
 from radishtrack.backend.database import DatabaseBackend
-from radishtrack.backend.write import RETRIED_ERRORS, confirm_commit
+from radishtrack.backend.write import RETRIED_ERRORS
 from radishtrack.errors import make_not_run
 from radishtrack.group.evidence import (
     NoEvidence,
@@ -29,8 +29,8 @@
     choose_strict,
     is_in_service,
 )
-from radishtrack.group.outcome import position_of_commit
-from radishtrack.group.status import Role
+from radishtrack.group.outcome import Confirmed, position_of_read
+from radishtrack.group.status import Group, Role
 from radishtrack.peer.messages import Done, Execute, Message, ResultHead, Rows
 from radishtrack.routing.options import ReadClass
 from radishtrack.routing.route import (
@@ -127,16 +127,9 @@
             # The primary may hold commits that no replica has yet and may have been
             # replaced; the result counts only once its position is confirmed.
             status = await connection.read_status()
-            reached = position_of_commit(status, group)
+            reached = position_of_read(status, group)
     if target.role is Role.PRIMARY:
-        is_kept = reached is not None and await confirm_commit(
-            backend, group, reached, deadline_ms
-        )
-        if reached is None or not is_kept:
-            raise make_not_run(
-                "confirm", "primary was replaced during the read", peer=target.member
-            )
-        position = reached
+        position = await _confirm_read(backend, group, reached, deadline_ms)
     yield Done(
         request.request,
         0,
@@ -149,6 +142,21 @@
     )
 
 
+async def _confirm_read(
+    backend: DatabaseBackend,
+    group: Group,
+    reached: Position | None,
+    deadline_ms: float,
+) -> Position:
+    if reached is None:
+        raise make_not_run("confirm", "primary was replaced", peer=group.primary)
+    outcome = await backend.monitor.wait_confirmed(reached, group.term, deadline_ms)
+    if not isinstance(outcome, Confirmed):
+        # A later term can contain commits acknowledged before this read began.
+        raise make_not_run("confirm", "result not confirmed", peer=group.primary)
+    return reached
+
+
 async def _limit_waits(
     parts: AsyncIterator[StreamPart], remaining_s: float
 ) -> AsyncIterator[StreamPart]:
--- a/src/radishtrack/backend/transaction.py
+++ b/src/radishtrack/backend/transaction.py
@@ -20,7 +20,11 @@
 )
 from radishtrack.backend.database import DatabaseBackend
 from radishtrack.backend.member_sql import READ_ONLY_ERROR
-from radishtrack.backend.write import RETRIED_ERRORS, confirm_commit
+from radishtrack.backend.write import (
+    RETRIED_ERRORS,
+    confirm_commit,
+    find_sequence_before,
+)
 from radishtrack.errors import (
     ErrorCode,
     Failure,
@@ -105,6 +109,7 @@
             not run, if the commit was refused or discarded.
         """
         primary = self.group.primary
+        before = find_sequence_before(self.backend, self.group)
         try:
             async with asyncio.timeout(self.backend.remaining_s(deadline_ms)):
                 await self.connection.run("COMMIT")
@@ -119,7 +124,10 @@
         position = position_of_commit(status, self.group)
         if position is None:
             raise make_unknown("commit", "primary was replaced", peer=primary)
-        if not await confirm_commit(self.backend, self.group, position, deadline_ms):
+        is_kept = await confirm_commit(
+            self.backend, self.group, position, deadline_ms, before
+        )
+        if not is_kept:
             raise make_not_run(
                 "commit", "discarded by a change of primary", peer=primary
             )
--- a/src/radishtrack/backend/write.py
+++ b/src/radishtrack/backend/write.py
@@ -30,11 +30,13 @@
     DidNotRun,
     RanInHistory,
     position_of_commit,
+    sequence_before,
 )
 from radishtrack.group.status import Group
 from radishtrack.peer.messages import Done, Execute, Message, ResultHead, Rows
 from radishtrack.session.position import Position
 
+CONFIRM_STEP_MS: Final = 250.0
 RETRIED_ERRORS: Final = frozenset({READ_ONLY_ERROR, TOO_MANY_CONNECTIONS_ERROR})
 """The member refused before it ran anything, so trying again repeats nothing."""
 
@@ -49,10 +51,13 @@
         The primary's answer.
     position : Position or None
         Position that covers the commit; None if the primary changed meanwhile.
+    sequence_before : int
+        A length that the log had before the commit; 0 if not known.
     """
 
     answer: StatementAnswer
     position: Position | None
+    sequence_before: int = 0
 
 
 async def run_write(
@@ -92,13 +97,16 @@
     may_have_run = False
     while True:
         group = backend.group
+        before = find_sequence_before(backend, group)
         parts: list[Message] = []
         try:
             async with backend.connect(
                 group.primary, request.organisation, deadline_ms
             ) as connection:
                 async with asyncio.timeout(backend.remaining_s(deadline_ms)):
-                    ran = await _run_once(connection, group, request, entry, parts)
+                    ran = await _run_once(
+                        connection, group, request, entry, parts, before
+                    )
         except RequestError as error:
             refused = error.failure.outcome is Outcome.NOT_RUN
             if may_have_run and refused and error.failure.step != JOURNAL_STEP:
@@ -124,7 +132,9 @@
             continue
         if await _is_confirmed(backend, group, ran, deadline_ms, entry):
             break
-        may_have_run = may_have_run or ran.position is None
+        # A journaled request that was not confirmed may still be contained in the
+        # new term; only the next run tells.
+        may_have_run = True
         await _pause(backend, deadline_ms, may_have_run)
     for part in parts:
         yield part
@@ -132,7 +142,11 @@
 
 
 async def confirm_commit(
-    backend: DatabaseBackend, group: Group, position: Position, deadline_ms: float
+    backend: DatabaseBackend,
+    group: Group,
+    position: Position,
+    deadline_ms: float,
+    sequence_before: int,
 ) -> bool:
     """Wait until a commit's outcome is known.
 
@@ -146,7 +160,9 @@
     RequestError
         Unknown, if the deadline passes first.
     """
-    outcome = await backend.monitor.wait_confirmed(position, group.term, deadline_ms)
+    outcome = await backend.monitor.wait_confirmed(
+        position, group.term, deadline_ms, sequence_before
+    )
     match outcome:
         case Confirmed() | RanInHistory():
             return True
@@ -155,6 +171,12 @@
     raise make_unknown("confirm", outcome.reason, peer=group.primary)
 
 
+def find_sequence_before(backend: DatabaseBackend, group: Group) -> int:
+    """Return a length that the primary's log has already reached."""
+    status = backend.monitor.latest.get(group.primary)
+    return 0 if status is None else sequence_before(status, group)
+
+
 async def _pause(
     backend: DatabaseBackend, deadline_ms: float, may_have_run: bool
 ) -> None:
@@ -169,10 +191,15 @@
     request: Execute,
     entry: JournalEntry | None,
     parts: list[Message],
+    before: int,
 ) -> Ran:
     answer = StatementAnswer(0, 0)
     if entry is not None:
-        answer = await run_journaled(connection, entry, request.statement)
+        journaled = await run_journaled(connection, entry, request.statement)
+        answer = journaled.answer
+        if journaled.is_repeat:
+            # The commit is older than any length known now.
+            before = 0
     else:
         async for part in connection.stream(request.statement):
             match part:
@@ -184,7 +211,7 @@
                     parts.append(Rows(request.request, part.rows))
     connection.dirty = connection.dirty or request.dirties_session
     status = await connection.read_status()
-    return Ran(answer, position_of_commit(status, group))
+    return Ran(answer, position_of_commit(status, group), before)
 
 
 async def _is_confirmed(
@@ -194,16 +221,36 @@
     deadline_ms: float,
     entry: JournalEntry | None,
 ) -> bool:
+    """Wait for the outcome; False means that a journaled request must run again."""
     if ran.position is None:
         if entry is None:
             raise make_unknown("confirm", "primary was replaced", peer=group.primary)
         return False
-    if await confirm_commit(backend, group, ran.position, deadline_ms):
+    if entry is not None:
+        return await _is_journaled_confirmed(backend, group, ran, deadline_ms)
+    if await confirm_commit(
+        backend, group, ran.position, deadline_ms, ran.sequence_before
+    ):
         return True
-    if entry is None:
-        raise make_not_run(
-            "confirm", "discarded by a change of primary", peer=group.primary
+    raise make_not_run(
+        "confirm", "discarded by a change of primary", peer=group.primary
+    )
+
+
+async def _is_journaled_confirmed(
+    backend: DatabaseBackend, group: Group, ran: Ran, deadline_ms: float
+) -> bool:
+    """Wait as long as the term lasts; after it, running again tells the outcome."""
+    assert ran.position is not None
+    while backend.group.term == group.term:
+        step_ms = min(deadline_ms, backend.clock.now_ms() + CONFIRM_STEP_MS)
+        outcome = await backend.monitor.wait_confirmed(
+            ran.position, group.term, step_ms, ran.sequence_before
         )
+        if isinstance(outcome, Confirmed | RanInHistory):
+            return True
+        if backend.remaining_s(deadline_ms) <= 0:
+            raise make_unknown("confirm", "deadline passed", peer=group.primary)
     return False
 
 
--- a/src/radishtrack_standins/demo.py
+++ b/src/radishtrack_standins/demo.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import sys
 import time
 from collections import Counter
@@ -194,9 +195,7 @@
         "receipt posted twice": {name for name, count in posted.items() if count > 1},
         "stale reads": set(ledger.stale),
     }
-    after = [moment for moment in ledger.success_times if moment > killed_at]
-    before = [moment for moment in ledger.success_times if moment <= killed_at]
-    gap_ms = (min(after) - max(before)) * 1000 if after and before else float("inf")
+    gap_ms = compute_gap_ms(ledger.success_times, killed_at)
     print(f"{'organisation':16} {'request':14} {'outcome':12} {'count':>6}")
     for (organisation, kind, outcome), count in sorted(ledger.outcomes.items()):
         print(f"{organisation:16} {kind:14} {outcome:12} {count:6}")
@@ -213,6 +212,14 @@
     return ok
 
 
+def compute_gap_ms(success_times: list[float], since: float) -> float:
+    """Return the longest time without a success from `since` on, in milliseconds."""
+    moments = [since, *sorted(moment for moment in success_times if moment > since)]
+    if len(moments) == 1:
+        return float("inf")
+    return 1000 * max(later - earlier for earlier, later in itertools.pairwise(moments))
+
+
 def main() -> int:
     """Run the demonstration and return the exit code."""
     cluster = start_cluster(ClusterPlan())
