--- a/tests/test_cli_platform.py
+++ b/tests/test_cli_platform.py
@@ -4,12 +4,16 @@
 
 import io
 
+import attrs
+from radishtrack.usage.compaction import UsageSummary, encode_summary, fold_sealed
+from radishtrack.usage.counter import UsageKey, make_usage_counter
+from radishtrack.usage.report import encode_report, make_reporter
 from radishtrack_standins.platform import start_platform
 
 from radishtrack.cli._context import Context, ExitCode
 from radishtrack.cli._platform import open_platform
 from radishtrack.cli.main import make_parser, run_command
-from test_cli import FJELLSKO
+from test_cli import FJELLSKO, PLATFORM, Terminal, apply_examples
 
 
 async def run_all(url: str, *commands: str) -> list[tuple[ExitCode, str]]:
@@ -55,3 +59,42 @@
         "configuration revision 1 kari",
         "node n1 r z leaving",
     ]
+
+
+def store_usage(terminal: Terminal, node: str, owner: str, statements: int) -> None:
+    counter = make_usage_counter()
+    counter.add(UsageKey("some-organisation", owner), statements=statements)
+    report = attrs.evolve(make_reporter(node, "1", counter).make_report(0), sequence=1)
+    terminal.platform.write("usage", report.object_name, encode_report(report), 0)
+
+
+async def test_usage_of_all_nodes_splits_the_bill_once() -> None:
+    terminal = Terminal()
+    await apply_examples(terminal)
+    store_usage(terminal, "n1", "fjellsko", 10)
+    store_usage(terminal, "n2", "fjellsko", 20)
+    store_usage(terminal, "n2b", "kalmistute-amet", 10)
+    argv = ["usage", "--amount", "1000", *PLATFORM]
+    bill = await terminal.run_json(*argv)
+    assert [share["amount"] for share in bill["shares"]] == [750, 250]
+    counter = make_usage_counter()
+    counter.add(UsageKey("some-organisation", "fjellsko"), statements=10)
+    sealed = attrs.evolve(
+        make_reporter("n1", "1", counter).make_report(0), is_sealed=True
+    )
+    summary = encode_summary(fold_sealed(UsageSummary(), [sealed]))
+    terminal.platform.write("usage", "summary", summary, 0)
+    assert await terminal.run(*argv) is ExitCode.OK
+    assert [line.split()[-1] for line in terminal.out.splitlines()[1:]] == [
+        "750",
+        "250",
+        "1000",
+    ]
+
+
+async def test_usage_of_an_owner_who_is_not_configured_is_an_error() -> None:
+    terminal = Terminal()
+    await apply_examples(terminal)
+    store_usage(terminal, "n1", "nobody", 10)
+    assert await terminal.run("usage", *PLATFORM) is ExitCode.FAILED
+    assert "unknown owners: ['nobody']" in terminal.err
