--- a/tests/rate_world.py
+++ b/tests/rate_world.py
@@ -1,5 +1,7 @@
-"""Simulation for the rate tests: nodes with drifting clocks, a lossy network and the
-platform's conditional updates, with an oracle for the interval bound.
+"""Simulation for the rate tests.
+
+Nodes have drifting clocks, the network loses and delays messages, the platform does
+conditional updates, and an oracle checks the interval bound.
 """
 
 # ruff: noqa: D101, D102
@@ -124,6 +126,8 @@
         self.paused: set[str] = set()
         self.cut: set[str] = set()
         """Nodes without any contact."""
+        self.platform_cut: set[str] = set()
+        """Nodes without contact to the platform."""
         self.platform_down = False
         self.loss = 0.0
         self.duplication = 0.0
@@ -198,7 +202,9 @@
             )
 
     def is_cut(self, source: str, target: str) -> bool:
-        if PLATFORM in (source, target) and self.platform_down:
+        if PLATFORM in (source, target) and (
+            self.platform_down or {source, target} & self.platform_cut
+        ):
             return True
         return source in self.cut or target in self.cut
 
@@ -228,12 +234,12 @@
         if isinstance(message, Get):
             answer = GetAnswer(self.record, self.version, message.sent_ms)
             self.send(PLATFORM, source, answer)
-        elif isinstance(message, LeaseWrite):
-            if message.expected_version == self.version:
-                self.version += 1
-                self.record = message.record
-                answer = PutAnswer(message.record.revision, self.version)
-                self.send(PLATFORM, source, answer)
+        elif message.expected_version == self.version:
+            assert isinstance(message, LeaseWrite)
+            self.version += 1
+            self.record = message.record
+            answer = PutAnswer(message.record.revision, self.version)
+            self.send(PLATFORM, source, answer)
 
     def receive_allocator(self, source: str, target: str, message: Any) -> None:
         allocator, now_ms = self.allocators[target], self.now(target)
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -1,5 +1,6 @@
-"""Guards the share of scarce connections that each organisation gets, early refusal,
-and that no cancellation loses or doubles a connection.
+"""Guards each organisation's share of scarce connections.
+
+Also guards early refusal, and that no cancellation loses or doubles a connection.
 """
 
 from __future__ import annotations
--- a/tests/test_rate_claim.py
+++ b/tests/test_rate_claim.py
@@ -1,5 +1,6 @@
-"""Guards the rate limit's claim: on every interval, all holders together admit at most
-burst + rate x length, under any mix of faults.
+"""Guards the rate limit's claim under any mix of faults.
+
+On every interval, all holders together admit at most burst + rate x length.
 """
 
 # ruff: noqa: D102
@@ -28,6 +29,7 @@
         make_rate_limit(1, 1),
         make_rate_limit(0.1, 1),
         make_rate_limit(5, 3),
+        make_rate_limit(4, 300),
     ]
 )
 SPEEDS = st.sampled_from([(1.0,), (1.001, 0.999), (0.999, 1.001, 1.0), (1.001,)])
@@ -96,9 +98,14 @@
     def cut_off(self, index: int) -> None:
         self.world.cut.add(self.pick(self.nodes(), index))
 
+    @rule(index=PICK)
+    def cut_off_from_platform(self, index: int) -> None:
+        self.world.platform_cut.add(self.pick(self.nodes(), index))
+
     @rule()
     def heal(self) -> None:
         self.world.cut.clear()
+        self.world.platform_cut.clear()
         self.world.platform_down = False
 
     @rule()
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -1,5 +1,6 @@
-"""Guards the bill: usage is counted once, whatever is repeated or lost, and the owners'
-parts are exact.
+"""Guards the bill.
+
+Usage is counted once, whatever is repeated or lost, and the owners' parts are exact.
 """
 
 from __future__ import annotations
