Add tests of each rule behind the rate limit

Cause: the state machine alone left some rules unproved: with the empty start or the epoch check of a loan off it stayed green. Change: one directed test for each rule of lease, takeover, loan, standing share, expiry, settlement and division.

--- /dev/null
+++ b/tests/test_rate_allocator.py
@@ -0,0 +1,350 @@
+"""Guards each rule on which the bound of a rate rests, one by one."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishtrack.rates.allocator import Allocator, NotAllocator, make_allocator
+from radishtrack.rates.bucket import UNITS_PER_TOKEN, make_empty_bucket
+from radishtrack.rates.fair_division import divide_fairly
+from radishtrack.rates.lease import LEASE_MS
+from radishtrack.rates.messages import (
+    LOAN_MS,
+    STANDING_VALIDITY_MS,
+    LeaseRecord,
+    Settlement,
+    Stamp,
+    StandingShare,
+    TokenGrant,
+    TokenRequest,
+    make_rate_limit,
+)
+from radishtrack.rates.share import (
+    Admitted,
+    NeedTokens,
+    Refused,
+    ShareState,
+    make_share_state,
+)
+from radishtrack.rates.standing_plan import plan_shares, sum_held
+
+LIMIT = make_rate_limit(100, 100)
+HOLDER_SHARE = StandingShare("h", 50_000_000, 50, 1, 50_000_000, 50)
+FOREIGN = LeaseRecord("org", "other", 1, 1, LEASE_MS, LIMIT, (HOLDER_SHARE,))
+
+
+def ask(
+    request_id: int, wanted: int, holder: str = "h", echo: Stamp | None = None
+) -> TokenRequest:
+    return TokenRequest("org", holder, request_id, wanted, 100.0, echo=echo)
+
+
+def make_leader(record: LeaseRecord | None, seen_ms: float, now_ms: float) -> Allocator:
+    """Return an allocator that took over from `record` at `now_ms`."""
+    allocator = make_allocator("org", "me", LIMIT)
+    allocator.observe(record, 7 if record else 0, seen_ms)
+    assert allocator.should_acquire(now_ms)
+    write = allocator.prepare_write(now_ms)
+    allocator.on_lease_written(write.record.revision, 8, now_ms)
+    return allocator
+
+
+def grant_tokens(allocator: Allocator, request: TokenRequest, now_ms: float) -> int:
+    grant = allocator.on_request(request, now_ms)
+    assert isinstance(grant, TokenGrant)
+    return grant.tokens
+
+
+def test_takeover_waits_for_the_lease_and_the_grants_made_at_its_end() -> None:
+    allocator = make_allocator("org", "me", LIMIT)
+    allocator.observe(FOREIGN, 7, 1_000.0)
+    allocator.observe(FOREIGN, 7, 9_000.0)
+    assert not allocator.should_acquire(1_000.0 + (LEASE_MS + 500.0) * 1.002)
+    assert allocator.should_acquire(1_000.0 + (LEASE_MS + 500.0) * 1.0022)
+
+
+def test_a_new_allocator_starts_empty_after_a_lapsed_lease() -> None:
+    allocator = make_leader(FOREIGN, 0.0, 20_000.0)
+    assert grant_tokens(allocator, ask(1, 50), 20_001.0) == 0
+
+
+def test_a_lease_is_measured_from_before_the_write_was_sent() -> None:
+    allocator = make_allocator("org", "me", LIMIT)
+    allocator.observe(None, 0, 0.0)
+    write = allocator.prepare_write(0.0)
+    allocator.on_lease_written(write.record.revision, 1, 9_000.0)
+    assert isinstance(allocator.on_request(ask(1, 1), LEASE_MS - 1.0), TokenGrant)
+    assert isinstance(allocator.on_request(ask(2, 1), LEASE_MS), NotAllocator)
+
+
+def test_a_write_whose_answer_was_lost_is_found_by_reading() -> None:
+    allocator = make_allocator("org", "me", LIMIT)
+    allocator.observe(None, 0, 0.0)
+    write = allocator.prepare_write(0.0)
+    retried = allocator.prepare_write(2_000.0)
+    assert retried.record.revision != write.record.revision
+    allocator.observe(write.record, 1, 3_000.0)
+    assert allocator.lease.is_held(LEASE_MS - 1.0)
+    assert not allocator.lease.is_held(LEASE_MS)
+
+
+def test_an_allocator_stops_when_it_sees_another_one() -> None:
+    allocator = make_leader(None, 0.0, 0.0)
+    allocator.observe(attrs.evolve(FOREIGN, epoch=2), 9, 100.0)
+    assert isinstance(allocator.on_request(ask(1, 1), 200.0), NotAllocator)
+
+
+def test_a_released_bucket_is_handed_over_exactly_and_only_once() -> None:
+    first = make_leader(None, 0.0, 0.0)
+    assert grant_tokens(first, ask(1, 10), 300.0) == 10
+    write = first.prepare_release(300.0)
+    assert write is not None and write.record.released is not None
+    assert isinstance(first.on_request(ask(2, 1), 300.0), NotAllocator)
+    level = write.record.released.level_units
+    assert 19 * UNITS_PER_TOKEN < level < 20 * UNITS_PER_TOKEN
+    second = make_allocator("org", "me2", LIMIT)
+    second.observe(write.record, 9, 50_000.0)
+    assert second.should_acquire(50_000.0)
+    taken = second.prepare_write(50_000.0)
+    second.on_lease_written(taken.record.revision, 10, 50_000.0)
+    assert second.bucket is not None
+    assert (second.bucket.level_units, second.bucket.reserved) == (level, 10)
+    assert taken.record.released is None
+    assert taken.record.epoch == write.record.epoch + 1
+
+
+def test_a_renewal_in_doubt_does_not_revive_an_allocator_that_released() -> None:
+    allocator = make_leader(None, 0.0, 0.0)
+    renewal = allocator.prepare_write(6_000.0)
+    assert allocator.prepare_release(6_001.0) is not None
+    allocator.observe(renewal.record, 9, 6_010.0)
+    assert isinstance(allocator.on_request(ask(1, 1), 6_020.0), NotAllocator)
+    again = allocator.prepare_release(6_030.0)
+    assert again is not None and again.expected_version == 9
+
+
+def available_after_echo(echo: Stamp | None, sent_ms: float, now_ms: float) -> int:
+    """Return the bucket's capacity when a holder with half of the limit echoed."""
+    allocator = make_leader(FOREIGN, 0.0, 20_000.0)
+    allocator.on_request(ask(1, 0, echo=echo), sent_ms)
+    assert isinstance(allocator.on_request(ask(9, 0, "x"), now_ms), TokenGrant)
+    assert allocator.bucket is not None
+    return allocator.bucket.capacity
+
+
+@pytest.mark.parametrize(
+    ("echo", "sent_ms", "now_ms", "capacity"),
+    [
+        (None, 20_100.0, 20_100.0, 50),
+        (Stamp(2, 1, 20_000.0), 20_100.0, 20_100.0, 100),
+        # A time on the clock of an earlier allocator.
+        (Stamp(1, 1, 999_999.0), 20_100.0, 20_100.0, 50),
+        # The holder counts from the receipt of the grant, not of its request.
+        (Stamp(2, 1, 20_000.0), 29_000.0, 20_000.0 + LOAN_MS * 0.997, 100),
+        (Stamp(2, 1, 20_000.0), 29_000.0, 20_000.0 + LOAN_MS * 0.998, 50),
+    ],
+)
+def test_a_standing_share_is_lent_only_within_the_holders_promise(
+    echo: Stamp | None, sent_ms: float, now_ms: float, capacity: int
+) -> None:
+    assert available_after_echo(echo, sent_ms, now_ms) == capacity
+
+
+def test_loans_end_before_a_lease_that_could_not_be_renewed() -> None:
+    allocator = make_leader(FOREIGN, 0.0, 20_000.0)
+    echo = Stamp(2, 1, 30_000.0)
+    allocator.on_request(ask(1, 0, echo=echo), 30_900.0)
+    assert allocator.bucket is not None and allocator.bucket.capacity == 100
+    grant = allocator.on_request(ask(1, 0, "x"), 31_500.0)
+    assert isinstance(grant, TokenGrant) and not grant.loan
+    allocator.on_request(ask(2, 0, echo=echo), 31_600.0)
+    assert allocator.bucket.capacity == 50
+
+
+def test_a_share_in_a_write_in_doubt_is_set_aside() -> None:
+    allocator = make_leader(None, 0.0, 0.0)
+    assert isinstance(allocator.on_request(ask(1, 0), 100.0), TokenGrant)
+    write = allocator.prepare_write(6_000.0)
+    assert write.record.standing_shares[0].burst == 50
+    allocator.on_request(ask(1, 0, "x"), 6_100.0)
+    assert allocator.bucket is not None and allocator.bucket.capacity == 50
+
+
+def test_a_shrunk_share_stays_set_aside_until_its_holder_applies_it() -> None:
+    allocator = make_leader(FOREIGN, 0.0, 20_000.0)
+    for holder in ("h", "x"):
+        allocator.on_request(ask(1, 0, holder), 20_100.0)
+    shrunk = allocator.prepare_write(26_000.0)
+    by_name = {share.holder: share for share in shrunk.record.standing_shares}
+    assert (by_name["h"].burst, by_name["h"].held_burst) == (25, 50)
+    assert "x" not in by_name
+    allocator.on_lease_written(shrunk.record.revision, 9, 26_000.0)
+    request = attrs.evolve(ask(2, 0), standing_revision=shrunk.record.revision)
+    allocator.on_request(request, 26_100.0)
+    grown = allocator.prepare_write(32_000.0)
+    by_name = {share.holder: share for share in grown.record.standing_shares}
+    assert (by_name["h"].held_burst, by_name["x"].burst) == (25, 25)
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.lists(st.sampled_from("abcdef"), unique=True),
+            st.sampled_from([(100, 100), (0.1, 1), (7, 9), (100, 5)]),
+            st.sets(st.sampled_from("abcdef")),
+        ),
+        max_size=12,
+    )
+)
+def test_standing_shares_never_exceed_the_half_set_aside(
+    steps: list[tuple[list[str], tuple[float, int], set[str]]],
+) -> None:
+    """Holders join, leave and answer in any order; a lowered limit adds nothing."""
+    shares: tuple[StandingShare, ...] = ()
+    for revision, (holders, (rate, burst), settled) in enumerate(steps, 1):
+        limit = make_rate_limit(rate, burst)
+        before = sum_held(shares)
+        known = {share: share.holder in settled for share in shares}
+        shares = plan_shares(shares, holders, limit, revision, known.__getitem__)
+        held = sum_held(shares)
+        assert held.rate_micro <= max(before.rate_micro, limit.rate_micro // 2)
+        assert held.burst <= max(before.burst, limit.burst // 2)
+        for share in shares:
+            assert share.rate_micro <= share.held_rate_micro
+            assert share.burst <= share.held_burst
+
+
+def test_a_repeated_request_is_answered_again_without_more_tokens() -> None:
+    allocator = make_leader(None, 0.0, 0.0)
+    first = allocator.on_request(ask(1, 5), 400.0)
+    assert allocator.on_request(ask(1, 5), 401.0) == first
+    assert allocator.bucket is not None and allocator.bucket.reserved == 5
+
+
+def test_a_repeated_return_of_tokens_counts_once() -> None:
+    allocator = make_leader(None, 0.0, 0.0)
+    grant_tokens(allocator, ask(1, 10), 400.0)
+    back = attrs.evolve(ask(2, 0), settlements=(Settlement(1, 0, 10),))
+    allocator.on_request(back, 401.0)
+    allocator.on_request(attrs.evolve(back, request_id=3), 402.0)
+    assert allocator.bucket is not None and allocator.bucket.reserved == 0
+    assert allocator.bucket.available() == 40
+
+
+def make_granted(tokens: int, *, sent_ms: float = 0.0) -> ShareState:
+    share = make_share_state("org", "h", LIMIT, sent_ms)
+    share.make_request(sent_ms, tokens)
+    share.on_grant(
+        TokenGrant("org", "h", 1, Stamp(5, 1, 0.0), tokens, 500.0), sent_ms + 100.0
+    )
+    return share
+
+
+def test_a_grant_expires_from_the_time_its_request_was_sent() -> None:
+    assert isinstance(make_granted(5).try_admit(499.9), Admitted)
+    assert not isinstance(make_granted(5).try_admit(500.0), Admitted)
+
+
+@pytest.mark.parametrize(
+    ("request_id", "epoch"), [(2, 4), (1, 5), (9, 5)], ids=["old epoch", "again", "new"]
+)
+def test_grants_of_old_epochs_or_unknown_requests_are_dropped(
+    request_id: int, epoch: int
+) -> None:
+    share = make_granted(5)
+    share.make_request(110.0, 5)
+    grant = TokenGrant("org", "h", request_id, Stamp(epoch, 2, 0.0), 7, 500.0)
+    assert not share.on_grant(grant, 120.0)
+    assert share.held_tokens() == 5
+
+
+def test_an_older_grant_does_not_undo_a_newer_decision_on_the_loan() -> None:
+    """Reordered: the loan ended with grant 2, and grant 3 arrives before it."""
+    share = make_share_state("org", "h", LIMIT, 0.0)
+    share.on_record(FOREIGN, 0.0, 0.0)
+    for _ in range(3):
+        share.make_request(0.0, 0)
+    share.on_grant(TokenGrant("org", "h", 3, Stamp(1, 3, 0.0), 0, 500.0), 10.0)
+    share.on_grant(
+        TokenGrant("org", "h", 2, Stamp(1, 2, 0.0), 0, 500.0, loan=False), 11.0
+    )
+    assert not isinstance(share.try_admit(5_000.0), Admitted)
+    assert isinstance(share.try_admit(10.0 + LOAN_MS + 100.0), Admitted)
+
+
+def test_a_standing_share_starts_empty_and_lapses() -> None:
+    share = make_share_state("org", "h", LIMIT, 0.0)
+    share.on_record(FOREIGN, 1_000.0, 2_000.0)
+    assert not share.standing.try_take(2_001.0)
+    assert sum(share.standing.try_take(3_000.0) for _ in range(99)) == 49
+    share.standing.lend(3_000.0)
+    assert not share.standing.try_take(3_000.0 + LOAN_MS + 1.0)
+    assert share.standing.try_take(1_000.0 + STANDING_VALIDITY_MS - 1.0)
+    assert not share.standing.try_take(1_000.0 + STANDING_VALIDITY_MS)
+    older = attrs.evolve(FOREIGN, revision=0)
+    share.on_record(older, STANDING_VALIDITY_MS, STANDING_VALIDITY_MS + 2_000.0)
+    assert not share.standing.try_take(STANDING_VALIDITY_MS + 4_000.0)
+
+
+def test_a_standing_share_shrinks_with_a_lowered_limit() -> None:
+    share = make_share_state("org", "h", LIMIT, 0.0)
+    share.on_record(FOREIGN, 0.0, 0.0)
+    share.set_limit(make_rate_limit(10, 10), 0.0)
+    assert sum(share.standing.try_take(60_000.0) for _ in range(99)) == 5
+
+
+def test_refusals_are_cached_until_the_retry_time() -> None:
+    share = make_share_state("org", "h", LIMIT, 0.0)
+    assert isinstance(share.try_admit(0.0), NeedTokens)
+    waiting = share.try_admit(1.0)
+    assert isinstance(waiting, NeedTokens) and waiting.request is None
+    share.on_grant(
+        TokenGrant("org", "h", 1, Stamp(1, 1, 0.0), 0, 500.0, retry_after_ms=30.0), 5.0
+    )
+    assert share.try_admit(15.0) == Refused(20.0)
+    assert isinstance(share.try_admit(35.0), NeedTokens)
+
+
+def test_a_fast_clock_does_not_raise_the_rate() -> None:
+    """An allocator's clock that runs 0.1% fast counts 1,001 s as 1,000 s pass."""
+    bucket = make_empty_bucket(10_000_000, 20_000, 0.0)
+    bucket.refill(1_001_000.0)
+    assert 9_999 <= bucket.available() <= 10_000
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(
+    st.dictionaries(st.sampled_from("abcde"), st.integers(0, 1000), min_size=1),
+    st.integers(0, 1500),
+)
+def test_division_is_max_min_fair(demands: dict[str, int], rate: int) -> None:
+    parts = divide_fairly({k: float(v) for k, v in demands.items()}, float(rate))
+    assert sum(parts.values()) == pytest.approx(min(rate, sum(demands.values())))
+    most = max(parts.values())
+    for name, part in parts.items():
+        assert part <= demands[name]
+        assert part == demands[name] or part == pytest.approx(most)
+
+
+def test_shares_follow_demand_and_frequent_requests_bring_no_advantage() -> None:
+    """Holder b asks five times as often as a; c wants little and gets all of it."""
+    allocator = make_leader(None, 0.0, 0.0)
+    received = {"a": 0, "b": 0, "c": 0}
+    demand = {"a": 200.0, "b": 200.0, "c": 10.0}
+    every = {"a": 50, "b": 10, "c": 100}
+    allocator.lease.until_ms = 1e9
+    for now_ms in range(10, 20_000, 10):
+        for number, name in enumerate(received):
+            if now_ms % every[name] == 0:
+                wanted = 1 if name == "c" else 40
+                request = TokenRequest(
+                    "org", name, now_ms + number, wanted, demand[name]
+                )
+                received[name] += grant_tokens(allocator, request, float(now_ms))
+    assert received["c"] >= 190
+    assert 0.8 <= received["a"] / received["b"] <= 1.25
+    assert sum(received.values()) >= 0.97 * 2_000
