--- a/tests/test_cli_platform.py
+++ b/tests/test_cli_platform.py
@@ -5,14 +5,14 @@
 import io
 
 import attrs
-from radishtrack.usage.compaction import UsageSummary, encode_summary, fold_sealed
-from radishtrack.usage.counter import UsageKey, make_usage_counter
-from radishtrack.usage.report import encode_report, make_reporter
-from radishtrack_standins.platform import start_platform
 
 from radishtrack.cli._context import Context, ExitCode
 from radishtrack.cli._platform import open_platform
 from radishtrack.cli.main import make_parser, run_command
+from radishtrack.usage.compaction import UsageSummary, encode_summary, fold_sealed
+from radishtrack.usage.counter import UsageKey, make_usage_counter
+from radishtrack.usage.report import encode_report, make_reporter
+from radishtrack_standins.platform import start_platform
 from test_cli import FJELLSKO, PLATFORM, Terminal, apply_examples
 
 
