--- a/src/radishtrack/peer/link.py
+++ b/src/radishtrack/peer/link.py
@@ -55,10 +55,13 @@
         The peer's node name.
     socket : ClientConnection
         The authenticated connection.
+    incarnation : int
+        Of the peer's process.
     """
 
     node: str
     socket: ClientConnection
+    incarnation: int = 0
     waiting: dict[int, asyncio.Queue[Message | None]] = attrs.field(factory=dict)
     numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
     closed: bool = False
@@ -199,7 +202,7 @@
                 proxy=None,
             )
             try:
-                peer = await _authenticate(socket, node, secret)
+                welcome = await _authenticate(socket, node, secret)
             except BaseException:
                 await socket.close()
                 raise
@@ -207,12 +210,12 @@
         raise LinkClosed(f"can't reach peer at {address}: {error!r}") from error
     except (HandshakeError, CodecError) as error:
         raise LinkClosed(f"peer at {address} refused: {error}") from error
-    link = PeerLink(peer, socket)
+    link = PeerLink(welcome.node, socket, welcome.incarnation)
     link.reader = asyncio.create_task(link._read())
     return link
 
 
-async def _authenticate(socket: ClientConnection, node: str, secret: bytes) -> str:
+async def _authenticate(socket: ClientConnection, node: str, secret: bytes) -> Welcome:
     hello = make_hello(node)
     await socket.send(encode(hello))
     challenge = decode(_as_frame(await socket.recv()))
@@ -222,7 +225,7 @@
     welcome = decode(_as_frame(await socket.recv()))
     if not isinstance(welcome, Welcome):
         raise HandshakeError("peer did not accept the proof")
-    return welcome.node
+    return welcome
 
 
 def _as_frame(frame: str | bytes) -> bytes:
--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -40,9 +40,18 @@
 
 @attrs.define(frozen=True)
 class Welcome:
-    """Ends the handshake."""
+    """Ends the handshake.
+
+    Parameters
+    ----------
+    node : str
+        The node that accepted.
+    incarnation : int
+        Higher after each start of the node's process.
+    """
 
     node: str
+    incarnation: int
 
 
 @attrs.define(frozen=True)
@@ -194,27 +203,19 @@
 
 
 @attrs.define(frozen=True)
-class TokenRequest:
-    """Asks the allocator of an organisation for rate tokens."""
+class TokensWanted:
+    """Asks the allocator of an organisation for rate tokens; see `token_codec`."""
 
     request: int
-    organisation: str
-    sequence: int
-    tokens: float
-    demand: float
+    payload: bytes
 
 
 @attrs.define(frozen=True)
-class TokenGrant:
-    """Answers `TokenRequest`."""
+class Tokens:
+    """Answers `TokensWanted`; the payload is empty if the node is not the allocator."""
 
     request: int
-    organisation: str
-    sequence: int
-    epoch: int
-    tokens: float
-    valid_ms: float
-    retry_after_ms: float
+    payload: bytes
 
 
 @attrs.define(frozen=True)
@@ -222,18 +223,31 @@
     """The sender stops accepting work."""
 
     node: str
+    incarnation: int
 
 
 @attrs.define(frozen=True)
 class CopyRequest:
-    """Asks a peer for its copies of configuration, keys and groups."""
+    """Asks a peer for its copies of keys and configuration.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    keys_digest : str
+        Identifies the keys that the sender has.
+    revision : int
+        The configuration that the sender has.
+    """
 
     request: int
+    keys_digest: str
+    revision: int
 
 
 @attrs.define(frozen=True)
 class Copy:
-    """Answers `CopyRequest` with platform objects and the age of the last contact.
+    """Answers `CopyRequest`.
 
     Parameters
     ----------
@@ -242,7 +256,7 @@
     contact_age_ms : float
         Milliseconds since the sender last heard from the platform.
     objects : tuple of bytes
-        CBOR-encoded ``[kind, name, version, value]`` of each object.
+        The sealed copy of the keys, then that of the configuration if it is newer.
     """
 
     request: int
@@ -265,8 +279,8 @@
     | EndSession
     | VoteRequest
     | Vote
-    | TokenRequest
-    | TokenGrant
+    | TokensWanted
+    | Tokens
     | Leaving
     | CopyRequest
     | Copy
@@ -287,8 +301,8 @@
     EndSession,
     VoteRequest,
     Vote,
-    TokenRequest,
-    TokenGrant,
+    TokensWanted,
+    Tokens,
     Leaving,
     CopyRequest,
     Copy,
--- a/src/radishtrack/peer/server.py
+++ b/src/radishtrack/peer/server.py
@@ -11,6 +11,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
+from radishtrack.errors import Outcome
 from radishtrack.events import Event, log_event
 from radishtrack.peer.codec import CodecError, decode, encode
 from radishtrack.peer.handshake import HandshakeError, answer_hello, check_proof
@@ -21,6 +22,7 @@
     Credit,
     EndSession,
     Execute,
+    Failed,
     Hello,
     Message,
     Proof,
@@ -53,12 +55,15 @@
         Takes the connection's identifier; ends all sessions of the connection.
     call : callable
         Takes the peer's node name and any other message; returns the answer or None.
+    incarnation : int
+        Of this node's process.
     """
 
     execute: ExecuteHandler
     end_session: EndSessionHandler
     end_connection: Callable[[str], Awaitable[None]]
     call: CallHandler
+    incarnation: int = 0
 
 
 @attrs.define
@@ -124,14 +129,23 @@
     async def _execute(self, message: Execute) -> None:
         credit = self.credits[message.request]
         answers = self.handlers.execute(self.identifier, message)
-        async with contextlib.aclosing(answers):  # type: ignore[type-var]
-            async for answer in answers:
-                if isinstance(answer, Rows):
-                    # A reader that takes nothing for this long would keep a database
-                    # connection; the request is abandoned instead.
-                    async with asyncio.timeout(READER_TIMEOUT_S):
-                        await credit.acquire()
-                await self.socket.send(encode(answer))
+        try:
+            async with contextlib.aclosing(answers):  # type: ignore[type-var]
+                async for answer in answers:
+                    if isinstance(answer, Rows):
+                        # A reader that takes nothing for this long would keep a
+                        # database connection; the request is abandoned instead.
+                        async with asyncio.timeout(READER_TIMEOUT_S):
+                            await credit.acquire()
+                    await self.socket.send(encode(answer))
+        except (TimeoutError, CodecError) as error:
+            reason = str(error) or "the reader took no rows in time"
+            await self.socket.send(encode(_make_broken(message.request, reason)))
+
+
+def _make_broken(request: int, reason: str) -> Failed:
+    # The statement ran on the member; only its result could not be passed on.
+    return Failed(request, "send", "", Outcome.UNKNOWN.value, 9002, reason, 0.0, False)
 
 
 async def start_peer_server(
@@ -162,7 +176,7 @@
     async def accept(socket: ServerConnection) -> None:
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                peer = await _authenticate(socket, node, secret)
+                peer = await _authenticate(socket, node, secret, handlers.incarnation)
         except (
             HandshakeError,
             CodecError,
@@ -192,7 +206,9 @@
     )
 
 
-async def _authenticate(socket: ServerConnection, node: str, secret: bytes) -> str:
+async def _authenticate(
+    socket: ServerConnection, node: str, secret: bytes, incarnation: int
+) -> str:
     hello = decode(_as_frame(await socket.recv()))
     if not isinstance(hello, Hello):
         raise HandshakeError("peer did not start with Hello")
@@ -202,7 +218,7 @@
     if not isinstance(proof, Proof):
         raise HandshakeError("peer did not send a proof")
     check_proof(hello, challenge, proof, secret)
-    await socket.send(encode(Welcome(node)))
+    await socket.send(encode(Welcome(node, incarnation)))
     return hello.node
 
 
--- /dev/null
+++ b/src/radishtrack/proxy/assembly.py
@@ -0,0 +1,194 @@
+"""Puts the parts of a node together."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from functools import partial
+
+from radishtrack.backend.database import DatabaseBackend
+from radishtrack.backend.member_commands import MemberCommands
+from radishtrack.backend.member_connection import make_connect
+from radishtrack.backend.monitor import Monitor
+from radishtrack.clock import Clock, make_system_clock
+from radishtrack.config.model import Database
+from radishtrack.config.state import make_configuration_state
+from radishtrack.frontend.connection import ConnectionControl
+from radishtrack.group.record import GroupRecord
+from radishtrack.keys.contact import make_contact_state
+from radishtrack.keys.keyring import make_keyring
+from radishtrack.membership.drain import make_drain
+from radishtrack.membership.nodes import Node, make_membership
+from radishtrack.membership.placement import make_placement
+from radishtrack.metrics import make_metrics
+from radishtrack.peer.link import open_link
+from radishtrack.platform.client import PlatformClient, make_platform_client
+from radishtrack.proxy.copies import Copies
+from radishtrack.proxy.entry import Entry
+from radishtrack.proxy.group_store import make_group_store
+from radishtrack.proxy.holder import Holder
+from radishtrack.proxy.node import NodeServer
+from radishtrack.proxy.promoter import Promoter, make_promoter
+from radishtrack.proxy.promoter_place import PromoterPlace
+from radishtrack.proxy.rates import Rates
+from radishtrack.proxy.router import Router
+from radishtrack.proxy.slots import MakePromoter, Slots
+from radishtrack.proxy.usage_reports import UsageReports
+from radishtrack.proxy.votes import Votes
+from radishtrack.routing.statement import make_classifier
+from radishtrack.settings import Settings
+from radishtrack.usage.counter import make_usage_counter
+from radishtrack.usage.report import make_reporter
+
+
+def make_node_server(settings: Settings, clock: Clock, incarnation: int) -> NodeServer:
+    """Return a node that is not started yet.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    clock : Clock
+        Time of all parts.
+    incarnation : int
+        Higher than at any earlier start of this node.
+    """
+    listen = settings.listen
+    node = Node(
+        settings.node.id,
+        settings.node.zone,
+        settings.node.region,
+        f"{listen.peer_host}:{listen.peer_port}",
+    )
+    secret = settings.peers.secret.encode()
+    keyring = make_keyring()
+    metrics = make_metrics()
+    configuration = make_configuration_state()
+    membership = make_membership(node)
+    placement = make_placement()
+    drain = make_drain(settings.limits.drain_timeout_ms)
+    platform = make_platform_client(settings.platform.url, clock)
+    usage = make_usage_counter()
+
+    def find_owner(organisation: str) -> str:
+        found = configuration.document.organisations.get(organisation)
+        return found.owner if found else ""
+
+    async def admit(
+        backend: DatabaseBackend, organisation: str, deadline_ms: float
+    ) -> None:
+        await rates.admit(backend, organisation, deadline_ms)
+
+    holder = Holder(clock, admit, usage, find_owner)
+    router = Router(
+        node,
+        clock,
+        holder,
+        membership,
+        placement,
+        partial(open_link, node=node.id, secret=secret),
+    )
+    identity = f"{node.id}.{incarnation}"
+    rates = Rates(identity, clock, router, placement, platform)
+    contacts = make_contact_state()
+    entry = Entry(
+        clock,
+        secret,
+        settings.limits.request_timeout_ms,
+        keyring,
+        lambda: configuration.document,
+        lambda: contacts.check(clock.now_ms()),
+        make_classifier(),
+        router,
+        drain,
+        metrics,
+    )
+    slots = Slots(node, clock, settings.database_login, holder, placement)
+    votes = Votes(clock, settings.database_login, router, slots)
+    slots.make_promoter = _make_promoter_factory(votes, platform)
+    copies = Copies(
+        clock,
+        settings.peers.secret,
+        keyring,
+        configuration,
+        contacts,
+        membership,
+        router,
+        platform,
+        settings.peers.seeds,
+        lambda key: server.close_revoked(key),
+        lambda: server.reconcile(),
+    )
+    server = NodeServer(
+        settings,
+        clock,
+        node,
+        metrics,
+        keyring,
+        configuration,
+        membership,
+        placement,
+        platform,
+        holder,
+        router,
+        slots,
+        drain,
+        entry,
+        votes,
+        rates,
+        copies,
+        UsageReports(clock, platform, make_reporter(node.id, str(incarnation), usage)),
+        incarnation,
+        ConnectionControl(settings.limits.max_client_connections),
+    )
+    return server
+
+
+def _make_promoter_factory(votes: Votes, platform: PlatformClient) -> MakePromoter:
+    store = make_group_store(platform)
+
+    def make(database: Database, record: GroupRecord, monitor: Monitor) -> Promoter:
+        slots = votes.slots
+
+        def list_voters() -> tuple[str, ...]:
+            return slots.placement.rank_voters(
+                database.name, database.region, database.slots
+            )
+
+        def compute_rank() -> int:
+            voters = list_voters()
+            name = slots.node.id
+            return voters.index(name) if name in voters else len(voters)
+
+        async def request_votes(name: str, member: str) -> dict[str, bool]:
+            return await votes.request(list_voters(), name, member)
+
+        def list_members_leaving() -> frozenset[str]:
+            backend = slots.holder.databases.get(database.name)
+            return backend.leaving() if backend else frozenset()
+
+        return make_promoter(
+            PromoterPlace(
+                slots.node.id, compute_rank, list_voters, list_members_leaving
+            ),
+            record,
+            monitor,
+            store,
+            MemberCommands(make_connect(votes.login.password)),
+            request_votes,
+        )
+
+    return make
+
+
+async def serve(settings: Settings) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    server = make_node_server(
+        settings, make_system_clock(), time.time_ns() // 1_000_000
+    )
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, server.stopping.set)
+    await server.start()
+    await server.run()
--- /dev/null
+++ b/src/radishtrack/proxy/copies.py
@@ -0,0 +1,170 @@
+"""Exchanges copies of keys and configuration with peers while the platform is away."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.config.state import ConfigurationState
+from radishtrack.keys.contact import ContactState
+from radishtrack.keys.copy import apply_copy, compute_digest, open_keys, seal_keys
+from radishtrack.keys.keyring import Keyring, RevokedKey
+from radishtrack.membership.nodes import Membership
+from radishtrack.peer.link import LinkClosed, PeerLink
+from radishtrack.peer.messages import Copy, CopyRequest
+from radishtrack.platform.client import PlatformClient
+from radishtrack.proxy.router import Router
+from radishtrack.settings import Address
+
+STEP_S: Final = 0.5
+CUT_OFF_MS: Final = 8_000.0
+"""Longer than a quiet watch of the platform waits for a change."""
+
+ASK_INTERVAL_MS: Final = 5_000.0
+INTERVAL_PER_PEER_MS: Final = 34.0
+"""Keeps the traffic of an outage with 590 peers under 2 KB a second."""
+
+ANSWER_TIMEOUT_S: Final = 1.0
+
+
+@attrs.define
+class Copies:
+    """Asks peers for their copies, and answers them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Dates contacts.
+    secret : str
+        Authenticates copies.
+    keyring, configuration : Keyring, ConfigurationState
+        What is copied.
+    contacts : ContactState
+        Who was heard of when.
+    membership : Membership
+        The other nodes.
+    router : Router
+        Connections to them.
+    platform : PlatformClient
+        Dates this node's own contact with the platform.
+    seeds : tuple of Address
+        Peers from the settings, for a start while the platform is down.
+    when_revoked : callable
+        Takes a key that a copy revoked.
+    """
+
+    clock: Clock
+    secret: str
+    keyring: Keyring
+    configuration: ConfigurationState
+    contacts: ContactState
+    membership: Membership
+    router: Router
+    platform: PlatformClient
+    seeds: tuple[Address, ...]
+    when_revoked: Callable[[RevokedKey], None]
+    when_configured: Callable[[], None]
+    asked_ms: float = 0.0
+    numbers: itertools.count[int] = attrs.field(
+        factory=lambda: itertools.count(-2_000_000_000, step=-1)
+    )
+    """Distinct from the numbers of all other messages on a link."""
+
+    def answer(self, request: CopyRequest) -> Copy:
+        """Return this node's copies for a peer."""
+        age_ms = self.clock.now_ms() - self.contacts.platform_ms
+        objects = [
+            seal_keys(
+                self.keyring,
+                min(age_ms, _LONG_MS),
+                self.secret,
+                known_digest=request.keys_digest,
+            )
+        ]
+        if self.configuration.revision > request.revision:
+            objects.append(self.configuration.seal_copy(self.secret))
+        return Copy(request.request, min(age_ms, _LONG_MS), tuple(objects))
+
+    async def run(self) -> None:
+        """Ask all peers from time to time while the platform does not answer."""
+        while True:
+            now_ms = self.clock.now_ms()
+            nodes = self.membership.list_nodes(now_ms)
+            others = frozenset(node.id for node in nodes) - {self.router.node.id}
+            self.contacts.set_peers(others | self._known_seeds())
+            interval_ms = max(ASK_INTERVAL_MS, INTERVAL_PER_PEER_MS * len(others))
+            is_due = now_ms - self.asked_ms >= interval_ms
+            if is_due and self.contacts.is_cut_off(now_ms, CUT_OFF_MS):
+                self.asked_ms = now_ms
+                await asyncio.gather(
+                    *(self._ask(name) for name in others),
+                    *(self._ask_seed(seed) for seed in self._unlisted_seeds()),
+                )
+            await asyncio.sleep(STEP_S)
+
+    def _known_seeds(self) -> frozenset[str]:
+        # Nodes reached by a seed address count as peers before the list names them.
+        return frozenset(self.router.links) - {self.router.node.id}
+
+    def _unlisted_seeds(self) -> tuple[Address, ...]:
+        nodes = self.membership.list_nodes(self.clock.now_ms())
+        listed = {node.peer_address for node in nodes}
+        return tuple(seed for seed in self.seeds if str(seed) not in listed)
+
+    async def _ask(self, name: str) -> None:
+        try:
+            link = await self.router.get_link(name)
+        except LinkClosed:
+            return
+        await self._ask_link(link)
+
+    async def _ask_seed(self, seed: Address) -> None:
+        try:
+            link = await self.router.open_link(str(seed))
+        except LinkClosed:
+            return
+        known = self.router.links.get(link.node)
+        if known is None or known.closed:
+            self.router.links[link.node] = link
+        await self._ask_link(link)
+
+    async def _ask_link(self, link: PeerLink) -> None:
+        number = next(self.numbers)
+        request = CopyRequest(
+            number, compute_digest(self.keyring), self.configuration.revision
+        )
+        asked_ms = self.clock.now_ms()
+        try:
+            answer = await link.call(request, number, ANSWER_TIMEOUT_S)
+        except LinkClosed:
+            return
+        if isinstance(answer, Copy):
+            self._take(link.node, answer, asked_ms)
+
+    def _take(self, peer: str, answer: Copy, asked_ms: float) -> None:
+        if not answer.objects:
+            return
+        copy = open_keys(answer.objects[0], self.secret)
+        if copy is None:
+            return
+        for revoked in apply_copy(self.keyring, copy):
+            self.when_revoked(revoked)
+        self.contacts.note_peer(
+            peer,
+            asked_ms,
+            platform_down=answer.contact_age_ms > CUT_OFF_MS,
+            copy_age_ms=copy.age_ms,
+        )
+        before = self.configuration.revision
+        self.configuration.accept_copies(answer.objects[1:], self.secret)
+        if self.configuration.revision > before:
+            self.when_configured()
+
+
+_LONG_MS: Final = 1e12
+"""Stands for "never" in a message; an infinite age can't be compared across nodes."""
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -163,7 +163,7 @@
             Not run, for invalid options, a refused statement or one with a key in it.
         """
         options, statement_text = split_options(sql)
-        if "rtk_" in statement_text and self.keyring.contains_key(statement_text):
+        if self.keyring.contains_key(statement_text):
             raise make_not_run("keys", "the statement contains a key")
         statement = self.classify(statement_text)
         if statement.kind is Kind.REFUSED:
--- a/src/radishtrack/proxy/holder.py
+++ b/src/radishtrack/proxy/holder.py
@@ -19,15 +19,17 @@
 from radishtrack.backend.write import run_write
 from radishtrack.clock import Clock
 from radishtrack.errors import Failure, Outcome, RequestError, make_not_run
-from radishtrack.peer.messages import Done, Execute, Failed, Message
+from radishtrack.peer.messages import Done, Execute, Failed, Message, Rows
 from radishtrack.routing.options import make_invalid_option
 from radishtrack.routing.statement import Kind
+from radishtrack.usage.counter import UsageCounter, UsageKey
 
 SessionKey = tuple[str, int]
 """Identifier of a peer connection, and the session number on it."""
 
-Admit = Callable[[str, float], Awaitable[None]]
-"""Takes organisation and deadline; raises `RequestError` if the rate is used up."""
+Admit = Callable[[DatabaseBackend, str, float], Awaitable[None]]
+"""Takes database, organisation and deadline in milliseconds; raises `RequestError` if
+the request is over the organisation's rate or can't be served in time."""
 
 
 @attrs.define
@@ -40,6 +42,10 @@
         Time of deadlines.
     admit : callable
         Admission by the organisation's rate.
+    usage : UsageCounter
+        Counts what each organisation uses.
+    find_owner : callable
+        Returns the owner of an organisation.
     databases : dict of str to DatabaseBackend
         The databases held, by name.
     transactions : dict
@@ -50,6 +56,8 @@
 
     clock: Clock
     admit: Admit
+    usage: UsageCounter
+    find_owner: Callable[[str], str]
     databases: dict[str, DatabaseBackend] = attrs.field(factory=dict)
     transactions: dict[SessionKey, Transaction] = attrs.field(factory=dict)
     lost_sessions: set[SessionKey] = attrs.field(factory=set)
@@ -60,10 +68,12 @@
     ) -> AsyncIterator[Message]:
         """Execute one statement; every failure becomes a `Failed` message."""
         key = (connection, request.session)
-        deadline_ms = self.clock.now_ms() + request.timeout_ms
+        started_ms = self.clock.now_ms()
         self.running += 1
         try:
-            async for message in self._dispatch(key, request, deadline_ms):
+            answers = self._dispatch(key, request, started_ms + request.timeout_ms)
+            async for message in answers:
+                self._count(request, message, started_ms)
                 yield message
         except RequestError as error:
             yield await self._make_failed(key, request, error.failure)
@@ -72,6 +82,19 @@
         finally:
             self.running -= 1
 
+    def _count(self, request: Execute, message: Message, started_ms: float) -> None:
+        key = UsageKey(request.organisation, self.find_owner(request.organisation))
+        if isinstance(message, Rows):
+            size = sum(len(value or "") for row in message.rows for value in row)
+            self.usage.add(key, rows=len(message.rows), bytes_out=size)
+        elif isinstance(message, Done):
+            self.usage.add(
+                key,
+                statements=1,
+                bytes_in=len(request.statement),
+                connection_ms=self.clock.now_ms() - started_ms,
+            )
+
     async def end_session(self, connection: str, session: int) -> None:
         """Roll back the transaction of a session that ended."""
         self.lost_sessions.discard((connection, session))
@@ -113,7 +136,7 @@
         backend = self.databases.get(request.database)
         if backend is None:
             raise make_not_run("hold", f"no slot of {request.database} is held here")
-        await self.admit(request.organisation, deadline_ms)
+        await self.admit(backend, request.organisation, deadline_ms)
         backend.retries.count_request(self.clock.now_ms())
         if kind is Kind.BEGIN:
             opened = await begin_transaction(backend, request, deadline_ms)
@@ -153,7 +176,7 @@
             yield _make_empty_done(request)
             return
         # Each statement counts against the rate, also inside a transaction.
-        await self.admit(request.organisation, deadline_ms)
+        await self.admit(transaction.backend, request.organisation, deadline_ms)
         transaction.is_busy = True
         try:
             async for message in transaction.run(request, deadline_ms):
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import itertools
-import signal
 import ssl
 from collections.abc import Coroutine
-from functools import partial
 from typing import Any, Final
 
 import attrs
@@ -15,30 +13,31 @@
 from websockets.asyncio.server import Server
 
 from radishtrack.admin import AdminServer, Readiness, start_admin
-from radishtrack.backend.member_commands import MemberCommands
-from radishtrack.backend.member_connection import make_connect
-from radishtrack.backend.monitor import Monitor
-from radishtrack.clock import Clock, make_system_clock
+from radishtrack.clock import Clock
 from radishtrack.config.chunk import ChunkError, decode_chunk, decode_manifest
-from radishtrack.config.model import Database
-from radishtrack.config.state import ConfigurationState, make_configuration_state
+from radishtrack.config.state import ConfigurationState
 from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
 from radishtrack.events import Event, log_event
 from radishtrack.frontend.connection import ConnectionControl, FrontendServer
 from radishtrack.frontend.identity import KeyIdentityProvider
 from radishtrack.frontend.session import ClientSession
-from radishtrack.group.record import GroupRecord, RecordError, parse_record
+from radishtrack.group.record import RecordError, parse_record
 from radishtrack.keys.key import verify_scramble
 from radishtrack.keys.keyring import KIND as KEYS_KIND
-from radishtrack.keys.keyring import Keyring, make_keyring
-from radishtrack.membership.drain import Drain, DrainState, make_drain
-from radishtrack.membership.nodes import Membership, Node, make_membership
-from radishtrack.membership.placement import Placement, make_placement
-from radishtrack.metrics import Metrics, make_metrics
-from radishtrack.peer.link import open_link
-from radishtrack.peer.messages import Leaving, Message, VoteRequest
+from radishtrack.keys.keyring import Keyring, RevokedKey
+from radishtrack.membership.drain import Drain, DrainState
+from radishtrack.membership.nodes import Membership, Node
+from radishtrack.membership.placement import Placement
+from radishtrack.metrics import Metrics
+from radishtrack.peer.messages import (
+    CopyRequest,
+    Leaving,
+    Message,
+    TokensWanted,
+    VoteRequest,
+)
 from radishtrack.peer.server import PeerHandlers, start_peer_server
-from radishtrack.platform.client import PlatformClient, make_platform_client
+from radishtrack.platform.client import PlatformClient
 from radishtrack.platform.records import (
     PlatformRefusal,
     PlatformUnavailable,
@@ -47,15 +46,14 @@
     WatchAnswer,
 )
 from radishtrack.platform.watch import follow_objects
+from radishtrack.proxy.copies import Copies
 from radishtrack.proxy.entry import OPEN_ORGANISATION, Entry
-from radishtrack.proxy.group_store import make_group_store
 from radishtrack.proxy.holder import Holder
-from radishtrack.proxy.promoter import Promoter, make_promoter
-from radishtrack.proxy.promoter_place import PromoterPlace
+from radishtrack.proxy.rates import Rates
 from radishtrack.proxy.router import Router
-from radishtrack.proxy.slots import MakePromoter, Slots
+from radishtrack.proxy.slots import Slots
+from radishtrack.proxy.usage_reports import UsageReports
 from radishtrack.proxy.votes import Votes
-from radishtrack.routing.statement import make_classifier
 from radishtrack.settings import Settings
 
 GROUPS_KIND: Final = "groups"
@@ -93,6 +91,10 @@
     drain: Drain
     entry: Entry
     votes: Votes
+    rates: Rates
+    copies: Copies
+    reports: UsageReports
+    incarnation: int
     control: ConnectionControl
     frontend: FrontendServer | None = None
     peer_server: Server | None = None
@@ -115,6 +117,7 @@
                 self.holder.end_session,
                 self.holder.end_connection,
                 self._answer_peer,
+                self.incarnation,
             ),
         )
         for work in (
@@ -123,6 +126,9 @@
             self._follow_vms(),
             self._reconcile_often(),
             self._end_idle_often(),
+            self.rates.run(),
+            self.copies.run(),
+            self.reports.run(),
         ):
             self._spawn(work)
         numbers = itertools.count(1)
@@ -159,7 +165,7 @@
             self.frontend.close()
         for link in self.router.links.values():
             if not link.closed:
-                await link.send(Leaving(self.node.id))
+                await link.send(Leaving(self.node.id, self.incarnation))
         while self.drain.state is DrainState.DRAINING:
             self.drain.advance(
                 self.clock.now_ms(),
@@ -167,6 +173,8 @@
                 len(self.holder.transactions),
             )
             await asyncio.sleep(DRAIN_STEP_S)
+        await self.rates.leave()
+        await self.reports.write()
         await self.close()
         self.drain.end()
         log_event(Event.NODE_STOPPED, node=self.node.id)
@@ -182,6 +190,7 @@
         for owner, session in tuple(self.holder.transactions):
             await self.holder.end_session(owner, session)
         await self.slots.close()
+        await self.rates.stop()
         await self.router.close()
         if self.peer_server is not None:
             self.peer_server.close()
@@ -228,12 +237,27 @@
         match message:
             case VoteRequest():
                 return await self.votes.answer(message)
-            case Leaving(node=node):
-                self.membership.note_leaving(node, 0, self.clock.now_ms())
+            case TokensWanted():
+                return await self.rates.answer(message)
+            case CopyRequest():
+                return self.copies.answer(message)
+            case Leaving(node=node, incarnation=incarnation):
+                now_ms = self.clock.now_ms()
+                self.membership.note_leaving(node, incarnation, now_ms)
         return None
 
     async def _follow_platform(self) -> None:
-        await follow_objects(self.platform, WATCHED_KINDS, self._apply_objects)
+        await follow_objects(
+            self.platform,
+            WATCHED_KINDS,
+            self._apply_objects,
+            on_contact=self._note_contact,
+        )
+
+    def _note_contact(self, answered: bool) -> None:
+        if answered:
+            contact_ms = self.platform.last_contact_ms or 0.0
+            self.copies.contacts.note_platform(contact_ms)
 
     def _apply_objects(self, answer: WatchAnswer) -> None:
         for found in answer.objects:
@@ -242,7 +266,7 @@
                     found.name, found.version, found.value
                 )
                 for key in revoked:
-                    self._close_revoked(key.organisation, key.key_id)
+                    self.close_revoked(key)
             elif found.kind == GROUPS_KIND and found.value is not None:
                 try:
                     record = parse_record(found.name, found.version, found.value)
@@ -254,14 +278,15 @@
                 self.manifest_value = found.value
                 self.manifest_changed.set()
 
-    def _close_revoked(self, organisation: str, key_id: str) -> None:
+    def close_revoked(self, key: RevokedKey) -> None:
+        """Close all client connections that were opened with a key."""
         closed = 0
         for connection in tuple(self.control.connections.values()):
             state = connection.session.state
-            if (state.organisation, state.key_id) == (organisation, key_id):
+            if (state.organisation, state.key_id) == (key.organisation, key.key_id):
                 connection.stream.writer.close()
                 closed += 1
-        log_event(Event.KEY_REVOKED, organisation=organisation, closed=closed)
+        log_event(Event.KEY_REVOKED, organisation=key.organisation, closed=closed)
 
     async def _follow_manifest(self) -> None:
         while True:
@@ -286,10 +311,11 @@
             if found is not None and found.value is not None:
                 chunks[digest] = decode_chunk(found.value)
         self.configuration.accept(manifest, chunks)
-        self._reconcile()
+        self.reconcile()
 
     async def _follow_vms(self) -> None:
         await self._announce(VmState.LIVE)
+        was_listed = False
         while True:
             try:
                 listed = await self.platform.vms()
@@ -297,6 +323,11 @@
                 pass
             else:
                 self.membership.apply_list(map(_make_node, listed))
+                own = {vm.state for vm in listed if vm.id == self.node.id}
+                if was_listed and VmState.LEAVING in own:
+                    self.stopping.set()
+                # The list lags: an entry of this VM from before the start says nothing.
+                was_listed = was_listed or VmState.LIVE in own
             await asyncio.sleep(VM_LIST_INTERVAL_S)
 
     async def _announce(self, state: VmState) -> None:
@@ -314,13 +345,15 @@
 
     async def _reconcile_often(self) -> None:
         while True:
-            self._reconcile()
+            self.reconcile()
             await asyncio.sleep(RECONCILE_INTERVAL_S)
 
-    def _reconcile(self) -> None:
+    def reconcile(self) -> None:
+        """Match slots and limits with the membership and the configuration."""
         self.placement.set_nodes(self.membership.list_nodes(self.clock.now_ms()))
         is_leaving = self.drain.state is not DrainState.SERVING
         self.slots.reconcile(self.configuration.document, is_leaving=is_leaving)
+        self.rates.update_document(self.configuration.document)
 
     async def _end_idle_often(self) -> None:
         limit_ms = self.settings.limits.idle_transaction_ms
@@ -329,118 +362,6 @@
             await self.holder.end_idle(limit_ms)
 
 
-def make_node_server(settings: Settings, clock: Clock) -> NodeServer:
-    """Return a node that is not started yet."""
-    listen = settings.listen
-    node = Node(
-        settings.node.id,
-        settings.node.zone,
-        settings.node.region,
-        f"{listen.peer_host}:{listen.peer_port}",
-    )
-    secret = settings.peers.secret.encode()
-    keyring = make_keyring()
-    metrics = make_metrics()
-    configuration = make_configuration_state()
-    membership = make_membership(node)
-    placement = make_placement()
-    drain = make_drain(settings.limits.drain_timeout_ms)
-    holder = Holder(clock, _admit_all)
-    router = Router(
-        node,
-        clock,
-        holder,
-        membership,
-        placement,
-        partial(open_link, node=node.id, secret=secret),
-    )
-    entry = Entry(
-        clock,
-        secret,
-        settings.limits.request_timeout_ms,
-        keyring,
-        lambda: configuration.document,
-        lambda: None,
-        make_classifier(),
-        router,
-        drain,
-        metrics,
-    )
-    platform = make_platform_client(settings.platform.url, clock)
-    slots = Slots(node, clock, settings.database_login, holder, placement)
-    votes = Votes(clock, settings.database_login, router, slots)
-    slots.make_promoter = _make_promoter_factory(votes, platform)
-    return NodeServer(
-        settings,
-        clock,
-        node,
-        metrics,
-        keyring,
-        configuration,
-        membership,
-        placement,
-        platform,
-        holder,
-        router,
-        slots,
-        drain,
-        entry,
-        votes,
-        ConnectionControl(settings.limits.max_client_connections),
-    )
-
-
-def _make_promoter_factory(votes: Votes, platform: PlatformClient) -> MakePromoter:
-    store = make_group_store(platform)
-
-    def make(database: Database, record: GroupRecord, monitor: Monitor) -> Promoter:
-        slots = votes.slots
-
-        def list_voters() -> tuple[str, ...]:
-            return slots.placement.rank_voters(
-                database.name, database.region, database.slots
-            )
-
-        def compute_rank() -> int:
-            voters = list_voters()
-            name = slots.node.id
-            return voters.index(name) if name in voters else len(voters)
-
-        async def request_votes(name: str, member: str) -> dict[str, bool]:
-            return await votes.request(list_voters(), name, member)
-
-        def list_members_leaving() -> frozenset[str]:
-            backend = slots.holder.databases.get(database.name)
-            return backend.leaving() if backend else frozenset()
-
-        return make_promoter(
-            PromoterPlace(
-                slots.node.id, compute_rank, list_voters, list_members_leaving
-            ),
-            record,
-            monitor,
-            store,
-            MemberCommands(make_connect(votes.login.password)),
-            request_votes,
-        )
-
-    return make
-
-
-async def serve(settings: Settings) -> None:
-    """Run a node until SIGTERM or SIGINT."""
-    server = make_node_server(settings, make_system_clock())
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, server.stopping.set)
-    await server.start()
-    await server.run()
-
-
-async def _admit_all(organisation: str, deadline_ms: float) -> None:
-    return
-
-
 def _make_node(record: VmRecord) -> Node:
     return Node(
         record.id,
--- a/src/radishtrack/proxy/proxy.py
+++ b/src/radishtrack/proxy/proxy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from radishtrack.events import use_json_lines
-from radishtrack.proxy.node import serve
+from radishtrack.proxy.assembly import serve
 from radishtrack.settings import Settings
 
 
--- a/src/radishtrack/proxy/router.py
+++ b/src/radishtrack/proxy/router.py
@@ -179,6 +179,7 @@
                 raise LinkClosed(f"peer {name} is not known")
             link = await self.open_link(found.peer_address)
             self.links[name] = link
+            self.membership.note_answer(name, link.incarnation)
             return link
 
     async def close(self) -> None:
