Read a lease again while another allocator holds it

Cause: at the start each node knew only itself and took the leases of all organisations. When the list of VMs arrived, the wrong allocator released its lease, but the right one had read the record before and waited for the lease's end; meanwhile holders got no tokens (90 of about 950 requests refused although within the rate). Change: a node that is not listed yet is not ready, and an allocator without the lease reads the record every 500 ms.

--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -61,6 +61,10 @@
 VM_LIST_INTERVAL_S: Final = 2.0
 RECONCILE_INTERVAL_S: Final = 0.5
 CHUNK_RETRY_S: Final = 0.2
+STEP_S: Final = 0.25
+LIST_WAIT_MS: Final = 5_000.0
+"""A node that is not listed after this time serves with what its peers told it."""
+
 DRAIN_STEP_S: Final = 0.05
 
 
@@ -102,11 +106,14 @@
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     manifest_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     manifest_value: object = None
+    is_listed: bool = False
+    started_ms: float = 0.0
     stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def start(self) -> None:
         """Listen and start all tasks."""
         listen = self.settings.listen
+        self.started_ms = self.clock.now_ms()
         self.peer_server = await start_peer_server(
             listen.peer_host,
             listen.peer_port,
@@ -231,6 +238,9 @@
             return Readiness(False, "draining")
         if self.configuration.revision == 0:
             return Readiness(False, "no configuration")
+        is_starting = self.clock.now_ms() - self.started_ms < LIST_WAIT_MS
+        if is_starting and not self.is_listed:
+            return Readiness(False, "not in the platform's list of VMs yet")
         return Readiness(True)
 
     async def _answer_peer(self, peer: str, message: Message) -> Message | None:
@@ -315,7 +325,6 @@
 
     async def _follow_vms(self) -> None:
         await self._announce(VmState.LIVE)
-        was_listed = False
         while True:
             try:
                 listed = await self.platform.vms()
@@ -324,11 +333,11 @@
             else:
                 self.membership.apply_list(map(_make_node, listed))
                 own = {vm.state for vm in listed if vm.id == self.node.id}
-                if was_listed and VmState.LEAVING in own:
+                if self.is_listed and VmState.LEAVING in own:
                     self.stopping.set()
                 # The list lags: an entry of this VM from before the start says nothing.
-                was_listed = was_listed or VmState.LIVE in own
-            await asyncio.sleep(VM_LIST_INTERVAL_S)
+                self.is_listed = self.is_listed or VmState.LIVE in own
+            await asyncio.sleep(VM_LIST_INTERVAL_S if self.is_listed else STEP_S)
 
     async def _announce(self, state: VmState) -> None:
         record = VmRecord(
--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Coroutine
 from typing import Any, Final
 
@@ -54,6 +55,9 @@
 IDLE_MS: Final = 60_000.0
 """A share or allocator that was not used for this long is given up."""
 
+LEASE_READ_MS: Final = 500.0
+"""Time between reads of a lease that another allocator holds."""
+
 FIRST_RECORD_READ_MS: Final = 8_000.0
 """Later than the first renewal of a lease, which plans the standing shares."""
 
@@ -78,6 +82,7 @@
     state: Allocator
     used_ms: float
     is_busy: bool = False
+    read_ms: float = -math.inf
 
 
 @attrs.define
@@ -313,9 +318,12 @@
             else:
                 await self._write(name, state, write)
             return
-        if state.lease.version < 0:
+        if not state.lease.is_mine and now_ms - placed.read_ms >= LEASE_READ_MS:
+            # Another allocator gives the lease up when it learns that the organisation
+            # is placed here.
+            placed.read_ms = now_ms
             await self._read(name, state)
-        now_ms = self.clock.now_ms()
+            now_ms = self.clock.now_ms()
         if state.should_acquire(now_ms):
             # Another node may have changed the record since it was read.
             await self._read(name, state)
