Mend what a trial with ordinary drivers found

The first packet reports autocommit, so PyMySQL switches it off when asked; before, its rollback did nothing. Ruled out: the statement classifier, which handled autocommit already.

--- a/src/radishtrack/backend/connection.py
+++ b/src/radishtrack/backend/connection.py
@@ -9,7 +9,7 @@
 import aiomysql
 import attrs
 from aiomysql.cursors import SSCursor
-from pymysql.constants import CLIENT
+from pymysql.constants import FIELD_TYPE
 from pymysql.err import MySQLError
 
 from radishtrack.backend.member_sql import STATUS_SQL, parse_status
@@ -21,6 +21,21 @@
 CLIENT_ERRORS: Final = range(2000, 3000)
 """Errors of the client library itself: the member's answer is missing."""
 
+BINARY_FLAG: Final = 0x100
+"""Added to the type code of a column that holds bytes."""
+
+BINARY_CHARSET: Final = 63
+STRING_TYPES: Final = frozenset(
+    {
+        FIELD_TYPE.VARCHAR,
+        FIELD_TYPE.VAR_STRING,
+        FIELD_TYPE.STRING,
+        FIELD_TYPE.BLOB,
+        FIELD_TYPE.TINY_BLOB,
+        FIELD_TYPE.MEDIUM_BLOB,
+        FIELD_TYPE.LONG_BLOB,
+    }
+)
 CONNECT_TIMEOUT_S: Final = 1.0
 ROWS_PER_CHUNK: Final = 200
 
@@ -124,7 +139,7 @@
                 return
             yield StreamHead(
                 tuple(column[0] for column in cursor.description),
-                tuple(column[1] for column in cursor.description),
+                tuple(map(_describe_type, cursor._result.fields)),
             )
             while rows := await cursor.fetchmany(ROWS_PER_CHUNK):
                 yield StreamRows(tuple(rows))
@@ -161,6 +176,13 @@
         self.in_doubt = False
 
 
+def _describe_type(field: Any) -> int:
+    code: int = field.type_code
+    if code in STRING_TYPES and field.charsetnr == BINARY_CHARSET:
+        return code | BINARY_FLAG
+    return code
+
+
 @attrs.define(frozen=True)
 class StreamHead:
     """Names and MySQL type codes of a result's columns."""
@@ -208,7 +230,6 @@
             charset="utf8mb4",
             connect_timeout=CONNECT_TIMEOUT_S,
             conv={},
-            client_flag=CLIENT.FOUND_ROWS,
         )
     except (MySQLError, OSError, EOFError, TimeoutError) as error:
         code = error.args[0] if error.args and isinstance(error.args[0], int) else 0
--- a/src/radishtrack/frontend/columns.py
+++ b/src/radishtrack/frontend/columns.py
@@ -5,9 +5,12 @@
 from datetime import date, datetime
 from typing import Any, Final
 
+from mysql_mimic.charset import CharacterSet
 from mysql_mimic.results import ResultColumn
 from mysql_mimic.types import ColumnType
 
+from radishtrack.backend.connection import BINARY_FLAG
+
 _INTEGERS: Final = frozenset(
     {
         ColumnType.TINY,
@@ -20,14 +23,6 @@
 )
 _FLOATS: Final = frozenset({ColumnType.FLOAT, ColumnType.DOUBLE})
 _TIMES: Final = frozenset({ColumnType.DATETIME, ColumnType.TIMESTAMP})
-_BLOBS: Final = frozenset(
-    {
-        ColumnType.BLOB,
-        ColumnType.TINY_BLOB,
-        ColumnType.MEDIUM_BLOB,
-        ColumnType.LONG_BLOB,
-    }
-)
 
 
 def make_column(name: str, type_code: int) -> ResultColumn:
@@ -38,9 +33,10 @@
     name : str
         Name of the column.
     type_code : int
-        MySQL type code that the database reported.
+        MySQL type code that the database reported, plus `BINARY_FLAG` for a column of
+        bytes; TEXT and BLOB columns have the same type code.
     """
-    kind = ColumnType(type_code)
+    kind = ColumnType(type_code & ~BINARY_FLAG)
     if kind in _INTEGERS:
         return _make(name, ColumnType.LONGLONG, int)
     if kind in _FLOATS:
@@ -49,16 +45,22 @@
         return _make(name, ColumnType.DATETIME, datetime.fromisoformat)
     if kind is ColumnType.DATE:
         return _make(name, ColumnType.DATE, date.fromisoformat)
-    if kind in _BLOBS:
-        return _make(name, ColumnType.BLOB, _identity)
+    if type_code & BINARY_FLAG:
+        return _make(name, ColumnType.BLOB, _identity, CharacterSet.binary)
     return _make(name, ColumnType.VAR_STRING, _identity)
 
 
-def _make(name: str, kind: ColumnType, parse: Any) -> ResultColumn:
+def _make(
+    name: str,
+    kind: ColumnType,
+    parse: Any,
+    character_set: CharacterSet = CharacterSet.utf8mb4,
+) -> ResultColumn:
     encode = ResultColumn(name=name, type=kind).binary_encoder
     return ResultColumn(
         name=name,
         type=kind,
+        character_set=character_set,
         text_encoder=_encode_text,
         binary_encoder=lambda column, value: encode(column, parse(value)),
     )
--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -16,6 +16,7 @@
 from mysql_mimic.server import MysqlServer
 from mysql_mimic.session import BaseSession
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import ServerStatus
 
 from radishtrack.events import Event, log_event
 
@@ -225,6 +226,8 @@
             identity_provider=self.identity_provider,
             ssl=self.ssl,
         )
+        # Drivers compare the mode they want with the flags of the first packet.
+        connection.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
         with contextlib.suppress(ConnectionError, ConnectionClosed):
             await self._serve(connection, stream, writer)
 
--- a/src/radishtrack/frontend/session.py
+++ b/src/radishtrack/frontend/session.py
@@ -16,7 +16,13 @@
 from radishtrack.frontend.columns import make_column
 from radishtrack.frontend.connection import ClientConnection, OkFields
 from radishtrack.peer.messages import Rows
-from radishtrack.proxy.entry import ClientState, Entry, PreparedRequest, Reply
+from radishtrack.proxy.client_state import (
+    COMMIT_REQUEST,
+    ClientState,
+    PreparedRequest,
+    Reply,
+)
+from radishtrack.proxy.entry import Entry
 from radishtrack.routing.statement import Kind, Local
 from radishtrack.session.token import encode_token
 
@@ -38,7 +44,7 @@
     def __init__(self, entry: Entry, number: int) -> None:
         self.entry = entry
         self.state = ClientState(number)
-        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self.variables = self._make_variables()
         self.username: str | None = None
         self.connection: ClientConnection | None = None
 
@@ -79,7 +85,7 @@
             self._adopt_login()
         self.state.autocommit = True
         self.state.last_insert_id = 0
-        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self.variables = self._make_variables()
         self._update_status()
 
     async def use(self, database: str) -> None:
@@ -104,6 +110,12 @@
         finally:
             self._update_status()
 
+    def _make_variables(self) -> SessionVariables:
+        variables = SessionVariables(_GLOBAL_VARIABLES)
+        variables.set("max_allowed_packet", self.entry.max_statement_bytes)
+        variables.set("version_comment", "radishtrack", force=True)
+        return variables
+
     def _adopt_login(self) -> None:
         organisation, _, key_id = (self.username or "").partition("/")
         if organisation != self.state.organisation:
@@ -166,8 +178,7 @@
     async def _set_autocommit(self, enabled: bool) -> None:
         if enabled and self.state.in_transaction:
             # MySQL commits the open transaction when autocommit is switched on.
-            commit = self.entry.read_statement(self.state, "COMMIT")
-            await self.entry.execute(self.state, commit)
+            await self.entry.execute(self.state, COMMIT_REQUEST)
         self.state.autocommit = enabled
 
     def _select_variables(self, sql: str) -> ResultSet:
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -96,6 +96,7 @@
         clock,
         secret,
         settings.limits.request_timeout_ms,
+        settings.limits.max_statement_bytes,
         keyring,
         lambda: configuration.document,
         lambda: contacts.check(clock.now_ms()),
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -24,6 +24,13 @@
 from radishtrack.membership.drain import Drain, DrainDecision
 from radishtrack.metrics import Metrics
 from radishtrack.peer.messages import Done, Execute, Failed, Message, ResultHead, Rows
+from radishtrack.proxy.client_state import (
+    COMMIT_REQUEST,
+    ClientState,
+    PreparedRequest,
+    Reply,
+    advance_position,
+)
 from radishtrack.proxy.router import Router
 from radishtrack.routing.options import ReadClass, RequestOptions, split_options
 from radishtrack.routing.route import EffectiveClass, RouteClass, effective_class
@@ -36,55 +43,6 @@
 _ANY_CLASS: Final = EffectiveClass(ReadClass.STRICT)
 
 
-@attrs.define
-class ClientState:
-    """What the entry keeps for one client connection.
-
-    Parameters
-    ----------
-    number : int
-        Session number, unique at this node.
-    organisation : str
-        The organisation that the key belongs to.
-    key_id : str
-        The key that was presented.
-    """
-
-    number: int
-    organisation: str = ""
-    key_id: str = ""
-    database: str = ""
-    positions: dict[str, Position] = attrs.field(factory=dict)
-    autocommit: bool = True
-    in_transaction: bool = False
-    holder: str = ""
-    """The holder of the open transaction, or of one that was lost."""
-    transaction_database: str = ""
-    transaction_lost: bool = False
-    """The way to the holder failed inside a transaction that is not ended yet."""
-    token_refused: bool = False
-    last_insert_id: int = 0
-
-
-@attrs.define(frozen=True)
-class Reply:
-    """Answer to one statement.
-
-    Parameters
-    ----------
-    head : ResultHead or None
-        Columns; None for a statement without a result.
-    rows : async iterator or None
-        Chunks of rows; raises `RequestError` if the result breaks off.
-    done : Done or None
-        The end of a statement without a result.
-    """
-
-    head: ResultHead | None = None
-    rows: AsyncIterator[Rows] | None = None
-    done: Done | None = None
-
-
 @attrs.define
 class Entry:
     """Decides on each statement of the clients of this node.
@@ -97,6 +55,8 @@
         Authenticates session tokens.
     timeout_ms : float
         Time of a request for which the client states none, in milliseconds.
+    max_statement_bytes : int
+        Longest statement that is accepted.
     keyring : Keyring
         Active keys.
     get_document : callable
@@ -116,6 +76,7 @@
     clock: Clock
     secret: bytes
     timeout_ms: float
+    max_statement_bytes: int
     keyring: Keyring
     get_document: Callable[[], Document]
     check_freshness: Callable[[], Refuse | None]
@@ -184,7 +145,7 @@
             return
         state.token_refused = False
         for database, position in decoded.ok.items():
-            _advance(state, database, position)
+            advance_position(state, database, position)
 
     async def execute(self, state: ClientState, prepared: PreparedRequest) -> Reply:
         """Execute a statement and return its answer, which may still be streaming.
@@ -196,6 +157,9 @@
         """
         if state.transaction_lost:
             return self._end_lost(state, prepared.statement.kind)
+        if prepared.statement.kind is Kind.BEGIN and state.in_transaction:
+            # MySQL commits the open transaction before it begins another.
+            await self.execute(state, COMMIT_REQUEST)
         started_ms = self.clock.now_ms()
         messages = self._run(state, prepared)
         first = await anext(messages)
@@ -390,7 +354,7 @@
             state.holder = ""
         if message.term:
             position = Position(message.term, message.sequence)
-            _advance(state, state.transaction_database, position)
+            advance_position(state, state.transaction_database, position)
         if message.insert_id:
             state.last_insert_id = message.insert_id
         elapsed_ms = self.clock.now_ms() - started_ms
@@ -424,15 +388,6 @@
         raise make_not_run("forward", "the result broke off")
 
 
-@attrs.define(frozen=True)
-class PreparedRequest:
-    """A statement with its options and classification."""
-
-    options: RequestOptions
-    statement: Statement
-    text: str
-
-
 def make_over_rate(retry_after_ms: float) -> RequestError:
     """Return the error of a request above its organisation's rate."""
     return RequestError(
@@ -462,9 +417,3 @@
         message.message,
         message.retry_after_ms,
     )
-
-
-def _advance(state: ClientState, database: str, position: Position) -> None:
-    known = state.positions.get(database)
-    if known is None or position > known:
-        state.positions[database] = position
