Ask less often for tokens while over the rate

Cause: three saturated holders sent 52 token requests a second each at 1,000/s. Change: least retry time of 25 ms instead of 10 ms; NotAllocator is a message.

--- a/src/radishtrack/rates/allocator.py
+++ b/src/radishtrack/rates/allocator.py
@@ -36,6 +36,7 @@
     MIN_GRANT_VALIDITY_MS,
     STANDING_VALIDITY_MS,
     LeaseRecord,
+    NotAllocator,
     RateLimit,
     ReleasedLevel,
     Stamp,
@@ -49,20 +50,14 @@
 LOAN_STOP_MS: Final = 4_000.0
 """Loans are given back when the rest of the lease is this short, so that the holders
 have their standing shares before a platform outage ends the lease."""
-MIN_RETRY_MS: Final = 10.0
+MIN_RETRY_MS: Final = 25.0
+"""Bounds the token requests of a holder whose organisation is over its rate."""
 MAX_RETRY_MS: Final = 1_000.0
 MAX_TURN_MS: Final = 100.0
 """Longest pause for the sake of other holders that wait for tokens."""
 HOLDER_MEMORY_MS: Final = STANDING_VALIDITY_MS
 
 
-@attrs.define(frozen=True)
-class NotAllocator:
-    """The node that was asked does not hold the organisation's lease."""
-
-    organisation: str
-
-
 @attrs.define
 class Allocator:
     """One node's state for the allocation of one organisation's tokens.
--- a/src/radishtrack/rates/messages.py
+++ b/src/radishtrack/rates/messages.py
@@ -159,6 +159,13 @@
     loan: bool = True
 
 
+@attrs.define(frozen=True)
+class NotAllocator:
+    """The node that was asked does not hold the organisation's lease."""
+
+    organisation: str
+
+
 @attrs.define(frozen=True)
 class StandingShare:
     """Part of the limit that one holder may use without an allocator.
--- a/tests/rate_world.py
+++ b/tests/rate_world.py
@@ -13,10 +13,11 @@
 
 import attrs
 
-from radishtrack.rates.allocator import Allocator, NotAllocator, make_allocator
+from radishtrack.rates.allocator import Allocator, make_allocator
 from radishtrack.rates.lease import LeaseWrite
 from radishtrack.rates.messages import (
     LeaseRecord,
+    NotAllocator,
     RateLimit,
     TokenGrant,
     TokenRequest,
--- a/tests/test_rate_allocator.py
+++ b/tests/test_rate_allocator.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishtrack.rates.allocator import Allocator, NotAllocator, make_allocator
+from radishtrack.rates.allocator import Allocator, make_allocator
 from radishtrack.rates.bucket import UNITS_PER_TOKEN, make_empty_bucket
 from radishtrack.rates.fair_division import divide_fairly
 from radishtrack.rates.lease import LEASE_MS
@@ -15,6 +15,7 @@
     LOAN_MS,
     STANDING_VALIDITY_MS,
     LeaseRecord,
+    NotAllocator,
     Settlement,
     Stamp,
     StandingShare,
