Make the usage and queue tests reach the rare states

Cause: with folded objects counted twice, expired waiters started, a cancelled waiter left in its queue or an older report accepted, the tests stayed green. Change: longer operation sequences and direct checks.

--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -121,6 +121,7 @@
             st.sampled_from(["offer", "finish", "next", "cancel", "resize", "late"]),
             st.integers(0, 4),
         ),
+        min_size=40,
         max_size=120,
     )
 )
@@ -217,5 +218,15 @@
         with pytest.raises(RequestError) as caught:
             async with gate.connection("b", gate.clock.now_ms() + 5.0):
                 raise AssertionError("must not start")
+        assert gate.queue.waiting == 0
     assert caught.value.failure.outcome is Outcome.NOT_RUN
-    assert gate.queue.waiting == gate.queue.running == 0
+    assert gate.queue.running == 0
+
+
+def test_a_waiter_past_its_deadline_is_not_started() -> None:
+    queue = make_fair_queue(1)
+    assert isinstance(queue.offer("a", 0.0, 50.0), Started)
+    assert isinstance(queue.offer("a", 0.0, 50.0), Queued)
+    queue.finish("a", 60.0)
+    assert queue.next_waiter(60.0) is None
+    assert queue.waiting == queue.running == 0
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import random
 from fractions import Fraction
 
 import pytest
@@ -91,32 +92,24 @@
     counter.add(KEY, statements=1, connection_ms=5.5)
     second = reporter.make_report(30_000.0)
     known = None
-    for report in [first, second, first, second]:
+    for report in [first, second, first]:
         known = choose_later(known, report)
     assert known == second
     assert second.totals == (UsageEntry(KEY, UsageTotals(2, 2, 3, 4, 11)),)
     assert decode_report(json.loads(json.dumps(encode_report(second)))) == second
 
 
-@settings(max_examples=150, derandomize=True, deadline=None)
-@given(
-    st.lists(
-        st.tuples(
-            st.sampled_from(["use", "report", "die", "seal", "fold", "delete"]),
-            st.integers(0, 2),
-        ),
-        max_size=60,
-    )
-)
-def test_compaction_keeps_the_total_with_lost_and_repeated_writes(
-    steps: list[tuple[str, int]],
-) -> None:
+@pytest.mark.parametrize("seed", range(40))
+def test_compaction_keeps_the_total_with_lost_and_repeated_writes(seed: int) -> None:
     """Seals, folds and deletes hit live and dead nodes alike, also with old reads."""
     store = Store()
     reporters = [make_reporter(f"n{i}", "0", make_usage_counter()) for i in range(3)]
     reported: list[int] = [0, 0, 0]
     lost_with_nodes = 0
     old_summary = (0, UsageSummary())
+    source = random.Random(seed)
+    kinds = ["use", "report", "die", "seal", "fold", "delete"]
+    steps = [(source.choice(kinds), source.randrange(3)) for _ in range(150)]
     for number, (kind, index) in enumerate(steps):
         reporter = reporters[index]
         if kind == "use":
