--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -80,12 +80,26 @@
 FATES = ("carried out", "carried out", "carried out", "answer lost", "lost", "repeated")
 SEEDS = st.integers(0, 2**16)
 NODES = st.integers(0, 1)
+MIX_STEPS = 80
+MIX = {
+    "replicate": 8,
+    "write": 4,
+    "read_strictly": 4,
+    "continue_request": 4,
+    "refresh": 4,
+    "stop_or_restart": 1,
+    "start_attempt": 1,
+    "continue_jobs": 3,
+    "replace_primary": 2,
+    "repair": 2,
+    "pass_time": 1,
+}
 VOTERS = ("p", "q", "r")
 SETTINGS = settings(
     derandomize=True,
     deadline=None,
-    max_examples=100,
-    stateful_step_count=50,
+    max_examples=80,
+    stateful_step_count=20,
     database=None,
     # Shrinking a schedule takes minutes and would outlast the whole test run.
     phases=(Phase.generate,),
@@ -158,6 +172,24 @@
         self.steps += 1
         return Random(f"{seed} {self.steps}")
 
+    @rule(seed=SEEDS)
+    def _mix(self, seed: int) -> None:
+        """Run many small steps: most faults need more than one rule can reach."""
+        random = self._make_random(seed)
+        for name in random.choices(list(MIX), list(MIX.values()), k=MIX_STEPS):
+            index, step_seed = random.randrange(2), random.randrange(2**16)
+            match name:
+                case "refresh":
+                    self._refresh(index, random.random() < 0.5)
+                case "pass_time":
+                    self._pass_time(random.choice((100.0, 600.0)))
+                case "replicate":
+                    self._replicate(step_seed)
+                case "stop_or_restart":
+                    self._stop_or_restart(step_seed)
+                case _:
+                    getattr(self, f"_{name}")(index, step_seed)
+
     # Members and the platform
 
     @rule(seed=SEEDS)
@@ -165,7 +197,7 @@
         self._replicate_some(self._make_random(seed))
 
     def _replicate_some(self, random: Random) -> None:
-        for name in random.sample(self.names, random.randint(1, self.size)):
+        for name in random.sample(self.names, random.choice((1, 2, self.size))):
             member = self.members[name]
             source = self.members.get(member.source)
             if source is not None and member.is_up and source.is_up:
@@ -175,7 +207,7 @@
     def _stop_or_restart(self, seed: int) -> None:
         random = self._make_random(seed)
         for member in self.members.values():
-            member.is_up = random.random() < 0.7
+            member.is_up = random.random() < 0.8
         self.platform.is_up = random.random() < 0.8
 
     @rule(index=NODES, promoter=st.booleans())
@@ -207,13 +239,16 @@
 
     @rule(index=NODES, seed=SEEDS)
     def _repair(self, index: int, seed: int) -> None:
+        random = self._make_random(seed)
         promoter = self.promoters[index]
+        if promoter.attempt is None and random.random() < 0.7:
+            promoter.group = self.platform.group
         for name in promoter.group.members:
             steps = follow_steps(promoter.group)
             if name == promoter.group.primary:
                 steps = promote_steps(promoter.group)
             self._command(promoter, name, steps, lambda message: None)
-        self._run_jobs(promoter, self._make_random(seed))
+        self._run_jobs(promoter, random)
 
     @rule(index=NODES, seed=SEEDS)
     def _replace_primary(self, index: int, seed: int) -> None:
@@ -405,7 +440,9 @@
         if request.primary and request.position is None:
             self._read_position(request)
             return
-        for name in random.sample(self.names, random.randint(0, self.size)):
+        for name in random.sample(
+            self.names, random.choice((1, 2, self.size, self.size))
+        ):
             if self.members[name].is_up:
                 request.statuses[name] = self.members[name].status()
         if request.position is not None:
