Require the lower bound of a commit in resolve_commit

Cause: a run against the stand-ins showed that the monitor did not pass the lower bound on; the default hid it and the outcome stayed unknown.

Change: the parameter has no default; the monitor passes it. Adds tests of monitor and promoter against the stand-ins of members and platform.

--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -7,8 +7,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-import attrs
-
+from radishtrack.backend._waiters import CommitWaiter, RoundWaiter
 from radishtrack.backend.endpoint import MemberEndpoint
 from radishtrack.backend.member_connection import (
     MEMBER_ERRORS,
@@ -46,25 +45,6 @@
 """Time after which an unanswered poll is cancelled and its connection closed."""
 
 
-@attrs.define(eq=False)
-class CommitWaiter:
-    """A request that waits for the outcome of a commit."""
-
-    position: Position
-    term: int
-    sequence_before: int
-    asked_ms: float
-    result: asyncio.Future[CommitOutcome]
-
-
-@attrs.define(eq=False)
-class RoundWaiter:
-    """A round whose polls are under way."""
-
-    started_ms: float
-    result: asyncio.Future[StatusRound]
-
-
 class Monitor:
     """Status of one group's members; see `make_monitor`."""
 
@@ -266,6 +246,7 @@
             waiter.term,
             self.board.collect(waiter.asked_ms),
             self.group,
+            waiter.sequence_before,
         )
         if not isinstance(outcome, StillUnknown) and not waiter.result.done():
             self.commit_waiters.discard(waiter)
--- a/src/radishtrack/group/outcome.py
+++ b/src/radishtrack/group/outcome.py
@@ -87,7 +87,7 @@
     term_at_commit: int,
     status_round: StatusRound,
     group: Group,
-    sequence_before: int = 0,
+    sequence_before: int,
 ) -> CommitOutcome:
     """Decide the outcome of a commit.
 
@@ -105,7 +105,7 @@
         Answers received after the commit.
     group : Group
         The latest known record of the group.
-    sequence_before : int, optional
+    sequence_before : int
         From `sequence_before`; 0 if nothing is known.
 
     Returns
--- /dev/null
+++ b/tests/test_group_failover.py
@@ -0,0 +1,241 @@
+"""Guards the monitor and the promoter against members and a platform that fail.
+
+Runs against the stand-ins over loopback in one process; times are real, so nothing here
+depends on how fast the machine is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import aiomysql
+import attrs
+import pytest
+from radishtrack.platform.client import PlatformClient, make_platform_client
+from radishtrack_standins.member import MemberSettings, RunningMember, start_member
+from radishtrack_standins.platform import RunningPlatform, start_platform
+
+from radishtrack.backend.endpoint import MemberEndpoint
+from radishtrack.backend.member_commands import MemberCommands
+from radishtrack.backend.member_connection import make_connect
+from radishtrack.backend.monitor import Monitor, make_monitor
+from radishtrack.clock import Clock, make_system_clock
+from radishtrack.group.evidence import (
+    NoEvidence,
+    ServeReplicas,
+    ServeReplicasAtLeast,
+    choose_strict,
+)
+from radishtrack.group.outcome import Confirmed, DidNotRun, StillUnknown
+from radishtrack.group.record import GroupRecord, format_record
+from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.proxy.group_store import GroupStore, make_group_store
+from radishtrack.proxy.promoter import Promoter, make_promoter
+from radishtrack.proxy.promoter_place import PromoterPlace
+from radishtrack.session.position import TermStart
+
+DATABASE = "strekk-db"
+PASSWORD = "stand-in"
+NODES = ("p", "q", "r")
+
+
+@attrs.define
+class Fleet:
+    """Three members, the platform and the parts of two holders."""
+
+    members: dict[str, RunningMember]
+    platform: RunningPlatform
+    client: PlatformClient
+    clock: Clock
+    monitors: dict[str, Monitor]
+    promoters: dict[str, Promoter]
+    store: GroupStore
+
+    async def read(self) -> GroupRecord:
+        """Return the record in force."""
+        return await self.store.read(DATABASE)
+
+    async def wait_for_term(self, term: int) -> GroupRecord:
+        """Return the record once it has the term and its primary is installed."""
+        async with asyncio.timeout(20):
+            while True:
+                record = await self.read()
+                status = self.monitors["q"].latest.get(record.group.primary)
+                if record.group.term >= term and is_installed(status, record.group):
+                    return record
+                await asyncio.sleep(0.02)
+
+    async def write(self, member: str, sql: str) -> MemberStatus:
+        """Run a statement on a member's main port; return the status after it."""
+        connection: Any = await aiomysql.connect(
+            host="127.0.0.1",
+            port=self.members[member].port,
+            user="radishtrack",
+            password=PASSWORD,
+            autocommit=True,
+        )
+        try:
+            async with connection.cursor() as cursor:
+                await cursor.execute(sql)
+        finally:
+            connection.close()
+        admin = await make_connect(PASSWORD)(make_endpoint(self.members[member]))
+        try:
+            return await admin.read_status()
+        finally:
+            admin.close()
+
+
+def is_installed(status: MemberStatus | None, group: Group) -> bool:
+    return (
+        status is not None
+        and status.term == group.term
+        and status.role is Role.PRIMARY
+        and not status.is_fenced
+    )
+
+
+def make_endpoint(running: RunningMember) -> MemberEndpoint:
+    return MemberEndpoint(
+        running.member.name, "127.0.0.1", running.port, running.admin_port, "oslo-a"
+    )
+
+
+async def start_members(directory: Path) -> dict[str, RunningMember]:
+    members: dict[str, RunningMember] = {}
+    for name in ("a", "b", "c"):
+        source = f"127.0.0.1:{members['a'].port}" if members else ""
+        members[name] = await start_member(
+            MemberSettings(
+                name, directory / name, source=source, password=PASSWORD, term=1
+            )
+        )
+    return members
+
+
+@asynccontextmanager
+async def run_fleet(directory: Path) -> AsyncIterator[Fleet]:
+    members = await start_members(directory)
+    platform = await start_platform()
+    clock = make_system_clock()
+    client = make_platform_client(platform.url, clock)
+    endpoints = {name: make_endpoint(member) for name, member in members.items()}
+    group = Group(DATABASE, 0, 1, "a", tuple(members), (TermStart(1, 0),))
+    await client.put(
+        "groups", DATABASE, format_record(GroupRecord(group, endpoints)), 0
+    )
+    store = make_group_store(client)
+    record = await store.read(DATABASE)
+    connect = make_connect(PASSWORD)
+    monitors: dict[str, Monitor] = {}
+
+    async def request_votes(_: str, member: str) -> Mapping[str, bool]:
+        return {name: monitors[name].is_suspected(member) for name in monitors}
+
+    promoters: dict[str, Promoter] = {}
+    for rank, node in enumerate(NODES[:2]):
+        monitors[node] = make_monitor(
+            record.group, record.endpoints, clock, connect=connect
+        )
+        monitors[node].start()
+        place = PromoterPlace(
+            node, lambda rank=rank: rank, lambda: NODES, lambda: frozenset()
+        )
+        promoters[node] = make_promoter(
+            place, record, monitors[node], store, MemberCommands(connect), request_votes
+        )
+        promoters[node].start()
+    try:
+        yield Fleet(members, platform, client, clock, monitors, promoters, store)
+    finally:
+        for promoter in promoters.values():
+            await promoter.stop()
+        for monitor in monitors.values():
+            await monitor.stop()
+        await client.close()
+        await platform.close()
+        for member in members.values():
+            await member.close()
+
+
+async def test_a_commit_is_confirmed_and_a_strict_read_finds_a_replica(
+    tmp_path: Path,
+) -> None:
+    async with run_fleet(tmp_path) as fleet:
+        monitor = fleet.monitors["p"]
+        status = await fleet.write("a", "CREATE TABLE orders (number INT PRIMARY KEY)")
+        deadline_ms = fleet.clock.now_ms() + 5_000
+        outcomes = await asyncio.gather(
+            *(monitor.wait_confirmed(status.position, 1, deadline_ms) for _ in range(9))
+        )
+        assert outcomes == [Confirmed()] * 9
+        asked_ms = fleet.clock.now_ms()
+        rounds = await asyncio.gather(
+            *(monitor.next_round(deadline_ms) for _ in range(9))
+        )
+        assert all(item is rounds[0] for item in rounds), "callers share a round"
+        assert rounds[0].started_ms >= asked_ms
+        choice = choose_strict(rounds[0], monitor.group)
+        assert isinstance(choice, ServeReplicas | ServeReplicasAtLeast)
+        await asyncio.sleep(0.6)
+        age_ms = monitor.freshness.age_ms(monitor.latest["b"], fleet.clock.now_ms())
+        assert age_ms < 60_000
+
+
+async def test_without_replicas_nothing_is_confirmed_or_read(tmp_path: Path) -> None:
+    async with run_fleet(tmp_path) as fleet:
+        for name in ("b", "c"):
+            fleet.members[name].member.faults.set(freeze=True)
+        monitor = fleet.monitors["p"]
+        status = await fleet.write("a", "CREATE TABLE orders (number INT PRIMARY KEY)")
+        deadline_ms = fleet.clock.now_ms() + 300
+        outcome = await monitor.wait_confirmed(status.position, 1, deadline_ms)
+        assert isinstance(outcome, StillUnknown)
+        status_round = await monitor.next_round(fleet.clock.now_ms() + 1_000)
+        assert isinstance(choose_strict(status_round, monitor.group), NoEvidence)
+
+
+@pytest.mark.parametrize("loses_answer", [False, True])
+async def test_a_silent_primary_is_replaced_and_returns_as_a_replica(
+    tmp_path: Path, loses_answer: bool
+) -> None:
+    async with run_fleet(tmp_path) as fleet:
+        kept = await fleet.write("a", "CREATE TABLE orders (number INT PRIMARY KEY)")
+        monitor = fleet.monitors["q"]
+        deadline_ms = fleet.clock.now_ms() + 5_000
+        assert (
+            await monitor.wait_confirmed(kept.position, 1, deadline_ms) == Confirmed()
+        )
+        fleet.members["a"].member.faults.set(cut_replication=True)
+        lost = await fleet.write("a", "INSERT INTO orders VALUES (1)")
+        stopped_ms = fleet.clock.now_ms()
+        fleet.members["a"].member.faults.set(freeze=True)
+        if loses_answer:
+            fleet.platform.faults.lose_answers_count = 1
+        record = await fleet.wait_for_term(2)
+        print(f"gap of writes: {fleet.clock.now_ms() - stopped_ms:.0f} ms")
+        assert record.group.primary in ("b", "c")
+        for node in fleet.promoters.values():
+            node.update_record(record)
+        outcome = await monitor.wait_confirmed(
+            lost.position,
+            1,
+            fleet.clock.now_ms() + 5_000,
+            sequence_before=kept.position.sequence,
+        )
+        assert outcome == DidNotRun()
+        status = await fleet.write(
+            record.group.primary, "INSERT INTO orders VALUES (2)"
+        )
+        term, later_ms = record.group.term, fleet.clock.now_ms() + 5_000
+        confirmed = await monitor.wait_confirmed(status.position, term, later_ms)
+        assert confirmed == Confirmed()
+        fleet.members["a"].member.faults.set(freeze=False, cut_replication=False)
+        async with asyncio.timeout(20):
+            while fleet.members["a"].member.state.term < term:
+                await asyncio.sleep(0.05)
+        assert not fleet.members["a"].member.state.is_primary
