Do not wait for the fence of a silent primary

Cause: every promotion waited a whole step of 500 ms for the primary whose silence had started it. A voter that is down made the node drop the votes of the others, because all votes were awaited for one step only.

Change: fencing ends once all members but the suspected primary answered and a quorum is fenced; votes are awaited for 1500 ms.

--- a/src/radishtrack/group/promotion.py
+++ b/src/radishtrack/group/promotion.py
@@ -167,7 +167,10 @@
             attempt.unanswered.discard(member)
         case DeadlinePassed():
             timed_out = True
-    if attempt.unanswered and not timed_out:
+    # A silent primary is why the attempt began; waiting for its answer would lengthen
+    # the gap of writes by a whole timeout.
+    expected = set() if attempt.takes_over else {attempt.group.primary}
+    if not attempt.unanswered <= expected and not timed_out:
         return
     choice = elect(
         attempt.fenced.values(), attempt.group, attempt.new_term, attempt.leaving
--- a/src/radishtrack/proxy/promoter.py
+++ b/src/radishtrack/proxy/promoter.py
@@ -64,7 +64,11 @@
 """Time between two attempts, two repairs of a member or two reads of the record."""
 
 ANSWER_TIMEOUT_MS: Final = 500.0
-"""Time for the answers of voters and of the platform; one step of an attempt."""
+"""Time for an answer of the platform; one step of an attempt."""
+
+VOTES_TIMEOUT_MS: Final = 1_500.0
+"""Time for the votes; longer than a step, because one voter that is down must not make
+the node drop the votes of the others."""
 
 
 class Promoter:
@@ -244,7 +248,7 @@
         messages = self.messages
         votes: dict[str, bool] = {}
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(VOTES_TIMEOUT_MS / 1000):
                 votes.update(await self.request_votes(self.database, primary))
         except (OSError, TimeoutError):
             pass
--- a/tests/test_group_promotion.py
+++ b/tests/test_group_promotion.py
@@ -265,6 +265,18 @@
     assert driver.attempt.state is Step.FAILED
 
 
+def test_a_silent_primary_is_not_waited_for() -> None:
+    """Guards the gap of writes, which a timeout for its fence would lengthen."""
+    driver = make_driver()
+    driver.attempt.handle(PrimarySuspected(), 0.0)
+    driver.attempt.handle(VotesReceived(dict.fromkeys(VOTERS, True)), 1.0)
+    driver.attempt.handle(GroupRead(driver.platform.group), 2.0)
+    for name in ("b", "c"):
+        status = run_steps(driver.members[name], fence_steps(driver.platform.group, 2))
+        actions = driver.attempt.handle(MemberFenced(status), 3.0)
+    assert isinstance(actions[0], RecordGroup)
+
+
 def test_members_with_a_lower_term_discard_before_they_are_fenced() -> None:
     """Guards 'did not run': a discarded commit must not be elected back."""
     driver = make_driver()
