--- a/src/radishtrack/bench/main.py
+++ b/src/radishtrack/bench/main.py
@@ -141,4 +141,4 @@
 def _judge_exit(series: SeriesReport, targets: Targets) -> int:
     broken = any(run.judgement and not run.judgement.is_clean for run in series.runs)
     unjudged = bool(targets.dump) and series.runs_without_judgement > 0
-    return EXIT_BROKEN if broken or unjudged else EXIT_CLEAN
+    return EXIT_BROKEN if broken or unjudged or series.excess else EXIT_CLEAN
--- a/src/radishtrack/bench/report.py
+++ b/src/radishtrack/bench/report.py
@@ -5,6 +5,7 @@
 import enum
 import itertools
 import json
+import math
 import statistics
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Sequence
@@ -13,6 +14,7 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
+from radishtrack.bench.experiment import OrganisationLoad
 from radishtrack.bench.ledger import Judgement, Told
 from radishtrack.bench.load import RunResult, Sample
 from radishtrack.bench.observe import FaultRecord
@@ -60,6 +62,8 @@
         Requests that were refused.
     refused_within_rate : int
         Refused requests without which it would have got its due.
+    excess : int
+        Served requests beyond its burst and its rate over the whole run.
     p99_ms : float
         Latency of its successful requests, in milliseconds.
     """
@@ -71,6 +75,7 @@
     share: float
     refused: int
     refused_within_rate: int
+    excess: int
     p99_ms: float
 
 
@@ -108,6 +113,11 @@
         """Requests of all organisations that were refused within their rate."""
         return sum(service.refused_within_rate for service in self.organisations)
 
+    @property
+    def excess(self) -> int:
+        """Requests of all organisations that were served beyond their limits."""
+        return sum(service.excess for service in self.organisations)
+
 
 def make_histogram(samples: Iterable[Sample]) -> Any:
     """Return the latencies of samples as an HdrHistogram in microseconds."""
@@ -151,7 +161,7 @@
         latencies=dict(_iterate_latencies(samples)),
         service_gap_s=find_service_gap_s(samples, experiment.duration_s),
         organisations=tuple(
-            _make_service(load.name, samples) for load in experiment.organisations
+            _make_service(load, samples) for load in experiment.organisations
         ),
         unknown_outcomes=sum(_is_unknown_write(sample) for sample in samples),
         replica_share=measured_share if reads_table is None else reads_table,
@@ -211,15 +221,17 @@
     )
 
 
-def _make_service(name: str, samples: Sequence[Sample]) -> OrganisationService:
-    own = [sample for sample in samples if sample.arrival.organisation == name]
+def _make_service(
+    load: OrganisationLoad, samples: Sequence[Sample]
+) -> OrganisationService:
+    own = [sample for sample in samples if sample.arrival.organisation == load.name]
     served = [sample for sample in own if sample.told is Told.OK]
     due = sum(sample.arrival.is_within_rate for sample in own)
     refused = sum(sample.told in REFUSALS for sample in own)
     histogram = make_histogram(served)
     p99_us = histogram.get_value_at_percentile(99.0) if served else 0
     return OrganisationService(
-        name=name,
+        name=load.name,
         offered=len(own),
         due=due,
         served=len(served),
@@ -228,10 +240,18 @@
         # Which of the requests of an overload are within the rate depends on the
         # proxy's bucket, so only the number is compared.
         refused_within_rate=min(refused, max(0, due - len(served))),
+        excess=_find_excess(load, served),
         p99_ms=p99_us / MICROSECONDS_PER_MILLISECOND,
     )
 
 
+def _find_excess(load: OrganisationLoad, served: Sequence[Sample]) -> int:
+    if load.limit_per_s == 0 or not served:
+        return 0
+    elapsed_s = max(sample.ended_ms for sample in served) / 1000
+    return max(0, len(served) - math.ceil(load.burst + load.limit_per_s * elapsed_s))
+
+
 @attrs.define(frozen=True)
 class SeriesReport:
     """The measures over all repeats of an experiment."""
@@ -244,6 +264,7 @@
     worst_share: float
     worst_organisation: str
     refused_within_rate: int
+    excess: int
     unknown_outcomes: int
     lost: int
     duplicated: int
@@ -274,6 +295,7 @@
         worst_share=worst.share,
         worst_organisation=worst.name,
         refused_within_rate=sum(run.refused_within_rate for run in runs),
+        excess=sum(run.excess for run in runs),
         unknown_outcomes=sum(run.unknown_outcomes for run in runs),
         lost=total(lambda judgement: len(judgement.lost)),
         duplicated=total(lambda judgement: len(judgement.duplicated)),
@@ -319,12 +341,12 @@
 
 
 def _iterate_service_lines(run: RunReport) -> Iterator[str]:
-    yield f"  {'organisation':<24} offered    due served  share refused  in rate"
+    yield f"  {'organisation':<24} offered    due served  share refused  in rate excess"
     for service in run.organisations:
         yield (
             f"  {service.name:<24} {service.offered:>7} {service.due:>6} "
             f"{service.served:>6} {service.share:>6.3f} {service.refused:>7} "
-            f"{service.refused_within_rate:>8}"
+            f"{service.refused_within_rate:>8} {service.excess:>6}"
         )
     if run.judgement is not None:
         judged = run.judgement
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -223,6 +223,14 @@
     assert find_service_gap_s([], 8.0) is None
 
 
+def test_service_beyond_rate_and_burst_is_counted() -> None:
+    """Guards the limit: 10 of burst and 60 a second for the second that it took."""
+    served = [_sample(0.995)] * 75
+    report = make_report(RunResult(LOAD, served, Ledger()))
+    assert report.excess == 5
+    assert make_report(RunResult(LOAD, served[:70], Ledger())).excess == 0
+
+
 def test_the_share_compares_with_what_the_rate_admits(tmp_path: Path) -> None:
     shop = [_sample(1, Told.OK)] * 6 + [_sample(1, Told.OVER_RATE, "shop", False)] * 9
     office = [_sample(1, Told.OK, "office")] * 3 + [
