Measure idle CPU time apart from that of requests

The proxies poll members and talk to each other without load, so CPU time divided by requests depended on the offered rate. The tool now measures the idle time before the load when the targets ask for it, and charges requests only with the rest.

--- a/src/radishtrack/bench/experiment.py
+++ b/src/radishtrack/bench/experiment.py
@@ -167,6 +167,8 @@
         Process number of each process by name.
     measured_pids : tuple of int
         Processes whose CPU time is reported.
+    idle_s : float
+        Time before the load in which their idle CPU time is measured, in seconds.
     dump : tuple of str
         Addresses of the database members, best their administrative ones; the rows
         of the primary among them count.
@@ -188,6 +190,7 @@
     controls: dict[str, str] = attrs.field(factory=dict)
     pids: dict[str, int] = attrs.field(factory=dict)
     measured_pids: tuple[int, ...] = ()
+    idle_s: float = 0.0
     dump: tuple[str, ...] = ()
     dump_names: tuple[str, ...] = ()
     dump_user: str = ""
@@ -315,6 +318,8 @@
             yield Problem(f"address {index}", "must be host:port")
     if found.dump_names and len(found.dump_names) != len(found.dump):
         yield Problem("dump_names", "must name each member of dump")
+    if found.idle_s < 0:
+        yield Problem("idle_s", "must not be negative")
     for name, pid in found.pids.items():
         if pid <= 1:
             yield Problem(f"pids.{name}", "must be above 1")
--- a/src/radishtrack/bench/load.py
+++ b/src/radishtrack/bench/load.py
@@ -69,6 +69,8 @@
     faults: list[FaultRecord] = attrs.field(factory=list)
     reads: ReadCounts | None = None
     cpu_s: float = 0.0
+    idle_cpu_s: float = 0.0
+    elapsed_s: float = 0.0
     moves: int = 0
     lost_connections: int = 0
     latest_send_ms: float = 0.0
@@ -101,6 +103,7 @@
     run = secrets.token_hex(4)
     result = RunResult(experiment, [], Ledger())
     reads_before = await read_counts(targets)
+    idle_cores = await _measure_idle_cores(targets)
     cpu_before_s = read_cpu_s(targets.measured_pids)
     started_s = loop.time()
     world = World(
@@ -113,7 +116,9 @@
     faults = asyncio.create_task(run_faults(experiment, targets, started_s))
     await _run_sessions(world, result)
     result.faults = await faults
+    result.elapsed_s = loop.time() - started_s
     result.cpu_s = read_cpu_s(targets.measured_pids) - cpu_before_s
+    result.idle_cpu_s = idle_cores * result.elapsed_s
     reads_after = await read_counts(targets)
     if reads_before is not None and reads_after is not None:
         result.reads = reads_after.minus(reads_before)
@@ -122,6 +127,14 @@
     return result
 
 
+async def _measure_idle_cores(targets: Targets) -> float:
+    if targets.idle_s <= 0:
+        return 0.0
+    before_s = read_cpu_s(targets.measured_pids)
+    await asyncio.sleep(targets.idle_s)
+    return (read_cpu_s(targets.measured_pids) - before_s) / targets.idle_s
+
+
 async def _run_sessions(world: World, result: RunResult) -> None:
     sessions = [
         Session(load.name, index, number + index)
--- a/src/radishtrack/bench/report.py
+++ b/src/radishtrack/bench/report.py
@@ -97,6 +97,9 @@
     unknown_outcomes: int
     replica_share: float | None
     cpu_us_per_request: float | None
+    """CPU time of the measured processes beyond their idle time."""
+    idle_cores: float
+    """Cores that the measured processes use without load."""
     judgement: Judgement | None
     faults: tuple[FaultRecord, ...]
     moves: int
@@ -166,10 +169,12 @@
         unknown_outcomes=sum(_is_unknown_write(sample) for sample in samples),
         replica_share=measured_share if reads_table is None else reads_table,
         cpu_us_per_request=(
-            result.cpu_s * MICROSECONDS_PER_SECOND / len(samples)
+            max(0.0, result.cpu_s - result.idle_cpu_s)
+            * (MICROSECONDS_PER_SECOND / len(samples))
             if result.cpu_s and samples
             else None
         ),
+        idle_cores=result.idle_cpu_s / result.elapsed_s if result.elapsed_s else 0.0,
         judgement=result.judgement,
         faults=tuple(result.faults),
         moves=result.moves,
@@ -362,7 +367,10 @@
         error = f" ({fault.error})" if fault.error else ""
         yield f"  fault at {fault.at_ms / 1000:.2f} s: {fault.name}{error}"
     cpu = _show(run.cpu_us_per_request)
-    yield f"  cpu us/request {cpu}, moves {run.moves}, lost {run.lost_connections}"
+    yield (
+        f"  cpu us/request {cpu}, idle cores {run.idle_cores:.3f}, "
+        f"moves {run.moves}, lost connections {run.lost_connections}"
+    )
 
 
 def _show(value: object) -> str:
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -223,6 +223,14 @@
     assert find_service_gap_s([], 8.0) is None
 
 
+def test_idle_cpu_time_is_not_charged_to_requests() -> None:
+    result = RunResult(LOAD, [_sample(1)] * 10, Ledger())
+    result.cpu_s, result.idle_cpu_s, result.elapsed_s = 3.0, 2.0, 20.0
+    report = make_report(result)
+    assert report.cpu_us_per_request == pytest.approx(100_000)
+    assert report.idle_cores == pytest.approx(0.1)
+
+
 def test_service_beyond_rate_and_burst_is_counted() -> None:
     """Guards the limit: 10 of burst and 60 a second for the second that it took."""
     served = [_sample(0.995)] * 75
