--- /dev/null
+++ b/src/radishtrack_standins/faults/__main__.py
@@ -0,0 +1,86 @@
+"""Command: ``python -m radishtrack_standins.faults --seed N [--only N] [--json]``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+import time
+
+from radishtrack_standins.faults.report import GUARANTEES, Report
+from radishtrack_standins.faults.scenarios import SCENARIOS, Scenario
+from radishtrack_standins.faults.world import close_world, start_world
+
+
+def run_scenario(scenario: Scenario, report: Report, seed: int) -> None:
+    """Run one scenario in a deployment of its own; its own failure is a finding."""
+    report.scenario = scenario.name
+    try:
+        world = start_world(scenario.plan, report, seed, relays=scenario.relays)
+        try:
+            asyncio.run(scenario.run(world))
+        finally:
+            close_world(world)
+    except Exception as error:
+        for number in scenario.guarantees:
+            report.add_requests(number, 0)
+            report.add_problem(number, f"scenario failed: {error!r}")
+
+
+def run_all(seed: int, only: int | None, scenario: str | None) -> Report:
+    """Run all scenarios that concern the wanted guarantees."""
+    report = Report()
+    for candidate in SCENARIOS:
+        if only is not None and only not in candidate.guarantees:
+            continue
+        if scenario is not None and scenario != candidate.name:
+            continue
+        started = time.monotonic()
+        run_scenario(candidate, report, seed)
+        took_s = time.monotonic() - started
+        print(f"# {candidate.name}: {took_s:.1f} s", file=sys.stderr, flush=True)
+    return report
+
+
+def to_json(report: Report, numbers: list[int]) -> str:
+    """Return the report as one JSON value."""
+    return json.dumps(
+        [
+            {
+                "guarantee": number,
+                "text": GUARANTEES[number],
+                "driven": report.get(number).driven,
+                "requests": report.get(number).requests,
+                "passed": report.get(number).passed,
+                "problems": report.get(number).problems,
+                "figures": [str(f) for f in report.get(number).figures.values()],
+            }
+            for number in numbers
+        ],
+        indent=1,
+    )
+
+
+def main() -> int:
+    """Run the scenarios, print one line for each guarantee, return the exit code."""
+    parser = argparse.ArgumentParser(prog="radishtrack_standins.faults")
+    parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument("--only", type=int, choices=sorted(GUARANTEES))
+    parser.add_argument("--scenario", choices=[each.name for each in SCENARIOS])
+    parser.add_argument("--json", action="store_true")
+    arguments = parser.parse_args()
+    report = run_all(arguments.seed, arguments.only, arguments.scenario)
+    numbers = [arguments.only] if arguments.only else sorted(GUARANTEES)
+    if arguments.scenario:
+        numbers = sorted(report.evidence)
+    if arguments.json:
+        print(to_json(report, numbers))
+    else:
+        for number in numbers:
+            print(report.get(number).describe())
+    return 0 if all(report.get(number).passed for number in numbers) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/radishtrack_standins/faults/world.py
@@ -0,0 +1,192 @@
+"""The deployment of one scenario and what can be done to it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import shutil
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from radishtrack_standins.cluster import (
+    HOST,
+    Cluster,
+    ClusterPlan,
+    call_json,
+    make_group_value,
+    make_proxy,
+    member_arguments,
+    wait_ready,
+)
+from radishtrack_standins.faults.client import Client, make_client
+from radishtrack_standins.launch import StandinProcess, start_standin
+
+if TYPE_CHECKING:
+    from radishtrack_standins.faults.report import Report
+
+SETTLE_S: Final = 20.0
+TABLES: Final = (
+    "CREATE TABLE orders (id VARCHAR(64) PRIMARY KEY, organisation VARCHAR(64))",
+    "CREATE TABLE receipts (id INTEGER PRIMARY KEY AUTO_INCREMENT, "
+    "order_id VARCHAR(64))",
+    "CREATE TABLE history (id INTEGER PRIMARY KEY, note VARCHAR(64))",
+)
+
+
+@attrs.define
+class World:
+    """A running deployment, its report and its source of chance."""
+
+    cluster: Cluster
+    report: Report
+    random: random.Random
+    admin_relays: dict[str, StandinProcess] = attrs.field(factory=dict)
+    platform_relays: list[StandinProcess] = attrs.field(factory=list)
+
+    def client(
+        self, number: int, organisation: str = "", *, autocommit: bool = True
+    ) -> Client:
+        """Return a client of a proxy, by number."""
+        return make_client(self.cluster, number, organisation, autocommit=autocommit)
+
+    async def control(self, member: str, **switches: Any) -> None:
+        """Set fault switches of a member."""
+        await asyncio.to_thread(self.cluster.control_member, member, switches)
+
+    async def control_platform(self, **switches: Any) -> None:
+        """Set fault switches of the platform."""
+        await asyncio.to_thread(self.cluster.control_platform, switches)
+
+    async def control_relay(self, relay: StandinProcess, **switches: Any) -> None:
+        """Set switches of a relay."""
+        url = f"http://{HOST}:{relay.ports['control_port']}/control"
+        await asyncio.to_thread(call_json, "POST", url, switches)
+
+    async def primary(self) -> str:
+        """Return the recorded primary."""
+        return await asyncio.to_thread(self.cluster.primary)
+
+    async def rows(self, table: str) -> list[list[Any]]:
+        """Return a table's rows at the recorded primary."""
+        member = await self.primary()
+        return await asyncio.to_thread(self.cluster.read_rows, member, table)
+
+    async def ask_member(self, member: str, path: str) -> Any:
+        """Return an observation of a member."""
+        port = self.cluster.members[member].ports["control_port"]
+        return await asyncio.to_thread(call_json, "GET", f"http://{HOST}:{port}{path}")
+
+    async def cli(self, *arguments: str) -> Any:
+        """Run the command line tool."""
+        url = self.cluster.platform_url
+        return await asyncio.to_thread(
+            self.cluster.run_cli, *arguments, "--platform", url
+        )
+
+    async def wait_promoted(self, old: str, timeout_s: float = SETTLE_S) -> float:
+        """Wait for another primary; return the seconds, or infinity."""
+        start = time.monotonic()
+        while time.monotonic() - start < timeout_s:
+            if await self.primary() != old:
+                return time.monotonic() - start
+            await asyncio.sleep(0.05)
+        return float("inf")
+
+    async def define_tables(self) -> None:
+        """Create the tables through a proxy.
+
+        Raises
+        ------
+        RuntimeError
+            If that fails without any fault.
+        """
+        owner = self.client(0)
+        for statement in TABLES:
+            answer = await owner.run(statement)
+            if not answer.ran:
+                raise RuntimeError(f"definition failed: {answer}")
+        owner.drop()
+
+
+def start_world(
+    plan: ClusterPlan, report: Report, seed: int, *, relays: bool = False
+) -> World:
+    """Start a deployment.
+
+    Parameters
+    ----------
+    plan : ClusterPlan
+        What to start.
+    report : Report
+        Where findings go.
+    seed : int
+        Seed of the scenario's chance.
+    relays : bool
+        Whether the proxies reach the members' administrative ports and the platform
+        through relays that can be cut one by one.
+    """
+    directory = Path(tempfile.mkdtemp(prefix="radishtrack-faults-"))
+    platform = start_standin("platform", f"--vm-list-lag-ms={plan.vm_list_lag_ms}")
+    cluster = Cluster(plan, directory, platform, {}, [])
+    world = World(cluster, report, random.Random(seed))
+    try:
+        _start_members(world, relays)
+        _prepare(world, relays)
+    except BaseException:
+        close_world(world)
+        raise
+    return world
+
+
+def _start_members(world: World, relays: bool) -> None:
+    cluster = world.cluster
+    for number in range(1, cluster.plan.members + 1):
+        name = f"m{number}"
+        arguments = member_arguments(cluster.plan, cluster.directory, name)
+        if cluster.members:
+            arguments.append(f"--source={HOST}:{cluster.members['m1'].ports['port']}")
+        member = start_standin("member", *arguments)
+        cluster.members[name] = member
+        if relays:
+            target = f"{HOST}:{member.ports['admin_port']}"
+            world.admin_relays[name] = start_standin("relay", f"--target={target}")
+            member.ports["admin_port"] = world.admin_relays[name].ports["port"]
+
+
+def _prepare(world: World, relays: bool) -> None:
+    cluster = world.cluster
+    cluster.call_platform(
+        "PUT",
+        f"/objects/groups/{cluster.plan.database}",
+        {"value": make_group_value(cluster), "expected_version": 0},
+    )
+    applied = cluster.apply_configuration(cluster.plan.organisations, 0)
+    if applied.returncode:
+        raise RuntimeError(applied.stderr + applied.stdout)
+    for name, _, _ in cluster.plan.organisations:
+        cluster.issue_key(name)
+    for number, zone in enumerate(cluster.plan.zones, 1):
+        proxy = make_proxy(cluster, f"p{number}", zone)
+        cluster.proxies.append(proxy)
+        if relays:
+            target = f"{HOST}:{cluster.platform.ports['port']}"
+            relay = start_standin("relay", f"--target={target}")
+            world.platform_relays.append(relay)
+            url = f"http://{HOST}:{relay.ports['port']}"
+            text = proxy.settings.read_text().replace(cluster.platform_url, url)
+            proxy.settings.write_text(text)
+    for proxy in cluster.proxies:
+        proxy.start()
+    wait_ready(cluster)
+
+
+def close_world(world: World) -> None:
+    """End all processes and remove the scenario's files."""
+    world.cluster.close()
+    for relay in (*world.admin_relays.values(), *world.platform_relays):
+        relay.stop()
+    shutil.rmtree(world.cluster.directory, ignore_errors=True)
