--- a/src/radishtrack_standins/faults/scenarios.py
+++ b/src/radishtrack_standins/faults/scenarios.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 import attrs
 
@@ -18,8 +18,8 @@
 
     name: str
     guarantees: tuple[int, ...]
-    run: Callable[[World], Awaitable[None]]
-    plan: ClusterPlan = ClusterPlan()
+    run: Callable[[World], Coroutine[Any, Any, None]]
+    plan: ClusterPlan = attrs.field(factory=ClusterPlan)
     relays: bool = False
 
 
--- a/tests/test_group_failover.py
+++ b/tests/test_group_failover.py
@@ -15,9 +15,6 @@
 import aiomysql
 import attrs
 import pytest
-from radishtrack.platform.client import PlatformClient, make_platform_client
-from radishtrack_standins.member import MemberSettings, RunningMember, start_member
-from radishtrack_standins.platform import RunningPlatform, start_platform
 
 from radishtrack.backend.endpoint import MemberEndpoint
 from radishtrack.backend.member_commands import MemberCommands
@@ -33,10 +30,13 @@
 from radishtrack.group.outcome import Confirmed, DidNotRun, StillUnknown
 from radishtrack.group.record import GroupRecord, format_record
 from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.platform.client import PlatformClient, make_platform_client
 from radishtrack.proxy.group_store import GroupStore, make_group_store
 from radishtrack.proxy.promoter import Promoter, make_promoter
 from radishtrack.proxy.promoter_place import PromoterPlace
 from radishtrack.session.position import TermStart
+from radishtrack_standins.member import MemberSettings, RunningMember, start_member
+from radishtrack_standins.platform import RunningPlatform, start_platform
 
 DATABASE = "strekk-db"
 PASSWORD = "stand-in"
