Start in an outage of the platform, and ask the lease's present holder for tokens

A starting node takes keys, configuration, group records and the list of nodes from its peers. While the allocator of an organisation moves, the node where it is placed names the holder of the lease, which goes on granting. A holder without any allowance lets the entry try another holder.

--- a/src/radishtrack/backend/connection.py
+++ b/src/radishtrack/backend/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any, Final
@@ -221,16 +222,18 @@
         If no connection could be made.
     """
     try:
-        raw = await aiomysql.connect(
-            host=endpoint.host,
-            port=endpoint.admin_port if administrative else endpoint.port,
-            user=user,
-            password=password,
-            autocommit=None,
-            charset="utf8mb4",
-            connect_timeout=CONNECT_TIMEOUT_S,
-            conv={},
-        )
+        # The library's own limit covers only the TCP connection, not the handshake,
+        # which a paused member never answers.
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            raw = await aiomysql.connect(
+                host=endpoint.host,
+                port=endpoint.admin_port if administrative else endpoint.port,
+                user=user,
+                password=password,
+                autocommit=None,
+                charset="utf8mb4",
+                conv={},
+            )
     except (MySQLError, OSError, EOFError, TimeoutError) as error:
         code = error.args[0] if error.args and isinstance(error.args[0], int) else 0
         raise ConnectFailed(f"{endpoint.member}: {error}", code) from error
--- a/src/radishtrack/backend/transaction.py
+++ b/src/radishtrack/backend/transaction.py
@@ -37,7 +37,7 @@
 from radishtrack.group.status import Group
 from radishtrack.peer.messages import Done, Execute, Message, ResultHead, Rows
 
-TRANSACTION_LOST_STEP: Final = "transaction"
+TRANSACTION_LOST_STEP: Final = "transaction-lost"
 
 
 @attrs.define
--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -212,10 +212,21 @@
 
 @attrs.define(frozen=True)
 class Tokens:
-    """Answers `TokensWanted`; the payload is empty if the node is not the allocator."""
+    """Answers `TokensWanted`.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    payload : bytes
+        A grant; empty if the node does not hold the lease.
+    lease_node : str
+        The node that does, as far as the sender knows; else empty.
+    """
 
     request: int
     payload: bytes
+    lease_node: str
 
 
 @attrs.define(frozen=True)
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -116,6 +116,7 @@
         contacts,
         membership,
         router,
+        slots,
         platform,
         settings.peers.seeds,
         lambda key: server.close_revoked(key),
--- a/src/radishtrack/proxy/copies.py
+++ b/src/radishtrack/proxy/copies.py
@@ -1,4 +1,4 @@
-"""Exchanges copies of keys and configuration with peers while the platform is away."""
+"""Exchanges copies of keys and configuration with peers while the platform is down."""
 
 from __future__ import annotations
 
@@ -18,7 +18,9 @@
 from radishtrack.peer.link import LinkClosed, PeerLink
 from radishtrack.peer.messages import Copy, CopyRequest
 from radishtrack.platform.client import PlatformClient
+from radishtrack.proxy.fleet_copy import open_fleet, seal_fleet
 from radishtrack.proxy.router import Router
+from radishtrack.proxy.slots import Slots
 from radishtrack.settings import Address
 
 STEP_S: Final = 0.5
@@ -50,6 +52,8 @@
         The other nodes.
     router : Router
         Connections to them.
+    slots : Slots
+        The group records.
     platform : PlatformClient
         Dates this node's own contact with the platform.
     seeds : tuple of Address
@@ -65,6 +69,7 @@
     contacts: ContactState
     membership: Membership
     router: Router
+    slots: Slots
     platform: PlatformClient
     seeds: tuple[Address, ...]
     when_revoked: Callable[[RevokedKey], None]
@@ -88,6 +93,10 @@
         ]
         if self.configuration.revision > request.revision:
             objects.append(self.configuration.seal_copy(self.secret))
+        if request.revision == 0:
+            nodes = self.membership.list_nodes(self.clock.now_ms())
+            records = self.slots.records.values()
+            objects.append(seal_fleet(records, nodes, self.secret))
         return Copy(request.request, min(age_ms, _LONG_MS), tuple(objects))
 
     async def run(self) -> None:
@@ -161,10 +170,21 @@
             copy_age_ms=copy.age_ms,
         )
         before = self.configuration.revision
-        self.configuration.accept_copies(answer.objects[1:], self.secret)
+        if before == 0 and len(answer.objects) > 1:
+            self._take_fleet(answer.objects[-1])
+        self.configuration.accept_copies(answer.objects[1:2], self.secret)
         if self.configuration.revision > before:
             self.when_configured()
 
+    def _take_fleet(self, data: bytes) -> None:
+        fleet = open_fleet(data, self.secret)
+        if fleet is None:
+            return
+        for record in fleet.records:
+            self.slots.update_record(record)
+        if not self.membership.listed:
+            self.membership.apply_list(fleet.nodes)
+
 
 _LONG_MS: Final = 1e12
 """Stands for "never" in a message; an infinite age can't be compared across nodes."""
--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -19,7 +19,13 @@
 from radishtrack.backend.database import DatabaseBackend
 from radishtrack.clock import Clock
 from radishtrack.config.document import Document
-from radishtrack.errors import RequestError, make_not_run
+from radishtrack.errors import (
+    ErrorCode,
+    Failure,
+    Outcome,
+    RequestError,
+    make_not_run,
+)
 from radishtrack.events import Event, log_event
 from radishtrack.membership.placement import Placement
 from radishtrack.peer.codec import CodecError
@@ -37,7 +43,7 @@
     PlatformUnavailable,
     Written,
 )
-from radishtrack.proxy.router import Router
+from radishtrack.proxy.router import NOT_HELD_STEP, Router
 from radishtrack.rates.allocator import Allocator, make_allocator
 from radishtrack.rates.lease import LeaseWrite
 from radishtrack.rates.messages import (
@@ -48,14 +54,24 @@
     make_rate_limit,
 )
 from radishtrack.rates.record import LeaseRecordError, decode_lease, encode_lease
-from radishtrack.rates.share import REQUEST_TIMEOUT_MS, ShareState, make_share_state
+from radishtrack.rates.share import (
+    FAILURE_RETRY_MS,
+    REQUEST_TIMEOUT_MS,
+    NeedTokens,
+    ShareState,
+    make_share_state,
+)
 
 ALLOCATORS_KIND: Final = "allocators"
 STEP_S: Final = 0.1
+MAX_FAILED_ASKS: Final = 10
+"""After this many a holder without a standing share refuses at once, for about a
+second's worth of unanswered requests."""
+
 IDLE_MS: Final = 60_000.0
 """A share or allocator that was not used for this long is given up."""
 
-LEASE_READ_MS: Final = 500.0
+LEASE_READ_MS: Final = 250.0
 """Time between reads of a lease that another allocator holds."""
 
 FIRST_RECORD_READ_MS: Final = 8_000.0
@@ -72,6 +88,8 @@
     used_ms: float
     next_read_ms: float
     waiting: int = 0
+    failed_asks: int = 0
+    """Token requests in a row that no allocator answered."""
     granted: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
@@ -149,6 +167,10 @@
         while True:
             now_ms = self.clock.now_ms()
             held.used_ms = now_ms
+            if _has_no_allowance(held):
+                # Asking goes on, but requests don't wait for it.
+                self._ask_again(held, now_ms)
+                raise RequestError(_make_no_allowance(organisation))
             decision = decide_admission(
                 held.state,
                 backend.gate.queue,
@@ -175,8 +197,10 @@
         try:
             request = decode_request(message.payload)
         except CodecError:
-            return Tokens(message.request, b"")
-        return Tokens(message.request, encode_grant(self._grant(request)))
+            return Tokens(message.request, b"", "")
+        grant = self._grant(request)
+        lease_node = "" if grant else self._find_lease_node(request.organisation)
+        return Tokens(message.request, encode_grant(grant), lease_node)
 
     async def run(self) -> None:
         """Renew leases, return unused tokens and read lease records, forever."""
@@ -237,6 +261,11 @@
             )
         return held
 
+    def _ask_again(self, held: HeldShare, now_ms: float) -> None:
+        decision = held.state.try_admit(now_ms)
+        if isinstance(decision, NeedTokens) and decision.request is not None:
+            self._spawn(self._send(held, decision.request))
+
     async def _wait(self, held: HeldShare, retry_at_ms: float) -> None:
         held.waiting += 1
         try:
@@ -264,24 +293,49 @@
         grant = await self._ask(request)
         now_ms = self.clock.now_ms()
         if grant is None:
+            held.failed_asks += 1
             held.state.on_request_failed(request.request_id, now_ms)
         else:
+            held.failed_asks = 0
             held.state.on_grant(grant, now_ms)
         held.granted.set()
         held.granted.clear()
 
     async def _ask(self, request: TokenRequest) -> TokenGrant | None:
+        """Ask the node where the allocator is placed, then the lease's present holder.
+
+        They differ for some seconds after a node joined or left.
+        """
         name = self._find_allocator(request.organisation)
+        grant, lease_node = await self._ask_at(name, request)
+        if grant is None and lease_node not in ("", name):
+            grant, _ = await self._ask_at(lease_node, request)
+        return grant
+
+    async def _ask_at(
+        self, name: str, request: TokenRequest
+    ) -> tuple[TokenGrant | None, str]:
         if name == self.router.node.id:
-            return self._grant(request)
+            grant = self._grant(request)
+            return grant, "" if grant else self._find_lease_node(request.organisation)
         number = next(self.numbers)
         message = TokensWanted(number, encode_request(request))
         try:
             link = await self.router.get_link(name)
             answer = await link.call(message, number, REQUEST_TIMEOUT_MS / 1000)
-            return decode_grant(answer.payload) if isinstance(answer, Tokens) else None
+            if isinstance(answer, Tokens):
+                return decode_grant(answer.payload), answer.lease_node
         except (LinkClosed, CodecError):
-            return None
+            pass
+        return None, ""
+
+    def _find_lease_node(self, organisation: str) -> str:
+        placed = self.allocators.get(organisation)
+        record = placed.state.lease.record if placed else None
+        if record is None or record.released is not None:
+            return ""
+        # The record names a process: the node and its incarnation.
+        return record.holder_node.rpartition(".")[0]
 
     def _grant(self, request: TokenRequest) -> TokenGrant | None:
         limit = self._find_limit(request.organisation)
@@ -382,3 +436,23 @@
             return
         if record is not None:
             held.state.on_record(record, sent_ms, self.clock.now_ms())
+
+
+def _has_no_allowance(held: HeldShare) -> bool:
+    return (
+        held.failed_asks >= MAX_FAILED_ASKS
+        and held.state.standing.share is None
+        and held.state.held_tokens() == 0
+    )
+
+
+def _make_no_allowance(organisation: str) -> Failure:
+    # The step makes the entry try another holder, which may have a standing share.
+    return Failure(
+        NOT_HELD_STEP,
+        "",
+        Outcome.NOT_RUN,
+        ErrorCode.OVER_RATE,
+        f"no allowance of {organisation} is known here and its allocator is away",
+        FAILURE_RETRY_MS,
+    )
