Check that a shrunk standing share stays set aside

Cause: with every share taken as settled at once, the tests stayed green. Change: the share is planned again before its holder answers, and around the end of its validity.

--- a/tests/test_rate_allocator.py
+++ b/tests/test_rate_allocator.py
@@ -183,6 +183,9 @@
     assert (by_name["h"].burst, by_name["h"].held_burst) == (25, 50)
     assert "x" not in by_name
     allocator.on_lease_written(shrunk.record.revision, 9, 26_000.0)
+    unchanged = allocator.prepare_write(29_000.0)
+    assert unchanged.record.standing_shares == shrunk.record.standing_shares
+    allocator.on_lease_written(unchanged.record.revision, 10, 29_000.0)
     request = attrs.evolve(ask(2, 0), standing_revision=shrunk.record.revision)
     allocator.on_request(request, 26_100.0)
     grown = allocator.prepare_write(32_000.0)
@@ -190,6 +193,25 @@
     assert (by_name["h"].held_burst, by_name["x"].burst) == (25, 25)
 
 
+@pytest.mark.parametrize(("factor", "held_burst"), [(1.002, 50), (1.0022, 25)])
+def test_a_silent_holders_share_is_set_aside_while_it_may_be_valid(
+    factor: float, held_burst: int
+) -> None:
+    allocator = make_leader(FOREIGN, 0.0, 20_000.0)
+    allocator.on_request(ask(1, 0, "x"), 20_100.0)
+    shrunk = allocator.prepare_write(26_000.0)
+    allocator.on_lease_written(shrunk.record.revision, 9, 26_000.0)
+    allocator.lease.until_ms = 1e9
+    end_ms = 26_000.0 + STANDING_VALIDITY_MS * factor
+    for name in ("h", "x"):
+        allocator.on_request(ask(2, 0, name), end_ms - 1.0)
+    by_name = {
+        share.holder: share
+        for share in allocator.prepare_write(end_ms).record.standing_shares
+    }
+    assert by_name["h"].held_burst == held_burst
+
+
 @settings(max_examples=100, derandomize=True, deadline=None)
 @given(
     st.lists(
