--- /dev/null
+++ b/benchmarks/capacity/decisions.py
@@ -0,0 +1,215 @@
+"""Processor time of the entry's and the holder's decision on one statement.
+
+Run as ``python benchmarks/capacity/decisions.py``; prints JSON lines. The entry's
+part is everything before the statement is sent: key check, options, classification,
+access, route and holders. The holder's part is the choice of the member.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Final
+
+from measuring import (
+    NODES,
+    Spread,
+    emit,
+    emit_fit,
+    make_fleet_document,
+    make_nodes,
+    summarise,
+)
+
+from radishtrack.clock import make_system_clock
+from radishtrack.config.document import Document
+from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.keys.key import issue_key
+from radishtrack.keys.keyring import make_keyring
+from radishtrack.membership.drain import make_drain
+from radishtrack.membership.nodes import make_membership
+from radishtrack.membership.placement import make_placement
+from radishtrack.metrics import make_metrics
+from radishtrack.proxy.entry import ClientState, Entry
+from radishtrack.proxy.holder import Holder
+from radishtrack.proxy.router import Router
+from radishtrack.routing.options import ReadClass
+from radishtrack.routing.route import EffectiveClass, ReadRequest, choose_member
+from radishtrack.routing.statement import make_classifier
+from radishtrack.session.position import Position, TermStart
+
+ORGANISATION_SIZES: Final = (8, 100, 1_000)
+DATABASE_SIZES: Final = (3, 100, 710)
+STATEMENTS: Final = 4_000
+REPEATS: Final = 5
+SEED: Final = 1
+
+
+def make_entry(document: Document) -> tuple[Entry, list[ClientState]]:
+    """Return an entry among all nodes and one client of each organisation."""
+    clock = make_system_clock()
+    nodes = make_nodes(NODES)
+    membership = make_membership(nodes[0])
+    membership.apply_list(nodes)
+    keyring = make_keyring()
+    chance = random.Random(SEED)
+    clients = []
+    for number, name in enumerate(document.organisations):
+        key = issue_key(name, chance.randbytes)
+        entry = {"id": key.key_id, "verifier": key.verifier_hex}
+        keyring.apply_object(name, 1, {"keys": [entry]})
+        clients.append(ClientState(number, name, key.key_id))
+
+    async def admit(organisation: str, deadline_ms: float) -> None:
+        return
+
+    async def open_no_link(address: str) -> None:
+        raise OSError(address)
+
+    router = Router(
+        nodes[0],
+        clock,
+        Holder(clock, admit),
+        membership,
+        make_placement(nodes),
+        open_no_link,
+    )
+    return (
+        Entry(
+            clock,
+            b"secret",
+            5000.0,
+            keyring,
+            lambda: document,
+            lambda: None,
+            make_classifier(),
+            router,
+            make_drain(30_000.0),
+            make_metrics(),
+        ),
+        clients,
+    )
+
+
+def make_work(
+    document: Document, clients: list[ClientState]
+) -> list[tuple[ClientState, str, str]]:
+    """Return clients, databases and statements of four kinds."""
+    chance = random.Random(SEED)
+    databases: dict[str, list[str]] = {}
+    for database in document.databases.values():
+        databases.setdefault(database.owner, []).append(database.name)
+    work = []
+    for number in range(STATEMENTS):
+        client = chance.choice(clients)
+        owner = document.organisations[client.organisation].owner
+        statement = (
+            f"/*radishtrack class=strict*/ SELECT id, state FROM jobs WHERE id={number}",
+            f"/*radishtrack class=aged max_age_ms=5000*/ SELECT plot FROM history "
+            f"WHERE family = 'Tamm {number}' LIMIT 50",
+            f"/*radishtrack request_id=r{number}*/ INSERT INTO receipts (id, amount) "
+            f"VALUES ({number}, {number}.50)",
+            f"SELECT o.id, j.state FROM orders o JOIN jobs j ON j.id = o.id "
+            f"WHERE o.organisation = '{client.organisation}' AND j.state IN (1, 2)",
+        )[number % 4]
+        work.append((client, chance.choice(databases[owner]), statement))
+    return work
+
+
+def make_decide(entry: Entry) -> Callable[[ClientState, str, str], object]:
+    """Return what the entry does with a statement until it is sent."""
+
+    def decide(client: ClientState, database: str, sql: str) -> object:
+        client.database = database
+        entry.check_client(client)
+        prepared = entry.read_statement(client, sql)
+        found = entry._find_database(client)
+        organisation = entry._check_access(client, found, prepared.statement)
+        request = entry._make_execute(client, found, organisation, prepared)
+        return request, entry.router.list_holders(found.name, found.region, found.slots)
+
+    return decide
+
+
+def measure_entry(organisations: int, databases: int) -> Spread:
+    """Measure the entry's decision and return processor microseconds a statement."""
+    document = make_fleet_document(databases, organisations)
+    entry, clients = make_entry(document)
+    work = make_work(document, clients)
+    decide = make_decide(entry)
+    for item in work:
+        decide(*item)
+    samples = []
+    for _ in range(REPEATS):
+        begin = time.process_time_ns()
+        for item in work:
+            decide(*item)
+        samples.append((time.process_time_ns() - begin) / 1000 / len(work))
+    elapsed = sorted(_time_one(decide, item) for item in work)
+    cost = summarise(samples)
+    emit(
+        "decision entry",
+        organisations=organisations,
+        databases=databases,
+        cpu_us=cost,
+        p99_wall_us=elapsed[len(elapsed) * 99 // 100],
+    )
+    return cost
+
+
+def _time_one(
+    decide: Callable[[ClientState, str, str], object],
+    item: tuple[ClientState, str, str],
+) -> float:
+    begin = time.perf_counter_ns()
+    decide(*item)
+    return (time.perf_counter_ns() - begin) / 1000
+
+
+def measure_holder() -> None:
+    """Measure the choice of the member."""
+    members = ("m1", "m2", "m3")
+    group = Group("database", 1, 2, "m1", members, (TermStart(2, 5),))
+    statuses = {
+        name: MemberStatus(
+            name, 2, 2, Role.REPLICA if index else Role.PRIMARY, Position(2, 100)
+        )
+        for index, name in enumerate(members)
+    }
+    request = ReadRequest(
+        EffectiveClass(ReadClass.AGED, 5000),
+        group,
+        statuses,
+        Position(2, 90),
+        dict.fromkeys(members, 10.0),
+    )
+    samples = []
+    for _ in range(REPEATS):
+        begin = time.process_time_ns()
+        for _ in range(STATEMENTS):
+            choose_member(request)
+        samples.append((time.process_time_ns() - begin) / 1000 / STATEMENTS)
+    emit("decision holder", cpu_us=summarise(samples))
+
+
+def main() -> None:
+    """Measure all sizes."""
+    points = {
+        (organisations, databases): measure_entry(organisations, databases).median
+        for organisations in ORGANISATION_SIZES
+        for databases in DATABASE_SIZES
+    }
+    emit_fit(
+        "decision us by organisations, 710 databases",
+        ((size, points[size, DATABASE_SIZES[-1]]) for size in ORGANISATION_SIZES),
+    )
+    emit_fit(
+        "decision us by databases, 1000 organisations",
+        ((size, points[ORGANISATION_SIZES[-1], size]) for size in DATABASE_SIZES),
+    )
+    measure_holder()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/capacity/watch.py
@@ -0,0 +1,454 @@
+"""Traffic with the platform: configuration, keys, groups and the list of VMs.
+
+Run as ``python benchmarks/capacity/watch.py``; prints JSON lines. Bytes are counted
+by a relay in front of the platform stand-in and include HTTP headers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import random
+import time
+import tracemalloc
+import zlib
+from typing import Any, Final
+
+import attrs
+import uvloop
+from measuring import (
+    DATABASES,
+    NODES,
+    ORGANISATIONS,
+    CountingRelay,
+    emit,
+    emit_fit,
+    make_fleet_document,
+    make_nodes,
+    measure_cpu_us,
+    start_relay,
+    summarise,
+)
+from node import make_client, store_document
+
+from radishtrack.config.chunk import (
+    Manifest,
+    decode_chunk,
+    decode_manifest,
+    encode_chunk,
+    encode_manifest,
+    make_next_manifest,
+    split_document,
+)
+from radishtrack.config.state import ConfigurationState, make_configuration_state
+from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
+from radishtrack.keys.key import issue_key
+from radishtrack.keys.keyring import KIND as KEYS_KIND
+from radishtrack.keys.keyring import make_keyring
+from radishtrack.membership.nodes import make_membership
+from radishtrack.platform.client import PlatformClient
+from radishtrack.platform.records import (
+    VmRecord,
+    VmState,
+    WatchAnswer,
+    parse_object,
+    parse_vm,
+)
+from radishtrack.platform.watch import follow_objects
+from radishtrack.proxy.node import WATCHED_KINDS, _make_node
+from radishtrack_standins.launch import StandinProcess, start_standin
+
+DATABASE_SIZES: Final = (100, 400, DATABASES)
+ORGANISATION_SIZES: Final = (8, 100, ORGANISATIONS)
+NODE_SIZES: Final = (50, 150, 295, NODES)
+FOLLOWER_SIZES: Final = (20, 60, 120)
+CHANGES: Final = 3
+KEYS_EACH: Final = 2
+IDLE_S: Final = 11.0
+CHANGE_TIMEOUT_S: Final = 30.0
+
+
+@attrs.define
+class Follower:
+    """A node's part that follows the configuration."""
+
+    client: PlatformClient
+    state: ConfigurationState
+    arrived: asyncio.Event = attrs.field(factory=asyncio.Event)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    manifest: Manifest | None = None
+    arrived_at: float = 0.0
+
+    def apply(self, answer: WatchAnswer) -> None:
+        """Note a manifest."""
+        for found in answer.objects:
+            if found.kind == MANIFEST_KIND and found.value is not None:
+                self.manifest = decode_manifest(found.value)
+                self.changed.set()
+
+    async def fetch(self) -> None:
+        """Fetch the chunks of each manifest and put it into force, as a node does."""
+        while True:
+            await self.changed.wait()
+            self.changed.clear()
+            manifest = self.manifest
+            if manifest is None:
+                continue
+            chunks = {}
+            for digest in self.state.find_missing(manifest):
+                found = await self.client.get(CHUNK_KIND, digest)
+                if found is not None and found.value is not None:
+                    chunks[digest] = decode_chunk(found.value)
+            self.state.accept(manifest, chunks)
+            self.arrived_at = time.monotonic()
+            self.arrived.set()
+
+
+@attrs.define
+class Fleet:
+    """A platform, the operator's client and a relay for the nodes."""
+
+    platform: StandinProcess
+    relay: CountingRelay
+    operator: PlatformClient
+
+    def make_node_client(self) -> PlatformClient:
+        """Return a client whose traffic is counted."""
+        return make_client(f"http://127.0.0.1:{self.relay.port}")
+
+    async def read_counts(self) -> dict[str, int]:
+        """Return the platform's counts of calls."""
+        url = f"http://127.0.0.1:{self.platform.ports['port']}/control/counts"
+        session = self.operator._open_session()
+        async with session.get(url) as answer:
+            counts: dict[str, int] = (await answer.json())["counts"]
+        return counts
+
+    async def close(self) -> None:
+        """Stop everything."""
+        await self.operator.close()
+        await self.relay.close()
+        self.platform.stop()
+
+
+async def start_fleet() -> Fleet:
+    """Start a platform without objects."""
+    platform = start_standin("platform")
+    port = platform.ports["port"]
+    relay = await start_relay(port)
+    return Fleet(platform, relay, make_client(f"http://127.0.0.1:{port}"))
+
+
+async def apply_change(client: PlatformClient, number: int, databases: int) -> None:
+    """Change the rate of one organisation as an operator would."""
+    document = make_fleet_document(databases, ORGANISATIONS, rate=2000.0 + number)
+    first = next(iter(document.organisations))
+    before = await client.get(MANIFEST_KIND, MANIFEST_NAME)
+    assert before is not None
+    manifest = decode_manifest(before.value)
+    present = {
+        name: part if name == first else attrs.evolve(part, rate=1500.0)
+        for name, part in document.organisations.items()
+    }
+    chunks = split_document(attrs.evolve(document, organisations=present))
+    for digest in chunks.keys() - set(manifest.chunks):
+        await client.put(CHUNK_KIND, digest, encode_chunk(chunks[digest]), 0)
+    following = make_next_manifest(
+        manifest,
+        chunks,
+        apply_id=f"{number:032x}",
+        author="operator@fjellsko.example",
+        changes=(f"organisation {first}: rate 1500.0 -> {2000.0 + number}",),
+    )
+    value = encode_manifest(following)
+    await client.put(MANIFEST_KIND, MANIFEST_NAME, value, before.version)
+
+
+async def measure_changes(databases: int) -> float:
+    """Measure what one change costs one node; return the bytes."""
+    fleet = await start_fleet()
+    await store_document(fleet.operator, make_fleet_document(databases, ORGANISATIONS))
+    client = fleet.make_node_client()
+    follower = Follower(client, make_configuration_state())
+    tasks = [
+        asyncio.create_task(follow_objects(client, WATCHED_KINDS, follower.apply)),
+        asyncio.create_task(follower.fetch()),
+    ]
+    begin, cpu = time.monotonic(), time.process_time()
+    await asyncio.wait_for(follower.arrived.wait(), CHANGE_TIMEOUT_S)
+    emit(
+        "configuration start of a node",
+        databases=databases,
+        organisations=ORGANISATIONS,
+        chunks=len(follower.state.texts),
+        bytes=fleet.relay.total,
+        seconds=time.monotonic() - begin,
+        cpu_s=time.process_time() - cpu,
+    )
+    sizes, calls, seconds = [], [], []
+    for number in range(CHANGES):
+        follower.arrived.clear()
+        counted, before = fleet.relay.total, await fleet.read_counts()
+        begin = time.monotonic()
+        await apply_change(fleet.operator, number, databases)
+        await asyncio.wait_for(follower.arrived.wait(), CHANGE_TIMEOUT_S)
+        seconds.append(follower.arrived_at - begin)
+        await asyncio.sleep(0.1)
+        after = await fleet.read_counts()
+        sizes.append(float(fleet.relay.total - counted))
+        watches = after.get("watch", 0) - before.get("watch", 0)
+        # The operator reads the manifest once.
+        calls.append(watches + after.get("get", 0) - before.get("get", 0) - 1.0)
+    emit(
+        "configuration change at one node",
+        databases=databases,
+        bytes=summarise(sizes),
+        read_calls=summarise(calls),
+        seconds=summarise(seconds),
+    )
+    await stop(tasks)
+    await client.close()
+    await fleet.close()
+    return summarise(sizes).median
+
+
+async def stop(tasks: list[asyncio.Task[None]]) -> None:
+    """Cancel tasks and wait for them."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def measure_accept(databases: int) -> None:
+    """Measure processor time and memory of putting a revision into force."""
+    chunks = split_document(make_fleet_document(databases, ORGANISATIONS))
+    manifest = Manifest(1, tuple(sorted(chunks)))
+    whole = measure_cpu_us(
+        lambda: make_configuration_state().accept(manifest, chunks), repeats=3
+    )
+    tracemalloc.start()
+    state = make_configuration_state()
+    state.accept(manifest, {key: str(text) for key, text in chunks.items()})
+    memory, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    changed = split_document(
+        make_fleet_document(databases, ORGANISATIONS, rate=1600.0)
+    )
+    digest = next(iter(changed.keys() - chunks.keys()))
+    old = next(iter(chunks.keys() - changed.keys()))
+    samples = []
+    for _ in range(5):
+        copy = ConfigurationState(
+            state.manifest, state.document, dict(state.texts), dict(state.parts)
+        )
+        following = Manifest(2, tuple(sorted({*chunks, digest} - {old})))
+        begin = time.process_time_ns()
+        copy.accept(following, {digest: changed[digest]})
+        samples.append((time.process_time_ns() - begin) / 1000)
+    emit(
+        "configuration accept",
+        databases=databases,
+        organisations=ORGANISATIONS,
+        chunks=len(chunks),
+        chunk_bytes=sum(map(len, chunks.values())),
+        manifest_bytes=len(json.dumps(encode_manifest(manifest))),
+        first_cpu_ms=whole.median / 1000,
+        change_cpu_us=summarise(samples),
+        memory_mb=memory / 1e6,
+        peak_mb=peak / 1e6,
+    )
+
+
+async def measure_followers(count: int) -> float:
+    """Measure the time until all of `count` followers have a change."""
+    fleet = await start_fleet()
+    document = make_fleet_document(DATABASES, ORGANISATIONS)
+    await store_document(fleet.operator, document)
+    chunks = split_document(document)
+    first = make_configuration_state()
+    first.accept(Manifest(1, tuple(sorted(chunks))), chunks)
+    url = f"http://127.0.0.1:{fleet.platform.ports['port']}"
+    followers = [
+        Follower(
+            make_client(url),
+            ConfigurationState(
+                first.manifest, first.document, dict(first.texts), dict(first.parts)
+            ),
+        )
+        for _ in range(count)
+    ]
+    tasks = []
+    for follower in followers:
+        following = follow_objects(follower.client, WATCHED_KINDS, follower.apply)
+        tasks.append(asyncio.create_task(following))
+        tasks.append(asyncio.create_task(follower.fetch()))
+    await asyncio.sleep(2.0)
+    times, cpu_ms = [], []
+    for number in range(CHANGES):
+        for follower in followers:
+            follower.arrived.clear()
+        begin, cpu = time.monotonic(), time.process_time()
+        await apply_change(fleet.operator, number, DATABASES)
+        async with asyncio.timeout(CHANGE_TIMEOUT_S):
+            for follower in followers:
+                await follower.arrived.wait()
+        times.append(max(follower.arrived_at for follower in followers) - begin)
+        cpu_ms.append(1000 * (time.process_time() - cpu) / count)
+    emit(
+        "configuration change at all followers",
+        followers=count,
+        seconds=summarise(times),
+        cpu_ms_a_follower=summarise(cpu_ms),
+    )
+    await stop(tasks)
+    for follower in followers:
+        await follower.client.close()
+    await fleet.close()
+    return summarise(times).median
+
+
+async def measure_idle() -> None:
+    """Measure the bytes of a pending watch without changes."""
+    fleet = await start_fleet()
+    client = fleet.make_node_client()
+    await fleet.operator.put(KEYS_KIND, "organisation", {"keys": []}, 0)
+    following = follow_objects(client, WATCHED_KINDS, lambda _: None)
+    task = asyncio.create_task(following)
+    await asyncio.sleep(0.5)
+    counted, before = fleet.relay.total, await fleet.read_counts()
+    await asyncio.sleep(IDLE_S)
+    calls = (await fleet.read_counts()).get("watch", 0) - before.get("watch", 0)
+    emit(
+        "watch without changes",
+        bytes_a_call=(fleet.relay.total - counted) / max(1, calls),
+        calls_per_s=calls / IDLE_S,
+        bytes_per_s=(fleet.relay.total - counted) / IDLE_S,
+    )
+    await stop([task])
+    await client.close()
+    await fleet.close()
+
+
+def make_key_objects(organisations: int) -> list[dict[str, Any]]:
+    """Return the platform's objects with two keys for each organisation."""
+    chance = random.Random(1)
+    objects = []
+    for number in range(organisations):
+        name = f"organisation-{number:04}"
+        keys = [issue_key(name, chance.randbytes) for _ in range(KEYS_EACH)]
+        entries = [
+            {"id": key.key_id, "verifier": key.verifier_hex, "revoked": False}
+            for key in keys
+        ]
+        objects.append(
+            {
+                "kind": KEYS_KIND,
+                "name": name,
+                "version": number + 2,
+                "value": {"keys": entries},
+            }
+        )
+    return objects
+
+
+def measure_keys() -> None:
+    """Measure bytes, processor time and memory of the keyring."""
+    memories, sizes = [], []
+    for count in ORGANISATION_SIZES:
+        text = json.dumps({"revision": count, "objects": make_key_objects(count)})
+
+        def load(text: str = text) -> object:
+            keyring = make_keyring()
+            for item in json.loads(text)["objects"]:
+                found = parse_object(item)
+                keyring.apply_object(found.name, found.version, found.value)
+            return keyring
+
+        cost = measure_cpu_us(load)
+        gc.collect()
+        tracemalloc.start()
+        keyring = load()
+        gc.collect()
+        memory, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        del keyring
+        emit(
+            "keys",
+            organisations=count,
+            bytes=len(text),
+            load_cpu_us=cost,
+            memory_bytes=memory,
+        )
+        memories.append((count, float(memory)))
+        sizes.append((count, float(len(text))))
+    emit_fit("keyring memory by organisations", memories)
+    emit_fit("key bytes at a start by organisations", sizes)
+
+
+async def measure_vm_list() -> None:
+    """Measure one read of the list of VMs."""
+    fleet = await start_fleet()
+    client = fleet.make_node_client()
+    known, sizes, costs = 0, [], []
+    for count in NODE_SIZES:
+        for node in make_nodes(count)[known:]:
+            await fleet.operator.announce(
+                VmRecord(
+                    node.id, node.zone, node.region, VmState.LIVE, node.peer_address
+                )
+            )
+        known = count
+        await client.vms()
+        counted = fleet.relay.total
+        await client.vms()
+        size = fleet.relay.total - counted
+        listed = [
+            {**attrs.asdict(vm), "state": vm.state.value} for vm in await client.vms()
+        ]
+        text = json.dumps({"vms": listed})
+        membership = make_membership(make_nodes(1)[0])
+
+        def apply(text: str = text) -> None:
+            records = [parse_vm(item) for item in json.loads(text)["vms"]]
+            membership.apply_list(map(_make_node, records))
+
+        cost = measure_cpu_us(apply, repeats=9)
+        emit(
+            "list of VMs",
+            nodes=count,
+            bytes=size,
+            zlib_bytes=len(zlib.compress(text.encode())),
+            parse_cpu_us=cost,
+        )
+        sizes.append((count, float(size)))
+        costs.append((count, cost.median))
+    emit_fit("list bytes by nodes", sizes)
+    emit_fit("list parse us by nodes", costs)
+    await client.close()
+    await fleet.close()
+
+
+async def measure_all() -> None:
+    """Measure all sizes."""
+    measure_keys()
+    await measure_vm_list()
+    await measure_idle()
+    sizes = []
+    for databases in DATABASE_SIZES:
+        measure_accept(databases)
+        sizes.append((databases, await measure_changes(databases)))
+    emit_fit("change bytes a node by databases", sizes)
+    times = [(count, await measure_followers(count)) for count in FOLLOWER_SIZES]
+    emit_fit("seconds until all have a change by followers", times)
+
+
+def main() -> None:
+    """Run all measurements."""
+    logging.disable(logging.CRITICAL)
+    uvloop.run(measure_all())
+
+
+if __name__ == "__main__":
+    main()
