--- a/src/radishtrack_standins/faults/__main__.py
+++ b/src/radishtrack_standins/faults/__main__.py
@@ -20,6 +20,10 @@
         world = start_world(scenario.plan, report, seed, relays=scenario.relays)
         try:
             asyncio.run(scenario.run(world))
+            if 7 not in scenario.guarantees and world.rate_refusals:
+                # All other scenarios stay far within the rates.
+                count = world.rate_refusals.total()
+                report.add_figure(7, f"refused in {scenario.name!r}", count, "requests")
         finally:
             close_world(world)
     except Exception as error:
--- a/src/radishtrack_standins/faults/client.py
+++ b/src/radishtrack_standins/faults/client.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import enum
+import time
+from collections import Counter
 from typing import TYPE_CHECKING, Any, Final
 
 import aiomysql
@@ -17,6 +19,9 @@
 NOT_RUN_CODES: Final = frozenset({1045, 9001, 9003, 9004, 9005, 9006, 1040, 1203})
 UNKNOWN_CODE: Final = 9002
 DRAINING_CODE: Final = 9006
+OVER_RATE_CODE: Final = 9003
+RATE_PATIENCE_S: Final = 6.0
+RATE_PAUSE_S: Final = 0.05
 FIRST_CLIENT_CODE: Final = 2000
 LAST_CLIENT_CODE: Final = 2999
 CONNECT_TIMEOUT_S: Final = 8.0
@@ -70,6 +75,10 @@
     database: str
     autocommit: bool = True
     connection: Any = None
+    waits_for_rate: bool = True
+    """Sends a statement again that was refused because of the rate."""
+    rate_refusals: Counter[str] = attrs.field(factory=Counter)
+    """Refusals because of the rate, by organisation."""
 
     async def connect(self) -> Answer | None:
         """Open the connection; return the failure, if there is one."""
@@ -93,6 +102,18 @@
 
     async def run(self, statement: str) -> Answer:
         """Run one statement and return what the client was told."""
+        end = time.monotonic() + RATE_PATIENCE_S
+        while True:
+            answer = await self.run_once(statement)
+            if answer.code != OVER_RATE_CODE:
+                return answer
+            self.rate_refusals[self.user] += 1
+            if not self.waits_for_rate or time.monotonic() > end:
+                return answer
+            await asyncio.sleep(RATE_PAUSE_S)
+
+    async def run_once(self, statement: str) -> Answer:
+        """Run one statement without another try."""
         failed = await self.connect()
         if failed is not None:
             return failed
--- /dev/null
+++ b/src/radishtrack_standins/faults/operators.py
@@ -0,0 +1,211 @@
+"""Changes of the configuration: racing operators, leaving members, restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+from radishtrack_standins.cluster import make_configuration
+
+if TYPE_CHECKING:
+    from radishtrack_standins.faults.world import World
+
+FORCE_LIMIT_S: Final = 4.0
+LEAVING_LIMIT_S: Final = 4.0
+OBSERVE_S: Final = 3.0
+CONFLICT_EXIT_CODE: Final = 3
+POLL_S: Final = 0.05
+OUTAGE_START_LIMIT_S: Final = 20.0
+
+
+def _write(world: World, name: str, text: str) -> Path:
+    path = world.cluster.directory / f"{name}.toml"
+    path.write_text(text)
+    return path
+
+
+def _text(world: World) -> str:
+    return make_configuration(world.cluster, world.cluster.plan.organisations)
+
+
+def _open_table(world: World, *tables: str) -> str:
+    listed = ", ".join(f'"{table}"' for table in ("orders", "receipts", *tables))
+    return _text(world).replace('["orders", "receipts"]', f"[{listed}]")
+
+
+async def _apply(world: World, name: str, text: str, revision: int) -> Any:
+    path = _write(world, name, text)
+    return await world.cli("config", "apply", str(path), "--revision", str(revision))
+
+
+async def _is_open(world: World, number: int, table: str) -> bool:
+    client = world.client(number)
+    answer = await client.run(f"SELECT COUNT(*) FROM {table}")
+    client.drop()
+    return answer.ran
+
+
+async def _wait_open(world: World, number: int, table: str, limit_s: float) -> float:
+    start = time.monotonic()
+    while time.monotonic() - start < limit_s:
+        if await _is_open(world, number, table):
+            return time.monotonic() - start
+        await asyncio.sleep(POLL_S)
+    return float("inf")
+
+
+async def _create(world: World, *tables: str) -> None:
+    client = world.client(0)
+    for table in tables:
+        answer = await client.run(f"CREATE TABLE {table} (id INTEGER PRIMARY KEY)")
+        if not answer.ran:
+            raise RuntimeError(f"definition failed: {answer}")
+    client.drop()
+
+
+async def race(world: World) -> None:
+    """Let two operators apply different changes on the same revision at once."""
+    await _create(world, "left", "right")
+    report, revision, requests = world.report, 1, 0
+    for turn in range(3):
+        done = await asyncio.gather(
+            _apply(
+                world, f"l{turn}", _open_table(world, "left") + "\n" * turn, revision
+            ),
+            _apply(
+                world, f"r{turn}", _open_table(world, "right") + "\n" * turn, revision
+            ),
+        )
+        codes = [each.returncode for each in done]
+        requests += 2
+        report.require(
+            13,
+            sorted(codes) == [0, CONFLICT_EXIT_CODE],
+            f"exit codes {codes}: {done[0].stderr[-150:]} {done[1].stderr[-150:]}",
+        )
+        if 0 not in codes:
+            return
+        revision += 1
+        won, lost = ("left", "right") if codes[0] == 0 else ("right", "left")
+        times = await asyncio.gather(
+            *(_wait_open(world, n, won, 3 * FORCE_LIMIT_S) for n in range(2))
+        )
+        report.add_figure(13, "time until in force", max(times), "s", FORCE_LIMIT_S)
+        for number in range(2):
+            both = await _is_open(world, number, lost)
+            report.require(13, not both, f"the losing change is in force at {number}")
+    report.add_requests(13, requests + 2 * requests)
+
+
+async def lose_apply_answer(world: World) -> None:
+    """Lose the answer to the update, then apply again with the attempt's ID."""
+    await _create(world, "left")
+    report = world.report
+    await world.control_platform(lose_answers_count=4)
+    path = str(_write(world, "lost", _open_table(world, "left")))
+    arguments = ("config", "apply", path, "--revision", "1", "--apply-id", "attempt-1")
+    first = await world.cli(*arguments)
+    again = await world.cli(*arguments)
+    report.require(
+        13, again.returncode == 0, f"{first.returncode}, {again.returncode}: {again}"
+    )
+    times = await asyncio.gather(
+        *(_wait_open(world, n, "left", 3 * FORCE_LIMIT_S) for n in range(2))
+    )
+    report.add_figure(13, "time until in force", max(times), "s", FORCE_LIMIT_S)
+    report.add_requests(13, 4)
+
+
+async def restart_in_outage(world: World) -> None:
+    """Restart a proxy while the platform is down; it must serve the latest revision."""
+    await _create(world, "left", "right")
+    report = world.report
+    for revision, tables in enumerate((("left",), ("left", "right")), 1):
+        done = await _apply(
+            world, f"c{revision}", _open_table(world, *tables), revision
+        )
+        report.require(13, done.returncode == 0, f"apply failed: {done.stderr[-200:]}")
+    await asyncio.gather(
+        *(_wait_open(world, n, "right", 3 * FORCE_LIMIT_S) for n in range(2))
+    )
+    await world.control_platform(outage="silent")
+    proxy = world.cluster.proxies[1]
+    await asyncio.to_thread(proxy.kill)
+    proxy.start()
+    start = time.monotonic()
+    served = await _wait_open(world, 1, "right", OUTAGE_START_LIMIT_S)
+    report.require(13, served < OUTAGE_START_LIMIT_S, "restarted proxy does not serve")
+    report.add_figure(13, "restart in an outage until in force", served, "s")
+    for _ in range(20):
+        serves = await _is_open(world, 0, "right")
+        report.require(13, serves, "the other proxy fell back in the outage")
+        await asyncio.sleep(POLL_S)
+    await world.control_platform(outage="")
+    await asyncio.sleep(1.0)
+    for number in range(2):
+        serves = await _is_open(world, number, "right")
+        report.require(13, serves, f"older revision at p{number + 1} after the outage")
+    report.add_requests(13, 22 + int((time.monotonic() - start) / POLL_S > 0))
+
+
+async def leave_replica(world: World) -> None:
+    """Mark a replica as leaving while clients read."""
+    await _leave(world, "m2" if await world.primary() != "m2" else "m3")
+
+
+async def leave_primary(world: World) -> None:
+    """Mark the primary as leaving while clients read and write."""
+    await _leave(world, await world.primary())
+
+
+async def _leave(world: World, member: str) -> None:
+    await world.define_tables()
+    report, stop, told = world.report, asyncio.Event(), [0, 0]
+    failures: Counter[str] = Counter()
+
+    async def use(number: int) -> None:
+        client, turn = world.client(number), 0
+        while not stop.is_set():
+            turn += 1
+            if turn % 3:
+                answer = await client.run(
+                    "/*radishtrack class=session*/ SELECT COUNT(*) FROM orders"
+                )
+            else:
+                answer = await client.run(
+                    f"INSERT INTO orders VALUES ('{number}-{turn}', 'x')"
+                )
+            told[not answer.ran] += 1
+            if not answer.ran:
+                failures[str(answer)] += 1
+            await asyncio.sleep(0.02)
+        client.drop()
+
+    tasks = [asyncio.create_task(use(number)) for number in range(8)]
+    await asyncio.sleep(1.0)
+    name = f'name = "{member}"\n'
+    text = _text(world).replace(name, f"{name}leaving = true\n")
+    done = await _apply(world, "leaving", text, 1)
+    report.require(11, done.returncode == 0, f"apply failed: {done.stderr[-200:]}")
+    await asyncio.sleep(LEAVING_LIMIT_S)
+    before = await _count_work(world, member)
+    await asyncio.sleep(OBSERVE_S)
+    late = await _count_work(world, member) - before
+    stop.set()
+    await asyncio.gather(*tasks)
+    report.require(11, late == 0, f"{member}: {late} statements after the limit")
+    report.require(
+        11,
+        not told[1],
+        f"{told[1]} of {sum(told)} requests failed: {failures.most_common(1)}",
+    )
+    report.add_figure(11, f"statements after {LEAVING_LIMIT_S:g} s", late, "", 0)
+    report.add_requests(11, sum(told))
+
+
+async def _count_work(world: World, member: str) -> int:
+    seen = await world.ask_member(member, "/statements?contains=orders")
+    return sum(each["port"] == "main" for each in seen["statements"])
--- a/src/radishtrack_standins/faults/world.py
+++ b/src/radishtrack_standins/faults/world.py
@@ -7,6 +7,7 @@
 import shutil
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
@@ -46,12 +47,15 @@
     random: random.Random
     admin_relays: dict[str, StandinProcess] = attrs.field(factory=dict)
     platform_relays: list[StandinProcess] = attrs.field(factory=list)
+    rate_refusals: Counter[str] = attrs.field(factory=Counter)
 
     def client(
         self, number: int, organisation: str = "", *, autocommit: bool = True
     ) -> Client:
         """Return a client of a proxy, by number."""
-        return make_client(self.cluster, number, organisation, autocommit=autocommit)
+        client = make_client(self.cluster, number, organisation, autocommit=autocommit)
+        client.rate_refusals = self.rate_refusals
+        return client
 
     async def control(self, member: str, **switches: Any) -> None:
         """Set fault switches of a member."""
