--- a/src/radishtrack_standins/faults/scenarios.py
+++ b/src/radishtrack_standins/faults/scenarios.py
@@ -19,8 +19,6 @@
 )
 from radishtrack_standins.faults.world import World
 
-DEFAULT_PLAN: Final = ClusterPlan()
-
 
 @attrs.define(frozen=True)
 class Scenario:
@@ -29,7 +27,7 @@
     name: str
     guarantees: tuple[int, ...]
     run: Callable[[World], Coroutine[Any, Any, None]]
-    plan: ClusterPlan = DEFAULT_PLAN
+    plan: ClusterPlan = attrs.field(factory=ClusterPlan)
     relays: bool = False
 
 
