Hand a leaving primary over to a replica without a detection time

Cause: a member marked as leaving kept all writes while it was the primary. Change: the first node in placement order fences it, waits until a replica that stays has all of its log, and starts an ordinary promotion; the platform object members/<database> marks members too.

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -26,6 +26,7 @@
     PROMOTION_WON = (3005, "warning", "promotion recorded by the platform")
     PROMOTION_LOST = (3006, "info", "another promotion was recorded first")
     PROMOTION_FAILED = (3007, "warning", "promotion attempt failed")
+    SWITCHOVER_STARTED = (3009, "info", "leaving primary hands over")
     MEMBER_FOLLOWS = (3008, "info", "member told to follow the primary")
     PLATFORM_UNAVAILABLE = (4001, "warning", "platform does not answer")
     PLATFORM_AVAILABLE = (4002, "info", "platform answers again")
--- /dev/null
+++ b/src/radishtrack/group/switchover.py
@@ -0,0 +1,75 @@
+"""When a primary that is marked as leaving hands over to a replica.
+
+The primary is fenced first, so that it commits nothing more; once a replica has all of
+its log, an ordinary promotion follows and chooses that replica. The outage is the lag
+of that replica instead of a detection time, and no commit is discarded.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from radishtrack.group.status import Group, MemberStatus, Role
+
+MAX_LAG_CHANGES: Final = 1_000
+"""A replica further behind would take too long to catch up with a fenced primary."""
+
+
+def should_switch_over(
+    group: Group, statuses: Iterable[MemberStatus], leaving: frozenset[str], rank: int
+) -> bool:
+    """Decide whether this node starts a planned change of primary now.
+
+    Parameters
+    ----------
+    group : Group
+        The group's record.
+    statuses : iterable of MemberStatus
+        Recent answers of the members.
+    leaving : frozenset of str
+        Members that are being taken out of service.
+    rank : int
+        This node's place in the placement order; only the first one starts.
+    """
+    if rank != 0 or group.primary not in leaving:
+        return False
+    in_service = {
+        status.member: status
+        for status in statuses
+        if status.term == group.term and not status.is_fenced
+    }
+    primary = in_service.get(group.primary)
+    if primary is None:
+        return False
+    needed = primary.position.sequence - MAX_LAG_CHANGES
+    return any(
+        status.position.sequence >= needed
+        for status in _iterate_successors(in_service.values(), group, leaving)
+    )
+
+
+def has_caught_up(
+    fenced_primary: MemberStatus,
+    group: Group,
+    statuses: Iterable[MemberStatus],
+    leaving: frozenset[str],
+) -> bool:
+    """Tell whether a replica that stays has the whole log of the fenced primary."""
+    return any(
+        status.position >= fenced_primary.position
+        for status in _iterate_successors(statuses, group, leaving)
+        if status.term == group.term
+    )
+
+
+def _iterate_successors(
+    statuses: Iterable[MemberStatus], group: Group, leaving: frozenset[str]
+) -> Iterable[MemberStatus]:
+    return (
+        status
+        for status in statuses
+        if status.member != group.primary
+        and status.member not in leaving
+        and status.role is Role.REPLICA
+    )
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -31,7 +31,7 @@
     Reply,
     advance_position,
 )
-from radishtrack.proxy.router import NOT_HELD_STEP, Router
+from radishtrack.proxy.router import Router
 from radishtrack.routing.options import ReadClass, RequestOptions, split_options
 from radishtrack.routing.route import EffectiveClass, RouteClass, effective_class
 from radishtrack.routing.statement import Kind, Statement
@@ -369,8 +369,7 @@
             state.in_transaction = True
         elif not state.in_transaction:
             state.holder = ""
-        is_over_rate = message.code == ErrorCode.OVER_RATE
-        if is_over_rate and message.step != NOT_HELD_STEP:
+        if message.code == ErrorCode.OVER_RATE and message.retry_after_ms > 0:
             now_ms = self.clock.now_ms()
             self.refused_until_ms[state.organisation] = now_ms + message.retry_after_ms
         self.metrics.observe_statement(state.organisation, "", message.outcome, 0.0)
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -57,7 +57,8 @@
 from radishtrack.settings import Settings
 
 GROUPS_KIND: Final = "groups"
-WATCHED_KINDS: Final = (MANIFEST_KIND, KEYS_KIND, GROUPS_KIND)
+MEMBERS_KIND: Final = "members"
+WATCHED_KINDS: Final = (MANIFEST_KIND, KEYS_KIND, GROUPS_KIND, MEMBERS_KIND)
 VM_LIST_INTERVAL_S: Final = 2.0
 RECONCILE_INTERVAL_S: Final = 0.5
 CHUNK_RETRY_S: Final = 0.2
@@ -284,6 +285,10 @@
                     log_event(Event.GROUP_RECORD_INVALID, reason=error)
                     continue
                 self.slots.update_record(record)
+            elif found.kind == MEMBERS_KIND:
+                leaving = (found.value or {}).get("leaving")
+                members = leaving if isinstance(leaving, list) else []
+                self.slots.mark_leaving(found.name, frozenset(map(str, members)))
             elif found.name == MANIFEST_NAME and found.value is not None:
                 self.manifest_value = found.value
                 self.manifest_changed.set()
--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -452,7 +452,7 @@
         NOT_HELD_STEP,
         "",
         Outcome.NOT_RUN,
-        ErrorCode.OVER_RATE,
-        f"no allowance of {organisation} is known here and its allocator is away",
+        ErrorCode.REFUSED,
+        f"no allowance of {organisation} is known here: its allocator does not answer",
         FAILURE_RETRY_MS,
     )
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -58,6 +58,8 @@
     """Set once the node's parts exist; without it nothing is promoted from here."""
     promoters: dict[str, Promoter] = attrs.field(factory=dict)
     records: dict[str, GroupRecord] = attrs.field(factory=dict)
+    marked: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    """Members that the platform marks as leaving, by database."""
     closing: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     def update_record(self, record: GroupRecord) -> None:
@@ -75,6 +77,10 @@
         if promoter is not None:
             promoter.update_record(record)
 
+    def mark_leaving(self, database: str, members: frozenset[str]) -> None:
+        """Take the platform's word on members that are leaving."""
+        self.marked[database] = members
+
     def reconcile(self, document: Document, *, is_leaving: bool = False) -> None:
         """Open databases whose slot is held here, and close the others."""
         wanted = {
@@ -94,7 +100,7 @@
                 backend.pool.limit = database.connections_per_slot
                 backend.gate.set_connections(database.connections_per_slot)
                 backend.gate.set_weights(weights)
-                backend.leaving = partial(_list_leaving, database)
+                backend.leaving = partial(self._list_leaving, database)
 
     async def close(self) -> None:
         """Close all databases."""
@@ -103,6 +109,10 @@
         if self.closing:
             await asyncio.wait(self.closing)
 
+    def _list_leaving(self, database: Database) -> frozenset[str]:
+        configured = (member.name for member in database.members if member.leaving)
+        return frozenset(configured) | self.marked.get(database.name, frozenset())
+
     def _is_held(self, database: Database) -> bool:
         if database.region != self.node.region:
             return False
@@ -133,7 +143,7 @@
             make_gate(self.clock, limit),
             make_retry_budget(),
             self.clock,
-            partial(_list_leaving, database),
+            partial(self._list_leaving, database),
         )
         self.holder.databases[database.name] = backend
         if self.make_promoter is not None:
@@ -172,7 +182,3 @@
 def _report_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         log_event(Event.TASK_FAILED, error=repr(task.exception()))
-
-
-def _list_leaving(database: Database) -> frozenset[str]:
-    return frozenset(member.name for member in database.members if member.leaving)
