--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,8 @@
 demo: setup
 	$(PYTHON) -m radishtrack_standins.demo
 
+bench: setup
+	$(PYTHON) -m radishtrack_standins.bench
+
 clean:
 	rm -rf $(VENV) build dist out
--- a/src/radishtrack_standins/cluster.py
+++ b/src/radishtrack_standins/cluster.py
@@ -417,5 +417,6 @@
         'class = "session"\n'
         '[[service.route]]\nname = "history"\ntables = ["history"]\n'
         'class = "aged"\nmax_age_ms = 5000\nopen = true\nstatements = ["select"]\n'
+        '[[service.route]]\nname = "rest"\ntables = ["*"]\n'
     )
     return "\n".join(parts)
