Bound the tokens asked for by waiting requests

Cause: over the rate, every decision during a pending token request raised the next batch without limit.

--- a/src/radishtrack/rates/share.py
+++ b/src/radishtrack/rates/share.py
@@ -26,6 +26,8 @@
 """A batch covers this much of the recent demand."""
 PREFETCH_HORIZON_MS: Final = 20.0
 """New tokens are requested when the held ones cover less than this."""
+MAX_UNMET: Final = 64
+"""Requests beyond those that may wait for tokens would not use them."""
 HEARTBEAT_MS: Final = 4000.0
 """Longest pause between requests of an idle holder, so that its share stays lent."""
 RETURN_MARGIN_MS: Final = 50.0
@@ -150,7 +152,7 @@
         if now_ms < self.refused_until_ms:
             return Refused(self.refused_until_ms - now_ms)
         if self._is_waiting(now_ms):
-            self.unmet += 1
+            self.unmet = min(self.unmet + 1, MAX_UNMET)
             return NeedTokens(None, self.last_sent_ms + REQUEST_TIMEOUT_MS)
         request = self.make_request(now_ms, max(1 + self.unmet, self._batch(now_ms)))
         return NeedTokens(request, now_ms + REQUEST_TIMEOUT_MS)
