Plan standing shares at once, and learn newer terms from peers

Cause 1: a holder learned its standing share 8 s after its first request at the earliest, so an outage of the platform soon after a start refused all its organisations. The allocator now plans a share within 1 s and the holder reads the record every 1.5 s until it has one. Cause 2: a holder cut off from the platform kept sending writes to a replaced primary, each with an unknown outcome. It now asks the voters for the group's record as soon as a member reports a later term, and sends nothing meanwhile.

--- a/src/radishtrack/backend/database.py
+++ b/src/radishtrack/backend/database.py
@@ -75,6 +75,11 @@
             if self.monitor.answered_ms(member) >= oldest_ms
         }
 
+    def is_replaced(self, group: Group) -> bool:
+        """Tell whether a member already belongs to a later term than the record."""
+        latest = self.monitor.latest.values()
+        return any(status.term > group.term for status in latest)
+
     def list_zones(self) -> dict[str, str]:
         """Return the availability zone of each member."""
         return {name: point.zone for name, point in self.pool.endpoints.items()}
--- a/src/radishtrack/backend/transaction.py
+++ b/src/radishtrack/backend/transaction.py
@@ -184,6 +184,9 @@
     """
     while True:
         group = backend.group
+        if backend.is_replaced(group):
+            await backend.pause("begin", deadline_ms)
+            continue
         resources = AsyncExitStack()
         try:
             connection = await resources.enter_async_context(
--- a/src/radishtrack/backend/write.py
+++ b/src/radishtrack/backend/write.py
@@ -97,6 +97,10 @@
     may_have_run = False
     while True:
         group = backend.group
+        if backend.is_replaced(group):
+            # The primary may have been replaced: nothing is sent to it any more.
+            await _pause(backend, deadline_ms, may_have_run)
+            continue
         before = find_sequence_before(backend, group)
         parts: list[Message] = []
         try:
--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -275,6 +275,33 @@
     objects: tuple[bytes, ...]
 
 
+@attrs.define(frozen=True)
+class RecordRequest:
+    """Asks a peer for its record of a database group."""
+
+    request: int
+    database: str
+
+
+@attrs.define(frozen=True)
+class Record:
+    """Answers `RecordRequest`.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    version : int
+        Version of the platform's object; 0 if the sender has none.
+    value : bytes
+        The object's value as CBOR.
+    """
+
+    request: int
+    version: int
+    value: bytes
+
+
 Message = (
     Hello
     | Challenge
@@ -295,6 +322,8 @@
     | Leaving
     | CopyRequest
     | Copy
+    | RecordRequest
+    | Record
 )
 
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
@@ -317,5 +346,7 @@
     Leaving,
     CopyRequest,
     Copy,
+    RecordRequest,
+    Record,
 )
 """The place in this tuple is the type number on the wire; only append."""
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -33,6 +33,7 @@
     CopyRequest,
     Leaving,
     Message,
+    RecordRequest,
     TokensWanted,
     VoteRequest,
 )
@@ -137,6 +138,7 @@
             self.rates.run(),
             self.copies.run(),
             self.reports.run(),
+            self.votes.follow_terms(),
         ):
             self._spawn(work)
         numbers = itertools.count(1)
@@ -248,6 +250,8 @@
         match message:
             case VoteRequest():
                 return await self.votes.answer(message)
+            case RecordRequest():
+                return self.votes.answer_record(message)
             case TokensWanted():
                 return await self.rates.answer(message)
             case CopyRequest():
--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -63,7 +63,7 @@
 )
 
 ALLOCATORS_KIND: Final = "allocators"
-STEP_S: Final = 0.1
+STEP_S: Final = 0.05
 MAX_FAILED_ASKS: Final = 10
 """After this many a holder without a standing share refuses at once, for about a
 second's worth of unanswered requests."""
@@ -74,8 +74,11 @@
 LEASE_READ_MS: Final = 250.0
 """Time between reads of a lease that another allocator holds."""
 
-FIRST_RECORD_READ_MS: Final = 8_000.0
-"""Later than the first renewal of a lease, which plans the standing shares."""
+PLAN_INTERVAL_MS: Final = 1_000.0
+"""Time between two writes of a lease record that only plan standing shares."""
+
+FIRST_RECORD_READ_MS: Final = 1_500.0
+"""Time between reads of the lease record by a holder without a standing share."""
 
 RECORD_READ_INTERVAL_MS: Final = 120_000.0
 
@@ -382,7 +385,8 @@
             # Another node may have changed the record since it was read.
             await self._read(name, state)
             now_ms = self.clock.now_ms()
-        if state.should_acquire(now_ms) or state.should_renew(now_ms):
+        is_due = state.should_acquire(now_ms) or state.should_renew(now_ms)
+        if is_due or _needs_plan(state, now_ms):
             await self._write(name, state, state.prepare_write(now_ms))
 
     async def _read(self, name: str, state: Allocator) -> None:
@@ -425,7 +429,10 @@
         if request is not None:
             self._spawn(self._send(held, request))
         if now_ms >= held.next_read_ms:
-            held.next_read_ms = now_ms + RECORD_READ_INTERVAL_MS
+            has_share = held.state.standing.share is not None
+            held.next_read_ms = now_ms + (
+                RECORD_READ_INTERVAL_MS if has_share else FIRST_RECORD_READ_MS
+            )
             self._spawn(self._read_record(name, held))
 
     async def _read_record(self, name: str, held: HeldShare) -> None:
@@ -438,6 +445,19 @@
             held.state.on_record(record, sent_ms, self.clock.now_ms())
 
 
+def _needs_plan(state: Allocator, now_ms: float) -> bool:
+    """Tell whether a holder waits for its standing share, which outages need."""
+    record = state.lease.record
+    if not state.lease.is_held(now_ms) or record is None:
+        return False
+    if now_ms - state.lease.last_sent_ms < PLAN_INTERVAL_MS:
+        return False
+    planned = {share.holder for share in record.standing_shares}
+    return any(
+        view.is_wanted() and name not in planned for name, view in state.holders.items()
+    )
+
+
 def _has_no_allowance(held: HeldShare) -> bool:
     return (
         held.failed_asks >= MAX_FAILED_ASKS
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -58,6 +58,8 @@
     """Set once the node's parts exist; without it nothing is promoted from here."""
     promoters: dict[str, Promoter] = attrs.field(factory=dict)
     records: dict[str, GroupRecord] = attrs.field(factory=dict)
+    known: dict[str, Database] = attrs.field(factory=dict)
+    """The databases held here, as configured."""
     marked: dict[str, frozenset[str]] = attrs.field(factory=dict)
     """Members that the platform marks as leaving, by database."""
     closing: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -77,6 +79,21 @@
         if promoter is not None:
             promoter.update_record(record)
 
+    def is_behind(self, database: str) -> bool:
+        """Tell whether a member belongs to a later term than the known record."""
+        backend = self.holder.databases.get(database)
+        if backend is None:
+            return False
+        statuses = backend.list_answering().values()
+        return any(status.term > backend.group.term for status in statuses)
+
+    def list_voters(self, database: str) -> tuple[str, ...]:
+        """Return the voters of a database that is held here."""
+        known = self.known.get(database)
+        if known is None:
+            return ()
+        return self.placement.rank_voters(known.name, known.region, known.slots)
+
     def mark_leaving(self, database: str, members: frozenset[str]) -> None:
         """Take the platform's word on members that are leaving."""
         self.marked[database] = members
@@ -88,6 +105,7 @@
             for database in document.databases.values()
             if not is_leaving and self._is_held(database)
         }
+        self.known = wanted
         for name in self.holder.databases.keys() - wanted.keys():
             self._close(name)
         weights = {part.name: part.rate for part in document.organisations.values()}
--- a/src/radishtrack/proxy/votes.py
+++ b/src/radishtrack/proxy/votes.py
@@ -7,16 +7,19 @@
 from typing import Final
 
 import attrs
+import cbor2
 
 from radishtrack.backend.member_connection import MEMBER_ERRORS, make_connect
 from radishtrack.clock import Clock
+from radishtrack.group.record import format_record, parse_record
 from radishtrack.peer.link import LinkClosed
-from radishtrack.peer.messages import Vote, VoteRequest
+from radishtrack.peer.messages import Record, RecordRequest, Vote, VoteRequest
 from radishtrack.proxy.router import Router
 from radishtrack.proxy.slots import Slots
 from radishtrack.settings import DatabaseLogin
 
 PROBE_TIMEOUT_S: Final = 0.4
+RECORD_STEP_S: Final = 0.25
 RECENT_ANSWER_MS: Final = 300.0
 
 
@@ -64,14 +67,53 @@
         is_reachable = await self._probe(request.database, request.member)
         return Vote(request.request, not is_reachable)
 
-    async def _ask(self, name: str, database: str, member: str) -> bool | None:
+    def answer_record(self, request: RecordRequest) -> Record:
+        """Return this node's record of a group."""
+        record = self.slots.records.get(request.database)
+        if record is None:
+            return Record(request.request, 0, b"")
+        value = cbor2.dumps(format_record(record))
+        return Record(request.request, record.group.version, value)
+
+    async def follow_terms(self) -> None:
+        """Ask the voters for the record of a group that members have left behind.
+
+        A holder that is cut off from the platform would otherwise go on sending writes
+        to a replaced primary, each of which ends with an unknown outcome.
+        """
+        while True:
+            for database in tuple(self.slots.holder.databases):
+                if self.slots.is_behind(database):
+                    await self._fetch_record(database)
+            await asyncio.sleep(RECORD_STEP_S)
+
+    async def _fetch_record(self, database: str) -> None:
+        names = self.slots.list_voters(database)
+        others = [name for name in names if name != self.router.node.id]
+        await asyncio.gather(*(self._ask_record(name, database) for name in others))
+
+    async def _ask_record(self, name: str, database: str) -> None:
         number = next(self.numbers)
         try:
             link = await self.router.get_link(name)
             answer = await link.call(
-                VoteRequest(number, database, member), number, 2 * PROBE_TIMEOUT_S
+                RecordRequest(number, database), number, 2 * PROBE_TIMEOUT_S
             )
         except LinkClosed:
+            return
+        if isinstance(answer, Record) and answer.version:
+            value = cbor2.loads(answer.value)
+            self.slots.update_record(parse_record(database, answer.version, value))
+
+    async def _ask(self, name: str, database: str, member: str) -> bool | None:
+        number = next(self.numbers)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                link = await self.router.get_link(name)
+            answer = await link.call(
+                VoteRequest(number, database, member), number, 2 * PROBE_TIMEOUT_S
+            )
+        except (LinkClosed, TimeoutError):
             return None
         return answer.unreachable if isinstance(answer, Vote) else None
 
--- a/src/radishtrack_standins/cluster.py
+++ b/src/radishtrack_standins/cluster.py
@@ -316,6 +316,10 @@
     end = time.monotonic() + START_TIMEOUT_S
     for proxy in cluster.proxies:
         while not proxy.is_ready():
+            if proxy.process is not None and proxy.process.poll() is not None:
+                # Another process took one of its ports since they were chosen.
+                change_ports(proxy)
+                proxy.start()
             if time.monotonic() > end:
                 log = proxy.log.read_text()[-3000:]
                 raise RuntimeError(f"{proxy.name} is not ready:\n{log}")
@@ -359,6 +363,18 @@
     return ProxyProcess(name, zone, client_port, peer_port, admin_port, path, log)
 
 
+def change_ports(proxy: ProxyProcess) -> None:
+    """Choose other ports for a proxy and write them into its settings."""
+    text = proxy.settings.read_text()
+    ports = find_free_ports(3)
+    old = (proxy.client_port, proxy.peer_port, proxy.admin_port)
+    names = ("client_port", "peer_port", "admin_port")
+    for name, before, port in zip(names, old, ports, strict=True):
+        text = text.replace(f"{name} = {before}", f"{name} = {port}")
+    proxy.settings.write_text(text)
+    proxy.client_port, proxy.peer_port, proxy.admin_port = ports
+
+
 def find_free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago."""
     with contextlib.ExitStack() as stack:
