--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,8 @@
 demo: setup
 	$(PYTHON) -m radishtrack_standins.demo
 
+faults: setup
+	$(PYTHON) -m radishtrack_standins.faults --seed $(or $(SEED),7)
+
 clean:
 	rm -rf $(VENV) build dist out
