--- a/src/radishtrack_standins/faults/primary.py
+++ b/src/radishtrack_standins/faults/primary.py
@@ -90,6 +90,29 @@
     await work_through(world, inject)
 
 
+async def leave_one_path(world: World) -> None:
+    """Cut the primary from its replicas and from all proxies but one."""
+    await work_through(world, _leave_path)
+
+
+async def leave_one_path_without_platform(world: World) -> None:
+    """Do the same to a proxy that learns nothing from the platform either."""
+
+    async def inject(_: World, old: str) -> None:
+        relay = world.platform_relays[0]
+        await world.control_relay(relay, cut_to_target=True, cut_from_target=True)
+        await _leave_path(world, old)
+
+    await work_through(world, inject)
+
+
+async def _leave_path(world: World, old: str) -> None:
+    cut = [proxy.process.pid for proxy in world.cluster.proxies[1:] if proxy.process]
+    await world.control(old, cut_replication=True)
+    for relay in world.paths:
+        await world.control_relay(relay, cut=cut)
+
+
 async def pause_primary(world: World) -> None:
     """Pause the primary and resume it after the promotion."""
 
--- a/src/radishtrack_standins/faults/scenarios.py
+++ b/src/radishtrack_standins/faults/scenarios.py
@@ -29,10 +29,12 @@
     run: Callable[[World], Coroutine[Any, Any, None]]
     plan: ClusterPlan = attrs.field(factory=ClusterPlan)
     relays: bool = False
+    paths: bool = False
 
 
 CHANGE: Final = (1, 2, 8, 9, 10)
 LAGGING: Final = ClusterPlan(lag_ms=300.0)
+THREE_PROXIES: Final = ClusterPlan(zones=("oslo-a", "oslo-b", "hamar-c"), slots=3)
 OVERLOADED: Final = ClusterPlan(
     organisations=(
         ("storgata-sport", rates.RATE, rates.BURST),
@@ -46,6 +48,17 @@
     Scenario(
         "cut monitoring only", CHANGE, primary.cut_monitoring_of_primary, relays=True
     ),
+    Scenario(
+        "one open path", CHANGE, primary.leave_one_path, THREE_PROXIES, paths=True
+    ),
+    Scenario(
+        "one open path, no platform",
+        CHANGE,
+        primary.leave_one_path_without_platform,
+        THREE_PROXIES,
+        relays=True,
+        paths=True,
+    ),
     Scenario("pause primary", CHANGE, primary.pause_primary),
     Scenario("kill primary at lag 300", CHANGE, primary.kill_primary_with_lag, LAGGING),
     Scenario("kill in outage", CHANGE, primary.kill_primary_during_outage),
