--- a/src/radishtrack_standins/faults/paths.py
+++ b/src/radishtrack_standins/faults/paths.py
@@ -77,7 +77,8 @@
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._pump(reader, back_writer, port))
                 tasks.create_task(self._pump(back_reader, writer, port))
-        except* OSError:
+        except* (OSError, asyncio.CancelledError):
+            # Cancelled only when the process ends.
             pass
         finally:
             for each in writers:
