--- a/src/radishtrack_standins/faults/world.py
+++ b/src/radishtrack_standins/faults/world.py
@@ -30,6 +30,8 @@
     from radishtrack_standins.faults.report import Report
 
 SETTLE_S: Final = 20.0
+START_TRIES: Final = 3
+ADDRESS_IN_USE: Final = "address already in use"
 WARM_STATEMENTS: Final = 5
 TABLES: Final = (
     "CREATE TABLE orders (id VARCHAR(64) PRIMARY KEY, organisation VARCHAR(64))",
@@ -168,6 +170,19 @@
         Whether the first primary is reached through relays that can be cut for single
         proxies.
     """
+    for _ in range(START_TRIES):
+        try:
+            return _start_once(plan, report, seed, relays, paths)
+        except RuntimeError as error:
+            # The ports are free when they are chosen, and may be taken soon after.
+            if ADDRESS_IN_USE not in str(error):
+                raise
+    raise RuntimeError("no free ports were found")
+
+
+def _start_once(
+    plan: ClusterPlan, report: Report, seed: int, relays: bool, paths: bool
+) -> World:
     directory = Path(tempfile.mkdtemp(prefix="radishtrack-faults-"))
     platform = start_standin("platform", f"--vm-list-lag-ms={plan.vm_list_lag_ms}")
     cluster = Cluster(plan, directory, platform, {}, [])
