--- a/src/radishtrack_standins/faults/results.py
+++ b/src/radishtrack_standins/faults/results.py
@@ -65,7 +65,7 @@
 
 
 async def answer_late(world: World) -> None:
-    """Let members answer after the requests' deadlines; every answer has a tag."""
+    """Let members answer late and clients leave; every answer has a tag."""
     await world.define_tables()
     await _fill(world)
     report, told = world.report, Counter[str]()
@@ -97,7 +97,18 @@
         for member in world.cluster.members:
             await world.control(member, delay_ms=0)
 
-    await asyncio.gather(disturb(), *(ask(number) for number in range(LATE_CLIENTS)))
+    async def leave(number: int) -> None:
+        for turn in range(LATE_REQUESTS):
+            client = world.client(number + turn)
+            reading = asyncio.create_task(client.run("SELECT id FROM orders"))
+            await asyncio.sleep(world.random.uniform(0.01, 0.15))
+            client.drop()
+            reading.cancel()
+            await asyncio.gather(reading, return_exceptions=True)
+
+    await asyncio.gather(
+        disturb(), leave(0), leave(1), *(ask(number) for number in range(LATE_CLIENTS))
+    )
     report.add_requests(8, sum(told.values()))
     report.require(8, told[Told.RAN.value], f"no request was served: {dict(told)}")
     answer = await world.client(0).run("SELECT COUNT(*) FROM orders")
--- a/src/radishtrack_standins/faults/transactions.py
+++ b/src/radishtrack_standins/faults/transactions.py
@@ -49,6 +49,10 @@
                 await client.run("ROLLBACK")
             return
     await _check_own_rows(client, tag, ledger)
+    if tag.endswith("7"):
+        client.drop()
+        ledger.not_committed[tag] = "the client left before the commit"
+        return
     if tag.endswith("3"):
         await client.run("ROLLBACK")
         ledger.not_committed[tag] = "rolled back by the client"
