--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 bench: setup
 	$(PYTHON) -m radishtrack_standins.bench
 
+faults: setup
+	$(PYTHON) -m radishtrack_standins.faults --seed $(or $(SEED),7)
+
 clean:
 	rm -rf $(VENV) build dist out
--- a/src/radishtrack_standins/faults/world.py
+++ b/src/radishtrack_standins/faults/world.py
@@ -30,6 +30,9 @@
     from radishtrack_standins.faults.report import Report
 
 SETTLE_S: Final = 20.0
+START_TRIES: Final = 3
+ADDRESS_IN_USE: Final = "address already in use"
+WARM_STATEMENTS: Final = 5
 TABLES: Final = (
     "CREATE TABLE orders (id VARCHAR(64) PRIMARY KEY, organisation VARCHAR(64))",
     "CREATE TABLE receipts (id INTEGER PRIMARY KEY AUTO_INCREMENT, "
@@ -47,6 +50,8 @@
     random: random.Random
     admin_relays: dict[str, StandinProcess] = attrs.field(factory=dict)
     platform_relays: list[StandinProcess] = attrs.field(factory=list)
+    paths: list[StandinProcess] = attrs.field(factory=list)
+    """Relays to the ports of the first primary, cut for single processes."""
     rate_refusals: Counter[str] = attrs.field(factory=Counter)
 
     def client(
@@ -100,6 +105,30 @@
             await asyncio.sleep(0.05)
         return float("inf")
 
+    async def warm_up(self) -> float:
+        """Wait until every proxy serves every organisation; return the seconds.
+
+        Raises
+        ------
+        RuntimeError
+            If that takes too long without any fault.
+        """
+        start = time.monotonic()
+        for name, _, _ in self.cluster.plan.organisations:
+            for number in range(len(self.cluster.proxies)):
+                client = self.client(number, name)
+                client.waits_for_rate = False
+                client.rate_refusals = Counter()
+                served = 0
+                while served < WARM_STATEMENTS:
+                    answer = await client.run("SHOW TABLES")
+                    served = served + 1 if answer.ran else 0
+                    if time.monotonic() - start > SETTLE_S:
+                        raise RuntimeError(f"not served after the start: {answer}")
+                    await asyncio.sleep(0.05)
+                client.drop()
+        return time.monotonic() - start
+
     async def define_tables(self) -> None:
         """Create the tables through a proxy.
 
@@ -117,7 +146,12 @@
 
 
 def start_world(
-    plan: ClusterPlan, report: Report, seed: int, *, relays: bool = False
+    plan: ClusterPlan,
+    report: Report,
+    seed: int,
+    *,
+    relays: bool = False,
+    paths: bool = False,
 ) -> World:
     """Start a deployment.
 
@@ -132,13 +166,29 @@
     relays : bool
         Whether the proxies reach the members' administrative ports and the platform
         through relays that can be cut one by one.
+    paths : bool
+        Whether the first primary is reached through relays that can be cut for single
+        proxies.
     """
+    for _ in range(START_TRIES):
+        try:
+            return _start_once(plan, report, seed, relays, paths)
+        except RuntimeError as error:
+            # The ports are free when they are chosen, and may be taken soon after.
+            if ADDRESS_IN_USE not in str(error):
+                raise
+    raise RuntimeError("no free ports were found")
+
+
+def _start_once(
+    plan: ClusterPlan, report: Report, seed: int, relays: bool, paths: bool
+) -> World:
     directory = Path(tempfile.mkdtemp(prefix="radishtrack-faults-"))
     platform = start_standin("platform", f"--vm-list-lag-ms={plan.vm_list_lag_ms}")
     cluster = Cluster(plan, directory, platform, {}, [])
     world = World(cluster, report, random.Random(seed))
     try:
-        _start_members(world, relays)
+        _start_members(world, relays and not paths, paths)
         _prepare(world, relays)
     except BaseException:
         close_world(world)
@@ -146,7 +196,7 @@
     return world
 
 
-def _start_members(world: World, relays: bool) -> None:
+def _start_members(world: World, relays: bool, paths: bool) -> None:
     cluster = world.cluster
     for number in range(1, cluster.plan.members + 1):
         name = f"m{number}"
@@ -155,6 +205,13 @@
             arguments.append(f"--source={HOST}:{cluster.members['m1'].ports['port']}")
         member = start_standin("member", *arguments)
         cluster.members[name] = member
+        if paths and name == "m1":
+            for kind in ("port", "admin_port"):
+                relay = start_standin(
+                    "faults.paths", f"--target={HOST}:{member.ports[kind]}"
+                )
+                world.paths.append(relay)
+                member.ports[kind] = relay.ports["port"]
         if relays:
             target = f"{HOST}:{member.ports['admin_port']}"
             world.admin_relays[name] = start_standin("relay", f"--target={target}")
@@ -191,6 +248,7 @@
 def close_world(world: World) -> None:
     """End all processes and remove the scenario's files."""
     world.cluster.close()
-    for relay in (*world.admin_relays.values(), *world.platform_relays):
+    relays = (*world.admin_relays.values(), *world.platform_relays, *world.paths)
+    for relay in relays:
         relay.stop()
     shutil.rmtree(world.cluster.directory, ignore_errors=True)
