--- a/Makefile
+++ b/Makefile
@@ -13,12 +13,12 @@
 	touch $(STAMP)
 
 format: setup
-	$(VENV)/bin/ruff format src tests
-	$(VENV)/bin/ruff check --fix src tests
+	$(VENV)/bin/ruff format src tests tools examples
+	$(VENV)/bin/ruff check --fix src tests tools examples
 
 lint: setup
-	$(VENV)/bin/ruff format --check src tests
-	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/ruff format --check src tests tools examples
+	$(VENV)/bin/ruff check src tests tools examples
 	$(VENV)/bin/mypy
 
 test: setup
@@ -27,5 +27,8 @@
 demo: setup
 	$(PYTHON) -m radishtrack_standins.demo
 
+binary: setup
+	$(PYTHON) tools/build_binary.py
+
 clean:
 	rm -rf $(VENV) build dist out
