Test that TLS bytes sent with the SSL request are not lost

Cause: the server's upgrade to TLS drops bytes that arrive together with the client's SSL request; concurrent aiomysql connects over TLS hang for 60 s. Change: a test with one packet that holds both.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
+import socket
 import ssl
 import struct
 import subprocess
@@ -18,6 +20,7 @@
 import aiomysql
 import pymysql
 import pytest
+from pymysql.constants import CLIENT
 from pymysql.cursors import SSCursor
 
 from radishtrack_standins.cluster import (
@@ -387,6 +390,26 @@
     assert read_code(connect, cluster, 0, **secure) == 2026
 
 
+def test_tls_handshake_may_come_with_the_request(cluster: Cluster) -> None:
+    """Once, a client's first TLS bytes were lost if they came with its SSL request."""
+    incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+    context = ssl.create_default_context(cafile=str(certificate_path(cluster)))
+    client = context.wrap_bio(incoming, outgoing, server_hostname="127.0.0.1")
+    with pytest.raises(ssl.SSLWantReadError):
+        client.do_handshake()
+    flags = CLIENT.PROTOCOL_41 | CLIENT.SECURE_CONNECTION | CLIENT.SSL
+    request = struct.pack("<IIB23x", flags, 2**24 - 1, 45)
+    packet = len(request).to_bytes(3, "little") + b"\x01" + request
+    address = ("127.0.0.1", cluster.proxies[1].client_port)
+    with socket.create_connection(address, timeout=10) as connection:
+        connection.recv(4096)
+        connection.sendall(packet + outgoing.read())
+        incoming.write(connection.recv(65536))
+    with contextlib.suppress(ssl.SSLWantReadError):
+        client.do_handshake()
+    assert client.version() == "TLSv1.3"
+
+
 async def test_aiomysql_pool_over_tls(cluster: Cluster) -> None:
     context = ssl.create_default_context(cafile=str(certificate_path(cluster)))
     pool = await aiomysql.create_pool(
