--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 binary: setup
 	$(PYTHON) tools/build_binary.py
 
+bench: setup
+	$(PYTHON) -m radishtrack_standins.bench
+
 clean:
 	rm -rf $(VENV) build dist out
