--- /dev/null
+++ b/benchmarks/capacity/clients.py
@@ -0,0 +1,98 @@
+"""Memory of a node for idle client connections.
+
+Run as ``python benchmarks/capacity/clients.py``; prints JSON lines. A proxy runs in a
+process of its own with an ordinary driver's connections, and its resident memory is
+read from the kernel.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any, Final
+
+import aiomysql
+from measuring import Spread, emit, emit_fit, read_cpu_s, read_rss_bytes, summarise
+
+from radishtrack_standins.cluster import Cluster, ClusterPlan, start_cluster
+
+SIZES: Final = (200, 500, 1_000)
+RATE: Final = 1_000_000.0
+SETTLE_S: Final = 1.0
+IDLE_S: Final = 2.0
+MEGABYTE: Final = 1e6
+
+
+async def connect(cluster: Cluster) -> Any:
+    """Open one connection."""
+    organisation = cluster.plan.organisations[0][0]
+    return await aiomysql.connect(
+        host="127.0.0.1",
+        port=cluster.proxies[0].client_port,
+        user=organisation,
+        password=cluster.keys[organisation],
+        db=cluster.plan.database,
+        autocommit=True,
+    )
+
+
+async def sample_core_percent(pid: int) -> Spread:
+    """Return the share of a core that a process uses, in percent."""
+    samples = []
+    for _ in range(2):
+        cpu, wall = read_cpu_s(pid), time.monotonic()
+        await asyncio.sleep(IDLE_S)
+        elapsed = time.monotonic() - wall
+        samples.append(100 * (read_cpu_s(pid) - cpu) / elapsed)
+    return summarise(samples)
+
+
+async def measure(cluster: Cluster) -> None:
+    """Open connections step by step and read the proxy's memory."""
+    process = cluster.proxies[0].process
+    assert process is not None
+    emit("node base", memory_mb=read_rss_bytes(process.pid) / MEGABYTE)
+    # The first statement and connection load modules and caches.
+    connections = [await connect(cluster)]
+    async with connections[0].cursor() as cursor:
+        await cursor.execute("SELECT @@version")
+    points = []
+    for size in SIZES:
+        cpu, opened = read_cpu_s(process.pid), len(connections)
+        while len(connections) < size:
+            connections.append(await connect(cluster))
+        cost = (read_cpu_s(process.pid) - cpu) / (len(connections) - opened)
+        await asyncio.sleep(SETTLE_S)
+        memory = read_rss_bytes(process.pid)
+        emit(
+            "idle client connections",
+            connections=size,
+            memory_mb=memory / MEGABYTE,
+            connect_cpu_us=1e6 * cost,
+        )
+        points.append((float(size), float(memory)))
+    emit(
+        "core percent with 1000 idle connections",
+        core=await sample_core_percent(process.pid),
+    )
+    emit_fit("node memory bytes by client connections", points)
+    for connection in connections:
+        connection.close()
+
+
+def main() -> None:
+    """Start a deployment with one proxy and measure it."""
+    plan = ClusterPlan(
+        zones=("oslo-a",),
+        slots=1,
+        organisations=(("measured", RATE, int(RATE)),),
+    )
+    cluster = start_cluster(plan)
+    try:
+        asyncio.run(measure(cluster))
+    finally:
+        cluster.close()
+
+
+if __name__ == "__main__":
+    main()
