Decide strict reads on the replicas' answers alone where they suffice

Cause: each status round polled the primary, whose answer a strict read needs only if a replica is missing or fenced.

--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -23,7 +23,7 @@
     Suspicion,
     is_good_answer,
 )
-from radishtrack.group.evidence import StatusRound
+from radishtrack.group.evidence import ServeReplicas, StatusRound, choose_strict
 from radishtrack.group.freshness import FreshnessSamples, make_freshness_samples
 from radishtrack.group.outcome import CommitOutcome, StillUnknown, resolve_commit
 from radishtrack.group.status import Group, MemberStatus
@@ -32,6 +32,9 @@
 ROUND_TIMEOUT_MS: Final = 100.0
 """Time that a round waits for members that are not suspected."""
 
+PRIMARY_POLL_DELAY_MS: Final = 10.0
+"""Time that a round waits for all replicas before it polls the primary too."""
+
 CONFIRMATION_INTERVAL_MS: Final = 5.0
 """Time between two polls of a replica while commits wait for confirmation."""
 
@@ -127,9 +130,9 @@
     async def next_round(self, deadline_ms: float) -> StatusRound:
         """Return a round of polls that were all sent after the call.
 
-        Callers that arrive while the polls of a round are being sent share the next
-        one. A round ends when all members that are not suspected have answered, after
-        `ROUND_TIMEOUT_MS`, or at the deadline.
+        Concurrent callers share a round. It ends when the replicas decide a strict read
+        (otherwise the primary is polled too), when all members that are not suspected
+        have answered, after `ROUND_TIMEOUT_MS`, or at the deadline.
 
         Parameters
         ----------
@@ -143,7 +146,7 @@
         """
         asked_ms = self.clock.now_ms()
         if self.next_started is None:
-            self.next_started = asyncio.get_running_loop().create_future()
+            self.next_started = asyncio.Future()
             task = asyncio.create_task(self._run_round(self.next_started))
             self.rounds.add(task)
             task.add_done_callback(self.rounds.discard)
@@ -184,8 +187,7 @@
             `Confirmed`, see `resolve_commit`.
         """
         asked_ms = self.clock.now_ms()
-        result: asyncio.Future[CommitOutcome]
-        result = asyncio.get_running_loop().create_future()
+        result: asyncio.Future[CommitOutcome] = asyncio.Future()
         waiter = CommitWaiter(position, term, sequence_before, asked_ms, result)
         if not self.commit_waiters:
             self._wake(self._confirming_members())
@@ -206,9 +208,15 @@
         self.next_started = None
         waiter = RoundWaiter(self.clock.now_ms(), shared)
         self.round_waiters.add(waiter)
-        self._wake(self.endpoints.keys())
+        replicas = self.endpoints.keys() - {self.group.primary}
+        self._wake(replicas)
         self._settle_rounds()
-        await asyncio.wait({shared}, timeout=ROUND_TIMEOUT_MS / 1000)
+        delay_ms = PRIMARY_POLL_DELAY_MS if replicas else 0.0
+        await asyncio.wait({shared}, timeout=delay_ms / 1000)
+        if not shared.done():
+            self._wake((self.group.primary,))
+            left_ms = ROUND_TIMEOUT_MS - delay_ms
+            await asyncio.wait({shared}, timeout=left_ms / 1000)
         self.round_waiters.discard(waiter)
         if not shared.done():
             self._finish_round(waiter)
@@ -217,18 +225,26 @@
         waiter.result.set_result(self.board.collect(waiter.started_ms))
 
     def _settle_rounds(self) -> None:
+        if not self.round_waiters:
+            return
         now_ms = self.clock.now_ms()
         expected = {
             member
             for member in self.endpoints
             if not self.suspicion.is_suspected(member, now_ms)
         }
+        primary = self.group.primary
         for waiter in tuple(self.round_waiters):
-            answered = self.board.collect(waiter.started_ms).statuses
-            complete = expected and expected <= answered.keys()
-            if complete and not waiter.result.done():
+            answered = self.board.collect(waiter.started_ms)
+            missing = expected - answered.statuses.keys()
+            if missing == {primary}:
+                choice = choose_strict(answered, self.group)
+                missing -= {primary} if isinstance(choice, ServeReplicas) else set()
+            if expected and not missing and not waiter.result.done():
                 self.round_waiters.discard(waiter)
                 self._finish_round(waiter)
+            elif missing == {primary}:
+                self._wake((primary,))
 
     def _settle_commits(self, answer: PolledStatus) -> None:
         sequence = answer.status.position.sequence
@@ -368,7 +384,7 @@
     clock: Clock,
     connect: Connect,
 ) -> Monitor:
-    """Return a monitor that has not been started.
+    """Return a monitor that has not been started; see `Monitor`.
 
     Parameters
     ----------
@@ -380,10 +396,5 @@
         Source of time.
     connect : callable
         Opens an administrative connection to a member, see `make_connect`.
-
-    Returns
-    -------
-    Monitor
-        Call `start` in a running event loop.
     """
     return Monitor(group, endpoints, clock, connect)
