Write results of one chunk without streaming generators

Cause: each result went through three async generators of the frontend and the server library row by row, and its columns were built anew. Change: a result that ends with its first chunk is handed over as rows; longer ones stream as before; columns are cached by name and type.

--- a/src/radishtrack/frontend/columns.py
+++ b/src/radishtrack/frontend/columns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import date, datetime
+from functools import lru_cache
 from typing import Any, Final
 
 from mysql_mimic.charset import CharacterSet
@@ -11,6 +12,9 @@
 
 from radishtrack.backend.connection import BINARY_FLAG
 
+CACHED_COLUMNS: Final = 4_096
+"""Columns are not changed after they are made, so statements can share them."""
+
 _INTEGERS: Final = frozenset(
     {
         ColumnType.TINY,
@@ -25,6 +29,7 @@
 _TIMES: Final = frozenset({ColumnType.DATETIME, ColumnType.TIMESTAMP})
 
 
+@lru_cache(maxsize=CACHED_COLUMNS)
 def make_column(name: str, type_code: int) -> ResultColumn:
     """Return a column that sends text values under the database's type.
 
--- a/src/radishtrack/frontend/session.py
+++ b/src/radishtrack/frontend/session.py
@@ -104,7 +104,7 @@
             if prepared.statement.kind is Kind.LOCAL:
                 return await self._answer_locally(prepared)
             reply = await self.entry.execute(self.state, prepared)
-            return self._make_result(reply)
+            return await self._make_result(reply)
         except RequestError as error:
             raise _make_error(error) from error
         finally:
@@ -132,7 +132,7 @@
             flags |= ServerStatus.SERVER_STATUS_IN_TRANS
         self.connection.status_flags = flags
 
-    def _make_result(self, reply: Reply) -> ResultSet | None:
+    async def _make_result(self, reply: Reply) -> ResultSet | None:
         if reply.head is not None and reply.rows is not None:
             columns = [
                 make_column(name, type_code)
@@ -140,7 +140,16 @@
                     reply.head.names, reply.head.types, strict=True
                 )
             ]
-            return ResultSet(_iterate_rows(reply.rows, self._update_status), columns)
+            first = await anext(reply.rows, None)
+            if first is None:
+                return ResultSet((), columns)
+            second = await anext(reply.rows, None)
+            if second is None:
+                # A result of one chunk is written at once, without the generators
+                # that let a long one stream.
+                return ResultSet(first.rows, columns)
+            rows = _iterate_rows((first, second), reply.rows, self._update_status)
+            return ResultSet(rows, columns)
         if reply.done is not None and self.connection is not None:
             self.connection.next_ok = OkFields(
                 reply.done.affected_rows, reply.done.insert_id
@@ -211,9 +220,12 @@
 
 
 async def _iterate_rows(
-    chunks: AsyncIterator[Rows], when_done: Callable[[], None]
+    read: tuple[Rows, ...], chunks: AsyncIterator[Rows], when_done: Callable[[], None]
 ) -> AsyncIterator[tuple[str | bytes | None, ...]]:
     try:
+        for chunk in read:
+            for row in chunk.rows:
+                yield row
         async for chunk in chunks:
             for row in chunk.rows:
                 yield row
