--- a/src/radishtrack/admission/admit.py
+++ b/src/radishtrack/admission/admit.py
@@ -102,18 +102,25 @@
     if isinstance(admission, Admitted):
         return Proceed(admission.request)
     if isinstance(admission, NeedTokens):
-        decision = AwaitTokens(admission.request, admission.retry_at_ms)
+        # The time at which the token request is given up, not when its grant is due:
+        # it is no reason to refuse a request with a short deadline.
+        decision = AwaitTokens(
+            admission.request, min(admission.retry_at_ms, deadline_ms)
+        )
         if admission.request is not None:
             return decision
-        retry_after_ms = max(0.0, admission.retry_at_ms - now_ms)
-    else:
-        retry_after_ms = admission.retry_after_ms
-        decision = AwaitTokens(None, now_ms + retry_after_ms)
-        if retry_after_ms > MAX_REFUSAL_WAIT_MS:
-            return _reject_rate(retry_after_ms)
-    if waiting >= MAX_TOKEN_WAITERS or decision.retry_at_ms >= deadline_ms:
+        if waiting >= MAX_TOKEN_WAITERS or now_ms >= deadline_ms:
+            return _reject_rate(0.0)
+        return decision
+    retry_after_ms = admission.retry_after_ms
+    retry_at_ms = now_ms + retry_after_ms
+    if (
+        retry_after_ms > MAX_REFUSAL_WAIT_MS
+        or waiting >= MAX_TOKEN_WAITERS
+        or retry_at_ms >= deadline_ms
+    ):
         return _reject_rate(retry_after_ms)
-    return decision
+    return AwaitTokens(None, retry_at_ms)
 
 
 def _reject_rate(retry_after_ms: float) -> Reject:
--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ssl
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -22,7 +23,7 @@
 
 PACKET_TOO_LARGE: Final = 1153
 READER_TIMEOUT_S: Final = 30.0
-HEADER_BYTES: Final = 4
+CLOSE_DELAY_S: Final = 0.1
 
 
 class PacketTooLarge(Exception):
@@ -116,6 +117,44 @@
         self.writer.close()
 
 
+@attrs.define
+class HandshakeStream:
+    """Packet stream of the connection phase, with an upgrade to TLS that loses nothing.
+
+    A client may send the TLS handshake right behind its SSL request. These bytes are
+    then in the reader's buffer, where the library's `start_tls` leaves them.
+
+    Parameters
+    ----------
+    stream : MysqlStream
+        The library's stream.
+    reader : asyncio.StreamReader
+        The reader under it.
+    """
+
+    stream: MysqlStream
+    reader: asyncio.StreamReader
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.stream, name)
+
+    async def start_tls(self, context: ssl.SSLContext) -> None:
+        """Upgrade the connection; see `MysqlStream.start_tls`."""
+        transport = self.stream.writer.transport
+        buffer = self.reader._buffer  # type: ignore[attr-defined]
+        early = bytes(buffer)
+        buffer.clear()
+        upgrade = asyncio.ensure_future(self.stream.start_tls(context))
+        # The TLS protocol is in place after the first turn, connected after the next.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        if early:
+            protocol = transport.get_protocol()
+            protocol.get_buffer(len(early))[: len(early)] = early
+            protocol.buffer_updated(len(early))
+        await upgrade
+
+
 @attrs.define(frozen=True)
 class OkFields:
     """What the next OK packet reports."""
@@ -128,6 +167,16 @@
     """Connection that reports affected rows, checks logins and resets sessions."""
 
     next_ok: OkFields | None = None
+    stream: Any
+
+    async def connection_phase(self) -> None:
+        """Shake hands, log in and upgrade to TLS if the client asks for it."""
+        stream: Any = self.stream
+        self.stream = HandshakeStream(stream, stream.reader.reader)
+        try:
+            await super().connection_phase()
+        finally:
+            self.stream = stream
 
     async def authenticate(self, **arguments: Any) -> None:
         """Check the login; a failed one leaves the session without a user.
@@ -148,6 +197,10 @@
         packet: bytes = super().ok(**fields)
         return packet
 
+    def close_after_answer(self) -> None:
+        """Close the connection once the present answer has been sent."""
+        asyncio.get_running_loop().call_later(CLOSE_DELAY_S, self.stream.writer.close)
+
     async def command_phase(self) -> None:
         """Serve commands until the client leaves or breaks the protocol."""
         try:
@@ -251,7 +304,12 @@
         connection.connection_id = number
         try:
             await connection.start()
-        except (PermissionError, asyncio.IncompleteReadError, PacketTooLarge) as error:
+        except (
+            PermissionError,
+            asyncio.IncompleteReadError,
+            PacketTooLarge,
+            ssl.SSLError,
+        ) as error:
             log_event(Event.CLIENT_REFUSED, reason=error)
         finally:
             writer.close()
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -122,6 +122,9 @@
         lambda key: server.close_revoked(key),
         lambda: server.reconcile(),
     )
+    control = ConnectionControl(settings.limits.max_client_connections)
+    metrics.client_connections.set_function(lambda: len(control.connections))
+    metrics.configuration_revision.set_function(lambda: configuration.revision)
     server = NodeServer(
         settings,
         clock,
@@ -142,7 +145,7 @@
         copies,
         UsageReports(clock, platform, make_reporter(node.id, str(incarnation), usage)),
         incarnation,
-        ConnectionControl(settings.limits.max_client_connections),
+        control,
     )
     return server
 
--- a/src/radishtrack/proxy/client_state.py
+++ b/src/radishtrack/proxy/client_state.py
@@ -12,6 +12,9 @@
 from radishtrack.routing.statement import Kind, Statement
 from radishtrack.session.position import Position
 
+OPEN_ORGANISATION: Final = "open"
+"""User name of clients without a key; they only read on open routes."""
+
 
 @attrs.define
 class ClientState:
@@ -41,6 +44,8 @@
     """The way to the holder failed inside a transaction that is not ended yet."""
     token_refused: bool = False
     last_insert_id: int = 0
+    statement_class: str = ""
+    """Label of the running statement in the metrics."""
 
 
 @attrs.define(frozen=True)
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -26,6 +26,7 @@
 from radishtrack.peer.messages import Done, Execute, Failed, Message, ResultHead, Rows
 from radishtrack.proxy.client_state import (
     COMMIT_REQUEST,
+    OPEN_ORGANISATION,
     ClientState,
     PreparedRequest,
     Reply,
@@ -38,7 +39,19 @@
 from radishtrack.session.position import Position
 from radishtrack.session.token import decode_token
 
-OPEN_ORGANISATION: Final = "open"
+READ_CLASSES: Final = frozenset(
+    {ReadClass.STRICT.value, ReadClass.SESSION.value, ReadClass.AGED.value}
+)
+REFUSAL_REASONS: Final = {
+    "keys": "key",
+    "admit": "queue",
+    "options": "option",
+    "classify": "option",
+    "route": "route",
+    "drain": "draining",
+    "evidence": "evidence",
+    "confirm": "evidence",
+}
 _ENDING_KINDS: Final = frozenset({Kind.COMMIT.value, Kind.ROLLBACK.value})
 _ANY_CLASS: Final = EffectiveClass(ReadClass.STRICT)
 
@@ -169,6 +182,12 @@
             done = self._finish(state, first, prepared, started_ms)
         return Reply(done=done)
 
+    def note_refusal(self, state: ClientState, failure: Failure) -> None:
+        """Count a request that did not run."""
+        if failure.outcome is Outcome.NOT_RUN:
+            reason = find_refusal_reason(failure)
+            self.metrics.count_refusal(state.organisation, reason)
+
     async def end_session(self, state: ClientState) -> None:
         """Roll back what the client has open."""
         if state.holder:
@@ -296,6 +315,7 @@
             raise make_not_run(
                 "classify", "the statement depends on earlier ones; use a transaction"
             )
+        state.statement_class = _find_label(statement, effective, state)
         if state.holder == "":
             state.transaction_database = database.name
         return Execute(
@@ -358,9 +378,11 @@
         if message.insert_id:
             state.last_insert_id = message.insert_id
         elapsed_ms = self.clock.now_ms() - started_ms
-        label = prepared.statement.kind.value if prepared else Kind.READ.value
-        self.metrics.observe_statement(state.organisation, label, "ran", elapsed_ms)
-        if message.role and label == Kind.READ.value:
+        label = state.statement_class
+        self.metrics.observe_statement(
+            state.organisation, label, Outcome.RAN.value, elapsed_ms
+        )
+        if message.role and label in READ_CLASSES:
             self.metrics.count_read(message.role)
         return message
 
@@ -372,7 +394,9 @@
         if message.code == ErrorCode.OVER_RATE and message.retry_after_ms > 0:
             now_ms = self.clock.now_ms()
             self.refused_until_ms[state.organisation] = now_ms + message.retry_after_ms
-        self.metrics.observe_statement(state.organisation, "", message.outcome, 0.0)
+        self.metrics.observe_statement(
+            state.organisation, state.statement_class, message.outcome, 0.0
+        )
 
     async def _stream_rows(
         self, state: ClientState, messages: AsyncIterator[Message], started_ms: float
@@ -388,6 +412,23 @@
         raise make_not_run("forward", "the result broke off")
 
 
+def _find_label(
+    statement: Statement, effective: EffectiveClass, state: ClientState
+) -> str:
+    if state.in_transaction or statement.kind in (Kind.BEGIN, Kind.COMMIT):
+        return "transaction"
+    if statement.kind is Kind.READ:
+        return effective.read_class.value
+    return "write"
+
+
+def find_refusal_reason(failure: Failure) -> str:
+    """Return the label under which a refused request is counted."""
+    if failure.code == ErrorCode.OVER_RATE:
+        return "rate"
+    return REFUSAL_REASONS.get(failure.step, "member")
+
+
 def make_over_rate(retry_after_ms: float) -> RequestError:
     """Return the error of a request above its organisation's rate."""
     return RequestError(
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -47,8 +47,9 @@
     WatchAnswer,
 )
 from radishtrack.platform.watch import follow_objects
+from radishtrack.proxy.client_state import OPEN_ORGANISATION
 from radishtrack.proxy.copies import Copies
-from radishtrack.proxy.entry import OPEN_ORGANISATION, Entry
+from radishtrack.proxy.entry import Entry
 from radishtrack.proxy.holder import Holder
 from radishtrack.proxy.rates import Rates
 from radishtrack.proxy.router import Router
@@ -67,6 +68,7 @@
 LIST_WAIT_MS: Final = 5_000.0
 """A node that is not listed after this time serves with what its peers told it."""
 
+IDLE_GRACE_MS: Final = 5_000.0
 DRAIN_STEP_S: Final = 0.05
 
 
@@ -177,9 +179,14 @@
             if not link.closed:
                 await link.send(Leaving(self.node.id, self.incarnation))
         while self.drain.state is DrainState.DRAINING:
+            now_ms = self.clock.now_ms()
+            waited_ms = now_ms - self.drain.started_ms
+            # The close of an idle connection could race with its next request, whose
+            # outcome the client would not know. For some time each gets error 9006.
+            idle = len(self.control.connections) if waited_ms < IDLE_GRACE_MS else 0
             self.drain.advance(
-                self.clock.now_ms(),
-                self.entry.running + self.holder.running,
+                now_ms,
+                self.entry.running + self.holder.running + idle,
                 len(self.holder.transactions),
             )
             await asyncio.sleep(DRAIN_STEP_S)
--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -43,6 +43,7 @@
     PlatformUnavailable,
     Written,
 )
+from radishtrack.proxy.client_state import OPEN_ORGANISATION
 from radishtrack.proxy.router import NOT_HELD_STEP, Router
 from radishtrack.rates.allocator import Allocator, make_allocator
 from radishtrack.rates.lease import LeaseWrite
@@ -165,6 +166,10 @@
         RequestError
             Not run, if the organisation is over its rate or the queue is full.
         """
+        if organisation == OPEN_ORGANISATION:
+            # Requests without a key have no rate; the gate's queue bounds them, with a
+            # weight of their own.
+            return
         held = self._get_share(organisation)
         is_retry = False
         while True:
