Stream a member's rows without a cursor and with a timer instead of timeouts

Cause: a read used a cursor, three asyncio.timeout contexts and an extra generator. Change: stream() reads the library's unbuffered result and limits each wait with one timer that aborts the connection, which is closed in that case anyway.

--- a/src/radishtrack/backend/connection.py
+++ b/src/radishtrack/backend/connection.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import TYPE_CHECKING, Any, Final
 
 import aiomysql
 import attrs
-from aiomysql.cursors import SSCursor
 from pymysql.constants import FIELD_TYPE
 from pymysql.err import MySQLError
 
@@ -112,47 +111,94 @@
         MemberError
             If the member answered with an error.
         """
-        async with self._step(), self.raw.cursor() as cursor:
-            affected = await cursor.execute(statement)
-            return StatementAnswer(affected, cursor.lastrowid or 0)
+        with self._step():
+            async with self.raw.cursor() as cursor:
+                affected = await cursor.execute(statement)
+                return StatementAnswer(affected, cursor.lastrowid or 0)
 
     async def fetch(self, statement: str) -> tuple[tuple[Any, ...], ...]:
         """Run a statement and return all its rows; errors as in `run`."""
-        async with self._step(), self.raw.cursor() as cursor:
-            await cursor.execute(statement)
-            return tuple(await cursor.fetchall())
+        with self._step():
+            async with self.raw.cursor() as cursor:
+                await cursor.execute(statement)
+                return tuple(await cursor.fetchall())
 
     async def read_status(self) -> MemberStatus:
         """Return the member's status; errors as in `run`."""
-        async with self._step():
+        with self._step():
             return parse_status(await read_row(self.raw, STATUS_SQL))
 
-    async def stream(self, statement: str) -> AsyncIterator[StreamPart]:
+    async def stream(
+        self,
+        statement: str,
+        first_wait_s: float | None = None,
+        part_wait_s: float | None = None,
+    ) -> AsyncIterator[StreamPart]:
         """Run a statement and yield its head, then chunks of rows.
 
         A statement without result columns yields one `StatementAnswer`. Errors as in
         `run`, at any point.
+
+        Parameters
+        ----------
+        statement : str
+            The statement.
+        first_wait_s, part_wait_s : float, optional
+            Time for the head and for each chunk, in seconds; a member that does not
+            answer in time fails the statement as `AnswerLost`.
         """
-        async with self._step():
-            cursor = await self.raw.cursor(SSCursor)
-            await cursor.execute(statement)
-            if cursor.description is None:
-                yield StatementAnswer(cursor.rowcount, cursor.lastrowid or 0)
+        with self._step():
+            with self._limit_wait(first_wait_s):
+                await self.raw.query(statement, unbuffered=True)
+            result = self.raw._result
+            if result.description is None:
+                yield StatementAnswer(result.affected_rows, result.insert_id or 0)
                 return
             yield StreamHead(
-                tuple(column[0] for column in cursor.description),
-                tuple(map(_describe_type, cursor._result.fields)),
+                tuple(column[0] for column in result.description),
+                tuple(map(_describe_type, result.fields)),
             )
-            while rows := await cursor.fetchmany(ROWS_PER_CHUNK):
-                yield StreamRows(tuple(rows))
+            is_complete = False
+            while not is_complete:
+                rows: list[tuple[str | bytes | None, ...]] = []
+                with self._limit_wait(part_wait_s):
+                    while len(rows) < ROWS_PER_CHUNK:
+                        row = await result._read_rowdata_packet_unbuffered()
+                        if row is None:
+                            is_complete = True
+                            break
+                        rows.append(row)
+                if rows:
+                    yield StreamRows(tuple(rows))
 
     def close(self) -> None:
         """Close the socket at once."""
         self.in_doubt = True
         self.raw.close()
 
-    @contextlib.asynccontextmanager
-    async def _step(self) -> AsyncIterator[None]:
+    @contextlib.contextmanager
+    def _limit_wait(self, wait_s: float | None) -> Iterator[None]:
+        """Break the connection off if the member lets the block wait too long.
+
+        A timer costs less than `asyncio.timeout`, and a connection whose answer is
+        late is closed in any case.
+        """
+        if wait_s is None:
+            yield
+            return
+        timer = asyncio.get_running_loop().call_later(wait_s, self._abort)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def _abort(self) -> None:
+        # Stays set if the answer arrives in the same turn of the event loop.
+        self.dirty = True
+        self.raw._writer.transport.abort()
+
+    @contextlib.contextmanager
+    def _step(self) -> Iterator[None]:
         """Keep the connection in doubt until the answer is complete.
 
         A cancelled step leaves the answer on the wire, so the connection is closed: a
--- a/src/radishtrack/backend/read.py
+++ b/src/radishtrack/backend/read.py
@@ -15,7 +15,6 @@
     MemberError,
     StatementAnswer,
     StreamHead,
-    StreamPart,
     StreamRows,
 )
 from radishtrack.backend.database import DatabaseBackend
@@ -46,6 +45,7 @@
 
 WAIT_STEP_MS: Final = 5.0
 PART_TIMEOUT_S: Final = 10.0
+"""Time that a member may take for the next rows of a running result."""
 
 
 @attrs.define(frozen=True)
@@ -113,15 +113,19 @@
     async with backend.connect(
         target.member, request.organisation, deadline_ms
     ) as connection:
-        parts = connection.stream(request.statement)
-        async for part in _limit_waits(parts, backend.remaining_s(deadline_ms)):
-            match part:
-                case StreamHead():
-                    yield ResultHead(request.request, part.names, part.types)
-                case StreamRows():
-                    yield Rows(request.request, part.rows)
-                case StatementAnswer():
-                    pass
+        # The head may take half of the time that is left, so that another member can be
+        # tried if this one does not answer.
+        wait_s = backend.remaining_s(deadline_ms) / 2
+        parts = connection.stream(request.statement, wait_s, PART_TIMEOUT_S)
+        async with aclosing(parts):  # type: ignore[type-var]
+            async for part in parts:
+                match part:
+                    case StreamHead():
+                        yield ResultHead(request.request, part.names, part.types)
+                    case StreamRows():
+                        yield Rows(request.request, part.rows)
+                    case StatementAnswer():
+                        pass
         connection.dirty = connection.dirty or request.dirties_session
         if target.role is Role.PRIMARY:
             # The primary may hold commits that no replica has yet and may have been
@@ -157,28 +161,6 @@
     return reached
 
 
-async def _limit_waits(
-    parts: AsyncIterator[StreamPart], remaining_s: float
-) -> AsyncIterator[StreamPart]:
-    """Yield the parts; a member that stops answering fails the attempt.
-
-    The first part may take half of the time that is left, so that another member can
-    be tried; a part of a running result may take `PART_TIMEOUT_S`.
-    """
-    wait_s = remaining_s / 2
-    async with aclosing(parts):  # type: ignore[type-var]
-        while True:
-            try:
-                async with asyncio.timeout(wait_s):
-                    part = await anext(parts, None)
-            except TimeoutError as error:
-                raise AnswerLost("no answer in time") from error
-            if part is None:
-                return
-            yield part
-            wait_s = PART_TIMEOUT_S
-
-
 async def _choose_target(
     backend: DatabaseBackend,
     request: Execute,
