Drain without a timeout when nothing is buffered

Cause: each statement's last write entered asyncio.timeout although its bytes had gone to the socket already. Change: an empty write buffer is drained directly.

--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -104,6 +104,10 @@
 
     async def drain(self) -> None:
         """Wait until the client has read enough, within `READER_TIMEOUT_S`."""
+        if self.writer.transport.get_write_buffer_size() == 0:
+            # Nothing is left to wait for; this only reports a lost connection.
+            await self.writer.drain()
+            return
         try:
             async with asyncio.timeout(READER_TIMEOUT_S):
                 await self.writer.drain()
