Add regression tests of the faults that drivers found

Cause: four faults were mended without a test that talks to a whole cluster. Change: tests of the driver's default mode, BEGIN in a transaction, binary values and the announced packet limit.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -51,7 +51,7 @@
             run(
                 connection,
                 f"CREATE TABLE {table} (id INTEGER PRIMARY KEY AUTO_INCREMENT, "
-                "name VARCHAR(64), price DOUBLE, made DATETIME)",
+                "name VARCHAR(64), price DOUBLE, made DATETIME, picture BLOB)",
             )
         connection.close()
         yield cluster
@@ -239,6 +239,44 @@
     writer.rollback()
 
 
+def test_rollback_in_the_default_mode_of_the_driver(
+    cluster: Cluster, connection: Any
+) -> None:
+    """Once, the greeting lacked the autocommit flag, so PyMySQL left it on."""
+    writer = connect(cluster)
+    insert(writer, "default mode")
+    assert count(connection, "default mode") == 0
+    writer.rollback()
+    assert count(writer, "default mode") == 0
+
+
+def test_begin_commits_the_open_transaction(cluster: Cluster, connection: Any) -> None:
+    """Once, a second BEGIN was refused and the first transaction was lost."""
+    writer = connect(cluster)
+    run(writer, "SET autocommit = 0")
+    insert(writer, "before begin")
+    writer.begin()
+    insert(writer, "after begin")
+    writer.rollback()
+    assert count(connection, "before begin") == 1
+    assert count(connection, "after begin") == 0
+
+
+def test_binary_values_come_back_unchanged(connection: Any) -> None:
+    """Once, they were sent as text, which broke the driver's connection."""
+    value = bytes(range(256))
+    with connection.cursor() as cursor:
+        cursor.execute("INSERT INTO orders (picture) VALUES (%s)", (value,))
+        number = cursor.lastrowid
+    query = f"SELECT picture FROM orders WHERE id = {number}"
+    assert run(connection, query) == ((value,),)
+
+
+def test_packet_limit_is_announced(connection: Any) -> None:
+    """Once, clients were told the library's 64 MiB, and larger batches failed."""
+    assert run(connection, "SELECT @@max_allowed_packet") == (("1048576",),)
+
+
 def test_commit_of_a_transaction_is_seen_at_the_other_proxy(cluster: Cluster) -> None:
     writer = connect(cluster, 0, autocommit=True)
     writer.begin()
