Split the allocators from the holder's rates, and number token requests on

Found by reading: a share that was given up after a minute without use started its request numbers at 1 again, and the allocator ignores numbers that it has seen, so that the organisation would have got no tokens from this holder. The numbers now go on.

--- /dev/null
+++ b/src/radishtrack/proxy/allocators.py
@@ -0,0 +1,223 @@
+"""The allocators of organisations' rates that are placed on this node."""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.config.document import Document
+from radishtrack.events import Event, log_event
+from radishtrack.membership.placement import Placement
+from radishtrack.platform.client import PlatformClient
+from radishtrack.platform.records import PlatformRefusal, PlatformUnavailable, Written
+from radishtrack.rates.allocator import Allocator, make_allocator
+from radishtrack.rates.lease import LeaseWrite
+from radishtrack.rates.messages import (
+    LeaseRecord,
+    RateLimit,
+    TokenGrant,
+    TokenRequest,
+    make_rate_limit,
+)
+from radishtrack.rates.record import LeaseRecordError, decode_lease, encode_lease
+
+ALLOCATORS_KIND: Final = "allocators"
+IDLE_MS: Final = 60_000.0
+"""An allocator or share that was not used for this long is given up."""
+
+LEASE_READ_MS: Final = 250.0
+"""Time between reads of a lease that another allocator holds."""
+
+PLAN_INTERVAL_MS: Final = 1_000.0
+"""Time between two writes of a lease record that only plan standing shares."""
+
+
+@attrs.define
+class PlacedAllocator:
+    """An allocator of this node and its reads and writes of the lease."""
+
+    state: Allocator
+    used_ms: float
+    is_busy: bool = False
+    read_ms: float = -math.inf
+
+
+@attrs.define
+class Allocators:
+    """Grants tokens, and keeps the leases that permit it.
+
+    Parameters
+    ----------
+    node, region : str
+        This node and its region.
+    identity : str
+        Name of this process, unique for each start.
+    clock : Clock
+        Time of all decisions.
+    placement : Placement
+        Which node is an organisation's allocator.
+    platform : PlatformClient
+        Holds the lease records.
+    """
+
+    node: str
+    region: str
+    identity: str
+    clock: Clock
+    placement: Placement
+    platform: PlatformClient
+    document: Document | None = None
+    placed: dict[str, PlacedAllocator] = attrs.field(factory=dict)
+
+    def update_document(self, document: Document) -> None:
+        """Apply the limits of a configuration."""
+        self.document = document
+        now_ms = self.clock.now_ms()
+        for name, placed in tuple(self.placed.items()):
+            limit = self.find_limit(name)
+            if limit is None:
+                del self.placed[name]
+            else:
+                placed.state.set_limit(limit, now_ms)
+
+    def find_limit(self, organisation: str) -> RateLimit | None:
+        """Return the configured limit of an organisation, or None if it is unknown."""
+        if self.document is None:
+            return None
+        found = self.document.organisations.get(organisation)
+        return None if found is None else make_rate_limit(found.rate, found.burst)
+
+    def find_place(self, organisation: str) -> str:
+        """Return the node where an organisation's allocator belongs."""
+        if self.document is None:
+            return ""
+        owner = self.document.organisations[organisation].owner
+        regions = sorted(
+            database.region
+            for database in self.document.databases.values()
+            if database.owner == owner
+        )
+        region = regions[0] if regions else self.region
+        places = self.placement.place_slots(f"allocator/{organisation}", region, 1)
+        return places[0] if places else ""
+
+    def find_lease_node(self, organisation: str) -> str:
+        """Return the node that holds the lease, as far as this node knows."""
+        placed = self.placed.get(organisation)
+        record = placed.state.lease.record if placed else None
+        if record is None or record.released is not None:
+            return ""
+        # The record names a process: the node and its incarnation.
+        return record.holder_node.rpartition(".")[0]
+
+    def grant(self, request: TokenRequest) -> TokenGrant | None:
+        """Answer a request, or return None without the lease."""
+        limit = self.find_limit(request.organisation)
+        if limit is None:
+            return None
+        now_ms = self.clock.now_ms()
+        placed = self.placed.get(request.organisation)
+        if placed is None:
+            if self.find_place(request.organisation) != self.node:
+                return None
+            placed = self.placed[request.organisation] = PlacedAllocator(
+                make_allocator(request.organisation, self.identity, limit), now_ms
+            )
+        placed.used_ms = now_ms
+        answer = placed.state.on_request(request, now_ms)
+        return answer if isinstance(answer, TokenGrant) else None
+
+    def list_idle(self) -> list[str]:
+        """Return the organisations whose allocator is not being maintained now."""
+        return [name for name, placed in self.placed.items() if not placed.is_busy]
+
+    async def maintain(self, name: str) -> None:
+        """Read, acquire, renew or release the lease of one allocator."""
+        placed = self.placed[name]
+        placed.is_busy = True
+        try:
+            await self._maintain_lease(name, placed)
+        except (PlatformUnavailable, PlatformRefusal):
+            # The lease goes on until its end; the next step tries again.
+            return
+        finally:
+            placed.is_busy = False
+
+    async def _maintain_lease(self, name: str, placed: PlacedAllocator) -> None:
+        state, now_ms = placed.state, self.clock.now_ms()
+        is_placed = self.find_place(name) == self.node
+        if not is_placed or now_ms - placed.used_ms > IDLE_MS:
+            write = state.prepare_release(now_ms)
+            if write is None:
+                self.placed.pop(name, None)
+            else:
+                await self._write(name, state, write)
+            return
+        if not state.lease.is_mine and now_ms - placed.read_ms >= LEASE_READ_MS:
+            # Another allocator gives the lease up when it learns that the organisation
+            # is placed here.
+            placed.read_ms = now_ms
+            await self._read(name, state)
+            now_ms = self.clock.now_ms()
+        if state.should_acquire(now_ms):
+            # Another node may have changed the record since it was read.
+            await self._read(name, state)
+            now_ms = self.clock.now_ms()
+        is_due = state.should_acquire(now_ms) or state.should_renew(now_ms)
+        if is_due or _needs_plan(state, now_ms):
+            await self._write(name, state, state.prepare_write(now_ms))
+
+    async def _read(self, name: str, state: Allocator) -> None:
+        record, version = await self.fetch(name)
+        state.observe(record, version, self.clock.now_ms())
+
+    async def _write(self, name: str, state: Allocator, write: LeaseWrite) -> None:
+        try:
+            answer = await self.platform.put(
+                ALLOCATORS_KIND,
+                name,
+                encode_lease(write.record),
+                write.expected_version,
+            )
+        except (PlatformUnavailable, PlatformRefusal):
+            return
+        if isinstance(answer, Written):
+            state.on_lease_written(
+                write.record.revision, answer.version, self.clock.now_ms()
+            )
+        else:
+            await self._read(name, state)
+
+    async def fetch(self, name: str) -> tuple[LeaseRecord | None, int]:
+        """Read a lease record and its version from the platform."""
+        found = await self.platform.get(ALLOCATORS_KIND, name)
+        if found is None or found.value is None:
+            return None, 0 if found is None else found.version
+        try:
+            return decode_lease(found.value), found.version
+        except LeaseRecordError as error:
+            log_event(Event.LEASE_RECORD_INVALID, organisation=name, reason=error)
+            return None, found.version
+
+    async def release_all(self) -> None:
+        """Give all leases up before the process ends."""
+        for name, placed in self.placed.items():
+            write = placed.state.prepare_release(self.clock.now_ms())
+            if write is not None:
+                await self._write(name, placed.state, write)
+
+
+def _needs_plan(state: Allocator, now_ms: float) -> bool:
+    """Tell whether a holder waits for its standing share, which outages need."""
+    record = state.lease.record
+    if not state.lease.is_held(now_ms) or record is None:
+        return False
+    if now_ms - state.lease.last_sent_ms < PLAN_INTERVAL_MS:
+        return False
+    planned = {share.holder for share in record.standing_shares}
+    return any(
+        view.is_wanted() and name not in planned for name, view in state.holders.items()
+    )
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -24,6 +24,7 @@
 from radishtrack.metrics import make_metrics
 from radishtrack.peer.link import open_link
 from radishtrack.platform.client import PlatformClient, make_platform_client
+from radishtrack.proxy.allocators import Allocators
 from radishtrack.proxy.copies import Copies
 from radishtrack.proxy.entry import Entry
 from radishtrack.proxy.group_store import make_group_store
@@ -90,7 +91,8 @@
         partial(open_link, node=node.id, secret=secret),
     )
     identity = f"{node.id}.{incarnation}"
-    rates = Rates(identity, clock, router, placement, platform)
+    allocators = Allocators(node.id, node.region, identity, clock, placement, platform)
+    rates = Rates(clock, router, allocators)
     contacts = make_contact_state()
     entry = Entry(
         clock,
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -62,6 +62,10 @@
 MEMBERS_KIND: Final = "members"
 WATCHED_KINDS: Final = (MANIFEST_KIND, KEYS_KIND, GROUPS_KIND, MEMBERS_KIND)
 VM_LIST_INTERVAL_S: Final = 2.0
+VM_LIST_S_PER_NODE: Final = 0.1
+"""An entry has about 114 bytes, so that reading the list takes about 1.1 KB a second
+at any size of the fleet; nodes that leave tell their peers themselves."""
+
 RECONCILE_INTERVAL_S: Final = 0.5
 CHUNK_RETRY_S: Final = 0.2
 STEP_S: Final = 0.25
@@ -353,7 +357,10 @@
                     self.stopping.set()
                 # The list lags: an entry of this VM from before the start says nothing.
                 self.is_listed = self.is_listed or VmState.LIVE in own
-            await asyncio.sleep(VM_LIST_INTERVAL_S if self.is_listed else STEP_S)
+            interval_s = max(
+                VM_LIST_INTERVAL_S, VM_LIST_S_PER_NODE * len(self.membership.listed)
+            )
+            await asyncio.sleep(interval_s if self.is_listed else STEP_S)
 
     async def _announce(self, state: VmState) -> None:
         record = VmRecord(
--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -1,10 +1,9 @@
-"""Runs the rate limits of a node: its shares, and the allocators placed here."""
+"""Admission of a node: its shares of the organisations' rates."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
-import math
 from collections.abc import Coroutine
 from typing import Any, Final
 
@@ -27,7 +26,6 @@
     make_not_run,
 )
 from radishtrack.events import Event, log_event
-from radishtrack.membership.placement import Placement
 from radishtrack.peer.codec import CodecError
 from radishtrack.peer.link import LinkClosed
 from radishtrack.peer.messages import Tokens, TokensWanted
@@ -37,24 +35,18 @@
     encode_grant,
     encode_request,
 )
-from radishtrack.platform.client import PlatformClient
 from radishtrack.platform.records import (
     PlatformRefusal,
     PlatformUnavailable,
-    Written,
 )
+from radishtrack.proxy.allocators import IDLE_MS, Allocators
 from radishtrack.proxy.client_state import OPEN_ORGANISATION
 from radishtrack.proxy.router import NOT_HELD_STEP, Router
-from radishtrack.rates.allocator import Allocator, make_allocator
-from radishtrack.rates.lease import LeaseWrite
 from radishtrack.rates.messages import (
-    LeaseRecord,
     RateLimit,
     TokenGrant,
     TokenRequest,
-    make_rate_limit,
 )
-from radishtrack.rates.record import LeaseRecordError, decode_lease, encode_lease
 from radishtrack.rates.share import (
     FAILURE_RETRY_MS,
     REQUEST_TIMEOUT_MS,
@@ -63,21 +55,11 @@
     make_share_state,
 )
 
-ALLOCATORS_KIND: Final = "allocators"
 STEP_S: Final = 0.05
 MAX_FAILED_ASKS: Final = 10
 """After this many a holder without a standing share refuses at once, for about a
 second's worth of unanswered requests."""
 
-IDLE_MS: Final = 60_000.0
-"""A share or allocator that was not used for this long is given up."""
-
-LEASE_READ_MS: Final = 250.0
-"""Time between reads of a lease that another allocator holds."""
-
-PLAN_INTERVAL_MS: Final = 1_000.0
-"""Time between two writes of a lease record that only plan standing shares."""
-
 FIRST_RECORD_READ_MS: Final = 1_500.0
 """Time between reads of the lease record by a holder without a standing share."""
 
@@ -97,42 +79,27 @@
     granted: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
-@attrs.define
-class PlacedAllocator:
-    """An allocator of this node and its reads and writes of the lease."""
-
-    state: Allocator
-    used_ms: float
-    is_busy: bool = False
-    read_ms: float = -math.inf
-
-
 @attrs.define
 class Rates:
     """Admission of this node.
 
     Parameters
     ----------
-    identity : str
-        Name of this process, unique for each start.
     clock : Clock
         Time of all decisions.
     router : Router
         Connections to the allocators.
-    placement : Placement
-        Which node is an organisation's allocator.
-    platform : PlatformClient
-        Holds the lease records.
+    allocators : Allocators
+        The allocators of this node, and where the others are.
     """
 
-    identity: str
     clock: Clock
     router: Router
-    placement: Placement
-    platform: PlatformClient
-    document: Document | None = None
+    allocators: Allocators
     shares: dict[str, HeldShare] = attrs.field(factory=dict)
-    allocators: dict[str, PlacedAllocator] = attrs.field(factory=dict)
+    next_request_ids: dict[str, int] = attrs.field(factory=dict)
+    """Where the numbers of a share that was given up go on: an allocator ignores
+    numbers that it has seen from this process."""
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     numbers: itertools.count[int] = attrs.field(
         factory=lambda: itertools.count(-1_000_000_000, step=-1)
@@ -141,20 +108,16 @@
 
     def update_document(self, document: Document) -> None:
         """Apply the limits of a configuration."""
-        if document is self.document:
+        if document is self.allocators.document:
             return
-        self.document = document
+        self.allocators.update_document(document)
         now_ms = self.clock.now_ms()
-        for name in self.shares.keys() | self.allocators.keys():
-            limit = self._find_limit(name)
+        for name, held in tuple(self.shares.items()):
+            limit = self.allocators.find_limit(name)
             if limit is None:
-                self.shares.pop(name, None)
-                self.allocators.pop(name, None)
-                continue
-            if name in self.shares:
-                self.shares[name].state.set_limit(limit, now_ms)
-            if name in self.allocators:
-                self.allocators[name].state.set_limit(limit, now_ms)
+                del self.shares[name]
+            else:
+                held.state.set_limit(limit, now_ms)
 
     async def admit(
         self, backend: DatabaseBackend, organisation: str, deadline_ms: float
@@ -206,18 +169,18 @@
             request = decode_request(message.payload)
         except CodecError:
             return Tokens(message.request, b"", "")
-        grant = self._grant(request)
-        lease_node = "" if grant else self._find_lease_node(request.organisation)
+        grant = self.allocators.grant(request)
+        lease_node = (
+            "" if grant else self.allocators.find_lease_node(request.organisation)
+        )
         return Tokens(message.request, encode_grant(grant), lease_node)
 
     async def run(self) -> None:
         """Renew leases, return unused tokens and read lease records, forever."""
         while True:
             now_ms = self.clock.now_ms()
-            for name, placed in tuple(self.allocators.items()):
-                if not placed.is_busy:
-                    placed.is_busy = True
-                    self._spawn(self._maintain(name, placed))
+            for name in self.allocators.list_idle():
+                self._spawn(self.allocators.maintain(name))
             for name, held in tuple(self.shares.items()):
                 self._tick_share(name, held, now_ms)
             await asyncio.sleep(STEP_S)
@@ -227,10 +190,7 @@
         now_ms = self.clock.now_ms()
         for held in self.shares.values():
             await self._send(held, held.state.leave(now_ms))
-        for name, placed in self.allocators.items():
-            write = placed.state.prepare_release(self.clock.now_ms())
-            if write is not None:
-                await self._write(name, placed.state, write)
+        await self.allocators.release_all()
 
     async def stop(self) -> None:
         """Cancel what is under way."""
@@ -249,26 +209,27 @@
         if not task.cancelled() and task.exception() is not None:
             log_event(Event.TASK_FAILED, error=repr(task.exception()))
 
-    def _find_limit(self, organisation: str) -> RateLimit | None:
-        if self.document is None:
-            return None
-        found = self.document.organisations.get(organisation)
-        return None if found is None else make_rate_limit(found.rate, found.burst)
-
     def _get_share(self, organisation: str) -> HeldShare:
         held = self.shares.get(organisation)
         if held is None:
-            limit = self._find_limit(organisation)
+            limit = self.allocators.find_limit(organisation)
             if limit is None:
                 raise make_not_run("admit", f"unknown organisation {organisation!r}")
             now_ms = self.clock.now_ms()
             held = self.shares[organisation] = HeldShare(
-                make_share_state(organisation, self.identity, limit, now_ms),
+                self._make_state(organisation, limit),
                 now_ms,
                 now_ms + FIRST_RECORD_READ_MS,
             )
         return held
 
+    def _make_state(self, organisation: str, limit: RateLimit) -> ShareState:
+        state = make_share_state(
+            organisation, self.allocators.identity, limit, self.clock.now_ms()
+        )
+        state.next_request_id = self.next_request_ids.pop(organisation, 1)
+        return state
+
     def _ask_again(self, held: HeldShare, now_ms: float) -> None:
         decision = held.state.try_admit(now_ms)
         if isinstance(decision, NeedTokens) and decision.request is not None:
@@ -284,19 +245,6 @@
         finally:
             held.waiting -= 1
 
-    def _find_allocator(self, organisation: str) -> str:
-        if self.document is None:
-            return ""
-        owner = self.document.organisations[organisation].owner
-        regions = sorted(
-            database.region
-            for database in self.document.databases.values()
-            if database.owner == owner
-        )
-        region = regions[0] if regions else self.router.node.region
-        places = self.placement.place_slots(f"allocator/{organisation}", region, 1)
-        return places[0] if places else ""
-
     async def _send(self, held: HeldShare, request: TokenRequest) -> None:
         grant = await self._ask(request)
         now_ms = self.clock.now_ms()
@@ -314,18 +262,26 @@
 
         They differ for some seconds after a node joined or left.
         """
-        name = self._find_allocator(request.organisation)
+        name = self.allocators.find_place(request.organisation)
         grant, lease_node = await self._ask_at(name, request)
         if grant is None and lease_node not in ("", name):
             grant, _ = await self._ask_at(lease_node, request)
         return grant
 
+    def _grant_here(self, request: TokenRequest) -> tuple[TokenGrant | None, str]:
+        grant = self.allocators.grant(request)
+        if grant is not None:
+            return grant, ""
+        return None, self.allocators.find_lease_node(request.organisation)
+
     async def _ask_at(
         self, name: str, request: TokenRequest
     ) -> tuple[TokenGrant | None, str]:
         if name == self.router.node.id:
-            grant = self._grant(request)
-            return grant, "" if grant else self._find_lease_node(request.organisation)
+            grant = self.allocators.grant(request)
+            return grant, "" if grant else self.allocators.find_lease_node(
+                request.organisation
+            )
         number = next(self.numbers)
         message = TokensWanted(number, encode_request(request))
         try:
@@ -337,98 +293,11 @@
             pass
         return None, ""
 
-    def _find_lease_node(self, organisation: str) -> str:
-        placed = self.allocators.get(organisation)
-        record = placed.state.lease.record if placed else None
-        if record is None or record.released is not None:
-            return ""
-        # The record names a process: the node and its incarnation.
-        return record.holder_node.rpartition(".")[0]
-
-    def _grant(self, request: TokenRequest) -> TokenGrant | None:
-        limit = self._find_limit(request.organisation)
-        if limit is None:
-            return None
-        now_ms = self.clock.now_ms()
-        placed = self.allocators.get(request.organisation)
-        if placed is None:
-            if self._find_allocator(request.organisation) != self.router.node.id:
-                return None
-            placed = self.allocators[request.organisation] = PlacedAllocator(
-                make_allocator(request.organisation, self.identity, limit), now_ms
-            )
-        placed.used_ms = now_ms
-        answer = placed.state.on_request(request, now_ms)
-        return answer if isinstance(answer, TokenGrant) else None
-
-    async def _maintain(self, name: str, placed: PlacedAllocator) -> None:
-        try:
-            await self._maintain_lease(name, placed)
-        except (PlatformUnavailable, PlatformRefusal):
-            # The lease goes on until its end; the next step tries again.
-            return
-        finally:
-            placed.is_busy = False
-
-    async def _maintain_lease(self, name: str, placed: PlacedAllocator) -> None:
-        state, now_ms = placed.state, self.clock.now_ms()
-        is_placed = self._find_allocator(name) == self.router.node.id
-        if not is_placed or now_ms - placed.used_ms > IDLE_MS:
-            write = state.prepare_release(now_ms)
-            if write is None:
-                self.allocators.pop(name, None)
-            else:
-                await self._write(name, state, write)
-            return
-        if not state.lease.is_mine and now_ms - placed.read_ms >= LEASE_READ_MS:
-            # Another allocator gives the lease up when it learns that the organisation
-            # is placed here.
-            placed.read_ms = now_ms
-            await self._read(name, state)
-            now_ms = self.clock.now_ms()
-        if state.should_acquire(now_ms):
-            # Another node may have changed the record since it was read.
-            await self._read(name, state)
-            now_ms = self.clock.now_ms()
-        is_due = state.should_acquire(now_ms) or state.should_renew(now_ms)
-        if is_due or _needs_plan(state, now_ms):
-            await self._write(name, state, state.prepare_write(now_ms))
-
-    async def _read(self, name: str, state: Allocator) -> None:
-        record, version = await self._fetch(name)
-        state.observe(record, version, self.clock.now_ms())
-
-    async def _write(self, name: str, state: Allocator, write: LeaseWrite) -> None:
-        try:
-            answer = await self.platform.put(
-                ALLOCATORS_KIND,
-                name,
-                encode_lease(write.record),
-                write.expected_version,
-            )
-        except (PlatformUnavailable, PlatformRefusal):
-            return
-        if isinstance(answer, Written):
-            state.on_lease_written(
-                write.record.revision, answer.version, self.clock.now_ms()
-            )
-        else:
-            await self._read(name, state)
-
-    async def _fetch(self, name: str) -> tuple[LeaseRecord | None, int]:
-        found = await self.platform.get(ALLOCATORS_KIND, name)
-        if found is None or found.value is None:
-            return None, 0 if found is None else found.version
-        try:
-            return decode_lease(found.value), found.version
-        except LeaseRecordError as error:
-            log_event(Event.LEASE_RECORD_INVALID, organisation=name, reason=error)
-            return None, found.version
-
     def _tick_share(self, name: str, held: HeldShare, now_ms: float) -> None:
         if now_ms - held.used_ms > IDLE_MS and not held.waiting:
             del self.shares[name]
             self._spawn(self._send(held, held.state.leave(now_ms)))
+            self.next_request_ids[name] = held.state.next_request_id
             return
         request = held.state.tick(now_ms)
         if request is not None:
@@ -443,26 +312,13 @@
     async def _read_record(self, name: str, held: HeldShare) -> None:
         sent_ms = self.clock.now_ms()
         try:
-            record, _ = await self._fetch(name)
+            record, _ = await self.allocators.fetch(name)
         except (PlatformUnavailable, PlatformRefusal):
             return
         if record is not None:
             held.state.on_record(record, sent_ms, self.clock.now_ms())
 
 
-def _needs_plan(state: Allocator, now_ms: float) -> bool:
-    """Tell whether a holder waits for its standing share, which outages need."""
-    record = state.lease.record
-    if not state.lease.is_held(now_ms) or record is None:
-        return False
-    if now_ms - state.lease.last_sent_ms < PLAN_INTERVAL_MS:
-        return False
-    planned = {share.holder for share in record.standing_shares}
-    return any(
-        view.is_wanted() and name not in planned for name, view in state.holders.items()
-    )
-
-
 def _has_no_allowance(held: HeldShare) -> bool:
     return (
         held.failed_asks >= MAX_FAILED_ASKS
