--- a/src/radishtrack_standins/demo.py
+++ b/src/radishtrack_standins/demo.py
@@ -34,6 +34,7 @@
     not_run: set[str] = attrs.field(factory=set)
     receipts: dict[str, int] = attrs.field(factory=dict)
     outcomes: Counter[tuple[str, str, str]] = attrs.field(factory=Counter)
+    messages: Counter[str] = attrs.field(factory=Counter)
     stale: list[str] = attrs.field(factory=list)
     success_times: list[float] = attrs.field(factory=list)
 
@@ -78,9 +79,9 @@
             outcome = "refused" if code in REFUSED_CODES else "error"
             outcome = "unknown" if code == UNKNOWN_CODE else outcome
             if outcome == "error":
-                outcome = f"error {code}"
                 self.drop()
-            self.ledger.outcomes[self.organisation, kind, outcome] += 1
+            self.ledger.outcomes[self.organisation, kind, f"{outcome} {code}"] += 1
+            self.ledger.messages[str(error.args[-1])] += 1
             return outcome, ()
         self.ledger.outcomes[self.organisation, kind, "ok"] += 1
         return "ok", rows
@@ -206,6 +207,8 @@
     print(f"bookings acknowledged {len(ledger.acknowledged)}, rows {len(rows)}, ")
     for name, found in findings.items():
         print(f"{name}: {len(found)} {sorted(found)[:3] if found else ''}")
+    for text, count in ledger.messages.most_common(3):
+        print(f"{count} answers: {text}")
     ok = not any(findings.values()) and gap_ms < FAILOVER_LIMIT_MS
     ok = ok and record["primary"] != killed and len(ledger.acknowledged) > 100
     print("ledger and rows agree" if ok else "FAILED")
