Run a status round without a task

Cause: each round made a task and waited twice with a timeout. Change: a round is a future with two timers, started in the next turn of the event loop as before.

--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -70,7 +70,6 @@
         self.commit_waiters: set[CommitWaiter] = set()
         self.round_waiters: set[RoundWaiter] = set()
         self.next_started: asyncio.Future[StatusRound] | None = None
-        self.rounds: set[asyncio.Task[None]] = set()
         self.unreachable: set[str] = set()
         self.is_running = False
 
@@ -147,9 +146,8 @@
         asked_ms = self.clock.now_ms()
         if self.next_started is None:
             self.next_started = asyncio.Future()
-            task = asyncio.create_task(self._run_round(self.next_started))
-            self.rounds.add(task)
-            task.add_done_callback(self.rounds.discard)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._start_round, self.next_started, loop)
         shared = self.next_started
         try:
             async with asyncio.timeout((deadline_ms - asked_ms) / 1000):
@@ -201,28 +199,30 @@
         finally:
             self.commit_waiters.discard(waiter)
 
-    async def _run_round(self, shared: asyncio.Future[StatusRound]) -> None:
+    def _start_round(
+        self, shared: asyncio.Future[StatusRound], loop: asyncio.AbstractEventLoop
+    ) -> None:
         # Callers that ran in the same turn of the event loop are included: polls are
         # sent after they asked.
-        await asyncio.sleep(0)
         self.next_started = None
         waiter = RoundWaiter(self.clock.now_ms(), shared)
         self.round_waiters.add(waiter)
-        replicas = self.endpoints.keys() - {self.group.primary}
-        self._wake(replicas)
+        self._wake(self.endpoints.keys() - {self.group.primary} or self.endpoints)
+        primary = (self.group.primary,)
+        first = loop.call_later(PRIMARY_POLL_DELAY_MS / 1000, self._wake, primary)
+        last = loop.call_later(ROUND_TIMEOUT_MS / 1000, self._finish_round, waiter)
+
+        def cancel_timers(_: asyncio.Future[StatusRound]) -> None:
+            first.cancel()
+            last.cancel()
+
+        shared.add_done_callback(cancel_timers)
         self._settle_rounds()
-        delay_ms = PRIMARY_POLL_DELAY_MS if replicas else 0.0
-        await asyncio.wait({shared}, timeout=delay_ms / 1000)
-        if not shared.done():
-            self._wake((self.group.primary,))
-            left_ms = ROUND_TIMEOUT_MS - delay_ms
-            await asyncio.wait({shared}, timeout=left_ms / 1000)
-        self.round_waiters.discard(waiter)
-        if not shared.done():
-            self._finish_round(waiter)
 
     def _finish_round(self, waiter: RoundWaiter) -> None:
-        waiter.result.set_result(self.board.collect(waiter.started_ms))
+        self.round_waiters.discard(waiter)
+        if not waiter.result.done():
+            waiter.result.set_result(self.board.collect(waiter.started_ms))
 
     def _settle_rounds(self) -> None:
         if not self.round_waiters:
@@ -240,8 +240,7 @@
             if missing == {primary}:
                 choice = choose_strict(answered, self.group)
                 missing -= {primary} if isinstance(choice, ServeReplicas) else set()
-            if expected and not missing and not waiter.result.done():
-                self.round_waiters.discard(waiter)
+            if expected and not missing:
                 self._finish_round(waiter)
             elif missing == {primary}:
                 self._wake((primary,))
