--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -147,7 +147,7 @@
         if self.next_started is None:
             self.next_started = asyncio.Future()
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._start_round, self.next_started, loop)
+            loop.call_soon(self._start_round, self.next_started)
         shared = self.next_started
         try:
             async with asyncio.timeout((deadline_ms - asked_ms) / 1000):
@@ -199,11 +199,9 @@
         finally:
             self.commit_waiters.discard(waiter)
 
-    def _start_round(
-        self, shared: asyncio.Future[StatusRound], loop: asyncio.AbstractEventLoop
-    ) -> None:
-        # Callers that ran in the same turn of the event loop are included: polls are
-        # sent after they asked.
+    def _start_round(self, shared: asyncio.Future[StatusRound]) -> None:
+        # Includes callers of the same turn: the polls are sent after they asked.
+        loop = asyncio.get_running_loop()
         self.next_started = None
         waiter = RoundWaiter(self.clock.now_ms(), shared)
         self.round_waiters.add(waiter)
