--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(PYTHON) -m radishtrack_standins.demo
 
 capacity: setup
-	@for program in decisions placement node watch peer rates clients statements; do \
+	@for program in decisions placement node watch lists peer rates clients statements; do \
 		PYTHONPATH=src $(PYTHON) benchmarks/capacity/$$program.py || exit 1; done
 
 clean:
--- a/benchmarks/capacity/watch.py
+++ b/benchmarks/capacity/watch.py
@@ -1,4 +1,4 @@
-"""Traffic with the platform: configuration, keys, groups and the list of VMs.
+"""Traffic with the platform for the configuration.
 
 Run as ``python benchmarks/capacity/watch.py``; prints JSON lines. Bytes are counted
 by a relay in front of the platform stand-in and include HTTP headers.
@@ -7,27 +7,21 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import json
 import logging
-import random
 import time
 import tracemalloc
-import zlib
-from functools import partial
-from typing import Any, Final
+from typing import Final
 
 import attrs
 import uvloop
 from measuring import (
     DATABASES,
-    NODES,
     ORGANISATIONS,
     CountingRelay,
     emit,
     emit_fit,
     make_fleet_document,
-    make_nodes,
     measure_cpu_us,
     read_cpu_s,
     start_relay,
@@ -50,28 +44,18 @@
     make_configuration_state,
 )
 from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
-from radishtrack.keys.key import issue_key
 from radishtrack.keys.keyring import KIND as KEYS_KIND
-from radishtrack.keys.keyring import make_keyring
-from radishtrack.membership.nodes import make_membership
 from radishtrack.platform.client import PlatformClient
 from radishtrack.platform.records import (
-    VmRecord,
-    VmState,
     WatchAnswer,
-    parse_object,
-    parse_vm,
 )
 from radishtrack.platform.watch import follow_objects
-from radishtrack.proxy.node import WATCHED_KINDS, _make_node
+from radishtrack.proxy.node import WATCHED_KINDS
 from radishtrack_standins.launch import StandinProcess, start_standin
 
 DATABASE_SIZES: Final = (100, 400, DATABASES)
-ORGANISATION_SIZES: Final = (8, 100, ORGANISATIONS)
-NODE_SIZES: Final = (50, 150, 295, NODES)
 FOLLOWER_SIZES: Final = (20, 60, 120)
 CHANGES: Final = 3
-KEYS_EACH: Final = 2
 IDLE_S: Final = 5.5
 CHANGE_TIMEOUT_S: Final = 30.0
 
@@ -344,109 +328,8 @@
     await fleet.close()
 
 
-def make_key_objects(organisations: int) -> list[dict[str, Any]]:
-    """Return the platform's objects with two keys for each organisation."""
-    chance = random.Random(1)
-    objects = []
-    for number in range(organisations):
-        name = f"organisation-{number:04}"
-        keys = [issue_key(name, chance.randbytes) for _ in range(KEYS_EACH)]
-        entries = [
-            {"id": key.key_id, "verifier": key.verifier_hex, "revoked": False}
-            for key in keys
-        ]
-        objects.append(
-            {
-                "kind": KEYS_KIND,
-                "name": name,
-                "version": number + 2,
-                "value": {"keys": entries},
-            }
-        )
-    return objects
-
-
-def measure_keys() -> None:
-    """Measure bytes, processor time and memory of the keyring."""
-    memories, sizes = [], []
-    for count in ORGANISATION_SIZES:
-        text = json.dumps({"revision": count, "objects": make_key_objects(count)})
-
-        def load(text: str = text) -> object:
-            keyring = make_keyring()
-            for item in json.loads(text)["objects"]:
-                found = parse_object(item)
-                keyring.apply_object(found.name, found.version, found.value)
-            return keyring
-
-        cost = measure_cpu_us(load)
-        gc.collect()
-        tracemalloc.start()
-        keyring = load()
-        gc.collect()
-        memory, _ = tracemalloc.get_traced_memory()
-        tracemalloc.stop()
-        del keyring
-        emit(
-            "keys",
-            organisations=count,
-            bytes=len(text),
-            load_cpu_us=cost,
-            memory_bytes=memory,
-        )
-        memories.append((count, float(memory)))
-        sizes.append((count, float(len(text))))
-    emit_fit("keyring memory by organisations", memories)
-    emit_fit("key bytes at a start by organisations", sizes)
-
-
-def apply_list(text: str) -> None:
-    """Take a list of VMs as a node does."""
-    records = [parse_vm(item) for item in json.loads(text)["vms"]]
-    make_membership(make_nodes(1)[0]).apply_list(map(_make_node, records))
-
-
-async def measure_vm_list() -> None:
-    """Measure one read of the list of VMs."""
-    fleet = await start_fleet()
-    client = fleet.make_node_client()
-    known, sizes, costs = 0, [], []
-    for count in NODE_SIZES:
-        for node in make_nodes(count)[known:]:
-            await fleet.operator.announce(
-                VmRecord(
-                    node.id, node.zone, node.region, VmState.LIVE, node.peer_address
-                )
-            )
-        known = count
-        await client.vms()
-        counted = fleet.relay.total
-        await client.vms()
-        size = fleet.relay.total - counted
-        listed = [
-            {**attrs.asdict(vm), "state": vm.state.value} for vm in await client.vms()
-        ]
-        text = json.dumps({"vms": listed})
-        cost = measure_cpu_us(partial(apply_list, text), repeats=9)
-        emit(
-            "list of VMs",
-            nodes=count,
-            bytes=size,
-            zlib_bytes=len(zlib.compress(text.encode())),
-            parse_cpu_us=cost,
-        )
-        sizes.append((count, float(size)))
-        costs.append((count, cost.median))
-    emit_fit("list bytes by nodes", sizes)
-    emit_fit("list parse us by nodes", costs)
-    await client.close()
-    await fleet.close()
-
-
 async def measure_all() -> None:
     """Measure all sizes."""
-    measure_keys()
-    await measure_vm_list()
     await measure_idle()
     sizes = []
     for databases in DATABASE_SIZES:
