--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	$(PYTHON) -m radishtrack_standins.faults --seed $(or $(SEED),7)
 
 capacity: setup
-	@for program in decisions placement node watch peer rates clients statements; do \
+	@for program in decisions placement node watch lists peer rates clients statements; do \
 		PYTHONPATH=src $(PYTHON) benchmarks/capacity/$$program.py || exit 1; done
 
 clean:
