--- a/src/radishtrack_standins/faults/operators.py
+++ b/src/radishtrack_standins/faults/operators.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
@@ -169,15 +170,39 @@
 
 async def leave_replica(world: World) -> None:
     """Mark a replica as leaving while clients read."""
-    await _leave(world, "m2" if await world.primary() != "m2" else "m3")
+    await _leave(world, "m2", _configure_leaving)
 
 
 async def leave_primary(world: World) -> None:
     """Mark the primary as leaving while clients read and write."""
-    await _leave(world, await world.primary())
+    await _leave(world, await world.primary(), _configure_leaving)
 
 
-async def _leave(world: World, member: str) -> None:
+async def announce_leaving(world: World) -> None:
+    """Let the database's operator announce the leaving primary on the platform."""
+    await _leave(world, await world.primary(), _announce_leaving)
+
+
+async def _configure_leaving(world: World, member: str) -> None:
+    name = f'name = "{member}"\n'
+    text = _text(world).replace(name, f"{name}leaving = true\n")
+    done = await _apply(world, "leaving", text, 1)
+    failed = done.stderr[-200:]
+    world.report.require(11, done.returncode == 0, f"apply failed: {failed}")
+
+
+async def _announce_leaving(world: World, member: str) -> None:
+    await asyncio.to_thread(
+        world.cluster.call_platform,
+        "PUT",
+        f"/objects/members/{world.cluster.plan.database}",
+        {"value": {"leaving": [member]}, "expected_version": 0},
+    )
+
+
+async def _leave(
+    world: World, member: str, mark: Callable[[World, str], Awaitable[None]]
+) -> None:
     await world.define_tables()
     report, stop, told = world.report, asyncio.Event(), [0, 0]
     failures: Counter[str] = Counter()
@@ -202,10 +227,7 @@
 
     tasks = [asyncio.create_task(use(number)) for number in range(8)]
     await asyncio.sleep(1.0)
-    name = f'name = "{member}"\n'
-    text = _text(world).replace(name, f"{name}leaving = true\n")
-    done = await _apply(world, "leaving", text, 1)
-    report.require(11, done.returncode == 0, f"apply failed: {done.stderr[-200:]}")
+    await mark(world, member)
     await asyncio.sleep(LEAVING_LIMIT_S)
     before = await _count_work(world, member)
     await asyncio.sleep(OBSERVE_S)
--- a/src/radishtrack_standins/faults/scenarios.py
+++ b/src/radishtrack_standins/faults/scenarios.py
@@ -76,6 +76,7 @@
     Scenario("8 times the rate", (7, 9), rates.overload, OVERLOADED),
     Scenario("leaving replica", (11,), operators.leave_replica),
     Scenario("leaving primary", (11,), operators.leave_primary),
+    Scenario("leaving primary announced", (11,), operators.announce_leaving),
     Scenario("SIGTERM under load", (9, 12), stop.stop_under_load),
     Scenario("racing operators", (13,), operators.race),
     Scenario("lost answer to apply", (13,), operators.lose_apply_answer),
