--- a/src/radishtrack_standins/faults/scenarios.py
+++ b/src/radishtrack_standins/faults/scenarios.py
@@ -64,7 +64,12 @@
     Scenario("kill in outage", CHANGE, primary.kill_primary_during_outage),
     Scenario("kill, lost answers", CHANGE, primary.kill_primary_with_lost_answers),
     Scenario("kill proxy in transactions", (2, 3), transactions.kill_proxy),
-    Scenario("pause proxy at commit", (2, 9), transactions.pause_proxy_at_commit),
+    Scenario(
+        "pause proxy at commit",
+        (2, 9),
+        transactions.pause_proxy_at_commit,
+        THREE_PROXIES,
+    ),
     Scenario("death in a result", (8,), results.die_in_result),
     Scenario("late answers", (8,), results.answer_late),
     Scenario("lost commit answers", (9, 10), results.lose_commit_answers),
