--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -360,7 +360,16 @@
             interval_s = max(
                 VM_LIST_INTERVAL_S, VM_LIST_S_PER_NODE * len(self.membership.listed)
             )
-            await asyncio.sleep(interval_s if self.is_listed else STEP_S)
+            await self._wait_for_list(interval_s if self.is_listed else STEP_S)
+
+    async def _wait_for_list(self, interval_s: float) -> None:
+        await asyncio.sleep(STEP_S)
+        try:
+            async with asyncio.timeout(max(0.0, interval_s - STEP_S)):
+                await self.router.list_wanted.wait()
+        except TimeoutError:
+            pass
+        self.router.list_wanted.clear()
 
     async def _announce(self, state: VmState) -> None:
         record = VmRecord(
--- a/src/radishtrack/proxy/router.py
+++ b/src/radishtrack/proxy/router.py
@@ -55,6 +55,8 @@
     placement: Placement
     open_link: OpenLink
     links: dict[str, PeerLink] = attrs.field(factory=dict)
+    list_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set when the list of nodes should be read now."""
     opening: dict[str, asyncio.Lock] = attrs.field(factory=dict)
     numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
 
@@ -176,6 +178,9 @@
                 return link
             found = self.membership.find_node(name)
             if found is None or not found.peer_address:
+                # A peer that was named by another one joined since the last reading
+                # of the platform's list.
+                self.list_wanted.set()
                 raise LinkClosed(f"peer {name} is not known")
             link = await self.open_link(found.peer_address)
             self.links[name] = link
