--- a/src/radishtrack/backend/database.py
+++ b/src/radishtrack/backend/database.py
@@ -23,6 +23,8 @@
 
 RETRY_PAUSE_MS: Final = 25.0
 
+ObserveWait = Callable[[str, float], None]
+
 
 @attrs.define
 class DatabaseBackend:
@@ -46,6 +48,8 @@
         Time of deadlines.
     leaving : callable
         Returns the members that get no new work.
+    observe_wait : callable
+        Takes organisation and the wait for a permit, in milliseconds.
     """
 
     name: str
@@ -56,6 +60,7 @@
     retries: RetryBudget
     clock: Clock
     leaving: Callable[[], frozenset[str]]
+    observe_wait: ObserveWait
 
     @property
     def group(self) -> Group:
@@ -97,11 +102,11 @@
         ConnectFailed
             If no connection could be made.
         """
-        async with (
-            self.gate.connection(organisation, deadline_ms),
-            self.pool.connection(member) as connection,
-        ):
-            yield connection
+        asked_ms = self.clock.now_ms()
+        async with self.gate.connection(organisation, deadline_ms):
+            self.observe_wait(organisation, self.clock.now_ms() - asked_ms)
+            async with self.pool.connection(member) as connection:
+                yield connection
 
     async def pause(self, step: str, deadline_ms: float) -> None:
         """Wait before another attempt.
--- a/src/radishtrack/peer/link.py
+++ b/src/radishtrack/peer/link.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -45,6 +45,10 @@
     """Raised when a connection to a peer is lost or can't be made."""
 
 
+def _ignore_bytes(_size: int) -> None:
+    return
+
+
 @attrs.define
 class PeerLink:
     """Client side of a connection; requests are multiplexed over it.
@@ -65,6 +69,8 @@
     waiting: dict[int, asyncio.Queue[Message | None]] = attrs.field(factory=dict)
     numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
     closed: bool = False
+    observe_control: Callable[[int], None] = _ignore_bytes
+    """Told the size of every message that is not part of a statement."""
     reader: asyncio.Task[None] | None = None
 
     async def call(self, message: Message, request: int, timeout_s: float) -> Message:
@@ -77,6 +83,7 @@
         """
         queue = self._register(request)
         try:
+            self.observe_control(len(encode(message)))
             await self.send(message)
             answer = await asyncio.wait_for(queue.get(), timeout_s)
         except TimeoutError as error:
--- a/src/radishtrack/peer/server.py
+++ b/src/radishtrack/peer/server.py
@@ -55,6 +55,8 @@
         Takes the connection's identifier; ends all sessions of the connection.
     call : callable
         Takes the peer's node name and any other message; returns the answer or None.
+    observe_control : callable
+        Takes the size of every answer that is not part of a statement, in bytes.
     incarnation : int
         Of this node's process.
     """
@@ -63,6 +65,7 @@
     end_session: EndSessionHandler
     end_connection: Callable[[str], Awaitable[None]]
     call: CallHandler
+    observe_control: Callable[[int], None]
     incarnation: int = 0
 
 
@@ -124,7 +127,9 @@
             else:
                 answer = await self.handlers.call(self.node, message)
                 if answer is not None:
-                    await self.socket.send(encode(answer))
+                    frame = encode(answer)
+                    self.handlers.observe_control(len(frame))
+                    await self.socket.send(frame)
 
     async def _execute(self, message: Execute) -> None:
         credit = self.credits[message.request]
--- a/src/radishtrack/platform/client.py
+++ b/src/radishtrack/platform/client.py
@@ -45,6 +45,15 @@
 class _Answer:
     status: int
     data: Any
+    size: int = 0
+
+
+ObserveCall = Callable[[str, int], None]
+"""Takes the result of a call and the size of its answer in bytes."""
+
+
+def _ignore_call(_result: str, _size: int) -> None:
+    return
 
 
 class PlatformClient:
@@ -63,6 +72,8 @@
         self.budget = budget
         self.random = random
         self.timeout_ms = timeout_ms
+        self.observe: ObserveCall = _ignore_call
+        """Told of every call, for the metrics."""
         self.session: aiohttp.ClientSession | None = None
         self.last_contact_ms: float | None = None
         """A time by the clock at or after which the platform produced its last answer;
@@ -255,7 +266,13 @@
         while (pause_ms := take_call(self.budget, priority, self.clock.now_ms())) > 0:
             await asyncio.sleep(pause_ms / 1000)
         sent_ms = self.clock.now_ms()
-        answer = await self._send(step, method, path, body, wait_ms)
+        try:
+            answer = await self._send(step, method, path, body, wait_ms)
+        except PlatformUnavailable:
+            self.observe("unavailable", 0)
+            raise
+        result = "conflict" if answer.status == 409 else "ok"
+        self.observe(result, answer.size)
         self._note_contact(sent_ms, wait_ms, answer)
         if answer.status in (200, 404, 409):
             return answer
@@ -283,7 +300,7 @@
                         step, self.url, is_write, f"status {response.status}"
                     )
                 text = await response.text()
-                return _Answer(response.status, _decode(text))
+                return _Answer(response.status, _decode(text), len(text))
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailable(step, self.url, False, str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
--- /dev/null
+++ b/src/radishtrack/proxy/access.py
@@ -0,0 +1,85 @@
+"""Which database, organisation and route a statement belongs to."""
+
+from __future__ import annotations
+
+from radishtrack.config.document import Document
+from radishtrack.config.model import Database, Organisation, Route
+from radishtrack.errors import ErrorCode, Failure, Outcome, RequestError
+from radishtrack.proxy.client_state import ClientState
+from radishtrack.routing.statement import Kind, Statement
+
+
+def find_database(document: Document, state: ClientState) -> Database:
+    """Return the database that a client's statement is for.
+
+    Raises
+    ------
+    RequestError
+        Not run, if none is selected or it is unknown.
+    """
+    name = state.transaction_database if state.holder else state.database
+    database = document.databases.get(name)
+    if database is None:
+        message = f"unknown database {name!r}" if name else "no database selected"
+        raise RequestError(
+            Failure("route", "", Outcome.NOT_RUN, ErrorCode.NO_SERVICE, message)
+        )
+    return database
+
+
+def check_access(
+    document: Document, state: ClientState, database: Database, statement: Statement
+) -> Organisation | None:
+    """Check that a client may use a database.
+
+    An organisation may use the databases of its owner; everybody may read on open
+    routes.
+
+    Returns
+    -------
+    Organisation or None
+        None for a client without a key.
+
+    Raises
+    ------
+    RequestError
+        Not run, without access.
+    """
+    organisation = document.organisations.get(state.organisation)
+    if organisation is not None and organisation.owner == database.owner:
+        return organisation
+    is_read = statement.kind is Kind.READ
+    route = document.find_route(database.name, statement.tables, is_read)
+    if is_read and route is not None and route.open:
+        return organisation
+    raise RequestError(
+        Failure(
+            "route",
+            "",
+            Outcome.NOT_RUN,
+            ErrorCode.NO_SERVICE,
+            f"{state.organisation} has no access to database {database.name}",
+        )
+    )
+
+
+def find_route(document: Document, database: Database, statement: Statement) -> Route:
+    """Return the route of a read.
+
+    Raises
+    ------
+    RequestError
+        Not run, if a table has no route.
+    """
+    route = document.find_route(database.name, statement.tables, True)
+    if route is None:
+        raise RequestError(
+            Failure(
+                "route",
+                "",
+                Outcome.NOT_RUN,
+                ErrorCode.NO_SERVICE,
+                f"no route of {database.name} names {', '.join(statement.tables)}",
+            )
+        )
+    return route
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -72,6 +72,12 @@
     platform = make_platform_client(settings.platform.url, clock)
     usage = make_usage_counter()
 
+    def observe_call(result: str, size: int) -> None:
+        metrics.count_platform_call(result)
+        metrics.count_control_bytes("platform", size)
+
+    platform.observe = observe_call
+
     def find_owner(organisation: str) -> str:
         found = configuration.document.organisations.get(organisation)
         return found.owner if found else ""
@@ -89,6 +95,7 @@
         membership,
         placement,
         partial(open_link, node=node.id, secret=secret),
+        partial(metrics.count_control_bytes, "peer"),
     )
     identity = f"{node.id}.{incarnation}"
     allocators = Allocators(node.id, node.region, identity, clock, placement, platform)
@@ -107,7 +114,14 @@
         drain,
         metrics,
     )
-    slots = Slots(node, clock, settings.database_login, holder, placement)
+    slots = Slots(
+        node,
+        clock,
+        settings.database_login,
+        holder,
+        placement,
+        metrics.observe_queue_wait,
+    )
     votes = Votes(clock, settings.database_login, router, slots)
     slots.make_promoter = _make_promoter_factory(votes, platform)
     copies = Copies(
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -11,7 +11,7 @@
 from radishtrack.backend.transaction import make_transaction_lost
 from radishtrack.clock import Clock
 from radishtrack.config.document import Document
-from radishtrack.config.model import Database, Organisation, Route
+from radishtrack.config.model import Database, Organisation
 from radishtrack.errors import (
     ErrorCode,
     Failure,
@@ -24,6 +24,7 @@
 from radishtrack.membership.drain import Drain, DrainDecision
 from radishtrack.metrics import Metrics
 from radishtrack.peer.messages import Done, Execute, Failed, Message, ResultHead, Rows
+from radishtrack.proxy.access import check_access, find_database, find_route
 from radishtrack.proxy.client_state import (
     COMMIT_REQUEST,
     OPEN_ORGANISATION,
@@ -32,6 +33,11 @@
     Reply,
     advance_position,
 )
+from radishtrack.proxy.labels import (
+    READ_CLASSES,
+    find_label,
+    find_refusal_reason,
+)
 from radishtrack.proxy.router import Router
 from radishtrack.routing.options import ReadClass, RequestOptions, split_options
 from radishtrack.routing.route import EffectiveClass, RouteClass, effective_class
@@ -39,19 +45,6 @@
 from radishtrack.session.position import Position
 from radishtrack.session.token import decode_token
 
-READ_CLASSES: Final = frozenset(
-    {ReadClass.STRICT.value, ReadClass.SESSION.value, ReadClass.AGED.value}
-)
-REFUSAL_REASONS: Final = {
-    "keys": "key",
-    "admit": "queue",
-    "options": "option",
-    "classify": "option",
-    "route": "route",
-    "drain": "draining",
-    "evidence": "evidence",
-    "confirm": "evidence",
-}
 _ENDING_KINDS: Final = frozenset({Kind.COMMIT.value, Kind.ROLLBACK.value})
 _ANY_CLASS: Final = EffectiveClass(ReadClass.STRICT)
 
@@ -209,8 +202,10 @@
     ) -> AsyncIterator[Message]:
         self.running += 1
         try:
-            database = self._find_database(state)
-            organisation = self._check_access(state, database, prepared.statement)
+            database = find_database(self.get_document(), state)
+            organisation = check_access(
+                self.get_document(), state, database, prepared.statement
+            )
             wants_transaction = not state.autocommit and prepared.statement.kind in (
                 Kind.READ,
                 Kind.WRITE,
@@ -255,43 +250,14 @@
 
     async def _begin_implicit(self, state: ClientState, database: Database) -> None:
         begin = PreparedRequest(RequestOptions(), Statement(Kind.BEGIN), "BEGIN")
-        organisation = self._check_access(state, database, begin.statement)
+        organisation = check_access(
+            self.get_document(), state, database, begin.statement
+        )
         request = self._make_execute(state, database, organisation, begin)
         started_ms = self.clock.now_ms()
         async for message in self._send(state, database, request, False):
             self._finish(state, message, begin, started_ms)
 
-    def _find_database(self, state: ClientState) -> Database:
-        name = state.transaction_database if state.holder else state.database
-        database = self.get_document().databases.get(name)
-        if database is None:
-            message = f"unknown database {name!r}" if name else "no database selected"
-            raise RequestError(
-                Failure("route", "", Outcome.NOT_RUN, ErrorCode.NO_SERVICE, message)
-            )
-        return database
-
-    def _check_access(
-        self, state: ClientState, database: Database, statement: Statement
-    ) -> Organisation | None:
-        document = self.get_document()
-        organisation = document.organisations.get(state.organisation)
-        if organisation is not None and organisation.owner == database.owner:
-            return organisation
-        is_read = statement.kind is Kind.READ
-        route = document.find_route(database.name, statement.tables, is_read)
-        if is_read and route is not None and route.open:
-            return organisation
-        raise RequestError(
-            Failure(
-                "route",
-                "",
-                Outcome.NOT_RUN,
-                ErrorCode.NO_SERVICE,
-                f"{state.organisation} has no access to database {database.name}",
-            )
-        )
-
     def _make_execute(
         self,
         state: ClientState,
@@ -303,7 +269,7 @@
         position = state.positions.get(database.name)
         effective = _ANY_CLASS
         if statement.kind is Kind.READ:
-            route = self._find_route(database, statement)
+            route = find_route(self.get_document(), database, statement)
             effective = effective_class(
                 options,
                 RouteClass(ReadClass(route.read_class.value), route.max_age_ms or None),
@@ -315,7 +281,7 @@
             raise make_not_run(
                 "classify", "the statement depends on earlier ones; use a transaction"
             )
-        state.statement_class = _find_label(statement, effective, state)
+        state.statement_class = find_label(statement, effective, state)
         if state.holder == "":
             state.transaction_database = database.name
         return Execute(
@@ -334,20 +300,6 @@
             statement.dirties_session,
         )
 
-    def _find_route(self, database: Database, statement: Statement) -> Route:
-        route = self.get_document().find_route(database.name, statement.tables, True)
-        if route is None:
-            raise RequestError(
-                Failure(
-                    "route",
-                    "",
-                    Outcome.NOT_RUN,
-                    ErrorCode.NO_SERVICE,
-                    f"no route of {database.name} names {', '.join(statement.tables)}",
-                )
-            )
-        return route
-
     def _check_known_refusal(self, organisation: str) -> None:
         until_ms = self.refused_until_ms.get(organisation)
         if until_ms is None:
@@ -412,23 +364,6 @@
         raise make_not_run("forward", "the result broke off")
 
 
-def _find_label(
-    statement: Statement, effective: EffectiveClass, state: ClientState
-) -> str:
-    if state.in_transaction or statement.kind in (Kind.BEGIN, Kind.COMMIT):
-        return "transaction"
-    if statement.kind is Kind.READ:
-        return effective.read_class.value
-    return "write"
-
-
-def find_refusal_reason(failure: Failure) -> str:
-    """Return the label under which a refused request is counted."""
-    if failure.code == ErrorCode.OVER_RATE:
-        return "rate"
-    return REFUSAL_REASONS.get(failure.step, "member")
-
-
 def make_over_rate(retry_after_ms: float) -> RequestError:
     """Return the error of a request above its organisation's rate."""
     return RequestError(
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -132,6 +132,7 @@
                 self.holder.end_session,
                 self.holder.end_connection,
                 self._answer_peer,
+                self.router.observe_control,
                 self.incarnation,
             ),
         )
--- a/src/radishtrack/proxy/router.py
+++ b/src/radishtrack/proxy/router.py
@@ -46,6 +46,8 @@
         The holders of each database.
     open_link : callable
         Connects to a peer.
+    observe_control : callable
+        Takes the size of messages to peers that are not part of a statement.
     """
 
     node: Node
@@ -54,6 +56,7 @@
     membership: Membership
     placement: Placement
     open_link: OpenLink
+    observe_control: Callable[[int], None]
     links: dict[str, PeerLink] = attrs.field(factory=dict)
     list_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the list of nodes should be read now."""
@@ -183,6 +186,7 @@
                 self.list_wanted.set()
                 raise LinkClosed(f"peer {name} is not known")
             link = await self.open_link(found.peer_address)
+            link.observe_control = self.observe_control
             self.links[name] = link
             self.membership.note_answer(name, link.incarnation)
             return link
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -11,7 +11,7 @@
 from radishtrack.admission.gate import make_gate
 from radishtrack.admission.retry_budget import make_retry_budget
 from radishtrack.backend.connection import open_connection
-from radishtrack.backend.database import DatabaseBackend
+from radishtrack.backend.database import DatabaseBackend, ObserveWait
 from radishtrack.backend.member_connection import make_connect
 from radishtrack.backend.monitor import Monitor, make_monitor
 from radishtrack.backend.pool import make_pool
@@ -45,6 +45,8 @@
         Whose databases are opened and closed.
     placement : Placement
         Who holds which slots.
+    observe_wait : callable
+        Takes organisation and the wait for a connection, in milliseconds.
     records : dict of str to GroupRecord
         The platform's group records, by database.
     """
@@ -54,6 +56,7 @@
     login: DatabaseLogin
     holder: Holder
     placement: Placement
+    observe_wait: ObserveWait
     make_promoter: MakePromoter | None = None
     """Set once the node's parts exist; without it nothing is promoted from here."""
     promoters: dict[str, Promoter] = attrs.field(factory=dict)
@@ -162,6 +165,7 @@
             make_retry_budget(),
             self.clock,
             partial(self._list_leaving, database),
+            self.observe_wait,
         )
         self.holder.databases[database.name] = backend
         if self.make_promoter is not None:
