Judge a configuration in force by the owner of an organisation

Tables without a route are readable since the router has a default for them, so the check of the racing operators saw the losing change as well. A guest organisation that gets the database's owner is refused before and served after.

--- a/src/radishtrack_standins/faults/operators.py
+++ b/src/radishtrack_standins/faults/operators.py
@@ -21,6 +21,7 @@
 CONFLICT_EXIT_CODE: Final = 3
 POLL_S: Final = 0.05
 CHECKS: Final = 20
+GUESTS: Final = ("left", "right")
 OUTAGE_START_LIMIT_S: Final = 20.0
 
 
@@ -34,14 +35,22 @@
     return make_configuration(world.cluster, world.cluster.plan.organisations)
 
 
-def _open_table(world: World, *tables: str) -> str:
-    listed = ", ".join(f'"{table}"' for table in ("orders", "receipts", *tables))
-    return _text(world).replace('["orders", "receipts"]', f"[{listed}]")
+def _add_organisations(world: World, *names: str) -> str:
+    """Return a configuration in which these guests get the owner of the database."""
+    plan = world.cluster.plan
+    guests = tuple((name, 400.0, 400) for name in GUESTS)
+    text = make_configuration(world.cluster, (*plan.organisations, *guests))
+    for name in set(GUESTS) - set(names):
+        head = f'name = "{name}"\nowner = '
+        text = text.replace(f'{head}"fjellsko"', f'{head}"guest"')
+    return text + '\n[[owner]]\nname = "guest"\n'
 
 
 def _change(world: World, table: str, turn: int) -> str:
     """Return a configuration with another table and a burst that is new each turn."""
-    return _open_table(world, table).replace("burst = 400", f"burst = {401 + turn}")
+    return _add_organisations(world, table).replace(
+        "burst = 400", f"burst = {401 + turn}"
+    )
 
 
 async def _apply(world: World, name: str, text: str, revision: int) -> Any:
@@ -50,7 +59,7 @@
 
 
 async def _is_open(world: World, number: int, table: str) -> bool:
-    client = world.client(number)
+    client = world.client(number, table)
     client.waits_for_rate = False
     answer = await client.run(f"SELECT COUNT(*) FROM {table}")
     client.drop()
@@ -58,7 +67,7 @@
 
 
 def _is_in_force(answer: Answer) -> bool:
-    # The entry decides on the route before the holder decides on the rate.
+    # The entry decides on access before the holder decides on the rate.
     return answer.ran or answer.code == OVER_RATE_CODE
 
 
@@ -72,18 +81,22 @@
 
 
 async def _create(world: World, *tables: str) -> None:
+    done = await _apply(world, "guests", _add_organisations(world), 1)
+    if done.returncode:
+        raise RuntimeError(f"apply failed: {done.stderr}")
     client = world.client(0)
     for table in tables:
         answer = await client.run(f"CREATE TABLE {table} (id INTEGER PRIMARY KEY)")
         if not answer.ran:
             raise RuntimeError(f"definition failed: {answer}")
+        await asyncio.to_thread(world.cluster.issue_key, table)
     client.drop()
 
 
 async def race(world: World) -> None:
     """Let two operators apply different changes on the same revision at once."""
     await _create(world, "left", "right")
-    report, revision, requests = world.report, 1, 0
+    report, revision, requests = world.report, 2, 0
     for turn in range(3):
         done = await asyncio.gather(
             _apply(world, f"l{turn}", _change(world, "left", turn), revision),
@@ -115,8 +128,8 @@
     await _create(world, "left")
     report = world.report
     await world.control_platform(lose_answers_count=4)
-    path = str(_write(world, "lost", _open_table(world, "left")))
-    arguments = ("config", "apply", path, "--revision", "1", "--apply-id", "attempt-1")
+    path = str(_write(world, "lost", _add_organisations(world, "left")))
+    arguments = ("config", "apply", path, "--revision", "2", "--apply-id", "attempt-1")
     first = await world.cli(*arguments)
     again = await world.cli(*arguments)
     report.require(
@@ -133,9 +146,9 @@
     """Restart a proxy while the platform is down; it must serve the latest revision."""
     await _create(world, "left", "right")
     report = world.report
-    for revision, tables in enumerate((("left",), ("left", "right")), 1):
+    for revision, tables in enumerate((("left",), ("left", "right")), 2):
         done = await _apply(
-            world, f"c{revision}", _open_table(world, *tables), revision
+            world, f"c{revision}", _add_organisations(world, *tables), revision
         )
         report.require(13, done.returncode == 0, f"apply failed: {done.stderr[-200:]}")
     await asyncio.gather(
@@ -157,7 +170,7 @@
 
 
 async def _check_served(world: World, number: int, table: str) -> None:
-    client = world.client(number)
+    client = world.client(number, table)
     client.waits_for_rate = False
     for _ in range(CHECKS):
         answer = await client.run(f"SELECT COUNT(*) FROM {table}")
