--- a/src/radishtrack/backend/connection.py
+++ b/src/radishtrack/backend/connection.py
@@ -78,18 +78,23 @@
 
     Parameters
     ----------
-    member : str
-        Name of the member.
+    endpoint : MemberEndpoint
+        Where it leads.
     raw : aiomysql.Connection
         The library's connection.
     """
 
-    member: str
+    endpoint: MemberEndpoint
     raw: Any
     in_doubt: bool = False
     dirty: bool = False
     last_used_ms: float = 0.0
 
+    @property
+    def member(self) -> str:
+        """Name of the member."""
+        return self.endpoint.member
+
     @property
     def is_reusable(self) -> bool:
         """Whether another session may use the connection."""
@@ -284,4 +289,4 @@
     except (MySQLError, OSError, EOFError, TimeoutError) as error:
         code = error.args[0] if error.args and isinstance(error.args[0], int) else 0
         raise ConnectFailed(f"{endpoint.member}: {error}", code) from error
-    return MemberConnection(endpoint.member, raw)
+    return MemberConnection(endpoint, raw)
--- a/src/radishtrack/backend/pool.py
+++ b/src/radishtrack/backend/pool.py
@@ -79,7 +79,8 @@
         """Keep a connection for the next user, or close it."""
         self.in_use[connection.member] -= 1
         connection.last_used_ms = self.clock.now_ms()
-        if connection.is_reusable and connection.member in self.endpoints:
+        is_current = self.endpoints.get(connection.member) == connection.endpoint
+        if connection.is_reusable and is_current:
             self.idle.append(connection)
         else:
             self._close(connection)
--- a/tests/rate_world.py
+++ b/tests/rate_world.py
@@ -4,7 +4,7 @@
 conditional updates, and an oracle checks the interval bound.
 """
 
-# ruff: noqa: D101, D102
+# ruff: noqa: D101
 from __future__ import annotations
 
 import heapq
--- /dev/null
+++ b/tests/test_peer_codec.py
@@ -0,0 +1,161 @@
+"""Guards the peer protocol against malformed frames, other versions and strangers."""
+
+from __future__ import annotations
+
+import attrs
+import cbor2
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishtrack.peer.codec import CodecError, decode, encode
+from radishtrack.peer.handshake import (
+    HandshakeError,
+    answer_challenge,
+    answer_hello,
+    check_proof,
+    make_hello,
+)
+from radishtrack.peer.messages import (
+    MAX_FRAME_BYTES,
+    MESSAGE_TYPES,
+    Cancel,
+    Done,
+    Message,
+    Proof,
+    Rows,
+)
+from radishtrack.peer.token_codec import (
+    decode_grant,
+    decode_request,
+    encode_grant,
+    encode_request,
+)
+from radishtrack.rates.messages import Settlement, Stamp, TokenGrant, TokenRequest
+
+SECRET = b"secret of the fleet"
+_VALUES = {
+    "int": st.integers(-(2**62), 2**62),
+    "str": st.text(max_size=20),
+    "bytes": st.binary(max_size=20),
+    "bool": st.booleans(),
+    "float": st.floats(allow_nan=False),
+    "tuple[str, ...]": st.lists(st.text(max_size=5), max_size=3).map(tuple),
+    "tuple[int, ...]": st.lists(st.integers(0, 300), max_size=3).map(tuple),
+    "tuple[bytes, ...]": st.lists(st.binary(max_size=5), max_size=3).map(tuple),
+    "tuple[Row, ...]": st.lists(
+        st.lists(st.none() | st.text(max_size=5) | st.binary(max_size=5)).map(tuple),
+        max_size=3,
+    ).map(tuple),
+}
+
+
+def make_messages() -> st.SearchStrategy[Message]:
+    return st.one_of(
+        [
+            st.builds(kind, *(_VALUES[str(field.type)] for field in attrs.fields(kind)))
+            for kind in MESSAGE_TYPES
+        ]
+    )
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(make_messages())
+def test_every_message_survives_the_wire(message: Message) -> None:
+    assert decode(encode(message)) == message
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.binary(max_size=60))
+def test_noise_is_refused_and_never_crashes(frame: bytes) -> None:
+    try:
+        message = decode(frame)
+    except CodecError:
+        return
+    assert decode(encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        [],
+        [999, 1],
+        [True, 1],
+        ["1", 1],
+        [MESSAGE_TYPES.index(Cancel)],
+        [MESSAGE_TYPES.index(Cancel), 1, 2],
+        [MESSAGE_TYPES.index(Cancel), "1"],
+        [MESSAGE_TYPES.index(Done), 1, 1, 1, 1, 1, "m", "primary", 1],
+        {"type": 1},
+    ],
+)
+def test_frames_of_another_form_are_refused(content: object) -> None:
+    with pytest.raises(CodecError):
+        decode(cbor2.dumps(content))
+
+
+def test_a_frame_over_the_limit_is_not_sent() -> None:
+    with pytest.raises(CodecError, match="limit"):
+        encode(Rows(1, (("x" * MAX_FRAME_BYTES,),)))
+
+
+def test_a_handshake_succeeds_with_the_same_secret() -> None:
+    hello = make_hello("p1")
+    challenge = answer_hello(hello, "p2", SECRET)
+    check_proof(hello, challenge, answer_challenge(hello, challenge, SECRET), SECRET)
+
+
+def test_a_server_without_the_secret_is_refused() -> None:
+    hello = make_hello("p1")
+    challenge = answer_hello(hello, "p2", b"another")
+    with pytest.raises(HandshakeError, match="p2"):
+        answer_challenge(hello, challenge, SECRET)
+
+
+def test_a_client_without_the_secret_is_refused() -> None:
+    hello = make_hello("p1")
+    challenge = answer_hello(hello, "p2", SECRET)
+    with pytest.raises(HandshakeError, match="p1"):
+        check_proof(hello, challenge, Proof(b"x" * 32), SECRET)
+
+
+def test_a_reflected_proof_is_refused() -> None:
+    """The server's own proof must not pass as the client's."""
+    hello = make_hello("p1")
+    challenge = answer_hello(hello, "p2", SECRET)
+    with pytest.raises(HandshakeError):
+        check_proof(hello, challenge, Proof(challenge.proof), SECRET)
+
+
+def test_a_proof_of_another_handshake_is_refused() -> None:
+    hello = make_hello("p1")
+    old = answer_challenge(hello, answer_hello(hello, "p2", SECRET), SECRET)
+    with pytest.raises(HandshakeError):
+        check_proof(hello, answer_hello(hello, "p2", SECRET), old, SECRET)
+
+
+def test_another_version_is_refused_by_both_sides() -> None:
+    hello = attrs.evolve(make_hello("p1"), version=99)
+    with pytest.raises(HandshakeError, match="version 99"):
+        answer_hello(hello, "p2", SECRET)
+    challenge = answer_hello(make_hello("p1"), "p2", SECRET)
+    with pytest.raises(HandshakeError, match="version 99"):
+        answer_challenge(make_hello("p1"), attrs.evolve(challenge, version=99), SECRET)
+
+
+def test_token_messages_survive_the_wire() -> None:
+    request = TokenRequest(
+        "o", "p1.7", 3, 5, 2.5, (Settlement(1, 2, 0),), Stamp(1, 2, 3.5), 4, True
+    )
+    grant = TokenGrant("o", "p1.7", 3, Stamp(1, 2, 3.5), 5, 200.0, 0.0, True, False)
+    assert decode_request(encode_request(request)) == request
+    assert decode_grant(encode_grant(grant)) == grant
+    assert decode_grant(encode_grant(None)) is None
+
+
+@pytest.mark.parametrize("payload", [b"\x00", cbor2.dumps([1, 2]), cbor2.dumps("x")])
+def test_malformed_token_messages_are_refused(payload: bytes) -> None:
+    with pytest.raises(CodecError):
+        decode_request(payload)
+    with pytest.raises(CodecError):
+        decode_grant(payload)
--- /dev/null
+++ b/tests/test_peer_link.py
@@ -0,0 +1,184 @@
+"""Guards answers between nodes: whole, to the right request, with a known outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+
+from radishtrack.errors import Outcome, RequestError
+from radishtrack.peer.link import LinkClosed, PeerLink, open_link
+from radishtrack.peer.messages import (
+    Done,
+    Execute,
+    Message,
+    ResultHead,
+    Rows,
+    Vote,
+    VoteRequest,
+)
+from radishtrack.peer.server import PeerHandlers, start_peer_server
+
+SECRET = b"secret of the fleet"
+HOST = "127.0.0.1"
+
+
+def make_execute(request: int, statement: str = "SELECT 1") -> Execute:
+    return Execute(
+        request, 1, "o", "d", statement, "read", "strict", 0.0, 0, 0, "", 5000.0, False
+    )
+
+
+def make_done(request: int) -> Done:
+    return Done(request, 0, 0, 1, 1, "m1", "replica", False)
+
+
+@attrs.define
+class Holder:
+    """Answers statements as the text of the statement says."""
+
+    ended: list[str] = attrs.field(factory=list)
+    cancelled: list[int] = attrs.field(factory=list)
+    sent_chunks: int = 0
+    release: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def execute(self, _: str, request: Execute) -> AsyncIterator[Message]:
+        number = request.request
+        try:
+            if request.statement == "wait":
+                await self.release.wait()
+            yield ResultHead(number, ("a",), (3,))
+            for index in range(50 if request.statement == "many" else 1):
+                yield Rows(number, ((str(index),),))
+                self.sent_chunks += 1
+            yield make_done(number)
+        except (asyncio.CancelledError, GeneratorExit):
+            self.cancelled.append(number)
+            raise
+
+    async def end_session(self, connection: str, session: int) -> None:
+        self.ended.append(f"session {session}")
+
+    async def end_connection(self, connection: str) -> None:
+        self.ended.append("connection")
+
+    async def call(self, peer: str, message: Message) -> Message | None:
+        if isinstance(message, VoteRequest) and message.member != "silent":
+            return Vote(message.request, True)
+        return None
+
+
+@asynccontextmanager
+async def open_pair(holder: Holder) -> AsyncIterator[PeerLink]:
+    server = await start_peer_server(
+        HOST,
+        0,
+        "p2",
+        SECRET,
+        PeerHandlers(
+            holder.execute,
+            holder.end_session,
+            holder.end_connection,
+            holder.call,
+            lambda size: None,
+            7,
+        ),
+    )
+    port = next(iter(server.sockets)).getsockname()[1]
+    link = await open_link(f"{HOST}:{port}", "p1", SECRET)
+    try:
+        yield link
+    finally:
+        await link.close()
+        server.close()
+        await server.wait_closed()
+
+
+async def test_the_whole_answer_arrives_in_order() -> None:
+    async with open_pair(Holder()) as link:
+        answer = [message async for message in link.execute(make_execute(1, "many"))]
+    rows = [row for part in answer if isinstance(part, Rows) for row in part.rows]
+    assert rows == [(str(index),) for index in range(50)]
+    assert answer[-1] == make_done(1)
+    assert link.incarnation == 7
+
+
+async def test_a_slow_reader_stops_the_holder() -> None:
+    """Without credit the holder would keep sending and hold the rows in memory."""
+    holder = Holder()
+    async with open_pair(holder) as link:
+        answer = link.execute(make_execute(1, "many"))
+        await anext(answer)
+        await asyncio.sleep(0.2)
+        assert holder.sent_chunks < 10
+        rest = [message async for message in answer]
+        assert rest[-1] == make_done(1)
+
+
+async def test_a_cancelled_request_is_cancelled_at_the_holder() -> None:
+    holder = Holder()
+    async with open_pair(holder) as link:
+        answer = link.execute(make_execute(1, "many"))
+        await anext(answer)
+        await answer.aclose()  # type: ignore[attr-defined]
+        await asyncio.sleep(0.1)
+        assert holder.cancelled == [1]
+        assert link.waiting == {}
+
+
+async def test_a_late_answer_never_reaches_another_request() -> None:
+    holder = Holder()
+    async with open_pair(holder) as link:
+        late = link.execute(make_execute(1, "wait"))
+        waiting = asyncio.ensure_future(anext(late))
+        await asyncio.sleep(0.05)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        holder.release.set()
+        answer = [message async for message in link.execute(make_execute(2))]
+    assert {message.request for message in answer} == {2}  # type: ignore[union-attr]
+
+
+async def test_a_lost_connection_leaves_the_outcome_unknown() -> None:
+    async with open_pair(Holder()) as link:
+        answer = link.execute(make_execute(1, "wait"))
+        waiting = asyncio.ensure_future(anext(answer))
+        await asyncio.sleep(0.05)
+        link.socket.transport.abort()
+        with pytest.raises(RequestError) as caught:
+            await waiting
+    assert caught.value.failure.outcome is Outcome.UNKNOWN
+
+
+async def test_a_closed_connection_means_not_run() -> None:
+    async with open_pair(Holder()) as link:
+        link.socket.transport.abort()
+        await asyncio.sleep(0.05)
+        with pytest.raises(RequestError) as caught:
+            await anext(link.execute(make_execute(1)))
+    assert caught.value.failure.outcome is Outcome.NOT_RUN
+
+
+async def test_sessions_end_with_their_connection() -> None:
+    holder = Holder()
+    async with open_pair(holder):
+        pass
+    assert holder.ended == ["connection"]
+
+
+async def test_calls_are_answered_or_time_out() -> None:
+    async with open_pair(Holder()) as link:
+        assert await link.call(VoteRequest(1, "d", "m1"), 1, 1.0) == Vote(1, True)
+        with pytest.raises(LinkClosed):
+            await link.call(VoteRequest(2, "d", "silent"), 2, 0.05)
+        assert link.waiting == {}
+
+
+async def test_a_peer_with_another_secret_is_refused() -> None:
+    async with open_pair(Holder()) as link:
+        host, port = link.socket.remote_address[:2]
+        with pytest.raises(LinkClosed, match="refused"):
+            await open_link(f"{host}:{port}", "p3", b"another secret")
--- a/tests/test_rate_claim.py
+++ b/tests/test_rate_claim.py
@@ -3,7 +3,6 @@
 On every interval, all holders together admit at most burst + rate x length.
 """
 
-# ruff: noqa: D102
 from __future__ import annotations
 
 import math
--- /dev/null
+++ b/tests/test_switchover.py
@@ -0,0 +1,73 @@
+"""Guards the planned change of primary: nothing discarded, and not without a reason."""
+
+from __future__ import annotations
+
+import pytest
+
+from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.group.switchover import has_caught_up, should_switch_over
+from radishtrack.session.position import Position
+
+GROUP = Group("d", 1, 3, "m1", ("m1", "m2", "m3"))
+LEAVING = frozenset({"m1"})
+
+
+def make_status(
+    member: str, sequence: int, *, term: int = 3, fenced: int = 3
+) -> MemberStatus:
+    role = Role.PRIMARY if member == "m1" else Role.REPLICA
+    return MemberStatus(member, term, fenced, role, Position(3, sequence))
+
+
+NORMAL = (make_status("m1", 100), make_status("m2", 90), make_status("m3", 80))
+
+
+@pytest.mark.parametrize(
+    ("statuses", "leaving", "rank", "expected"),
+    [
+        (NORMAL, LEAVING, 0, True),
+        (NORMAL, LEAVING, 1, False),
+        (NORMAL, frozenset(), 0, False),
+        (NORMAL, frozenset({"m2"}), 0, False),
+        (NORMAL, frozenset({"m1", "m2", "m3"}), 0, False),
+        (NORMAL[1:], LEAVING, 0, False),
+        ((make_status("m1", 100, fenced=4), *NORMAL[1:]), LEAVING, 0, False),
+        ((NORMAL[0], make_status("m2", 90, term=2, fenced=2)), LEAVING, 0, False),
+        ((make_status("m1", 5000), *NORMAL[1:]), LEAVING, 0, False),
+    ],
+    ids=[
+        "leaving primary",
+        "another node starts",
+        "nobody leaves",
+        "only a replica leaves",
+        "nobody stays",
+        "primary silent",
+        "already fenced",
+        "replica of an earlier term",
+        "replicas too far behind",
+    ],
+)
+def test_when_a_switchover_starts(
+    statuses: tuple[MemberStatus, ...],
+    leaving: frozenset[str],
+    rank: int,
+    expected: bool,
+) -> None:
+    assert should_switch_over(GROUP, statuses, leaving, rank) is expected
+
+
+@pytest.mark.parametrize(
+    ("replica", "leaving", "expected"),
+    [
+        (make_status("m2", 100), LEAVING, True),
+        (make_status("m2", 99), LEAVING, False),
+        (make_status("m2", 100), LEAVING | {"m2"}, False),
+        (make_status("m2", 100, term=2), LEAVING, False),
+    ],
+    ids=["has all", "behind", "leaves too", "of an earlier term"],
+)
+def test_the_successor_has_the_whole_log(
+    replica: MemberStatus, leaving: frozenset[str], expected: bool
+) -> None:
+    fenced = make_status("m1", 100, fenced=4)
+    assert has_caught_up(fenced, GROUP, (fenced, replica), leaving) is expected
