Check the routes of writes, and try BEGIN at every holder

Found by reading: a route that accepts only select did not stop writes of the owner's organisations, and a transaction was refused when its first holder could not be reached although another one could. tests/test_access.py covers the routes; its write cases were red before.

--- a/src/radishtrack/proxy/access.py
+++ b/src/radishtrack/proxy/access.py
@@ -46,10 +46,12 @@
         Not run, without access.
     """
     organisation = document.organisations.get(state.organisation)
-    if organisation is not None and organisation.owner == database.owner:
-        return organisation
     is_read = statement.kind is Kind.READ
     route = document.find_route(database.name, statement.tables, is_read)
+    if organisation is not None and organisation.owner == database.owner:
+        if statement.kind is Kind.WRITE and route is None:
+            raise _make_no_route(database, statement)
+        return organisation
     if is_read and route is not None and route.open:
         return organisation
     raise RequestError(
@@ -73,13 +75,19 @@
     """
     route = document.find_route(database.name, statement.tables, True)
     if route is None:
-        raise RequestError(
-            Failure(
-                "route",
-                "",
-                Outcome.NOT_RUN,
-                ErrorCode.NO_SERVICE,
-                f"no route of {database.name} names {', '.join(statement.tables)}",
-            )
-        )
+        raise _make_no_route(database, statement)
     return route
+
+
+def _make_no_route(database: Database, statement: Statement) -> RequestError:
+    tables = ", ".join(statement.tables)
+    kind = "reads of" if statement.kind is Kind.READ else "writes to"
+    return RequestError(
+        Failure(
+            "route",
+            "",
+            Outcome.NOT_RUN,
+            ErrorCode.NO_SERVICE,
+            f"no route of {database.name} accepts {kind} {tables}",
+        )
+    )
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
+from functools import partial
 from typing import Final
 
 import attrs
@@ -231,10 +232,15 @@
             holders = self.router.list_holders(
                 database.name, database.region, database.slots
             )
-            if request.kind == Kind.BEGIN.value:
-                holders = holders[:1]
-                state.holder = holders[0] if holders else ""
-            messages = self.router.execute(holders, request, is_read=is_read)
+            # A transaction that was begun and is not used has no effect, so that a
+            # failed BEGIN may be sent to another holder like a read.
+            begins = request.kind == Kind.BEGIN.value
+            messages = self.router.execute(
+                holders,
+                request,
+                is_read=is_read or begins,
+                when_sent=partial(setattr, state, "holder") if begins else None,
+            )
         try:
             async with aclosing(messages):  # type: ignore[type-var]
                 async for message in messages:
--- a/src/radishtrack/proxy/router.py
+++ b/src/radishtrack/proxy/router.py
@@ -17,6 +17,7 @@
 from radishtrack.peer.link import LinkClosed, PeerLink
 from radishtrack.peer.messages import EndSession, Execute, Failed, Message
 from radishtrack.proxy.holder import Holder
+from radishtrack.routing.statement import Kind
 
 LOCAL_CONNECTION: Final = "local"
 ANSWER_GRACE_MS: Final = 250.0
@@ -77,7 +78,12 @@
         return tuple(sorted(nodes, key=self._distance))
 
     async def execute(
-        self, holders: tuple[str, ...], request: Execute, *, is_read: bool
+        self,
+        holders: tuple[str, ...],
+        request: Execute,
+        *,
+        is_read: bool,
+        when_sent: Callable[[str], None] | None = None,
     ) -> AsyncIterator[Message]:
         """Execute a statement at the first holder that takes it.
 
@@ -100,6 +106,8 @@
             limit_ms = left_ms if is_last or not is_read else left_ms / 2
             has_yielded = False
             try:
+                if when_sent is not None:
+                    when_sent(name)
                 attempt = attrs.evolve(
                     request, request=next(self.numbers), timeout_ms=limit_ms
                 )
@@ -112,6 +120,9 @@
                     return
             except RequestError as error:
                 self.membership.note_refusal(name, self.clock.now_ms())
+                if request.kind == Kind.BEGIN.value:
+                    # The holder may have opened the transaction before the failure.
+                    await self.end_session(name, request.session)
                 may_move = is_read or error.failure.outcome is Outcome.NOT_RUN
                 if has_yielded or not may_move:
                     raise
