--- a/src/radishtrack/keys/contact.py
+++ b/src/radishtrack/keys/contact.py
@@ -29,7 +29,7 @@
     """When the platform last answered."""
     peers: dict[str, PeerContact] = attrs.field(factory=dict)
     peer_count: int = 0
-    """Number of other nodes in the membership view."""
+    """Number of other nodes of which more than half must be heard."""
     decision: Freshness = attrs.field(factory=lambda: Refuse(NOT_REACHED))
     decided_ms: float = -math.inf
 
@@ -66,9 +66,19 @@
             copy_ms = max(copy_ms, asked_ms - copy_age_ms)
         self.peers[peer] = PeerContact(peer, asked_ms, platform_down, copy_ms)
 
-    def set_peers(self, peers: frozenset[str]) -> None:
-        """Use the other nodes of the membership view; words of others do not count."""
-        self.peer_count = len(peers)
+    def set_peers(
+        self, peers: frozenset[str], counted: frozenset[str] | None = None
+    ) -> None:
+        """Use the other nodes of the membership view; words of others do not count.
+
+        Parameters
+        ----------
+        peers : frozenset of str
+            Nodes whose words are used.
+        counted : frozenset of str, optional
+            Those of which more than half must be heard; all of `peers` by default.
+        """
+        self.peer_count = len(peers if counted is None else counted)
         self.peers = {
             name: contact for name, contact in self.peers.items() if name in peers
         }
--- a/src/radishtrack/proxy/copies.py
+++ b/src/radishtrack/proxy/copies.py
@@ -105,7 +105,13 @@
             now_ms = self.clock.now_ms()
             nodes = self.membership.list_nodes(now_ms)
             others = frozenset(node.id for node in nodes) - {self.router.node.id}
-            self.contacts.set_peers(others | self._known_seeds())
+            # Only the own region is counted: regions lose each other for an hour, and
+            # the smaller one would otherwise stop. Words from elsewhere still help.
+            region = self.router.node.region
+            own = frozenset(node.id for node in nodes if node.region == region)
+            self.contacts.set_peers(
+                others | self._known_seeds(), own - {self.router.node.id}
+            )
             interval_ms = max(ASK_INTERVAL_MS, INTERVAL_PER_PEER_MS * len(others))
             is_due = now_ms - self.asked_ms >= interval_ms
             if is_due and self.contacts.is_cut_off(now_ms, CUT_OFF_MS):
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -111,3 +111,16 @@
     assert state.check(30_000) is None
     assert state.check(30_000 + DECISION_VALID_MS - 1) is None
     assert state.check(30_000 + DECISION_VALID_MS) is not None
+
+
+def test_a_region_that_is_parted_from_the_others_goes_on() -> None:
+    """Counted over the whole fleet, the smaller region would refuse everything."""
+    state = make_contact_state()
+    state.note_platform(0.0)
+    fleet = frozenset({"a", "b", "x1", "x2", "x3", "x4"})
+    state.set_peers(fleet, frozenset({"a", "b"}))
+    for peer in ("a", "b"):
+        state.note_peer(peer, 99_000.0, platform_down=True)
+    assert state.check(100_000.0) is None
+    state.set_peers(fleet)
+    assert state.check(101_000.0) is not None
