Stop reading before the upgrade to TLS

Cause: the first form of the upgrade took over the bytes in the buffer, but bytes that arrived before the TLS protocol was in place still went to the old one.

--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -145,6 +145,8 @@
     async def start_tls(self, context: ssl.SSLContext) -> None:
         """Upgrade the connection; see `MysqlStream.start_tls`."""
         transport = self.stream.writer.transport
+        # Bytes that arrive before the TLS protocol is in place would be lost too.
+        transport.pause_reading()
         buffer = self.reader._buffer  # type: ignore[attr-defined]
         early = bytes(buffer)
         buffer.clear()
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -447,6 +447,13 @@
     assert read_code(connect, cluster, 0, **secure) == 2026
 
 
+def test_every_tls_connect_succeeds(cluster: Cluster) -> None:
+    """Once, bytes that came before the TLS protocol was in place were lost."""
+    secure = {"ssl_disabled": False, "ssl": {"ca": str(certificate_path(cluster))}}
+    for _ in range(150):
+        connect(cluster, 1, autocommit=True, **secure).close()
+
+
 def test_tls_handshake_may_come_with_the_request(cluster: Cluster) -> None:
     """Once, a client's first TLS bytes were lost if they came with its SSL request."""
     incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
