--- a/src/radishtrack/backend/database.py
+++ b/src/radishtrack/backend/database.py
@@ -61,6 +61,8 @@
     clock: Clock
     leaving: Callable[[], frozenset[str]]
     observe_wait: ObserveWait
+    active: int = 0
+    """Requests that are not finished; a commit waits without a connection."""
 
     @property
     def group(self) -> Group:
--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -275,6 +275,19 @@
     objects: tuple[bytes, ...]
 
 
+@attrs.define(frozen=True)
+class KeysChanged:
+    """Tells that keys were revoked, for a peer that is cut off from the platform.
+
+    Parameters
+    ----------
+    objects : bytes
+        Sealed copy of the organisations' keys that changed.
+    """
+
+    objects: bytes
+
+
 @attrs.define(frozen=True)
 class RecordRequest:
     """Asks a peer for its record of a database group."""
@@ -324,6 +337,7 @@
     | Copy
     | RecordRequest
     | Record
+    | KeysChanged
 )
 
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
@@ -348,5 +362,6 @@
     Copy,
     RecordRequest,
     Record,
+    KeysChanged,
 )
 """The place in this tuple is the type number on the wire; only append."""
--- a/src/radishtrack/platform/watch.py
+++ b/src/radishtrack/platform/watch.py
@@ -15,7 +15,7 @@
     WatchAnswer,
 )
 
-DEFAULT_WATCH_MS: Final = 5000.0
+DEFAULT_WATCH_MS: Final = 2000.0
 
 OnChange = Callable[[WatchAnswer], None]
 OnContact = Callable[[bool], None]
--- a/src/radishtrack/proxy/copies.py
+++ b/src/radishtrack/proxy/copies.py
@@ -13,10 +13,10 @@
 from radishtrack.config.state import ConfigurationState
 from radishtrack.keys.contact import ContactState
 from radishtrack.keys.copy import apply_copy, compute_digest, open_keys, seal_keys
-from radishtrack.keys.keyring import Keyring, RevokedKey
+from radishtrack.keys.keyring import Keyring, RevokedKey, make_keyring
 from radishtrack.membership.nodes import Membership
 from radishtrack.peer.link import LinkClosed, PeerLink
-from radishtrack.peer.messages import Copy, CopyRequest
+from radishtrack.peer.messages import Copy, CopyRequest, KeysChanged
 from radishtrack.platform.client import PlatformClient
 from radishtrack.proxy.fleet_copy import open_fleet, seal_fleet
 from radishtrack.proxy.router import Router
@@ -24,10 +24,10 @@
 from radishtrack.settings import Address
 
 STEP_S: Final = 0.5
-CUT_OFF_MS: Final = 8_000.0
+CUT_OFF_MS: Final = 3_500.0
 """Longer than a quiet watch of the platform waits for a change."""
 
-ASK_INTERVAL_MS: Final = 5_000.0
+ASK_INTERVAL_MS: Final = 1_000.0
 INTERVAL_PER_PEER_MS: Final = 34.0
 """Keeps the traffic of an outage with 590 peers under 2 KB a second."""
 
@@ -99,6 +99,28 @@
             objects.append(seal_fleet(records, nodes, self.secret))
         return Copy(request.request, min(age_ms, _LONG_MS), tuple(objects))
 
+    async def announce_revoked(self, organisations: frozenset[str]) -> None:
+        """Tell connected peers about revoked keys, in case they can't learn it."""
+        changed = make_keyring()
+        changed.organisations = {
+            name: keys
+            for name, keys in self.keyring.organisations.items()
+            if name in organisations
+        }
+        message = KeysChanged(seal_keys(changed, 0.0, self.secret))
+        for link in tuple(self.router.links.values()):
+            try:
+                await link.send(message)
+            except LinkClosed:
+                continue
+
+    def take_changed(self, message: KeysChanged) -> None:
+        """Apply a peer's word on changed keys; it does not date the other keys."""
+        copy = open_keys(message.objects, self.secret)
+        if copy is not None:
+            for revoked in apply_copy(self.keyring, copy):
+                self.when_revoked(revoked)
+
     async def run(self) -> None:
         """Ask all peers from time to time while the platform does not answer."""
         while True:
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -130,9 +130,10 @@
         RequestError
             Not run, for invalid options, a refused statement or one with a key in it.
         """
-        options, statement_text = split_options(sql)
-        if self.keyring.contains_key(statement_text):
+        # Options are checked too: a request ID is written into the journal.
+        if self.keyring.contains_key(sql):
             raise make_not_run("keys", "the statement contains a key")
+        options, statement_text = split_options(sql)
         statement = self.classify(statement_text)
         if statement.kind is Kind.REFUSED:
             raise make_not_run("classify", statement.reason)
--- a/src/radishtrack/proxy/holder.py
+++ b/src/radishtrack/proxy/holder.py
@@ -127,8 +127,14 @@
             yield self._end_lost(key, request, kind)
             return
         if transaction is not None:
-            async for message in self._continue(key, transaction, request, deadline_ms):
-                yield message
+            transaction.backend.active += 1
+            try:
+                async for message in self._continue(
+                    key, transaction, request, deadline_ms
+                ):
+                    yield message
+            finally:
+                transaction.backend.active -= 1
             return
         if kind in (Kind.COMMIT, Kind.ROLLBACK):
             yield _make_empty_done(request)
@@ -136,6 +142,22 @@
         backend = self.databases.get(request.database)
         if backend is None:
             raise make_not_run("hold", f"no slot of {request.database} is held here")
+        backend.active += 1
+        try:
+            async for message in self._start(key, backend, request, deadline_ms):
+                yield message
+        finally:
+            backend.active -= 1
+
+    async def _start(
+        self,
+        key: SessionKey,
+        backend: DatabaseBackend,
+        request: Execute,
+        deadline_ms: float,
+    ) -> AsyncIterator[Message]:
+        """Run a statement of a session without an open transaction."""
+        kind = Kind(request.kind)
         await self.admit(backend, request.organisation, deadline_ms)
         backend.retries.count_request(self.clock.now_ms())
         if kind is Kind.BEGIN:
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -31,6 +31,7 @@
 from radishtrack.metrics import Metrics
 from radishtrack.peer.messages import (
     CopyRequest,
+    KeysChanged,
     Leaving,
     Message,
     RecordRequest,
@@ -264,6 +265,8 @@
                 return await self.votes.answer(message)
             case RecordRequest():
                 return self.votes.answer_record(message)
+            case KeysChanged():
+                self.copies.take_changed(message)
             case TokensWanted():
                 return await self.rates.answer(message)
             case CopyRequest():
@@ -287,12 +290,13 @@
             self.copies.contacts.note_platform(contact_ms)
 
     def _apply_objects(self, answer: WatchAnswer) -> None:
+        revoked: set[str] = set()
         for found in answer.objects:
             if found.kind == KEYS_KIND:
-                revoked = self.keyring.apply_object(
+                for key in self.keyring.apply_object(
                     found.name, found.version, found.value
-                )
-                for key in revoked:
+                ):
+                    revoked.add(found.name)
                     self.close_revoked(key)
             elif found.kind == GROUPS_KIND and found.value is not None:
                 try:
@@ -308,6 +312,11 @@
             elif found.name == MANIFEST_NAME and found.value is not None:
                 self.manifest_value = found.value
                 self.manifest_changed.set()
+        if revoked:
+            work = self.copies.announce_revoked(frozenset(revoked))
+            task = asyncio.create_task(work)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     def close_revoked(self, key: RevokedKey) -> None:
         """Close all client connections that were opened with a key."""
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -195,7 +195,7 @@
         backend.pool.close()
 
     def _is_used(self, backend: DatabaseBackend) -> bool:
-        return any(backend.pool.in_use.values()) or any(
+        return backend.active > 0 or any(
             transaction.backend is backend
             for transaction in self.holder.transactions.values()
         )
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -511,6 +511,12 @@
     assert read_code(insert, connection, cluster.keys[OTHER]) == 9001
 
 
+def test_options_with_a_key_are_refused(cluster: Cluster, connection: Any) -> None:
+    """Once, a key given as request ID was written into the database's journal."""
+    option = f"/*radishtrack request_id={cluster.keys[OTHER]}*/ "
+    assert read_code(insert, connection, "a", option) == 9001
+
+
 def test_revoked_key_ends_open_connections(cluster: Cluster) -> None:
     key = cluster.issue_key(OTHER)
     deadline = time.monotonic() + 10
