--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -25,6 +25,7 @@
 from radishtrack.peer.link import open_link
 from radishtrack.platform.client import PlatformClient, make_platform_client
 from radishtrack.proxy.allocators import Allocators
+from radishtrack.proxy.configuration_feed import ConfigurationFeed
 from radishtrack.proxy.copies import Copies
 from radishtrack.proxy.entry import Entry
 from radishtrack.proxy.group_store import make_group_store
@@ -160,6 +161,7 @@
         rates,
         copies,
         UsageReports(clock, platform, make_reporter(node.id, str(incarnation), usage)),
+        ConfigurationFeed(platform, configuration, lambda: server.reconcile()),
         incarnation,
         control,
     )
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -14,9 +14,8 @@
 
 from radishtrack.admin import AdminServer, Readiness, start_admin
 from radishtrack.clock import Clock
-from radishtrack.config.chunk import ChunkError, decode_chunk, decode_manifest
 from radishtrack.config.state import ConfigurationState
-from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
+from radishtrack.config.store import MANIFEST_KIND, MANIFEST_NAME
 from radishtrack.events import Event, log_event
 from radishtrack.frontend.connection import ConnectionControl, FrontendServer
 from radishtrack.frontend.identity import KeyIdentityProvider
@@ -49,6 +48,7 @@
 )
 from radishtrack.platform.watch import follow_objects
 from radishtrack.proxy.client_state import OPEN_ORGANISATION
+from radishtrack.proxy.configuration_feed import ConfigurationFeed
 from radishtrack.proxy.copies import Copies
 from radishtrack.proxy.entry import Entry
 from radishtrack.proxy.holder import Holder
@@ -68,7 +68,6 @@
 at any size of the fleet; nodes that leave tell their peers themselves."""
 
 RECONCILE_INTERVAL_S: Final = 0.5
-CHUNK_RETRY_S: Final = 0.2
 STEP_S: Final = 0.25
 LIST_WAIT_MS: Final = 5_000.0
 """A node that is not listed after this time serves with what its peers told it."""
@@ -107,14 +106,13 @@
     rates: Rates
     copies: Copies
     reports: UsageReports
+    feed: ConfigurationFeed
     incarnation: int
     control: ConnectionControl
     frontend: FrontendServer | None = None
     peer_server: Server | None = None
     admin: AdminServer | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
-    manifest_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    manifest_value: object = None
     is_listed: bool = False
     started_ms: float = 0.0
     stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -139,7 +137,7 @@
         )
         for work in (
             self._follow_platform(),
-            self._follow_manifest(),
+            self.feed.run(),
             self._follow_vms(),
             self._reconcile_often(),
             self._end_idle_often(),
@@ -310,8 +308,7 @@
                 members = leaving if isinstance(leaving, list) else []
                 self.slots.mark_leaving(found.name, frozenset(map(str, members)))
             elif found.name == MANIFEST_NAME and found.value is not None:
-                self.manifest_value = found.value
-                self.manifest_changed.set()
+                self.feed.offer(found.value)
         if revoked:
             work = self.copies.announce_revoked(frozenset(revoked))
             task = asyncio.create_task(work)
@@ -328,31 +325,6 @@
                 closed += 1
         log_event(Event.KEY_REVOKED, organisation=key.organisation, closed=closed)
 
-    async def _follow_manifest(self) -> None:
-        while True:
-            await self.manifest_changed.wait()
-            self.manifest_changed.clear()
-            try:
-                await self._accept_manifest(self.manifest_value)
-            except (PlatformUnavailable, PlatformRefusal):
-                # The chunks are needed before the revision can be in force.
-                await asyncio.sleep(CHUNK_RETRY_S)
-                self.manifest_changed.set()
-
-    async def _accept_manifest(self, value: object) -> None:
-        try:
-            manifest = decode_manifest(value)
-        except ChunkError as error:
-            log_event(Event.CONFIGURATION_REJECTED, reason=error)
-            return
-        chunks: dict[str, str] = {}
-        for digest in self.configuration.find_missing(manifest):
-            found = await self.platform.get(CHUNK_KIND, digest)
-            if found is not None and found.value is not None:
-                chunks[digest] = decode_chunk(found.value)
-        self.configuration.accept(manifest, chunks)
-        self.reconcile()
-
     async def _follow_vms(self) -> None:
         await self._announce(VmState.LIVE)
         while True:
--- a/src/radishtrack/proxy/promoter.py
+++ b/src/radishtrack/proxy/promoter.py
@@ -50,13 +50,13 @@
 from radishtrack.group.promotion_state import Step
 from radishtrack.group.record import GroupRecord
 from radishtrack.group.status import Group, MemberStatus, Role
-from radishtrack.group.switchover import has_caught_up, should_switch_over
 from radishtrack.proxy.group_store import (
     GroupStore,
     StoreConflictError,
     StoreUnavailableError,
 )
 from radishtrack.proxy.promoter_place import PromoterPlace, RequestVotes
+from radishtrack.proxy.switchover import Switchover
 
 TICK_MS: Final = 100.0
 """Time between two looks at the members' statuses."""
@@ -64,11 +64,6 @@
 PAUSE_MS: Final = 1_000.0
 """Time between two attempts, two repairs of a member or two reads of the record."""
 
-SWITCHOVER_PAUSE_MS: Final = 30_000.0
-"""Time between two attempts to relieve a leaving primary: each stops its commits."""
-
-CATCH_UP_MS: Final = 2_000.0
-CATCH_UP_STEP_MS: Final = 10.0
 ANSWER_TIMEOUT_MS: Final = 500.0
 """Time for an answer of the platform; one step of an attempt."""
 
@@ -98,7 +93,7 @@
         self.fencing = FencingWatch()
         self.suspected_ms: float | None = None
         self.not_before_ms = 0.0
-        self.switchover_ms = 0.0
+        self.switchover = Switchover(place, monitor, commands)
         self.repaired_ms: dict[str, float] = {}
         self.read_ms = 0.0
         self.attempt: PromotionAttempt | None = None
@@ -135,8 +130,11 @@
     async def _run(self) -> None:
         while True:
             first = self._find_reason(self.monitor.clock.now_ms())
-            if first is None and self._is_switchover_due():
-                first = await self._prepare_switchover()
+            if first is None:
+                now_ms = self.monitor.clock.now_ms()
+                statuses = self._recent_statuses(now_ms)
+                if await self.switchover.prepare(self.record, statuses):
+                    first = FencingAbandoned()
             if first is None:
                 self._repair(self.monitor.clock.now_ms())
                 await asyncio.sleep(TICK_MS / 1000)
@@ -144,36 +142,6 @@
             await self._attempt(first)
             self.not_before_ms = self.monitor.clock.now_ms() + PAUSE_MS
 
-    def _is_switchover_due(self) -> bool:
-        now_ms = self.monitor.clock.now_ms()
-        return now_ms >= self.switchover_ms and should_switch_over(
-            self.record.group,
-            self._recent_statuses(now_ms),
-            self.place.leaving(),
-            self.place.rank(),
-        )
-
-    async def _prepare_switchover(self) -> Message | None:
-        """Fence the leaving primary and wait for a replica to have all of its log."""
-        clock, group = self.monitor.clock, self.record.group
-        self.switchover_ms = clock.now_ms() + SWITCHOVER_PAUSE_MS
-        log_event(
-            Event.SWITCHOVER_STARTED, database=self.database, primary=group.primary
-        )
-        try:
-            fenced = await self.commands.fence(
-                group.primary, self.record, group.term + 1
-            )
-        except (RefusedError, UnreachableError):
-            return None
-        end_ms = clock.now_ms() + CATCH_UP_MS
-        while clock.now_ms() < end_ms and not has_caught_up(
-            fenced, group, self.monitor.latest.values(), self.place.leaving()
-        ):
-            await asyncio.sleep(CATCH_UP_STEP_MS / 1000)
-        # Without a replica that caught up, the promotion elects the primary again.
-        return FencingAbandoned()
-
     def _find_reason(self, now_ms: float) -> Message | None:
         group = self.record.group
         rank = self.place.rank()
--- /dev/null
+++ b/src/radishtrack/proxy/switchover.py
@@ -0,0 +1,74 @@
+"""Prepares the planned change of a primary that is marked as leaving."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import attrs
+
+from radishtrack.backend.member_commands import (
+    MemberCommands,
+    RefusedError,
+    UnreachableError,
+)
+from radishtrack.backend.monitor import Monitor
+from radishtrack.events import Event, log_event
+from radishtrack.group.record import GroupRecord
+from radishtrack.group.status import MemberStatus
+from radishtrack.group.switchover import has_caught_up, should_switch_over
+from radishtrack.proxy.promoter_place import PromoterPlace
+
+PAUSE_MS: Final = 30_000.0
+"""Time between two attempts to relieve a leaving primary: each stops its commits."""
+
+CATCH_UP_MS: Final = 2_000.0
+CATCH_UP_STEP_MS: Final = 10.0
+
+
+@attrs.define
+class Switchover:
+    """Fences a leaving primary and waits for a replica to have all of its log.
+
+    Parameters
+    ----------
+    place : PromoterPlace
+        This node's place among the voters.
+    monitor : Monitor
+        Status of the members.
+    commands : MemberCommands
+        Fences the primary.
+    """
+
+    place: PromoterPlace
+    monitor: Monitor
+    commands: MemberCommands
+    not_before_ms: float = 0.0
+
+    async def prepare(self, record: GroupRecord, statuses: list[MemberStatus]) -> bool:
+        """Return whether the primary was fenced, so that a promotion must follow.
+
+        Without a replica that caught up in time, the promotion elects the primary
+        again.
+        """
+        clock, group = self.monitor.clock, record.group
+        leaving = self.place.leaving()
+        now_ms = clock.now_ms()
+        if now_ms < self.not_before_ms or not should_switch_over(
+            group, statuses, leaving, self.place.rank()
+        ):
+            return False
+        self.not_before_ms = now_ms + PAUSE_MS
+        log_event(
+            Event.SWITCHOVER_STARTED, database=group.database, primary=group.primary
+        )
+        try:
+            fenced = await self.commands.fence(group.primary, record, group.term + 1)
+        except (RefusedError, UnreachableError):
+            return False
+        end_ms = clock.now_ms() + CATCH_UP_MS
+        while clock.now_ms() < end_ms and not has_caught_up(
+            fenced, group, self.monitor.latest.values(), leaving
+        ):
+            await asyncio.sleep(CATCH_UP_STEP_MS / 1000)
+        return True
