Split chunks of rows that exceed the frame limit

Found by reading: 200 rows of more than 5 KB did not fit one frame of 1 MiB, so that a forwarded read failed with an unknown outcome while the same read at its holder succeeded. The new test was red before. A single row over 1 MiB is still refused when it must be forwarded.

--- a/src/radishtrack/peer/codec.py
+++ b/src/radishtrack/peer/codec.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any, Final
 
 import attrs
 import cbor2
 
-from radishtrack.peer.messages import MAX_FRAME_BYTES, MESSAGE_TYPES, Message
+from radishtrack.peer.messages import (
+    MAX_FRAME_BYTES,
+    MESSAGE_TYPES,
+    Message,
+    Rows,
+)
 
 _TYPE_NUMBERS: Final = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _FIELD_NAMES: Final = {
@@ -48,6 +54,24 @@
     return frame
 
 
+def encode_rows(message: Rows) -> Iterator[bytes]:
+    """Yield the frames of a chunk of rows, split so that each fits the limit.
+
+    Raises
+    ------
+    CodecError
+        If one row alone exceeds `MAX_FRAME_BYTES`.
+    """
+    try:
+        yield encode(message)
+    except CodecError:
+        if len(message.rows) == 1:
+            raise
+        middle = len(message.rows) // 2
+        for rows in (message.rows[:middle], message.rows[middle:]):
+            yield from encode_rows(Rows(message.request, rows))
+
+
 def decode(frame: bytes) -> Message:
     """Return the message in a frame.
 
--- a/src/radishtrack/peer/server.py
+++ b/src/radishtrack/peer/server.py
@@ -13,7 +13,7 @@
 
 from radishtrack.errors import Outcome
 from radishtrack.events import Event, log_event
-from radishtrack.peer.codec import CodecError, decode, encode
+from radishtrack.peer.codec import CodecError, decode, encode, encode_rows
 from radishtrack.peer.handshake import HandshakeError, answer_hello, check_proof
 from radishtrack.peer.link import INITIAL_CREDIT_CHUNKS, PING_INTERVAL_S, PING_TIMEOUT_S
 from radishtrack.peer.messages import (
@@ -137,12 +137,15 @@
         try:
             async with contextlib.aclosing(answers):  # type: ignore[type-var]
                 async for answer in answers:
-                    if isinstance(answer, Rows):
+                    if not isinstance(answer, Rows):
+                        await self.socket.send(encode(answer))
+                        continue
+                    for frame in encode_rows(answer):
                         # A reader that takes nothing for this long would keep a
                         # database connection; the request is abandoned instead.
                         async with asyncio.timeout(READER_TIMEOUT_S):
                             await credit.acquire()
-                    await self.socket.send(encode(answer))
+                        await self.socket.send(frame)
         except (TimeoutError, CodecError) as error:
             reason = str(error) or "the reader took no rows in time"
             await self.socket.send(encode(_make_broken(message.request, reason)))
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -51,6 +51,8 @@
             if request.statement == "wait":
                 await self.release.wait()
             yield ResultHead(number, ("a",), (3,))
+            if request.statement == "large":
+                yield Rows(number, tuple((str(index) * 5000,) for index in range(200)))
             for index in range(50 if request.statement == "many" else 1):
                 yield Rows(number, ((str(index),),))
                 self.sent_chunks += 1
@@ -106,6 +108,17 @@
     assert link.incarnation == 7
 
 
+async def test_a_chunk_over_the_frame_limit_is_split() -> None:
+    """Once, a chunk of 200 wide rows could not be sent and failed the request."""
+    async with open_pair(Holder()) as link:
+        answer = [message async for message in link.execute(make_execute(1, "large"))]
+    parts = [part for part in answer if isinstance(part, Rows)]
+    rows = [row for part in parts for row in part.rows]
+    assert len(parts) > 2
+    assert rows == [*((str(index) * 5000,) for index in range(200)), ("0",)]
+    assert answer[-1] == make_done(1)
+
+
 async def test_a_slow_reader_stops_the_holder() -> None:
     """Without credit the holder would keep sending and hold the rows in memory."""
     holder = Holder()
