Refuse statements that fit no frame as not run, and blame no peer for them

Found by reading: a statement just under the limit of 1 MiB fits no frame between nodes and ended with an untyped error; now it is not run. A failure that says nothing about the peer no longer takes it out of placement for 10 s, which a client could have provoked.

--- a/src/radishtrack/peer/link.py
+++ b/src/radishtrack/peer/link.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 from collections.abc import AsyncIterator, Callable
 from typing import TYPE_CHECKING, Final
 
@@ -67,7 +66,6 @@
     socket: ClientConnection
     incarnation: int = 0
     waiting: dict[int, asyncio.Queue[Message | None]] = attrs.field(factory=dict)
-    numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
     closed: bool = False
     observe_control: Callable[[int], None] = _ignore_bytes
     """Told the size of every message that is not part of a statement."""
@@ -83,8 +81,9 @@
         """
         queue = self._register(request)
         try:
-            self.observe_control(len(encode(message)))
-            await self.send(message)
+            frame = encode(message)
+            self.observe_control(len(frame))
+            await self._send_frame(frame)
             answer = await asyncio.wait_for(queue.get(), timeout_s)
         except TimeoutError as error:
             raise LinkClosed(f"peer {self.node} did not answer in time") from error
@@ -112,6 +111,9 @@
                 await self.send(message)
             except LinkClosed as error:
                 raise make_unknown("forward", str(error), peer=self.node) from error
+            except CodecError as error:
+                # The limit on statements is close to the limit on frames.
+                raise make_not_run("encode", str(error), peer=self.node) from error
             while not finished:
                 answer = await queue.get()
                 if answer is None:
@@ -121,7 +123,9 @@
                 finished = isinstance(answer, Done | Failed)
                 yield answer
                 if isinstance(answer, Rows):
-                    await self.send(Credit(message.request, 1))
+                    # A lost connection shows in the queue, behind what has arrived.
+                    with contextlib.suppress(LinkClosed):
+                        await self.send(Credit(message.request, 1))
         finally:
             self.waiting.pop(message.request, None)
             if not finished and not self.closed:
@@ -136,8 +140,11 @@
         LinkClosed
             If the connection is lost.
         """
+        await self._send_frame(encode(message))
+
+    async def _send_frame(self, frame: bytes) -> None:
         try:
-            await self.socket.send(encode(message))
+            await self.socket.send(frame)
         except (WebSocketException, OSError) as error:
             self.closed = True
             raise LinkClosed(f"connection to peer {self.node} lost") from error
--- a/src/radishtrack/proxy/router.py
+++ b/src/radishtrack/proxy/router.py
@@ -24,6 +24,8 @@
 """Added to a request's time at the holder, so that its own refusal arrives first."""
 
 NOT_HELD_STEP: Final = "hold"
+FORWARD_STEP: Final = "forward"
+"""The peer or the way to it failed, which other failures don't show."""
 
 OpenLink = Callable[[str], Awaitable[PeerLink]]
 """Takes ``host:port``; raises `LinkClosed`."""
@@ -119,7 +121,8 @@
                 else:
                     return
             except RequestError as error:
-                self.membership.note_refusal(name, self.clock.now_ms())
+                if error.failure.step == FORWARD_STEP:
+                    self.membership.note_refusal(name, self.clock.now_ms())
                 if request.kind == Kind.BEGIN.value:
                     # The holder may have opened the transaction before the failure.
                     await self.end_session(name, request.session)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -12,6 +12,7 @@
 from radishtrack.errors import Outcome, RequestError
 from radishtrack.peer.link import LinkClosed, PeerLink, open_link
 from radishtrack.peer.messages import (
+    MAX_FRAME_BYTES,
     Done,
     Execute,
     Message,
@@ -175,6 +176,14 @@
     assert caught.value.failure.outcome is Outcome.NOT_RUN
 
 
+async def test_a_statement_over_the_frame_limit_is_refused_as_not_run() -> None:
+    async with open_pair(Holder()) as link:
+        with pytest.raises(RequestError) as caught:
+            await anext(link.execute(make_execute(1, "x" * MAX_FRAME_BYTES)))
+        assert caught.value.failure.outcome is Outcome.NOT_RUN
+        assert [message async for message in link.execute(make_execute(2))]
+
+
 async def test_sessions_end_with_their_connection() -> None:
     holder = Holder()
     async with open_pair(holder):
