Use TLS between nodes when the settings name an authority

The setting peers.tls_ca was checked but had no effect. With it, a node's certificate also serves its peers, and connections to peers are verified.

--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -36,6 +36,7 @@
 from radishtrack.proxy.rates import Rates
 from radishtrack.proxy.router import Router
 from radishtrack.proxy.slots import MakePromoter, Slots
+from radishtrack.proxy.tls import make_peer_client_tls
 from radishtrack.proxy.usage_reports import UsageReports
 from radishtrack.proxy.votes import Votes
 from radishtrack.routing.statement import make_classifier
@@ -95,7 +96,12 @@
         holder,
         membership,
         placement,
-        partial(open_link, node=node.id, secret=secret),
+        partial(
+            open_link,
+            node=node.id,
+            secret=secret,
+            tls=make_peer_client_tls(settings),
+        ),
         partial(metrics.count_control_bytes, "peer"),
     )
     identity = f"{node.id}.{incarnation}"
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import ssl
 from collections.abc import Coroutine
 from typing import Any, Final
 
@@ -55,6 +54,7 @@
 from radishtrack.proxy.rates import Rates
 from radishtrack.proxy.router import Router
 from radishtrack.proxy.slots import Slots
+from radishtrack.proxy.tls import make_client_side_tls, make_peer_server_tls
 from radishtrack.proxy.usage_reports import UsageReports
 from radishtrack.proxy.votes import Votes
 from radishtrack.settings import Settings
@@ -134,6 +134,7 @@
                 self.router.observe_control,
                 self.incarnation,
             ),
+            tls=make_peer_server_tls(self.settings),
         )
         for work in (
             self._follow_platform(),
@@ -155,7 +156,7 @@
             max_packet_bytes=self.settings.limits.max_statement_bytes,
             refuse_reason=self._refuse_reason,
             capabilities=DEFAULT_SERVER_CAPABILITIES,
-            ssl=_make_client_tls(self.settings),
+            ssl=make_client_side_tls(self.settings),
         )
         await self.frontend.start_server(
             host=listen.client_host, port=listen.client_port
@@ -393,11 +394,3 @@
         record.peer_address,
         record.state is VmState.LEAVING,
     )
-
-
-def _make_client_tls(settings: Settings) -> ssl.SSLContext | None:
-    if not settings.listen.tls_certificate:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(settings.listen.tls_certificate, settings.listen.tls_key)
-    return context
--- /dev/null
+++ b/src/radishtrack/proxy/tls.py
@@ -0,0 +1,36 @@
+"""TLS contexts of a node, made from its settings."""
+
+from __future__ import annotations
+
+import ssl
+
+from radishtrack.settings import Settings
+
+
+def make_client_side_tls(settings: Settings) -> ssl.SSLContext | None:
+    """Return the context for connections of clients; None without a certificate."""
+    listen = settings.listen
+    if not listen.tls_certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(listen.tls_certificate, listen.tls_key)
+    return context
+
+
+def make_peer_server_tls(settings: Settings) -> ssl.SSLContext | None:
+    """Return the context for connections of peers; None if peers don't use TLS."""
+    if not settings.peers.tls_ca:
+        return None
+    return make_client_side_tls(settings)
+
+
+def make_peer_client_tls(settings: Settings) -> ssl.SSLContext | None:
+    """Return the context for connections to peers.
+
+    The certificate of a peer must be signed by the authority in the settings and name
+    the address by which the peer is reached. Who the peer is, the handshake over the
+    connection proves with the fleet's secret.
+    """
+    if not settings.peers.tls_ca:
+        return None
+    return ssl.create_default_context(cafile=settings.peers.tls_ca)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
+import subprocess
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import attrs
 import pytest
@@ -75,7 +78,11 @@
 
 
 @asynccontextmanager
-async def open_pair(holder: Holder) -> AsyncIterator[PeerLink]:
+async def open_pair(
+    holder: Holder,
+    server_tls: ssl.SSLContext | None = None,
+    client_tls: ssl.SSLContext | None = None,
+) -> AsyncIterator[PeerLink]:
     server = await start_peer_server(
         HOST,
         0,
@@ -89,9 +96,14 @@
             lambda size: None,
             7,
         ),
+        tls=server_tls,
     )
     port = next(iter(server.sockets)).getsockname()[1]
-    link = await open_link(f"{HOST}:{port}", "p1", SECRET)
+    try:
+        link = await open_link(f"{HOST}:{port}", "p1", SECRET, tls=client_tls)
+    except BaseException:
+        server.close()
+        raise
     try:
         yield link
     finally:
@@ -204,3 +216,32 @@
         host, port = link.socket.remote_address[:2]
         with pytest.raises(LinkClosed, match="refused"):
             await open_link(f"{host}:{port}", "p3", b"another secret")
+
+
+def make_certificate(directory: Path) -> tuple[Path, Path]:
+    certificate, key = directory / "certificate.pem", directory / "key.pem"
+    subprocess.run(
+        [
+            *("openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes"),
+            *("-days", "2", "-subj", "/CN=radishtrack"),
+            *("-addext", "subjectAltName=IP:127.0.0.1"),
+            *("-keyout", str(key), "-out", str(certificate)),
+        ],
+        check=True,
+        capture_output=True,
+    )
+    return certificate, key
+
+
+async def test_peers_use_tls_and_refuse_strangers(tmp_path: Path) -> None:
+    certificate, key = make_certificate(tmp_path)
+    server_tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server_tls.load_cert_chain(certificate, key)
+    trusting = ssl.create_default_context(cafile=str(certificate))
+    async with open_pair(Holder(), server_tls, trusting) as link:
+        assert link.socket.transport.get_extra_info("cipher") is not None
+        assert [message async for message in link.execute(make_execute(1))]
+    for client_tls in (None, ssl.create_default_context()):
+        with pytest.raises(LinkClosed):
+            async with open_pair(Holder(), server_tls, client_tls):
+                pass
