--- a/src/radishtrack/backend/member_connection.py
+++ b/src/radishtrack/backend/admin_connection.py
@@ -25,7 +25,7 @@
 
 
 @attrs.define(frozen=True, eq=False)
-class MemberConnection:
+class AdminConnection:
     """One open connection; closed and replaced after any error.
 
     Parameters
@@ -97,7 +97,7 @@
     await connection._read_bytes(int.from_bytes(header[:3], "little"))
 
 
-Connect = Callable[[MemberEndpoint], Awaitable[MemberConnection]]
+Connect = Callable[[MemberEndpoint], Awaitable[AdminConnection]]
 
 
 def make_connect(password: str, user: str = ADMIN_USER) -> Connect:
@@ -116,7 +116,7 @@
         Takes a `MemberEndpoint`; the caller limits its time.
     """
 
-    async def connect(endpoint: MemberEndpoint) -> MemberConnection:
+    async def connect(endpoint: MemberEndpoint) -> AdminConnection:
         connection: Any = await aiomysql.connect(
             host=endpoint.host,
             port=endpoint.admin_port,
@@ -136,6 +136,6 @@
                 raise ValueError(f"{endpoint.member} returned no status")
             return parse_status(row)
 
-        return MemberConnection(run, connection.close)
+        return AdminConnection(run, connection.close)
 
     return connect
--- a/src/radishtrack/backend/member_commands.py
+++ b/src/radishtrack/backend/member_commands.py
@@ -8,10 +8,10 @@
 import attrs
 import pymysql
 
-from radishtrack.backend.member_connection import (
+from radishtrack.backend.admin_connection import (
     MEMBER_ERRORS,
+    AdminConnection,
     Connect,
-    MemberConnection,
 )
 from radishtrack.backend.member_sql import (
     STATUS_SQL,
@@ -115,7 +115,7 @@
     async def _run(
         self, member: str, record: GroupRecord, steps: Steps
     ) -> MemberStatus:
-        connection: MemberConnection | None = None
+        connection: AdminConnection | None = None
         try:
             async with asyncio.timeout(COMMAND_TIMEOUT_MS / 1000):
                 connection = await self.connect(record.endpoints[member])
--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -8,12 +8,12 @@
 from typing import Final
 
 from radishtrack.backend._waiters import CommitWaiter, RoundWaiter
-from radishtrack.backend.endpoint import MemberEndpoint
-from radishtrack.backend.member_connection import (
+from radishtrack.backend.admin_connection import (
     MEMBER_ERRORS,
+    AdminConnection,
     Connect,
-    MemberConnection,
 )
+from radishtrack.backend.endpoint import MemberEndpoint
 from radishtrack.backend.status_board import PolledStatus, StatusBoard
 from radishtrack.clock import Clock
 from radishtrack.events import Event, log_event
@@ -296,7 +296,7 @@
                 self.wakes[member].set()
 
     async def _poll_member(self, endpoint: MemberEndpoint, wake: asyncio.Event) -> None:
-        connection: MemberConnection | None = None
+        connection: AdminConnection | None = None
         try:
             while True:
                 wake.clear()
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -7,9 +7,9 @@
 import time
 from functools import partial
 
+from radishtrack.backend.admin_connection import make_connect
 from radishtrack.backend.database import DatabaseBackend
 from radishtrack.backend.member_commands import MemberCommands
-from radishtrack.backend.member_connection import make_connect
 from radishtrack.backend.monitor import Monitor
 from radishtrack.clock import Clock, make_system_clock
 from radishtrack.config.model import Database
--- a/src/radishtrack/proxy/copies.py
+++ b/src/radishtrack/proxy/copies.py
@@ -32,6 +32,8 @@
 """Keeps the traffic of an outage with 590 peers under 2 KB a second."""
 
 ANSWER_TIMEOUT_S: Final = 1.0
+NEVER_MS: Final = 1e12
+"""Age that stands for "never" in a message: nodes can't compare an infinite one."""
 
 
 @attrs.define
@@ -86,7 +88,7 @@
         objects = [
             seal_keys(
                 self.keyring,
-                min(age_ms, _LONG_MS),
+                min(age_ms, NEVER_MS),
                 self.secret,
                 known_digest=request.keys_digest,
             )
@@ -97,7 +99,7 @@
             nodes = self.membership.list_nodes(self.clock.now_ms())
             records = self.slots.records.values()
             objects.append(seal_fleet(records, nodes, self.secret))
-        return Copy(request.request, min(age_ms, _LONG_MS), tuple(objects))
+        return Copy(request.request, min(age_ms, NEVER_MS), tuple(objects))
 
     async def announce_revoked(self, organisations: frozenset[str]) -> None:
         """Tell connected peers about revoked keys, in case they can't learn it."""
@@ -212,7 +214,3 @@
             self.slots.update_record(record)
         if not self.membership.listed:
             self.membership.apply_list(fleet.nodes)
-
-
-_LONG_MS: Final = 1e12
-"""Stands for "never" in a message; an infinite age can't be compared across nodes."""
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -10,9 +10,9 @@
 
 from radishtrack.admission.gate import make_gate
 from radishtrack.admission.retry_budget import make_retry_budget
+from radishtrack.backend.admin_connection import make_connect
 from radishtrack.backend.connection import open_connection
 from radishtrack.backend.database import DatabaseBackend, ObserveWait
-from radishtrack.backend.member_connection import make_connect
 from radishtrack.backend.monitor import Monitor, make_monitor
 from radishtrack.backend.pool import make_pool
 from radishtrack.clock import Clock
--- a/src/radishtrack/proxy/votes.py
+++ b/src/radishtrack/proxy/votes.py
@@ -9,7 +9,7 @@
 import attrs
 import cbor2
 
-from radishtrack.backend.member_connection import MEMBER_ERRORS, make_connect
+from radishtrack.backend.admin_connection import MEMBER_ERRORS, make_connect
 from radishtrack.clock import Clock
 from radishtrack.group.record import format_record, parse_record
 from radishtrack.peer.link import LinkClosed
--- a/tests/test_group_failover.py
+++ b/tests/test_group_failover.py
@@ -16,9 +16,9 @@
 import attrs
 import pytest
 
+from radishtrack.backend.admin_connection import make_connect
 from radishtrack.backend.endpoint import MemberEndpoint
 from radishtrack.backend.member_commands import MemberCommands
-from radishtrack.backend.member_connection import make_connect
 from radishtrack.backend.monitor import Monitor, make_monitor
 from radishtrack.clock import Clock, make_system_clock
 from radishtrack.group import detection
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -9,8 +9,8 @@
 import pytest
 
 from radishtrack.backend import monitor as monitor_module
+from radishtrack.backend.admin_connection import AdminConnection
 from radishtrack.backend.endpoint import MemberEndpoint
-from radishtrack.backend.member_connection import MemberConnection
 from radishtrack.backend.monitor import Monitor, make_monitor
 from radishtrack.clock import Clock, make_system_clock
 from radishtrack.group.outcome import Confirmed, DidNotRun, StillUnknown
@@ -30,7 +30,7 @@
     polls: dict[str, int] = attrs.field(factory=lambda: dict.fromkeys(NAMES, 0))
     open: dict[str, int] = attrs.field(factory=lambda: dict.fromkeys(NAMES, 0))
 
-    async def connect(self, endpoint: MemberEndpoint) -> MemberConnection:
+    async def connect(self, endpoint: MemberEndpoint) -> AdminConnection:
         """Open a connection whose answers wait for the member's gate."""
 
         async def run(_: str) -> MemberStatus:
@@ -44,7 +44,7 @@
             self.open[endpoint.member] -= 1
 
         self.open[endpoint.member] += 1
-        return MemberConnection(run, close)
+        return AdminConnection(run, close)
 
 
 def answer_at(sequence: int) -> Callable[[str], MemberStatus]:
