--- a/src/radishtrack/backend/connection.py
+++ b/src/radishtrack/backend/connection.py
@@ -12,7 +12,7 @@
 from pymysql.constants import FIELD_TYPE
 from pymysql.err import MySQLError
 
-from radishtrack.backend.member_connection import read_row
+from radishtrack.backend.admin_connection import read_row
 from radishtrack.backend.member_sql import STATUS_SQL, parse_status
 
 if TYPE_CHECKING:
