--- /dev/null
+++ b/tests/test_frontend_stream.py
@@ -0,0 +1,85 @@
+"""Guards the clients' side against packets that are cut, split or too large."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from radishtrack.frontend.connection import (
+    BoundedReader,
+    ConnectionControl,
+    FrontendServer,
+    PacketTooLarge,
+)
+from radishtrack.frontend.identity import KeyIdentityProvider
+
+LIMIT = 1000
+
+
+def make_reader(*parts: bytes, ends: bool = True) -> BoundedReader:
+    reader = asyncio.StreamReader()
+    for part in parts:
+        reader.feed_data(part)
+    if ends:
+        reader.feed_eof()
+    return BoundedReader(reader, LIMIT)
+
+
+async def test_a_split_header_is_read_whole() -> None:
+    """The library alone would take the first segment for the whole header."""
+    reader = make_reader(ends=False)
+    reading = asyncio.ensure_future(reader.read(4))
+    await asyncio.sleep(0)
+    reader.reader.feed_data(b"\x01\x00")
+    await asyncio.sleep(0)
+    assert not reading.done()
+    reader.reader.feed_data(b"\x00\x00")
+    assert await reading == b"\x01\x00\x00\x00"
+
+
+async def test_the_end_between_packets_is_no_error() -> None:
+    assert await make_reader().read(4) == b""
+
+
+async def test_a_packet_cut_short_is_an_error() -> None:
+    with pytest.raises(asyncio.IncompleteReadError):
+        await make_reader(b"\x05\x00").read(4)
+    with pytest.raises(asyncio.IncompleteReadError):
+        await make_reader(b"abc").readexactly(5)
+
+
+async def test_a_packet_over_the_limit_is_not_read() -> None:
+    with pytest.raises(PacketTooLarge, match="1001"):
+        await make_reader(b"x").readexactly(LIMIT + 1)
+
+
+@pytest.mark.parametrize("sent", [b"", b"\x05", b"\x05\x00\x00\x01ab", b"\xff" * 64])
+async def test_broken_handshakes_leave_the_server_running(sent: bytes) -> None:
+    control = ConnectionControl(10)
+    server = FrontendServer(
+        session_factory=_make_session,
+        control=control,
+        identity_provider=KeyIdentityProvider(lambda *_: None),
+        max_packet_bytes=LIMIT,
+        refuse_reason=lambda: None,
+    )
+    await server.start_server(host="127.0.0.1", port=0)
+    port = server.sockets()[0].getsockname()[1]
+    for _ in range(2):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        assert (await reader.read(5))[4:] == b"\x0a", "protocol version of MySQL"
+        writer.write(sent)
+        writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+        await reader.read()
+        writer.close()
+    await asyncio.sleep(0.05)
+    assert control.connections == {}
+    server.close()
+
+
+def _make_session() -> object:
+    from mysql_mimic.session import Session
+
+    return Session()
