Give organisations with low rates one preferred holder

Cause: tokens fetched by one holder can't be used at another until they expire, so that an organisation with 2 statements a second and a burst of 2 was refused within its rate when its sessions came through several proxies. Change: up to 100 statements a second its entries prefer the same holder.

--- a/src/radishtrack/proxy/access.py
+++ b/src/radishtrack/proxy/access.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from radishtrack.config.document import Document
 from radishtrack.config.model import Database, Organisation, Route
 from radishtrack.errors import ErrorCode, Failure, Outcome, RequestError
 from radishtrack.proxy.client_state import ClientState
 from radishtrack.routing.statement import Kind, Statement
 
+AFFINITY_RATE: Final = 100.0
+"""Statements a second up to which an organisation prefers one holder."""
+
 
 def find_database(document: Document, state: ClientState) -> Database:
     """Return the database that a client's statement is for.
@@ -65,6 +70,19 @@
     )
 
 
+def find_affinity(document: Document, organisation: str) -> str:
+    """Return the text by which an organisation's holder is preferred; empty for none.
+
+    Tokens that one holder has fetched can't be used at another one until they expire.
+    For an organisation with few of them that means refusals within its rate, so all
+    its statements go to one holder while that works.
+    """
+    found = document.organisations.get(organisation)
+    if found is None or found.rate > AFFINITY_RATE:
+        return ""
+    return organisation
+
+
 def find_route(document: Document, database: Database, statement: Statement) -> Route:
     """Return the route of a read.
 
--- a/src/radishtrack/proxy/entry.py
+++ b/src/radishtrack/proxy/entry.py
@@ -25,7 +25,12 @@
 from radishtrack.membership.drain import Drain, DrainDecision
 from radishtrack.metrics import Metrics
 from radishtrack.peer.messages import Done, Execute, Failed, Message, ResultHead, Rows
-from radishtrack.proxy.access import check_access, find_database, find_route
+from radishtrack.proxy.access import (
+    check_access,
+    find_affinity,
+    find_database,
+    find_route,
+)
 from radishtrack.proxy.client_state import (
     COMMIT_REQUEST,
     OPEN_ORGANISATION,
@@ -231,7 +236,10 @@
             messages = self.router.execute_at(state.holder, numbered)
         else:
             holders = self.router.list_holders(
-                database.name, database.region, database.slots
+                database.name,
+                database.region,
+                database.slots,
+                find_affinity(self.get_document(), request.organisation),
             )
             # A transaction that was begun and is not used has no effect, so that a
             # failed BEGIN may be sent to another holder like a read.
--- a/src/radishtrack/proxy/router.py
+++ b/src/radishtrack/proxy/router.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
+from functools import partial
 from typing import Final
 
 import attrs
@@ -13,7 +14,7 @@
 from radishtrack.clock import Clock
 from radishtrack.errors import Outcome, RequestError, make_not_run, make_unknown
 from radishtrack.membership.nodes import Membership, Node
-from radishtrack.membership.placement import Placement
+from radishtrack.membership.placement import Placement, compute_weight
 from radishtrack.peer.link import LinkClosed, PeerLink
 from radishtrack.peer.messages import EndSession, Execute, Failed, Message
 from radishtrack.proxy.holder import Holder
@@ -66,7 +67,9 @@
     opening: dict[str, asyncio.Lock] = attrs.field(factory=dict)
     numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
 
-    def list_holders(self, database: str, region: str, slots: int) -> tuple[str, ...]:
+    def list_holders(
+        self, database: str, region: str, slots: int, affinity: str = ""
+    ) -> tuple[str, ...]:
         """Return the holders of a database, the preferred one first.
 
         Parameters
@@ -75,8 +78,13 @@
             The database and its region.
         slots : int
             How many nodes hold it.
+        affinity : str
+            If given, the order depends on this text and not on the distance, so that
+            all nodes prefer the same holder for it.
         """
         nodes = self.placement.place_slots(database, region, slots)
+        if affinity:
+            return tuple(sorted(nodes, key=partial(compute_weight, affinity)))
         return tuple(sorted(nodes, key=self._distance))
 
     async def execute(
--- a/src/radishtrack_standins/cluster.py
+++ b/src/radishtrack_standins/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import http.client
 import json
 import os
 import signal
@@ -123,7 +124,8 @@
                 f"http://{HOST}:{self.admin_port}/readyz", timeout=1
             ) as answer:
                 return int(answer.status) == 200
-        except OSError:
+        except (OSError, http.client.HTTPException):
+            # Another process may have taken the port since it was chosen.
             return False
 
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -156,3 +156,16 @@
     with pytest.raises(LinkClosed):
         await world.router.get_link("p9")
     assert world.router.list_wanted.is_set()
+
+
+def test_an_affinity_gives_every_node_the_same_order() -> None:
+    """An organisation with few tokens would get them split over its holders."""
+    orders = set()
+    for node in NODES:
+        router = attrs.evolve(make_world([], []).router, node=node)
+        orders.add(router.list_holders("d", "norge-ost", 3, "verksted"))
+    assert len(orders) == 1
+    router = make_world([], []).router
+    first = {router.list_holders("d", "norge-ost", 3, f"o{n}")[0] for n in range(50)}
+    assert first == {"p1", "p2", "p3"}
+    assert router.list_holders("d", "norge-ost", 3)[0] == "p1"
