--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -169,10 +169,7 @@
             request = decode_request(message.payload)
         except CodecError:
             return Tokens(message.request, b"", "")
-        grant = self.allocators.grant(request)
-        lease_node = (
-            "" if grant else self.allocators.find_lease_node(request.organisation)
-        )
+        grant, lease_node = self._grant_here(request)
         return Tokens(message.request, encode_grant(grant), lease_node)
 
     async def run(self) -> None:
@@ -278,10 +275,7 @@
         self, name: str, request: TokenRequest
     ) -> tuple[TokenGrant | None, str]:
         if name == self.router.node.id:
-            grant = self.allocators.grant(request)
-            return grant, "" if grant else self.allocators.find_lease_node(
-                request.organisation
-            )
+            return self._grant_here(request)
         number = next(self.numbers)
         message = TokensWanted(number, encode_request(request))
         try:
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -85,10 +85,7 @@
     def is_behind(self, database: str) -> bool:
         """Tell whether a member belongs to a later term than the known record."""
         backend = self.holder.databases.get(database)
-        if backend is None:
-            return False
-        statuses = backend.list_answering().values()
-        return any(status.term > backend.group.term for status in statuses)
+        return backend is not None and backend.is_replaced(backend.group)
 
     def list_voters(self, database: str) -> tuple[str, ...]:
         """Return the voters of a database that is held here."""
