Rename the package of the object API client to objects

The users' machines bring a platform of their own, whose adapter will be the package named platform. Two packages of one name would confuse a reader, so the client of the product's own object API moves to radishtrack.objects. No behaviour changes.

--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -30,7 +30,7 @@
 from radishtrack.keys.keyring import KIND as KEYS_KIND
 from radishtrack.keys.keyring import make_keyring
 from radishtrack.membership.nodes import make_membership
-from radishtrack.platform.records import VmRecord, VmState, parse_object, parse_vm
+from radishtrack.objects.records import VmRecord, VmState, parse_object, parse_vm
 from radishtrack.proxy.node import _make_node
 
 ORGANISATION_SIZES: Final = (8, 100, ORGANISATIONS)
--- a/benchmarks/capacity/node.py
+++ b/benchmarks/capacity/node.py
@@ -43,9 +43,9 @@
 from radishtrack.config.document import Document, make_document
 from radishtrack.config.model import Database
 from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
-from radishtrack.platform.budget import CallBudget
-from radishtrack.platform.client import PlatformClient, make_platform_client
-from radishtrack.platform.records import VmRecord, VmState
+from radishtrack.objects.budget import CallBudget
+from radishtrack.objects.client import PlatformClient, make_platform_client
+from radishtrack.objects.records import VmRecord, VmState
 from radishtrack.proxy.node import NodeServer, make_node_server
 from radishtrack.settings import load_settings
 from radishtrack_standins.launch import StandinProcess, start_standin
--- a/benchmarks/capacity/watch.py
+++ b/benchmarks/capacity/watch.py
@@ -45,11 +45,11 @@
 )
 from radishtrack.config.store import CHUNK_KIND, MANIFEST_KIND, MANIFEST_NAME
 from radishtrack.keys.keyring import KIND as KEYS_KIND
-from radishtrack.platform.client import PlatformClient
-from radishtrack.platform.records import (
+from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.records import (
     WatchAnswer,
 )
-from radishtrack.platform.watch import follow_objects
+from radishtrack.objects.watch import follow_objects
 from radishtrack.proxy.node import WATCHED_KINDS
 from radishtrack_standins.launch import StandinProcess, start_standin
 
--- a/src/radishtrack/cli/_platform.py
+++ b/src/radishtrack/cli/_platform.py
@@ -14,8 +14,8 @@
     StoreUnavailable,
     WriteResult,
 )
-from radishtrack.platform.client import PlatformClient, make_platform_client
-from radishtrack.platform.records import (
+from radishtrack.objects.client import PlatformClient, make_platform_client
+from radishtrack.objects.records import (
     PlatformRefusal,
     PlatformUnavailable,
     VmRecord,
--- a/src/radishtrack/platform/client.py
+++ b/src/radishtrack/objects/client.py
@@ -13,14 +13,14 @@
 import attrs
 
 from radishtrack.clock import Clock
-from radishtrack.platform.budget import (
+from radishtrack.objects.budget import (
     CallBudget,
     Priority,
     Random,
     backoff_ms,
     take_call,
 )
-from radishtrack.platform.records import (
+from radishtrack.objects.records import (
     Conflict,
     PlatformObject,
     PlatformRefusal,
--- a/src/radishtrack/platform/watch.py
+++ b/src/radishtrack/objects/watch.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 from radishtrack.events import Event, log_event
-from radishtrack.platform.budget import backoff_ms
-from radishtrack.platform.client import PlatformClient
-from radishtrack.platform.records import (
+from radishtrack.objects.budget import backoff_ms
+from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.records import (
     PlatformRefusal,
     PlatformUnavailable,
     WatchAnswer,
--- a/src/radishtrack/proxy/allocators.py
+++ b/src/radishtrack/proxy/allocators.py
@@ -11,8 +11,8 @@
 from radishtrack.config.document import Document
 from radishtrack.events import Event, log_event
 from radishtrack.membership.placement import Placement
-from radishtrack.platform.client import PlatformClient
-from radishtrack.platform.records import PlatformRefusal, PlatformUnavailable, Written
+from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.records import PlatformRefusal, PlatformUnavailable, Written
 from radishtrack.rates.allocator import Allocator, make_allocator
 from radishtrack.rates.lease import LeaseWrite
 from radishtrack.rates.messages import (
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -22,8 +22,8 @@
 from radishtrack.membership.nodes import Node, make_membership
 from radishtrack.membership.placement import make_placement
 from radishtrack.metrics import make_metrics
+from radishtrack.objects.client import PlatformClient, make_platform_client
 from radishtrack.peer.link import open_link
-from radishtrack.platform.client import PlatformClient, make_platform_client
 from radishtrack.proxy.allocators import Allocators
 from radishtrack.proxy.configuration_feed import ConfigurationFeed
 from radishtrack.proxy.copies import Copies
--- a/src/radishtrack/proxy/configuration_feed.py
+++ b/src/radishtrack/proxy/configuration_feed.py
@@ -12,8 +12,8 @@
 from radishtrack.config.state import ConfigurationState
 from radishtrack.config.store import CHUNK_KIND
 from radishtrack.events import Event, log_event
-from radishtrack.platform.client import PlatformClient
-from radishtrack.platform.records import PlatformRefusal, PlatformUnavailable
+from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.records import PlatformRefusal, PlatformUnavailable
 
 CHUNK_RETRY_S: Final = 0.2
 
--- a/src/radishtrack/proxy/copies.py
+++ b/src/radishtrack/proxy/copies.py
@@ -15,9 +15,9 @@
 from radishtrack.keys.copy import apply_copy, compute_digest, open_keys, seal_keys
 from radishtrack.keys.keyring import Keyring, RevokedKey, make_keyring
 from radishtrack.membership.nodes import Membership
+from radishtrack.objects.client import PlatformClient
 from radishtrack.peer.link import LinkClosed, PeerLink
 from radishtrack.peer.messages import Copy, CopyRequest, KeysChanged
-from radishtrack.platform.client import PlatformClient
 from radishtrack.proxy.fleet_copy import open_fleet, seal_fleet
 from radishtrack.proxy.router import Router
 from radishtrack.proxy.slots import Slots
--- a/src/radishtrack/proxy/group_store.py
+++ b/src/radishtrack/proxy/group_store.py
@@ -13,9 +13,9 @@
     format_record,
     parse_record,
 )
-from radishtrack.platform.budget import Priority
-from radishtrack.platform.client import PlatformClient
-from radishtrack.platform.records import (
+from radishtrack.objects.budget import Priority
+from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.records import (
     Conflict,
     PlatformRefusal,
     PlatformUnavailable,
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -27,6 +27,15 @@
 from radishtrack.membership.nodes import Membership, Node
 from radishtrack.membership.placement import Placement
 from radishtrack.metrics import Metrics
+from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.records import (
+    PlatformRefusal,
+    PlatformUnavailable,
+    VmRecord,
+    VmState,
+    WatchAnswer,
+)
+from radishtrack.objects.watch import follow_objects
 from radishtrack.peer.messages import (
     CopyRequest,
     KeysChanged,
@@ -37,15 +46,6 @@
     VoteRequest,
 )
 from radishtrack.peer.server import PeerHandlers, start_peer_server
-from radishtrack.platform.client import PlatformClient
-from radishtrack.platform.records import (
-    PlatformRefusal,
-    PlatformUnavailable,
-    VmRecord,
-    VmState,
-    WatchAnswer,
-)
-from radishtrack.platform.watch import follow_objects
 from radishtrack.proxy.client_state import OPEN_ORGANISATION
 from radishtrack.proxy.configuration_feed import ConfigurationFeed
 from radishtrack.proxy.copies import Copies
--- a/src/radishtrack/proxy/rates.py
+++ b/src/radishtrack/proxy/rates.py
@@ -26,6 +26,10 @@
     make_not_run,
 )
 from radishtrack.events import Event, log_event
+from radishtrack.objects.records import (
+    PlatformRefusal,
+    PlatformUnavailable,
+)
 from radishtrack.peer.codec import CodecError
 from radishtrack.peer.link import LinkClosed
 from radishtrack.peer.messages import Tokens, TokensWanted
@@ -35,10 +39,6 @@
     encode_grant,
     encode_request,
 )
-from radishtrack.platform.records import (
-    PlatformRefusal,
-    PlatformUnavailable,
-)
 from radishtrack.proxy.allocators import IDLE_MS, Allocators
 from radishtrack.proxy.client_state import OPEN_ORGANISATION
 from radishtrack.proxy.router import NOT_HELD_STEP, Router
--- a/src/radishtrack/proxy/usage_reports.py
+++ b/src/radishtrack/proxy/usage_reports.py
@@ -8,9 +8,9 @@
 import attrs
 
 from radishtrack.clock import Clock
-from radishtrack.platform.budget import Priority
-from radishtrack.platform.client import PlatformClient
-from radishtrack.platform.records import (
+from radishtrack.objects.budget import Priority
+from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.records import (
     PlatformRefusal,
     PlatformUnavailable,
     Written,
--- a/tests/test_group_failover.py
+++ b/tests/test_group_failover.py
@@ -31,7 +31,7 @@
 from radishtrack.group.outcome import Confirmed, DidNotRun, StillUnknown
 from radishtrack.group.record import GroupRecord, format_record
 from radishtrack.group.status import Group, MemberStatus, Role
-from radishtrack.platform.client import PlatformClient, make_platform_client
+from radishtrack.objects.client import PlatformClient, make_platform_client
 from radishtrack.proxy.group_store import GroupStore, make_group_store
 from radishtrack.proxy.promoter import Promoter, make_promoter
 from radishtrack.proxy.promoter_place import PromoterPlace
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -10,14 +10,14 @@
 import pytest
 
 from radishtrack.clock import ManualTime, make_manual_clock, make_system_clock
-from radishtrack.platform.budget import (
+from radishtrack.objects.budget import (
     CallBudget,
     Priority,
     backoff_ms,
     take_call,
 )
-from radishtrack.platform.client import PlatformClient, make_platform_client
-from radishtrack.platform.records import (
+from radishtrack.objects.client import PlatformClient, make_platform_client
+from radishtrack.objects.records import (
     Conflict,
     PlatformObject,
     PlatformRefusal,
@@ -28,7 +28,7 @@
     WriteAnswer,
     Written,
 )
-from radishtrack.platform.watch import follow_objects
+from radishtrack.objects.watch import follow_objects
 from radishtrack_standins.platform import RunningPlatform, start_platform
 from radishtrack_standins.platform_faults import apply_switches
 
