--- a/src/radishtrack/clock.py
+++ b/src/radishtrack/clock.py
@@ -39,6 +39,17 @@
     return Clock(lambda: time.monotonic_ns() / NANOSECONDS_PER_MILLISECOND)
 
 
+def make_boot_clock() -> Clock:
+    """Return a clock that also counts the time for which the VM was suspended.
+
+    The monotonic clock stands still while a VM is suspended, so evidence would look
+    younger than it is after the VM continues.
+    """
+    return Clock(
+        lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NANOSECONDS_PER_MILLISECOND
+    )
+
+
 def make_manual_clock(manual_time: ManualTime) -> Clock:
     """Return a clock that reads `manual_time`."""
     return Clock(lambda: manual_time.value_ms)
--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -315,6 +315,69 @@
     value: bytes
 
 
+@attrs.define(frozen=True)
+class WithdrawBelief:
+    """Asks the receiver to drop its evidence of who leads a group.
+
+    The sender has fenced the group's members, so the receiver can't gather new evidence
+    until a promotion has taken effect or was given up.
+    """
+
+    request: int
+    database: str
+
+
+@attrs.define(frozen=True)
+class BeliefWithdrawn:
+    """Answers `WithdrawBelief` once it is in force."""
+
+    request: int
+
+
+@attrs.define(frozen=True)
+class SharesWanted:
+    """Lends the sender's shares of all rates and asks for tokens.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    epoch : int
+        The receiver's period as holder of the rates.
+    reply : int
+        Number of the last `SharesGranted` of this period that the sender has received.
+    wanted : tuple
+        Pairs of organisation and number of tokens.
+    """
+
+    request: int
+    epoch: int
+    reply: int
+    wanted: tuple[tuple[str, int], ...]
+
+
+@attrs.define(frozen=True)
+class SharesGranted:
+    """Answers `SharesWanted`.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    epoch : int
+        The sender's period as holder of the rates; 0 if it is not the holder.
+    reply : int
+        Number of this answer in the period.
+    granted : tuple
+        Organisation, number of tokens, and milliseconds until there may be more.
+    """
+
+    request: int
+    epoch: int
+    reply: int
+    granted: tuple[tuple[str, int, float], ...]
+
+
 Message = (
     Hello
     | Challenge
@@ -338,6 +401,10 @@
     | RecordRequest
     | Record
     | KeysChanged
+    | WithdrawBelief
+    | BeliefWithdrawn
+    | SharesWanted
+    | SharesGranted
 )
 
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
@@ -363,5 +430,9 @@
     RecordRequest,
     Record,
     KeysChanged,
+    WithdrawBelief,
+    BeliefWithdrawn,
+    SharesWanted,
+    SharesGranted,
 )
 """The place in this tuple is the type number on the wire; only append."""
--- /dev/null
+++ b/src/radishtrack/platform/control_store.py
@@ -0,0 +1,132 @@
+"""The control store of the pooler on the platform's object store."""
+
+from __future__ import annotations
+
+import secrets
+from typing import Final
+
+import attrs
+
+from radishtrack.events import Event, log_event
+from radishtrack.platform.documents import (
+    DocumentError,
+    parse_catalog,
+    parse_member,
+    parse_node,
+    parse_usable,
+    render_node,
+)
+from radishtrack.platform.object_store import ObjectStoreClient, StoredObject
+from radishtrack.pooler.catalog import Catalog, Member, NodeRecord
+from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
+
+CONFIG_KIND: Final = "config"
+CONFIG_NAME: Final = "main"
+MEMBERS_KIND: Final = "servers"
+FLEET_KIND: Final = "radishtrack"
+"""Kind of the system's own objects; one list returns them all."""
+NODE_PREFIX: Final = "node."
+DUTY_PREFIX: Final = "duty."
+SECRET_NAME: Final = "secret"
+SECRET_BYTES: Final = 32
+MAX_REPORTED: Final = 1_000
+"""Unusable entries that are remembered, so that each is logged once."""
+
+
+@attrs.define(eq=False)
+class PlatformControlStore:
+    """Implements `ControlStore`."""
+
+    client: ObjectStoreClient
+    reported: set[tuple[str, str]] = attrs.field(factory=set)
+
+    async def list_fleet(self) -> FleetListing:
+        """Return the registered nodes and the duties."""
+        listing = await self.client.list_objects(FLEET_KIND)
+        nodes = parse_usable(
+            (item for item in listing.objects if item.name.startswith(NODE_PREFIX)),
+            parse_node,
+            self._report,
+        )
+        duties = {
+            item.name.removeprefix(DUTY_PREFIX): _parse_duty(item)
+            for item in listing.objects
+            if item.name.startswith(DUTY_PREFIX)
+        }
+        return FleetListing(tuple(nodes), duties, listing.revision)
+
+    async def register_node(self, node: NodeRecord) -> None:
+        """Create or replace a node's record."""
+        name = NODE_PREFIX + node.name
+        spec = render_node(node)
+        if await self.client.create(FLEET_KIND, name, spec) is not None:
+            return
+        present = await self.client.get(FLEET_KIND, name)
+        if present is not None:
+            await self.client.replace(FLEET_KIND, name, spec, present.revision)
+
+    async def remove_node(self, name: str) -> None:
+        """Delete a node's record."""
+        await self.client.delete(FLEET_KIND, NODE_PREFIX + name)
+
+    async def read_catalog(self) -> Catalog | None:
+        """Return the present configuration."""
+        stored = await self.client.get(CONFIG_KIND, CONFIG_NAME)
+        if stored is None:
+            return None
+        try:
+            return parse_catalog(stored)
+        except DocumentError as error:
+            self._report(f"{CONFIG_KIND}/{CONFIG_NAME}@{stored.revision}", error)
+            raise StoreUnavailable(
+                "configuration", str(error), is_effect_unknown=False
+            ) from error
+
+    async def list_members(self) -> tuple[Member, ...]:
+        """Return the registered members whose entries are valid."""
+        listing = await self.client.list_objects(MEMBERS_KIND)
+        return tuple(parse_usable(iter(listing.objects), parse_member, self._report))
+
+    async def claim_duty(
+        self, name: str, duty: Duty, holder: str, claim: str
+    ) -> Duty | None:
+        """Replace a duty's record if it is still `duty`."""
+        stored_name = DUTY_PREFIX + name
+        spec = {"holder": holder, "claim": claim}
+        if duty.revision == 0:
+            stored = await self.client.create(FLEET_KIND, stored_name, spec)
+        else:
+            stored = await self.client.replace(
+                FLEET_KIND, stored_name, spec, duty.revision
+            )
+        return Duty(holder, stored.revision, claim) if stored is not None else None
+
+    async def read_secret(self) -> bytes:
+        """Return the secret of the fleet's peers, creating it if there is none."""
+        spec = {"secret": secrets.token_hex(SECRET_BYTES)}
+        stored = await self.client.get(FLEET_KIND, SECRET_NAME)
+        if stored is None:
+            stored = await self.client.create(FLEET_KIND, SECRET_NAME, spec)
+        if stored is None:
+            stored = await self.client.get(FLEET_KIND, SECRET_NAME)
+        try:
+            if stored is None:
+                raise ValueError("the secret was created and is gone")
+            return bytes.fromhex(stored.spec["secret"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise StoreUnavailable(
+                "secret", repr(error), is_effect_unknown=False
+            ) from error
+
+    def _report(self, name: str, error: Exception) -> None:
+        fault = (name, str(error))
+        if fault not in self.reported and len(self.reported) < MAX_REPORTED:
+            self.reported.add(fault)
+            log_event(Event.LISTING_INVALID, object=name, reason=error)
+
+
+def _parse_duty(stored: StoredObject) -> Duty:
+    spec = stored.spec if isinstance(stored.spec, dict) else {}
+    return Duty(
+        str(spec.get("holder", "")), stored.revision, str(spec.get("claim", ""))
+    )
--- /dev/null
+++ b/src/radishtrack/platform/documents.py
@@ -0,0 +1,205 @@
+"""The operators' configuration and the members' entries, decoded into our types."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any, Final, TypeVar
+
+from radishtrack.group.status import Role
+from radishtrack.platform.object_store import StoredObject
+from radishtrack.pooler.catalog import (
+    Catalog,
+    GroupSettings,
+    Member,
+    NodeRecord,
+    Organisation,
+    ReadClass,
+    Route,
+    digest_key,
+)
+
+READ_CLASSES: Final = {
+    "primary": ReadClass.STRICT,
+    "session": ReadClass.SESSION,
+    "bounded_staleness": ReadClass.AGED,
+}
+ROLES: Final = {"primary": Role.PRIMARY, "replica": Role.REPLICA}
+STATES: Final = {"ready": False, "draining": True}
+"""Whether a member in this state is leaving."""
+
+_T = TypeVar("_T")
+NotUsable = Callable[[str, Exception], None]
+"""Told the name of an object that can't be used, and why."""
+
+
+class DocumentError(ValueError):
+    """Raised for an object whose fields are missing or of another type."""
+
+
+def parse_catalog(stored: StoredObject) -> Catalog:
+    """Return a version of the configuration.
+
+    Raises
+    ------
+    DocumentError
+        If it can't be understood.
+    """
+    spec = stored.spec
+    try:
+        routes = [_parse_route(item) for item in spec["routes"]]
+        organisations: dict[str, Organisation] = {}
+        owners: dict[bytes, Organisation] = {}
+        for item in spec["tenants"]:
+            organisation = Organisation(
+                name=_text(item, "name"),
+                rate_per_s=_number(item, "ratePerS"),
+                burst=_number(item, "burst"),
+            )
+            organisations[organisation.name] = organisation
+            for key in item["apiKeys"]:
+                owners[digest_key(key)] = organisation
+        groups = [_parse_group(item) for item in spec["services"]]
+        return Catalog(
+            version=_integer(spec, "version"),
+            routes={route.database: route for route in routes},
+            organisations=organisations,
+            key_owners=owners,
+            groups={group.name: group for group in groups},
+            idle_transaction_ms=_number(spec["limits"], "txIdleMs"),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f"configuration: {error!r}") from error
+
+
+def _parse_route(item: Any) -> Route:
+    read_class = READ_CLASSES[item["kind"]]
+    needs_age = read_class is not ReadClass.STRICT
+    return Route(
+        # The name of the database that clients ask for.
+        database=_text(item, "host"),
+        group=_text(item, "service"),
+        read_class=read_class,
+        max_age_ms=_number(item, "maxStalenessMs") if needs_age else 0.0,
+        # Limits one statement; the objective is for the whole operation.
+        statement_timeout_ms=_number(item, "timeoutMs"),
+        objective_ms=_number(item, "objectiveMs"),
+        priority=_integer(item, "priority"),
+        is_open=bool(item.get("public", False)),
+    )
+
+
+def _parse_group(item: Any) -> GroupSettings:
+    return GroupSettings(
+        name=_text(item, "name"),
+        max_connections=_integer(item, "maxConns"),
+        synchronous_replicas=_integer(item, "syncReplicas")
+        if "syncReplicas" in item
+        else 0,
+    )
+
+
+def parse_member(stored: StoredObject) -> Member:
+    """Return a member's entry.
+
+    Raises
+    ------
+    DocumentError
+        If it is not a valid entry; it then names no member.
+    """
+    spec = stored.spec
+    try:
+        host, port = parse_address(_text(spec, "address"))
+        return Member(
+            name=stored.name,
+            group=_text(spec, "service"),
+            host=host,
+            port=port,
+            zone=_text(spec, "zone"),
+            slots=_integer(spec, "slots"),
+            is_leaving=STATES[spec["state"]],
+            role=ROLES[spec["dbRole"]],
+            # A restart under the same name shows only here.
+            started_ms=_integer(spec, "born") if "born" in spec else 0,
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise DocumentError(f"entry of a member: {error!r}") from error
+
+
+def render_node(node: NodeRecord) -> dict[str, object]:
+    """Return the object content of a node's record."""
+    return {
+        "name": node.name,
+        "host": node.host,
+        "port": node.port,
+        "zone": node.zone,
+        "startedMs": node.started_ms,
+    }
+
+
+def parse_node(stored: StoredObject) -> NodeRecord:
+    """Return a node's record.
+
+    Raises
+    ------
+    DocumentError
+        If it is not a valid record.
+    """
+    spec = stored.spec
+    try:
+        return NodeRecord(
+            name=_text(spec, "name"),
+            host=_text(spec, "host"),
+            port=_integer(spec, "port"),
+            zone=_text(spec, "zone"),
+            started_ms=_integer(spec, "startedMs"),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise DocumentError(f"record of a node: {error!r}") from error
+
+
+def parse_usable(
+    stored: Iterator[StoredObject],
+    parse: Callable[[StoredObject], _T],
+    not_usable: NotUsable,
+) -> Iterator[_T]:
+    """Yield what can be parsed and report the rest."""
+    for item in stored:
+        try:
+            yield parse(item)
+        except DocumentError as error:
+            not_usable(item.name, error)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    Raises
+    ------
+    ValueError
+        If the text is not of this form.
+    """
+    host, colon, port = text.rpartition(":")
+    if not host or not colon or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text[:60]!r}")
+    return host, int(port)
+
+
+def _text(item: Any, field: str) -> str:
+    value = item[field]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{field} is not a text")
+    return value
+
+
+def _integer(item: Any, field: str) -> int:
+    value = item[field]
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{field} is not a whole number")
+    return value
+
+
+def _number(item: Any, field: str) -> float:
+    value = item[field]
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{field} is not a number")
+    return float(value)
--- /dev/null
+++ b/src/radishtrack/platform/frontend.py
@@ -0,0 +1,143 @@
+"""Serves clients in the platform's line protocol, one task for each connection."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import attrs
+
+from radishtrack.events import Event, log_event
+from radishtrack.platform.lines import ConnectionEnded, LineConnection, encode_line
+from radishtrack.platform.wire import (
+    WireError,
+    format_client_answer,
+    format_error,
+    format_ready,
+    parse_query,
+    parse_startup,
+)
+from radishtrack.pooler.node import Node
+from radishtrack.pooler.session import ClientSession, Denied
+from radishtrack.pooler.statements import TransactionState
+
+STARTUP_TIMEOUT_MS: Final = 5_000.0
+"""A connection that sends nothing is closed; clients give up after 2 s."""
+BACKLOG: Final = 512
+"""Connections that wait to be accepted; a full queue costs clients seconds."""
+
+
+@attrs.define(eq=False)
+class ClientConnection:
+    """One client: its connection, its session and whether it waits for a request."""
+
+    connection: LineConnection
+    session: ClientSession | None = None
+    is_waiting: bool = False
+
+    @property
+    def may_close(self) -> bool:
+        """Whether closing now ends no request and no transaction."""
+        is_idle = self.session is None or self.session.state is TransactionState.IDLE
+        return self.is_waiting and is_idle and not self.connection.has_input
+
+
+@attrs.define(eq=False)
+class Frontend:
+    """All clients of a node; construct it with `start_frontend`."""
+
+    node: Node
+    server: asyncio.Server | None = None
+    clients: set[ClientConnection] = attrs.field(factory=set)
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    is_closing_idle: bool = False
+
+    def accept(self, connection: LineConnection) -> None:
+        """Start the task of a new connection."""
+        task = asyncio.create_task(self._serve(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        if self.server is not None:
+            self.server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections without a request, now and after each answer."""
+        self.is_closing_idle = True
+        for client in tuple(self.clients):
+            if client.may_close:
+                client.connection.close()
+
+    async def _serve(self, connection: LineConnection) -> None:
+        client = ClientConnection(connection)
+        self.clients.add(client)
+        try:
+            await self._start_session(client)
+            while client.session is not None and await self._serve_next(client):
+                pass
+        except ConnectionEnded:
+            pass
+        except WireError as error:
+            log_event(Event.CLIENT_MALFORMED, reason=error)
+        finally:
+            self.clients.discard(client)
+            if client.session is not None:
+                await self.node.close_session(client.session)
+            connection.close()
+
+    async def _start_session(self, client: ClientConnection) -> None:
+        connection = client.connection
+        try:
+            async with asyncio.timeout(STARTUP_TIMEOUT_MS / 1000):
+                line = await connection.read_line()
+        except TimeoutError:
+            return
+        database, key = parse_startup(line)
+        opened = await self.node.open_session(database, key)
+        if isinstance(opened, Denied):
+            connection.write(encode_line(format_error(opened.refusal, opened.detail)))
+            return
+        client.session = opened
+        connection.write(encode_line(format_ready(opened.state)))
+
+    async def _serve_next(self, client: ClientConnection) -> bool:
+        """Serve one request; return whether the session goes on."""
+        session, connection = client.session, client.connection
+        assert session is not None
+        is_idle = session.state is TransactionState.IDLE and not connection.has_input
+        if self.is_closing_idle and is_idle:
+            return False
+        line = await self._read_request(client)
+        if line == "TERMINATE":
+            return False
+        answer = await session.handle(parse_query(line))
+        connection.write(encode_line(format_client_answer(answer)))
+        return not session.must_close
+
+    async def _read_request(self, client: ClientConnection) -> str:
+        session = client.session
+        assert session is not None
+        client.is_waiting = True
+        try:
+            if session.state is TransactionState.OPEN:
+                idle_ms = self.node.control.catalog.idle_transaction_ms
+                try:
+                    async with asyncio.timeout(idle_ms / 1000):
+                        return await client.connection.read_line()
+                except TimeoutError:
+                    await session.expire_transaction()
+            return await client.connection.read_line()
+        finally:
+            client.is_waiting = False
+
+
+async def start_frontend(node: Node, host: str, port: int) -> Frontend:
+    """Listen for clients."""
+    frontend = Frontend(node)
+    loop = asyncio.get_running_loop()
+    frontend.server = await loop.create_server(
+        lambda: LineConnection(frontend.accept), host, port, backlog=BACKLOG
+    )
+    return frontend
--- /dev/null
+++ b/src/radishtrack/platform/main.py
@@ -0,0 +1,171 @@
+"""Entry point of a node on the platform."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+import uvloop
+
+from radishtrack.clock import make_boot_clock
+from radishtrack.events import Event, log_event
+from radishtrack.log_output import configure_stdout_logging
+from radishtrack.platform.control_store import PlatformControlStore
+from radishtrack.platform.endpoints import start_metrics_endpoint, start_ready_endpoint
+from radishtrack.platform.frontend import Frontend, start_frontend
+from radishtrack.platform.member_link import open_wire_link
+from radishtrack.platform.object_store import ObjectStoreClient
+from radishtrack.platform.promotion_order import make_promote_member
+from radishtrack.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    SettingsError,
+    read_settings,
+)
+from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.node import Node, NodeOptions, make_node
+from radishtrack.pooler.request_log import make_request_log
+
+SETTINGS_POLL_S: Final = 2.0
+"""Pause between looks at the settings file, which may change without a signal."""
+STOP_POLL_S: Final = 0.1
+"""Pause between looks at what a stopping node still does."""
+EXIT_CODE_SETTINGS: Final = 2
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="radishtrack-node",
+        description="Session pooler on the users' platform; the settings file is "
+        f"named by {SETTINGS_VARIABLE}.",
+    )
+    parser.add_argument("role", choices=["edge"], help="the role of this process")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings file and exit"
+    )
+    return parser
+
+
+def run(argv: Sequence[str] | None = None) -> int:
+    """Run a node until it is stopped; return the exit code."""
+    arguments = make_parser().parse_args(argv)
+    configure_stdout_logging()
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = read_settings(path)
+    except SettingsError as error:
+        log_event(Event.SETTINGS_INVALID, path=path, reason=error)
+        return EXIT_CODE_SETTINGS
+    if arguments.check:
+        return 0
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(settings, path))
+    return 0
+
+
+async def serve(settings: PlatformSettings, path: Path) -> None:
+    """Run a node until SIGTERM."""
+    clock = make_boot_clock()
+    record = NodeRecord(
+        name=settings.node,
+        host=settings.ip,
+        port=settings.peer_port,
+        zone=settings.zone,
+        started_ms=time.time_ns() // 1_000_000,
+    )
+    log = make_request_log(clock)
+    node = make_node(
+        _make_options(settings, record),
+        clock,
+        PlatformControlStore(ObjectStoreClient(settings.store)),
+        open_wire_link,
+        make_promote_member(settings.orders),
+        log,
+    )
+    await start_ready_endpoint(*settings.ready, node.is_ready)
+    await start_metrics_endpoint(settings.ip, log.registry)
+    frontend = await start_frontend(node, *settings.frontend)
+    log_event(
+        Event.NODE_STARTED,
+        node=settings.node,
+        zone=settings.zone,
+        frontend=settings.frontend,
+        store=settings.store,
+    )
+    running = asyncio.create_task(node.run())
+    reload_wanted, stop_wanted = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload_wanted.set)
+    loop.add_signal_handler(signal.SIGTERM, stop_wanted.set)
+    reloading = asyncio.create_task(_follow_settings(node, path, reload_wanted))
+    stopping = asyncio.create_task(stop_wanted.wait())
+    await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
+    if running.done():
+        error = running.exception()
+        log_event(Event.TASK_FAILED, reason=repr(error))
+        sys.exit(1)
+    await _stop(node, frontend)
+    reloading.cancel()
+    log_event(Event.NODE_STOPPED, node=settings.node, sessions=len(node.sessions))
+    sys.stdout.flush()
+    # Waiting for the tasks of connections that go on could outlast the grace period.
+    os._exit(0)
+
+
+async def _stop(node: Node, frontend: Frontend) -> None:
+    plan = node.begin_stop()
+    while (now_ms := node.clock.now_ms()) < plan.exit_ms:
+        if now_ms >= plan.accept_until_ms:
+            frontend.stop_accepting()
+            frontend.close_idle()
+            if not frontend.clients:
+                return
+        await asyncio.sleep(STOP_POLL_S)
+
+
+async def _follow_settings(
+    node: Node, path: Path, reload_wanted: asyncio.Event
+) -> None:
+    """Read the settings again on SIGHUP, or when the file has changed."""
+    known = _describe(path)
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_POLL_S):
+                await reload_wanted.wait()
+        except TimeoutError:
+            if _describe(path) == known:
+                continue
+        reload_wanted.clear()
+        try:
+            settings = read_settings(path)
+        except SettingsError as error:
+            # The file may be half written; it is read again at the next look.
+            log_event(Event.SETTINGS_INVALID, path=path, reason=error)
+            continue
+        known = _describe(path)
+        node.options = _make_options(settings, node.options.node)
+        log_event(Event.SETTINGS_READ, grace_ms=settings.grace_ms, store=settings.store)
+
+
+def _describe(path: Path) -> tuple[int, int]:
+    try:
+        status = path.stat()
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
+
+
+def _make_options(settings: PlatformSettings, record: NodeRecord) -> NodeOptions:
+    return NodeOptions(record, settings.grace_ms, settings.key_age_limit_ms)
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/src/radishtrack/platform/member_link.py
@@ -0,0 +1,137 @@
+"""Connections to members in the platform's line protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from radishtrack.platform.lines import ConnectionEnded, LineConnection, encode_line
+from radishtrack.platform.wire import (
+    WireError,
+    format_query,
+    parse_answer,
+    parse_ready,
+    parse_refusal,
+)
+from radishtrack.pooler.catalog import Member
+from radishtrack.pooler.ports import LinkLost, LinkRefused
+from radishtrack.pooler.statements import (
+    AskStatus,
+    Fence,
+    MemberAnswer,
+    MemberStatement,
+    Refusal,
+    StepDown,
+    Unfence,
+)
+from radishtrack.session.position import Position
+
+REPORTING: Final = (AskStatus, Fence, Unfence, StepDown)
+"""Statements that are answered by a status row."""
+MAX_ANSWER_LINES: Final = 10_000
+"""An answer with more lines is given up, which bounds its memory."""
+
+
+@attrs.define(eq=False)
+class WireLink:
+    """A connection to a member; implements `MemberLink`."""
+
+    connection: LineConnection
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has ended, or sent something unasked."""
+        return self.connection.is_closed or self.connection.has_input
+
+    async def run(
+        self, statement: MemberStatement, *, floor: Position | None, timeout_ms: float
+    ) -> MemberAnswer:
+        """Run a statement; see `MemberLink.run`."""
+        if self.is_closed:
+            self.connection.close()
+            raise LinkLost("connection was closed", is_sent=False)
+        try:
+            self.connection.write(encode_line(format_query(statement, floor)))
+            async with asyncio.timeout(timeout_ms / 1000):
+                lines = await self._read_answer()
+            return parse_answer(lines, has_report=isinstance(statement, REPORTING))
+        except TimeoutError as error:
+            self.connection.abort()
+            reason = f"no answer within {timeout_ms:.0f} ms"
+            raise LinkLost(reason, is_sent=True) from error
+        except (ConnectionEnded, WireError) as error:
+            self.connection.abort()
+            raise LinkLost(str(error), is_sent=True) from error
+        except BaseException:
+            # The answer may still arrive and must not be taken for a later one.
+            self.connection.abort()
+            raise
+
+    def watch_end(self, on_end: Callable[[], None]) -> None:
+        """Call back once if the connection ends without `close`."""
+        self.connection.on_end = on_end
+
+    def close(self) -> None:
+        """Close the connection; the member rolls back."""
+        if not self.connection.is_closed:
+            self.connection.write(encode_line("TERMINATE"))
+        self.connection.close()
+
+    async def _read_answer(self) -> list[str]:
+        lines: list[str] = []
+        while len(lines) < MAX_ANSWER_LINES:
+            lines.append(await self.connection.read_line())
+            if lines[-1].startswith("READY "):
+                return lines
+        raise WireError("answer has too many lines")
+
+
+async def open_wire_link(
+    member: Member, organisation: str, timeout_ms: float
+) -> WireLink:
+    """Connect to a member for an organisation; see `OpenLink`."""
+    connection: LineConnection | None = None
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            loop = asyncio.get_running_loop()
+            _, connection = await loop.create_connection(
+                LineConnection, member.host, member.port
+            )
+            startup = f"STARTUP {member.group} {organisation} {member.name}"
+            connection.write(encode_line(startup))
+            line = await connection.read_line()
+        if line.startswith("READY "):
+            parse_ready(line)
+            return WireLink(connection)
+        connection.close()
+        raise _make_refused(parse_refusal(line), line)
+    except TimeoutError as error:
+        _abort(connection)
+        raise LinkRefused(f"no connection within {timeout_ms:.0f} ms") from error
+    except (ConnectionEnded, WireError) as error:
+        _abort(connection)
+        raise LinkRefused(str(error)) from error
+    except OSError as error:
+        _abort(connection)
+        is_dead = error.errno in (errno.ECONNREFUSED, errno.ECONNRESET)
+        raise LinkRefused(str(error), is_dead=is_dead) from error
+    except asyncio.CancelledError:
+        _abort(connection)
+        raise
+
+
+def _abort(connection: LineConnection | None) -> None:
+    if connection is not None:
+        connection.abort()
+
+
+def _make_refused(refusal: Refusal, line: str) -> LinkRefused:
+    return LinkRefused(
+        line,
+        is_wrong_member=refusal is Refusal.WRONG_MEMBER,
+        is_full=refusal is Refusal.CONNECTION_LIMIT,
+    )
--- /dev/null
+++ b/src/radishtrack/platform/object_store.py
@@ -0,0 +1,189 @@
+"""Client of the platform's object store."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any, Final
+from urllib.parse import quote
+
+import aiohttp
+import attrs
+
+from radishtrack.pooler.ports import StoreUnavailable
+
+CALL_TIMEOUT_MS: Final = 1_200.0
+"""The store answers in milliseconds, and in a few hundred when it is slow; a connection
+that has gone silent has to be given up well within the bound on configurations."""
+IDLE_CONNECTION_S: Final = 5.0
+"""Unused connections are closed before a peer in between forgets them."""
+MAX_PAGES: Final = 200
+"""Pages of a list, which end a list that never does."""
+OK: Final = (200, 201)
+NOT_FOUND: Final = 404
+CONFLICT: Final = 409
+
+
+@attrs.frozen
+class StoredObject:
+    """An object of the store.
+
+    Parameters
+    ----------
+    name : str
+        Name, unique in its kind.
+    revision : int
+        Of its last change.
+    spec : object
+        Its content, as decoded from JSON.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+
+
+@attrs.frozen
+class ObjectList:
+    """All objects of a kind, with the store's revision when the list began."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
+@attrs.define(eq=False)
+class ObjectStoreClient:
+    """Calls of one process; every call raises `StoreUnavailable`.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the store.
+    timeout_ms : float
+        Limit of one call in milliseconds.
+    """
+
+    address: str
+    timeout_ms: float = CALL_TIMEOUT_MS
+    session: aiohttp.ClientSession | None = None
+
+    async def list_objects(self, kind: str) -> ObjectList:
+        """Return all objects of a kind."""
+        objects: list[StoredObject] = []
+        revision: int | None = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = f"?after={quote(after, safe='')}" if after else ""
+            status, data = await self._call("list", "GET", _path(kind) + query)
+            try:
+                if status not in OK:
+                    raise StoreUnavailable(
+                        "list", f"status {status}", is_effect_unknown=False
+                    )
+                page = [_parse_object(item) for item in data["items"]]
+                has_more = bool(data["hasMore"])
+                # A later page may be newer; the list is complete up to the first one.
+                revision = int(data["atRev"]) if revision is None else revision
+            except (KeyError, TypeError, ValueError) as error:
+                raise _malformed("list", error) from error
+            objects += page
+            if not has_more or not page:
+                return ObjectList(tuple(objects), revision)
+            after = page[-1].name
+        raise StoreUnavailable("list", "too many pages", is_effect_unknown=False)
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None if it does not exist."""
+        status, data = await self._call("get", "GET", _path(kind, name))
+        if status == NOT_FOUND:
+            return None
+        return self._expect_object("get", status, data)
+
+    async def create(self, kind: str, name: str, spec: object) -> StoredObject | None:
+        """Create an object; None if it exists already."""
+        body = {"meta": {"name": name}, "spec": spec}
+        status, data = await self._call("create", "POST", _path(kind), body)
+        if status == CONFLICT:
+            return None
+        return self._expect_object("create", status, data)
+
+    async def replace(
+        self, kind: str, name: str, spec: object, revision: int
+    ) -> StoredObject | None:
+        """Replace an object of a revision; None if it has another one or is gone."""
+        body = {"meta": {"name": name, "revision": revision}, "spec": spec}
+        status, data = await self._call("replace", "PUT", _path(kind, name), body)
+        if status in (CONFLICT, NOT_FOUND):
+            return None
+        return self._expect_object("replace", status, data)
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object, if it exists."""
+        status, _ = await self._call("delete", "DELETE", _path(kind, name))
+        if status not in (*OK, NOT_FOUND):
+            raise StoreUnavailable(
+                "delete", f"status {status}", is_effect_unknown=False
+            )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: Mapping[str, object] | None = None,
+    ) -> tuple[int, Any]:
+        is_write = method != "GET"
+        try:
+            async with self._open_session().request(
+                method,
+                f"http://{self.address}{path}",
+                json=body,
+                timeout=aiohttp.ClientTimeout(total=self.timeout_ms / 1000),
+            ) as response:
+                if response.status >= 500 or response.status == 429:
+                    # Both say that nothing was done.
+                    raise StoreUnavailable(
+                        step, f"status {response.status}", is_effect_unknown=False
+                    )
+                data = await response.read()
+                return response.status, json.loads(data) if data else None
+        except aiohttp.ClientConnectorError as error:
+            raise StoreUnavailable(step, str(error), is_effect_unknown=False) from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            raise StoreUnavailable(step, reason, is_effect_unknown=is_write) from error
+
+    def _expect_object(self, step: str, status: int, data: Any) -> StoredObject:
+        if status not in OK:
+            raise StoreUnavailable(step, f"status {status}", is_effect_unknown=False)
+        try:
+            return _parse_object(data)
+        except (KeyError, TypeError, ValueError) as error:
+            raise _malformed(step, error) from error
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self.session is None:
+            connector = aiohttp.TCPConnector(keepalive_timeout=IDLE_CONNECTION_S)
+            self.session = aiohttp.ClientSession(connector=connector)
+        return self.session
+
+
+def _path(kind: str, name: str | None = None) -> str:
+    path = f"/-/objects/{quote(kind, safe='')}"
+    return path if name is None else f"{path}/{quote(name, safe='')}"
+
+
+def _parse_object(data: Any) -> StoredObject:
+    meta = data["meta"]
+    return StoredObject(str(meta["name"]), int(meta["revision"]), data.get("spec"))
+
+
+def _malformed(step: str, error: Exception) -> StoreUnavailable:
+    return StoreUnavailable(
+        step, f"malformed answer: {error!r}", is_effect_unknown=False
+    )
--- /dev/null
+++ b/src/radishtrack/platform/settings.py
@@ -0,0 +1,115 @@
+"""The platform's settings file, decoded and checked."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+
+from radishtrack.platform.documents import parse_address
+
+SETTINGS_VARIABLE: Final = "RADISHTRACK_SETTINGS"
+KEY_AGE_SHARE: Final = 0.6
+"""Part of the bound on revoked keys after which a node that can't confirm its copy
+stops: nothing is expected of it from then on, and the rest is margin."""
+SECOND_MS: Final = 1_000.0
+
+
+class SettingsError(ValueError):
+    """Raised for a settings file that can't be used."""
+
+
+@attrs.frozen
+class PlatformSettings:
+    """What a process is told about itself and the platform.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    ip : str
+        Address of the VM.
+    zone : str
+        Availability zone.
+    frontend, ready : tuple of str and int
+        Addresses for clients and for the balancer's probe.
+    peer_port : int
+        Port for peers.
+    store : str
+        ``host:port`` of the object store.
+    orders : str
+        ``host:port`` at which promotions are ordered.
+    grace_ms : float
+        Time between SIGTERM and SIGKILL.
+    key_age_limit_ms : float or None
+        Age of the configuration from which on keys are refused; None without a bound.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    frontend: tuple[str, int]
+    ready: tuple[str, int]
+    peer_port: int
+    store: str
+    orders: str
+    grace_ms: float
+    key_age_limit_ms: float | None
+
+
+def parse_settings(text: str) -> PlatformSettings:
+    """Return the settings in a file's text.
+
+    Raises
+    ------
+    SettingsError
+        If the text is not complete, or a field is missing or of another type.
+    """
+    try:
+        data: Any = json.loads(text)
+        bounds = data["bounds"]
+        is_strict = bool(bounds.get("revokeStrict", False))
+        revoke_ms = float(bounds.get("revokeMs", 0))
+        return PlatformSettings(
+            node=_text(data["nodeName"]),
+            ip=_text(data["ip"]),
+            zone=_text(data["zone"]),
+            frontend=parse_address(data["listen"]["frontend"]),
+            ready=parse_address(data["listen"]["ready"]),
+            # First and last of a range of free ports.
+            peer_port=int(data["internalPorts"][0]),
+            store=_address(data["platform"]["address"]),
+            orders=_address(data["cloudApi"]["address"]),
+            grace_ms=float(bounds["graceS"]) * SECOND_MS,
+            key_age_limit_ms=KEY_AGE_SHARE * revoke_ms if is_strict else None,
+        )
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+        raise SettingsError(f"settings: {error!r}") from error
+
+
+def read_settings(path: Path) -> PlatformSettings:
+    """Return the settings in a file.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or used.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"settings: {error}") from error
+    return parse_settings(text)
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"not a text: {value!r}")
+    return value
+
+
+def _address(value: Any) -> str:
+    parse_address(value)
+    return str(value)
--- /dev/null
+++ b/src/radishtrack/platform/wire.py
@@ -0,0 +1,278 @@
+"""Words of the platform's line protocol, decoded into typed statements and answers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from radishtrack.group.status import Role
+from radishtrack.pooler.catalog import MemberReport
+from radishtrack.pooler.statements import (
+    AskStatus,
+    Begin,
+    ClientAnswer,
+    ClientStatement,
+    Commit,
+    Deallocate,
+    Discard,
+    Fence,
+    MemberAnswer,
+    MemberStatement,
+    Prepare,
+    Refusal,
+    Rollback,
+    Run,
+    RunPrepared,
+    SetValue,
+    StepDown,
+    TransactionState,
+    Unfence,
+    Unintelligible,
+)
+from radishtrack.session.position import Position
+
+OWN_ID: Final = "-"
+"""Identifier of statements that no client sent."""
+NO_SIGNATURE: Final = "-"
+
+CODES: Final = {
+    Refusal.NO_DATABASE: "NODB",
+    Refusal.NO_ACCESS: "NOAUTH",
+    Refusal.BUSY: "BUSY",
+    Refusal.ABORTED: "ABORTED",
+    Refusal.LAGGING: "LAGGING",
+    Refusal.READ_ONLY: "READONLY",
+    Refusal.WRONG_MEMBER: "WRONGNODE",
+    Refusal.CONNECTION_LIMIT: "CONNLIMIT",
+    Refusal.NO_STATEMENT: "NOSTMT",
+    Refusal.EXECUTION_FAILED: "EXECFAIL",
+    Refusal.TIMED_OUT: "TIMEOUT",
+    Refusal.OUTCOME_UNKNOWN: "INDOUBT",
+    Refusal.MALFORMED: "MALFORMED",
+}
+_REFUSALS: Final = {code: refusal for refusal, code in CODES.items()}
+_STATES: Final = {
+    TransactionState.IDLE: "I",
+    TransactionState.OPEN: "T",
+    TransactionState.FAILED: "E",
+}
+_STATES_BY_LETTER: Final = {letter: state for state, letter in _STATES.items()}
+_ROLES: Final = {"primary": Role.PRIMARY, "replica": Role.REPLICA}
+STATUS_FIELDS: Final = 5
+"""Fields of a status row that are used: role, term, position, fenced term, lag."""
+
+
+class WireError(ValueError):
+    """Raised for a message that is not of this protocol."""
+
+
+def parse_startup(line: str) -> tuple[str, str | None]:
+    """Return the database and the key of a client's first message.
+
+    Raises
+    ------
+    WireError
+        If the line is another message.
+    """
+    words = line.split(" ")
+    if words[0] != "STARTUP" or len(words) not in (2, 3) or not words[1]:
+        raise WireError("a session starts with STARTUP, a database and perhaps a key")
+    return words[1], words[2] if len(words) == 3 else None
+
+
+def parse_query(line: str) -> ClientStatement:
+    """Return a client's statement.
+
+    Raises
+    ------
+    WireError
+        If the line is not a query at all.
+    """
+    word, _, rest = line.partition(" ")
+    statement_id, _, text = rest.partition(" ")
+    if word != "QUERY" or not statement_id or not text:
+        raise WireError(f"unexpected message {word[:20]!r}")
+    return _parse_text(statement_id, text)
+
+
+def _parse_text(statement_id: str, text: str) -> ClientStatement:
+    words = text.split(" ")
+    match words:
+        case ["BEGIN"]:
+            return Begin(is_read_only=False)
+        case ["BEGIN", "READ"]:
+            return Begin(is_read_only=True)
+        case ["COMMIT"]:
+            return Commit(statement_id)
+        case ["ROLLBACK"]:
+            return Rollback()
+        case ["READ", item] if item:
+            return Run(statement_id, text, is_write=False)
+        case ["WRITE", item, _, *_] if item:
+            return Run(statement_id, text, is_write=True)
+        case ["EXECUTE", name, item, *_] if name and item:
+            return RunPrepared(statement_id, name, text.split(" ", 2)[2])
+        case ["SET", name, _, *_] if name:
+            return SetValue(name, text.split(" ", 2)[2])
+        case ["PREPARE", name, ("READ" | "WRITE") as mode, shape] if name and shape:
+            return Prepare(name, mode == "WRITE", shape)
+        case ["DEALLOC", name] if name:
+            return Deallocate(name)
+        case _:
+            return Unintelligible(f"unknown statement {words[0][:20]!r}")
+
+
+def format_client_answer(answer: ClientAnswer) -> str:
+    """Return the lines that answer a client's statement."""
+    lines = [f"DATAROW {row}" for row in answer.rows if answer.refusal is None]
+    if answer.refusal is None:
+        lines.append(f"COMPLETE {answer.signature or NO_SIGNATURE}")
+    else:
+        detail = " ".join(answer.detail.split()) or answer.refusal.value
+        lines.append(f"ERROR {CODES[answer.refusal]} {detail}")
+    lines.append(format_ready(answer.state))
+    return "\r\n".join(lines)
+
+
+def format_ready(state: TransactionState) -> str:
+    """Return the message that ends an answer to a client."""
+    return f"READY {_STATES[state]} -"
+
+
+def format_error(refusal: Refusal, detail: str) -> str:
+    """Return an error message to a client."""
+    return f"ERROR {CODES[refusal]} {detail}"
+
+
+def format_query(statement: MemberStatement, floor: Position | None) -> str:
+    """Return the message for a member.
+
+    Parameters
+    ----------
+    statement : MemberStatement
+        The statement.
+    floor : Position or None
+        Position that the member's log has to contain.
+    """
+    since = f"SINCE {floor.term}.{floor.sequence} " if floor is not None else ""
+    match statement:
+        case Run(statement_id, text, _):
+            return f"QUERY {statement_id} {since}{text}"
+        case RunPrepared(statement_id, name, arguments):
+            return f"QUERY {statement_id} {since}EXECUTE {name} {arguments}"
+        case Begin(is_read_only):
+            mode = "BEGIN READ" if is_read_only else "BEGIN"
+            return f"QUERY {OWN_ID} {since}{mode}"
+        case Commit(statement_id):
+            return f"QUERY {statement_id} COMMIT"
+        case Rollback():
+            return f"QUERY {OWN_ID} ROLLBACK"
+        case SetValue(name, value):
+            return f"QUERY {OWN_ID} SET {name} {value}"
+        case Prepare(name, is_write, shape):
+            mode = "WRITE" if is_write else "READ"
+            return f"QUERY {OWN_ID} PREPARE {name} {mode} {shape}"
+        case Discard():
+            return f"QUERY {OWN_ID} DISCARD"
+        case AskStatus():
+            return f"QUERY {OWN_ID} STATUS"
+        case Fence(term):
+            return f"QUERY {OWN_ID} PAUSE {term}"
+        case Unfence():
+            return f"QUERY {OWN_ID} RESUME"
+        case StepDown(term):
+            return f"QUERY {OWN_ID} STEPDOWN {term}"
+
+
+def parse_ready(line: str) -> tuple[TransactionState, Position | None]:
+    """Return the state and position that end an answer of a member.
+
+    Raises
+    ------
+    WireError
+        If the line is another message.
+    """
+    words = line.split(" ")
+    if len(words) != 3 or words[0] != "READY" or words[1] not in _STATES_BY_LETTER:
+        raise WireError(f"expected READY, not {line[:40]!r}")
+    return _STATES_BY_LETTER[words[1]], parse_position(words[2])
+
+
+def parse_answer(lines: list[str], *, has_report: bool) -> MemberAnswer:
+    """Return a member's answer from its lines, the last of which is `READY`.
+
+    Raises
+    ------
+    WireError
+        If the lines are not a whole answer.
+    """
+    if len(lines) < 2:
+        raise WireError("answer without a result")
+    state, position = parse_ready(lines[-1])
+    word, _, rest = lines[-2].partition(" ")
+    rows = tuple(_parse_row(line) for line in lines[:-2])
+    if word == "ERROR":
+        code, _, detail = rest.partition(" ")
+        # A code that is not known promises nothing.
+        refusal = _REFUSALS.get(code, Refusal.EXECUTION_FAILED)
+        return MemberAnswer((), "", refusal, f"{code} {detail}", state, position)
+    if word != "COMPLETE":
+        raise WireError(f"expected COMPLETE or ERROR, not {word[:20]!r}")
+    report = parse_report(rows[0]) if has_report and rows else None
+    return MemberAnswer(rows, rest, None, "", state, position, report)
+
+
+def parse_refusal(line: str) -> Refusal:
+    """Return why a member did not accept a connection."""
+    words = line.split(" ")
+    if words[0] != "ERROR" or len(words) < 2:
+        raise WireError(f"expected READY or ERROR, not {line[:40]!r}")
+    return _REFUSALS.get(words[1], Refusal.BUSY)
+
+
+def parse_report(row: str) -> MemberReport:
+    """Return a status row; the member's name is not part of it.
+
+    Raises
+    ------
+    WireError
+        If fields are missing or not of their type.
+    """
+    words = row.split(" ")
+    try:
+        role, term, received, held, lag_ms = words[:STATUS_FIELDS]
+        position = parse_position(received)
+        return MemberReport(
+            member="",
+            role=_ROLES[role],
+            term=int(term),
+            # The end of the received log, of which `lag` may not be applied yet.
+            position=position or Position(0, 0),
+            # "Held" is the term for which the member stopped receiving; 0 if none.
+            fenced_term=int(held),
+            lag_ms=float(lag_ms),
+        )
+    except (KeyError, ValueError) as error:
+        raise WireError(f"not a status row: {row[:60]!r}") from error
+
+
+def parse_position(text: str) -> Position | None:
+    """Return a position written as TERM.NUMBER; None for none.
+
+    Raises
+    ------
+    WireError
+        If the text is not a position.
+    """
+    if text == "-":
+        return None
+    term, dot, number = text.partition(".")
+    if not dot or not term.isdecimal() or not number.isdecimal():
+        raise WireError(f"not a position: {text[:40]!r}")
+    return Position(int(term), int(number))
+
+
+def _parse_row(line: str) -> str:
+    word, _, row = line.partition(" ")
+    if word != "DATAROW":
+        raise WireError(f"expected DATAROW, not {word[:20]!r}")
+    return row
--- /dev/null
+++ b/src/radishtrack/pooler/__init__.py
@@ -0,0 +1,1 @@
+"""Session pooler: serves client sessions on the members' connections of one node."""
--- /dev/null
+++ b/src/radishtrack/pooler/catalog.py
@@ -0,0 +1,222 @@
+"""What a node knows of the operators' configuration, the members and the nodes."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from collections.abc import Mapping
+
+import attrs
+
+from radishtrack.group.status import Role
+from radishtrack.session.position import Position
+
+
+class ReadClass(enum.Enum):
+    """How current the data of a read must be."""
+
+    STRICT = "strict"
+    """Contains every acknowledged commit."""
+    SESSION = "session"
+    """Contains the session's own commits, and all others of a stated age."""
+    AGED = "aged"
+    """Contains all commits of a stated age."""
+
+
+@attrs.frozen
+class Route:
+    """Where the statements of one database name go.
+
+    Parameters
+    ----------
+    database : str
+        Name that clients connect to.
+    group : str
+        Database group that serves it.
+    read_class : ReadClass
+        How current reads must be.
+    max_age_ms : float
+        For `SESSION` and `AGED`: age in milliseconds from which commits must show.
+    statement_timeout_ms : float
+        Limit of one statement.
+    objective_ms : float
+        Latency objective of a whole operation.
+    priority : int
+        0 is the most urgent.
+    is_open : bool
+        Whether clients need no key.
+    """
+
+    database: str
+    group: str
+    read_class: ReadClass
+    max_age_ms: float
+    statement_timeout_ms: float
+    objective_ms: float
+    priority: int
+    is_open: bool
+
+
+@attrs.frozen
+class Organisation:
+    """A customer with keys and a rate.
+
+    Parameters
+    ----------
+    name : str
+        Name that members are told.
+    rate_per_s : float
+        Operations a second, over all nodes.
+    burst : float
+        Operations beyond the rate that may come at once.
+    """
+
+    name: str
+    rate_per_s: float
+    burst: float
+
+
+@attrs.frozen
+class GroupSettings:
+    """Limits of a database group.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    max_connections : int
+        Connections that one member accepts from all nodes together.
+    synchronous_replicas : int
+        Replicas that have received a commit when it is acknowledged.
+    """
+
+    name: str
+    max_connections: int
+    synchronous_replicas: int
+
+
+@attrs.frozen
+class Catalog:
+    """One version of the configuration.
+
+    Parameters
+    ----------
+    version : int
+        Grows with each change.
+    routes : mapping
+        Routes by database name.
+    organisations : mapping
+        Organisations by name.
+    key_owners : mapping
+        Organisation by digest of a key.
+    groups : mapping
+        Group settings by name.
+    idle_transaction_ms : float
+        A transaction that is idle for longer may be ended.
+    """
+
+    version: int
+    routes: Mapping[str, Route]
+    organisations: Mapping[str, Organisation]
+    key_owners: Mapping[bytes, Organisation]
+    groups: Mapping[str, GroupSettings]
+    idle_transaction_ms: float
+
+
+@attrs.frozen
+class Member:
+    """A member of a database group, as listed by the store.
+
+    Parameters
+    ----------
+    name : str
+        Unique identifier; addresses are used again by others.
+    group : str
+        Database group.
+    host, port : str, int
+        Address.
+    zone : str
+        Availability zone.
+    slots : int
+        Statements that it runs at once.
+    is_leaving : bool
+        Whether it is about to stop.
+    role : Role
+        The role that it believes it has.
+    started_ms : int
+        Unix time of its start; differs after a restart under the same name.
+    """
+
+    name: str
+    group: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    is_leaving: bool
+    role: Role
+    started_ms: int
+
+
+@attrs.frozen
+class NodeRecord:
+    """A node of the fleet, as it registered itself in the store.
+
+    Parameters
+    ----------
+    name : str
+        Name of the node.
+    host, port : str, int
+        Address for peers.
+    zone : str
+        Availability zone.
+    started_ms : int
+        Unix time of its start.
+    """
+
+    name: str
+    host: str
+    port: int
+    zone: str
+    started_ms: int
+
+
+@attrs.frozen
+class MemberReport:
+    """A member's own report of its state.
+
+    Parameters
+    ----------
+    member : str
+        Name of the member.
+    role : Role
+        The role that it believes it has.
+    term : int
+        Newest term that it knows.
+    position : Position
+        End of the log that it has received.
+    fenced_term : int
+        Term for which it stopped receiving; 0 if it receives.
+    lag_ms : float
+        How far it is behind in applying.
+    """
+
+    member: str
+    role: Role
+    term: int
+    position: Position
+    fenced_term: int
+    lag_ms: float
+
+    @property
+    def is_fenced(self) -> bool:
+        """Whether the member waits for a promotion."""
+        return self.fenced_term > self.term
+
+
+def digest_key(key: str) -> bytes:
+    """Return the digest under which a key is looked up; keys are not kept."""
+    return hashlib.sha256(key.encode()).digest()
+
+
+EMPTY_CATALOG = Catalog(0, {}, {}, {}, {}, 3_000.0)
--- /dev/null
+++ b/src/radishtrack/pooler/control.py
@@ -0,0 +1,190 @@
+"""A node's copy of what the store holds, and how old it is.
+
+One small linearizable call lists the registered nodes and tells the store's revision.
+Only if the revision has moved are the configuration and the members read again, so a
+quiet fleet costs one call a node and interval, and no watch has to be trusted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.events import Event, log_event
+from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
+from radishtrack.pooler.ports import ControlStore, Duty, FleetListing, StoreUnavailable
+
+CONFIRM_INTERVAL_MS: Final = 800.0
+"""Pause between calls: a change of the configuration must be in force within 3 s, and
+one call may be lost and time out meanwhile."""
+RETRY_INTERVAL_MS: Final = 250.0
+"""Pause after a call without an answer."""
+REFRESH_SPACING_MS: Final = 100.0
+"""Sessions with unknown names cause at most one call in this time."""
+
+
+@attrs.frozen
+class KnownDuty:
+    """A duty's record and when this node first saw it."""
+
+    duty: Duty
+    seen_ms: float
+
+
+NO_DUTY: Final = KnownDuty(Duty("", 0, ""), 0.0)
+
+
+@attrs.define(eq=False)
+class Control:
+    """State of the copy; `run` keeps it up to date.
+
+    Parameters
+    ----------
+    store : ControlStore
+        The platform's store.
+    clock : Clock
+        Time in milliseconds.
+    node : NodeRecord
+        This node's own record.
+    on_change : callable
+        Called after the catalog, the members or the nodes have changed.
+    """
+
+    store: ControlStore
+    clock: Clock
+    node: NodeRecord
+    on_change: Callable[[], None]
+    catalog: Catalog = EMPTY_CATALOG
+    members: tuple[Member, ...] = ()
+    nodes: tuple[NodeRecord, ...] = ()
+    duties: dict[str, KnownDuty] = attrs.field(factory=dict)
+    revision: int = -1
+    """The store's revision up to which the copy is complete."""
+    confirmed_ms: float | None = None
+    """A time at which the copy equalled the store; None before the first read."""
+    members_read_ms: float | None = None
+    claims: int = 0
+    is_available: bool = True
+    pending: asyncio.Task[None] | None = None
+    refreshed_ms: float = -REFRESH_SPACING_MS
+
+    async def run(self) -> None:
+        """Confirm the copy again and again; never returns."""
+        while True:
+            succeeded = await self.confirm()
+            pause_ms = CONFIRM_INTERVAL_MS if succeeded else RETRY_INTERVAL_MS
+            await asyncio.sleep(pause_ms / 1000)
+
+    async def confirm(self) -> bool:
+        """Bring the copy up to date; return whether the store answered."""
+        asked_ms = self.clock.now_ms()
+        try:
+            listing = await self.store.list_fleet()
+            if not any(node == self.node for node in listing.nodes):
+                await self.store.register_node(self.node)
+            if listing.revision != self.revision:
+                await self._read_changes(listing, asked_ms)
+            else:
+                self._note_confirmed(asked_ms)
+        except StoreUnavailable as error:
+            self._note_unavailable(error)
+            return False
+        self._note_available()
+        return True
+
+    async def refresh(self) -> None:
+        """Confirm the copy on demand; calls at the same time share one."""
+        now_ms = self.clock.now_ms()
+        if self.pending is None or self.pending.done():
+            if now_ms - self.refreshed_ms < REFRESH_SPACING_MS:
+                return
+            self.refreshed_ms = now_ms
+            self.pending = asyncio.create_task(self._confirm_once())
+        await asyncio.shield(self.pending)
+
+    def find_duty(self, name: str) -> KnownDuty:
+        """Return what is known of a duty."""
+        return self.duties.get(name, NO_DUTY)
+
+    async def claim_duty(self, name: str) -> Duty | None:
+        """Become the holder of a duty unless its record has changed meanwhile.
+
+        Returns
+        -------
+        Duty or None
+            The record; its revision is greater than that of every earlier holder.
+
+        Raises
+        ------
+        StoreUnavailable
+            If it is not known whether the claim has succeeded.
+        """
+        self.claims += 1
+        claim = f"{self.node.name}/{self.node.started_ms}/{self.claims}"
+        known = self.find_duty(name).duty
+        claimed = await self.store.claim_duty(name, known, self.node.name, claim)
+        if claimed is not None:
+            self._note_duty(name, claimed)
+        return claimed
+
+    def _note_duty(self, name: str, duty: Duty) -> None:
+        if duty.revision > self.find_duty(name).duty.revision:
+            self.duties[name] = KnownDuty(duty, self.clock.now_ms())
+
+    def age_ms(self) -> float:
+        """Return how old the copy may be."""
+        if self.confirmed_ms is None:
+            return float("inf")
+        return self.clock.now_ms() - self.confirmed_ms
+
+    async def _confirm_once(self) -> None:
+        await self.confirm()
+
+    async def _read_changes(self, listing: FleetListing, asked_ms: float) -> None:
+        # Both reads start after the listing, so the copy is at least as new as it.
+        catalog, members = await asyncio.gather(
+            self.store.read_catalog(), self.store.list_members()
+        )
+        is_newer = listing.revision > self.revision
+        if catalog is not None and catalog.version > self.catalog.version:
+            log_event(
+                Event.CONFIGURATION_ACCEPTED,
+                revision=catalog.version,
+                store_revision=listing.revision,
+                routes=len(catalog.routes),
+            )
+            self.catalog = catalog
+        if is_newer:
+            self.members = members
+            self.members_read_ms = asked_ms
+            self.nodes = listing.nodes
+            for name, duty in listing.duties.items():
+                self._note_duty(name, duty)
+            self.revision = listing.revision
+        if catalog is not None:
+            self._note_confirmed(asked_ms)
+        self.on_change()
+
+    def _note_confirmed(self, asked_ms: float) -> None:
+        if self.confirmed_ms is None or asked_ms > self.confirmed_ms:
+            self.confirmed_ms = asked_ms
+            self.members_read_ms = asked_ms
+
+    def _note_unavailable(self, error: StoreUnavailable) -> None:
+        if self.is_available:
+            self.is_available = False
+            log_event(
+                Event.PLATFORM_UNAVAILABLE,
+                step=error.step,
+                reason=error.reason,
+                copy_age_ms=round(self.age_ms()),
+            )
+
+    def _note_available(self) -> None:
+        if not self.is_available:
+            self.is_available = True
+            log_event(Event.PLATFORM_AVAILABLE, store_revision=self.revision)
--- /dev/null
+++ b/src/radishtrack/pooler/group_access.py
@@ -0,0 +1,243 @@
+"""One database group as a node uses it: its members' connections and the evidence."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.group.status import Role
+from radishtrack.pooler.catalog import GroupSettings, Member, ReadClass, Route
+from radishtrack.pooler.choice import Candidate, rank_candidates
+from radishtrack.pooler.evidence import GroupEvidence
+from radishtrack.pooler.member_pool import MemberPool, make_member_pool
+from radishtrack.pooler.ports import OpenLink
+from radishtrack.session.position import Position
+
+MIN_CONNECTIONS: Final = 1
+"""Connections that a node may use at a member even if its share is smaller."""
+MAX_USEFUL_LAG_MS: Final = 250.0
+"""A replica that reports more lag is asked last for positions that it has not been seen
+to have; the usual lag is some tens of milliseconds."""
+UNKNOWN_LIMIT: Final = 4
+"""Connections a member while the group's settings are not known."""
+
+
+@attrs.frozen
+class ReadPlan:
+    """Where a read may run and what the member's log must contain."""
+
+    members: tuple[str, ...]
+    floor: Position | None
+
+
+@attrs.define(eq=False)
+class GroupAccess:
+    """State of one group; construct it with `make_group_access`.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    zone : str
+        Availability zone of this node.
+    clock : Clock
+        Time in milliseconds.
+    open_link : callable
+        Opens a connection to a member.
+    evidence : GroupEvidence
+        Who leads and which positions are current.
+    """
+
+    name: str
+    zone: str
+    clock: Clock
+    open_link: OpenLink
+    evidence: GroupEvidence
+    settings: GroupSettings | None = None
+    nodes: int = 1
+    """Nodes that share the members' connections."""
+    pools: dict[str, MemberPool] = attrs.field(factory=dict)
+    unlisted_ms: dict[str, float] = attrs.field(factory=dict)
+    """Members that the store no longer lists, since when."""
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set for a moment whenever a report arrives."""
+    poll_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set for a moment when a report is needed sooner than the next poll."""
+
+    def configure(self, settings: GroupSettings, nodes: int) -> None:
+        """Apply the group's settings and the number of nodes."""
+        self.settings = settings
+        self.nodes = max(1, nodes)
+        self.evidence.synchronous_replicas = settings.synchronous_replicas
+        for pool in self.pools.values():
+            pool.set_limit(self._connection_limit())
+
+    def set_members(self, members: tuple[Member, ...], now_ms: float) -> None:
+        """Apply the store's list of this group's members.
+
+        A member that is no longer listed stays in use until `expire_members`.
+        """
+        listed = {member.name: member for member in members}
+        for member in members:
+            self.unlisted_ms.pop(member.name, None)
+            self._set_member(member)
+        for name in self.pools.keys() - listed.keys():
+            self.unlisted_ms.setdefault(name, now_ms)
+        self.evidence.set_members(frozenset(self.pools))
+
+    def expire_members(self, before_ms: float) -> tuple[str, ...]:
+        """Remove the members that have been unlisted since `before_ms`."""
+        gone = tuple(name for name, at in self.unlisted_ms.items() if at <= before_ms)
+        for name in gone:
+            self.remove_member(name)
+        return gone
+
+    def remove_member(self, name: str) -> None:
+        """Close a member's connections and forget it."""
+        del self.unlisted_ms[name]
+        self.pools.pop(name).drop_all()
+        self.evidence.set_members(frozenset(self.pools))
+
+    @property
+    def primary_pool(self) -> MemberPool | None:
+        """The pool of the member that leads, as far as this node knows."""
+        return self.pools.get(self.evidence.primary)
+
+    def presumed_primary(self) -> str:
+        """Return the primary, or else the member that the store lists as such."""
+        if self.evidence.primary:
+            return self.evidence.primary
+        listed = (
+            name
+            for name, pool in self.pools.items()
+            if pool.member.role is Role.PRIMARY
+        )
+        return next(listed, "")
+
+    def is_unlisted(self, name: str) -> bool:
+        """Tell whether the store no longer lists a member."""
+        return name in self.unlisted_ms
+
+    def plan_read(
+        self, route: Route, session_position: Position | None, organisation: str
+    ) -> ReadPlan | None:
+        """Return where a read may run now; None without evidence that is new enough."""
+        now_ms = self.clock.now_ms()
+        if route.read_class is ReadClass.STRICT:
+            return self._plan_current(now_ms)
+        if self._is_superseded(session_position):
+            # A later primary has every acknowledged commit, but may lack unrelated
+            # ones that the position counts.
+            return self._plan_current(now_ms)
+        floor = self._find_floor(route, session_position, now_ms)
+        if floor is None:
+            return None
+        members = rank_candidates(self._candidates(organisation, floor))
+        return ReadPlan(members, floor)
+
+    def plan_primary(
+        self, route: Route, session_position: Position | None
+    ) -> ReadPlan | None:
+        """Return how a transaction that may write starts, like `plan_read`."""
+        now_ms = self.clock.now_ms()
+        if self.evidence.is_current(now_ms) or self._is_superseded(session_position):
+            return self._plan_current(now_ms)
+        if route.read_class is ReadClass.STRICT or self.primary_pool is None:
+            return None
+        floor = self._find_floor(route, session_position, now_ms)
+        return ReadPlan((self.evidence.primary,), floor) if floor is not None else None
+
+    async def wait_for(self, is_met: Callable[[], bool], until_ms: float) -> bool:
+        """Ask for new reports until a condition holds; return whether it does."""
+        while not is_met():
+            remaining_ms = until_ms - self.clock.now_ms()
+            if remaining_ms <= 0:
+                return False
+            self.request_poll()
+            try:
+                async with asyncio.timeout(remaining_ms / 1000):
+                    await self.changed.wait()
+            except TimeoutError:
+                return is_met()
+        return True
+
+    def request_poll(self) -> None:
+        """Make the monitors ask for reports now."""
+        self.poll_wanted.set()
+        self.poll_wanted = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake all that wait for a report."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _plan_current(self, now_ms: float) -> ReadPlan | None:
+        """Return the primary, if it is certainly the present one."""
+        pool = self.primary_pool
+        if pool is None or not self.evidence.is_current(now_ms):
+            return None
+        members = (pool.member.name,) if pool.is_reachable else ()
+        return ReadPlan(members, self.evidence.latest_position())
+
+    def _find_floor(
+        self, route: Route, session_position: Position | None, now_ms: float
+    ) -> Position | None:
+        floor = self.evidence.find_floor(route.max_age_ms, now_ms)
+        if floor is None or session_position is None:
+            return floor
+        return max(floor, session_position)
+
+    def _is_superseded(self, position: Position | None) -> bool:
+        return position is not None and position.term < self.evidence.term
+
+    def _candidates(self, organisation: str, floor: Position) -> Iterator[Candidate]:
+        for name, pool in self.pools.items():
+            report = self.evidence.find_report(name)
+            if not pool.is_reachable or pool.member.is_leaving or report is None:
+                continue
+            is_behind = not self.evidence.has_applied(name, floor)
+            is_far = report.position < floor or report.lag_ms > MAX_USEFUL_LAG_MS
+            yield Candidate(
+                member=name,
+                is_local=pool.member.zone == self.zone,
+                is_primary=name == self.evidence.primary,
+                has_connection=pool.has_idle(organisation),
+                in_flight=pool.in_flight,
+                slots=pool.member.slots,
+                service_ms=pool.service_ms,
+                is_behind=is_behind,
+                is_far_behind=is_behind and is_far,
+            )
+
+    def _set_member(self, member: Member) -> None:
+        pool = self.pools.get(member.name)
+        if pool is None:
+            pool = make_member_pool(
+                member, self.open_link, self.clock, self._connection_limit()
+            )
+            # A member that crashes ends its connections long before the next poll.
+            pool.on_link_end = self.request_poll
+            self.pools[member.name] = pool
+            return
+        if pool.member.started_ms != member.started_ms or (
+            (pool.member.host, pool.member.port) != (member.host, member.port)
+        ):
+            pool.drop_all()
+            self.evidence.forget(member.name)
+        pool.member = member
+
+    def _connection_limit(self) -> int:
+        if self.settings is None:
+            return UNKNOWN_LIMIT
+        return max(MIN_CONNECTIONS, self.settings.max_connections // self.nodes)
+
+
+def make_group_access(
+    name: str, zone: str, clock: Clock, open_link: OpenLink
+) -> GroupAccess:
+    """Return a group of which nothing is known yet."""
+    return GroupAccess(name, zone, clock, open_link, GroupEvidence(name))
--- /dev/null
+++ b/src/radishtrack/pooler/member_pool.py
@@ -0,0 +1,264 @@
+"""Connections of one node to one member, shared by all organisations."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Final
+
+import attrs
+
+from radishtrack.admission.gate import Gate, make_gate
+from radishtrack.clock import Clock
+from radishtrack.pooler.catalog import Member
+from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
+from radishtrack.pooler.statements import (
+    Discard,
+    MemberAnswer,
+    MemberStatement,
+    Prepare,
+    SetValue,
+    TransactionState,
+)
+from radishtrack.session.position import Position
+
+CONNECT_TIMEOUT_MS: Final = 400.0
+"""A connection takes about 12 ms and two round trips; a member that is silent for
+longer is treated as unreachable."""
+PREPARATION_TIMEOUT_MS: Final = 400.0
+"""Setting values and preparing takes no slot of the member."""
+SERVICE_SMOOTHING: Final = 0.1
+"""Weight of the newest statement in the mean service time."""
+
+
+def _ignore_end() -> None:
+    return
+
+
+@attrs.define(eq=False)
+class PooledLink:
+    """A connection with what the member remembers of it."""
+
+    link: MemberLink
+    organisation: str
+    opened_ms: float
+    used_ms: float
+    values: dict[str, str] = attrs.field(factory=dict)
+    prepared: set[str] = attrs.field(factory=set)
+    is_in_transaction: bool = False
+
+    async def run(
+        self, statement: MemberStatement, *, floor: Position | None, timeout_ms: float
+    ) -> MemberAnswer:
+        """Run a statement and note whether a transaction is open."""
+        answer = await self.link.run(statement, floor=floor, timeout_ms=timeout_ms)
+        self.is_in_transaction = answer.state is not TransactionState.IDLE
+        return answer
+
+    async def apply_values(self, wanted: dict[str, str]) -> None:
+        """Give the connection exactly the session values of a client.
+
+        Raises
+        ------
+        LinkLost
+            If the member does not accept them.
+        """
+        if not self.values.keys() <= wanted.keys():
+            await self._require(Discard())
+            self.values.clear()
+            self.prepared.clear()
+        for name, value in wanted.items():
+            if self.values.get(name) != value:
+                await self._require(SetValue(name, value))
+                self.values[name] = value
+
+    async def ensure_prepared(self, prepare: Prepare) -> None:
+        """Prepare a statement unless the connection has it already."""
+        if prepare.name not in self.prepared:
+            await self._require(prepare)
+            self.prepared.add(prepare.name)
+
+    async def _require(self, statement: MemberStatement) -> None:
+        answer = await self.link.run(
+            statement, floor=None, timeout_ms=PREPARATION_TIMEOUT_MS
+        )
+        if answer.refusal is not None:
+            self.link.close()
+            raise LinkLost(f"preparation refused: {answer.detail}", is_sent=False)
+
+
+@attrs.define(eq=False)
+class MemberPool:
+    """Connections to one member; construct it with `make_member_pool`.
+
+    Parameters
+    ----------
+    member : Member
+        The member.
+    open_link : callable
+        Opens a connection.
+    clock : Clock
+        Time in milliseconds.
+    gate : Gate
+        Permits, as many as this node may have connections.
+    """
+
+    member: Member
+    open_link: OpenLink
+    clock: Clock
+    gate: Gate
+    idle: list[PooledLink] = attrs.field(factory=list)
+    busy: set[PooledLink] = attrs.field(factory=set)
+    service_ms: float = 10.0
+    heard_ms: float = 0.0
+    """When the member last answered anything."""
+    is_reachable: bool = True
+    failures: int = 0
+    """Polls in a row that failed."""
+    on_link_end: Callable[[], None] = _ignore_end
+    """Called when the member ends a connection."""
+    opening: int = 0
+
+    @asynccontextmanager
+    async def lease(
+        self, organisation: str, values: dict[str, str], deadline_ms: float
+    ) -> AsyncIterator[PooledLink]:
+        """Hold a connection of an organisation.
+
+        Parameters
+        ----------
+        organisation : str
+            Name that the member knows the connection's user by.
+        values : dict
+            Session values that an idle connection should preferably have.
+        deadline_ms : float
+            Latest time at which the wait for a connection ends.
+
+        Raises
+        ------
+        RequestError
+            Not run, if no connection is free in time.
+        LinkRefused
+            If a new connection was needed and the member did not accept it.
+        """
+        async with self.gate.connection(organisation, deadline_ms):
+            pooled = self._find_idle(organisation, values)
+            if pooled is None:
+                pooled = await self._open(organisation)
+            self.busy.add(pooled)
+            try:
+                yield pooled
+            except BaseException:
+                # An answer may still be on its way; it must not reach the next user.
+                pooled.link.close()
+                raise
+            finally:
+                self._put_back(pooled)
+
+    @asynccontextmanager
+    async def lease_any(
+        self, organisation: str, deadline_ms: float
+    ) -> AsyncIterator[PooledLink]:
+        """Hold a connection of any organisation, for the node's own statements.
+
+        Parameters
+        ----------
+        organisation : str
+            Organisation of a connection that has to be opened.
+        deadline_ms : float
+            Latest time at which the wait for a connection ends.
+        """
+        idle = next((pooled for pooled in reversed(self.idle)), None)
+        chosen = idle.organisation if idle is not None else organisation
+        async with self.lease(chosen, {}, deadline_ms) as pooled:
+            yield pooled
+
+    @property
+    def in_flight(self) -> int:
+        """Connections in use, and requests that wait for one."""
+        return len(self.busy) + self.gate.queue.waiting
+
+    def has_idle(self, organisation: str) -> bool:
+        """Tell whether a request of an organisation needs no new connection."""
+        return any(
+            pooled.organisation == organisation and not pooled.link.is_closed
+            for pooled in self.idle
+        )
+
+    def note_answer(self, started_ms: float, now_ms: float) -> None:
+        """Record an answered statement and how long it took."""
+        self.heard_ms = now_ms
+        self.service_ms += SERVICE_SMOOTHING * (now_ms - started_ms - self.service_ms)
+
+    def set_limit(self, connections: int) -> None:
+        """Change how many connections this node may have."""
+        if connections != self.gate.queue.connections:
+            self.gate.set_connections(connections)
+            while self.idle and self._total > connections:
+                self.idle.pop(0).link.close()
+
+    def drop_idle(self) -> None:
+        """Close the connections that nobody uses."""
+        for pooled in self.idle:
+            pooled.link.close()
+        self.idle.clear()
+
+    def drop_all(self) -> None:
+        """Close all connections; statements on them end with `LinkLost`."""
+        self.drop_idle()
+        for pooled in self.busy:
+            pooled.link.close()
+
+    @property
+    def _total(self) -> int:
+        return len(self.idle) + len(self.busy) + self.opening
+
+    async def _open(self, organisation: str) -> PooledLink:
+        if self._total >= self.gate.queue.connections and self.idle:
+            self.idle.pop(0).link.close()
+        self.opening += 1
+        try:
+            link = await self.open_link(self.member, organisation, CONNECT_TIMEOUT_MS)
+        except LinkRefused as error:
+            if error.is_full:
+                self.drop_idle()
+            raise
+        finally:
+            self.opening -= 1
+        link.watch_end(self.on_link_end)
+        opened_ms = self.clock.now_ms()
+        self.heard_ms = opened_ms
+        return PooledLink(link, organisation, opened_ms, opened_ms)
+
+    def _find_idle(
+        self, organisation: str, values: dict[str, str]
+    ) -> PooledLink | None:
+        self.idle = [pooled for pooled in self.idle if not pooled.link.is_closed]
+        own = [pooled for pooled in self.idle if pooled.organisation == organisation]
+        if not own:
+            return None
+        same = (pooled for pooled in reversed(own) if pooled.values == values)
+        found = next(same, own[-1])
+        self.idle.remove(found)
+        return found
+
+    def _put_back(self, pooled: PooledLink) -> None:
+        self.busy.discard(pooled)
+        if pooled.is_in_transaction:
+            pooled.link.close()
+        if pooled.link.is_closed:
+            return
+        if self._total >= self.gate.queue.connections:
+            pooled.link.close()
+            return
+        pooled.used_ms = self.clock.now_ms()
+        self.idle.append(pooled)
+
+
+def make_member_pool(
+    member: Member, open_link: OpenLink, clock: Clock, connections: int
+) -> MemberPool:
+    """Return a pool without connections."""
+    pool = MemberPool(member, open_link, clock, make_gate(clock, connections))
+    pool.heard_ms = clock.now_ms()
+    return pool
--- /dev/null
+++ b/src/radishtrack/pooler/node.py
@@ -0,0 +1,303 @@
+"""A node of the session pooler: connects its parts and keeps their tasks running."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.events import Event, log_event
+from radishtrack.peer.messages import (
+    BeliefWithdrawn,
+    Execute,
+    Message,
+    SharesWanted,
+    Vote,
+    VoteRequest,
+    WithdrawBelief,
+)
+from radishtrack.peer.server import PeerHandlers, start_peer_server
+from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.control import Control
+from radishtrack.pooler.group_access import GroupAccess, make_group_access
+from radishtrack.pooler.monitor import MemberMonitor
+from radishtrack.pooler.peers import Peers
+from radishtrack.pooler.ports import (
+    ControlStore,
+    OpenLink,
+    PromoteMember,
+    StoreUnavailable,
+)
+from radishtrack.pooler.promoter import Promoter
+from radishtrack.pooler.rate_exchange import RateExchange
+from radishtrack.pooler.readiness import StopPlan, make_stop_plan
+from radishtrack.pooler.request_log import RequestLog
+from radishtrack.pooler.session import (
+    OPEN_ORGANISATION,
+    Access,
+    ClientSession,
+    Denied,
+    SessionContext,
+    make_session,
+)
+from radishtrack.pooler.statements import Refusal
+
+UNLISTED_EXPIRY_MS: Final = 5_000.0
+"""Members that the store has not listed for so long get no more work: 2 s longer than
+entries need to come back after an outage, and 2 s less than the limit of 7 s."""
+HOUSEKEEPING_MS: Final = 250.0
+"""Pause between checks for expired members."""
+SECRET_RETRY_MS: Final = 300.0
+"""Pause after the store did not answer while a node starts."""
+
+
+@attrs.frozen
+class NodeOptions:
+    """Settings of a node.
+
+    Parameters
+    ----------
+    node : NodeRecord
+        Name, address for peers, zone and start of the node.
+    grace_ms : float
+        Time between the request to stop and the kill.
+    key_age_limit_ms : float or None
+        Age of the configuration copy at which keys are no longer accepted.
+    """
+
+    node: NodeRecord
+    grace_ms: float
+    key_age_limit_ms: float | None
+
+
+@attrs.define(eq=False)
+class Node:
+    """State of a node; construct it with `make_node`."""
+
+    options: NodeOptions
+    clock: Clock
+    control: Control
+    open_link: OpenLink
+    peers: Peers
+    promoter: Promoter
+    log: RequestLog
+    rates: RateExchange
+    groups: dict[str, GroupAccess] = attrs.field(factory=dict)
+    monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    sessions: set[ClientSession] = attrs.field(factory=set)
+    stop_plan: StopPlan | None = None
+
+    async def run(self) -> None:
+        """Run all tasks; never returns."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.control.run())
+            tasks.create_task(self.log.run())
+            tasks.create_task(self._serve_peers())
+            tasks.create_task(self.promoter.run())
+            tasks.create_task(self.rates.run())
+            tasks.create_task(self._keep_house())
+
+    async def open_session(
+        self, database: str, key: str | None
+    ) -> ClientSession | Denied:
+        """Return a session for a new client connection, or why there is none."""
+        session = await make_session(self._context, database, key)
+        if isinstance(session, ClientSession):
+            self.sessions.add(session)
+        return session
+
+    async def close_session(self, session: ClientSession) -> None:
+        """End a session whose connection has ended."""
+        self.sessions.discard(session)
+        await session.close()
+
+    def is_ready(self) -> bool:
+        """Tell whether the node can serve new connections."""
+        return (
+            self.stop_plan is None
+            and self.control.confirmed_ms is not None
+            and self._has_recent_keys()
+            and any(group.evidence.term for group in self.groups.values())
+        )
+
+    def begin_stop(self) -> StopPlan:
+        """Stop being ready; return when what happens."""
+        if self.stop_plan is None:
+            self.stop_plan = make_stop_plan(self.clock.now_ms(), self.options.grace_ms)
+            log_event(
+                Event.NODE_DRAINING,
+                node=self.options.node.name,
+                sessions=len(self.sessions),
+            )
+        return self.stop_plan
+
+    def find_group(self, name: str) -> GroupAccess:
+        """Return the access to a group."""
+        access = self.groups.get(name)
+        if access is None:
+            access = make_group_access(
+                name, self.options.node.zone, self.clock, self.open_link
+            )
+            self.groups[name] = access
+        return access
+
+    def apply_control(self) -> None:
+        """Apply the present copy of the store."""
+        now_ms = self.clock.now_ms()
+        catalog = self.control.catalog
+        nodes = max(1, len(self.control.nodes))
+        self.rates.configure()
+        for name, settings in catalog.groups.items():
+            self.find_group(name).configure(settings, nodes)
+        weights = {
+            organisation.name: organisation.rate_per_s
+            for organisation in catalog.organisations.values()
+        }
+        for name, access in self.groups.items():
+            members = tuple(m for m in self.control.members if m.group == name)
+            access.set_members(members, now_ms)
+            for pool in access.pools.values():
+                pool.gate.set_weights(weights)
+                self._start_monitor(access, pool.member.name)
+
+    def _start_monitor(self, access: GroupAccess, member: str) -> None:
+        running = self.monitors.get(member)
+        if running is None or running.done():
+            monitor = MemberMonitor(access, member, self._any_organisation, self.clock)
+            self.monitors[member] = asyncio.create_task(monitor.run())
+
+    def _any_organisation(self) -> str:
+        return next(iter(self.control.catalog.organisations), OPEN_ORGANISATION)
+
+    def _has_recent_keys(self) -> bool:
+        limit_ms = self.options.key_age_limit_ms
+        return limit_ms is None or self.control.age_ms() < limit_ms
+
+    def _authorise(self, database: str, key_digest: bytes | None) -> Access | Denied:
+        catalog = self.control.catalog
+        route = catalog.routes.get(database)
+        if route is None:
+            return Denied(Refusal.NO_DATABASE, "no such database")
+        if route.is_open:
+            return Access(route, OPEN_ORGANISATION, False)
+        if key_digest is None:
+            return Denied(Refusal.NO_ACCESS, "the database needs a key")
+        if not self._has_recent_keys():
+            return Denied(Refusal.BUSY, "keys can't be confirmed at the moment")
+        owner = catalog.key_owners.get(key_digest)
+        if owner is None:
+            return Denied(Refusal.NO_ACCESS, "the key is not accepted")
+        return Access(route, owner.name, True)
+
+    @property
+    def _context(self) -> SessionContext:
+        return SessionContext(
+            clock=self.clock,
+            authorise=self._authorise,
+            refresh=self.control.refresh,
+            admit=self.rates.admit,
+            find_group=self.find_group,
+            observe=self.log.observe,
+        )
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_MS / 1000)
+            if self.control.age_ms() > UNLISTED_EXPIRY_MS:
+                # Without the store nobody knows whether an entry has come back.
+                continue
+            before_ms = self.clock.now_ms() - UNLISTED_EXPIRY_MS
+            for access in self.groups.values():
+                for name in access.expire_members(before_ms):
+                    log_event(Event.MEMBER_REMOVED, group=access.name, member=name)
+
+    async def _serve_peers(self) -> None:
+        secret = await self._read_secret()
+        self.peers.secret = secret
+        handlers = PeerHandlers(
+            execute=_refuse_execute,
+            end_session=_ignore_session,
+            end_connection=_ignore_connection,
+            call=self._answer_peer,
+            observe_control=lambda _size: None,
+            incarnation=self.options.node.started_ms,
+        )
+        node = self.options.node
+        server = await start_peer_server(
+            node.host, node.port, node.name, secret, handlers
+        )
+        await server.wait_closed()
+
+    async def _read_secret(self) -> bytes:
+        while True:
+            try:
+                return await self.control.store.read_secret()
+            except StoreUnavailable as error:
+                log_event(
+                    Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason
+                )
+                await asyncio.sleep(SECRET_RETRY_MS / 1000)
+
+    async def _answer_peer(self, peer: str, message: Message) -> Message | None:
+        match message:
+            case VoteRequest(request, database, member):
+                return Vote(request, self.promoter.vote(database, member))
+            case WithdrawBelief(request, database):
+                access = self.groups.get(database)
+                if access is not None:
+                    access.evidence.withdraw_belief(self.clock.now_ms())
+                return BeliefWithdrawn(request)
+            case SharesWanted():
+                return self.rates.grant(peer, message)
+            case _:
+                log_event(
+                    Event.PEER_REFUSED, peer=peer, reason=f"unexpected {type(message)}"
+                )
+                return None
+
+
+async def _refuse_execute(_peer: str, _message: Execute) -> AsyncIterator[Message]:
+    raise NotImplementedError("this node's peers forward no statements")
+    yield  # makes this function a generator, as the handlers' type demands
+
+
+async def _ignore_session(_peer: str, _session: int) -> None:
+    return
+
+
+async def _ignore_connection(_peer: str) -> None:
+    return
+
+
+def make_node(
+    options: NodeOptions,
+    clock: Clock,
+    store: ControlStore,
+    open_link: OpenLink,
+    promote: PromoteMember,
+    log: RequestLog,
+) -> Node:
+    """Return a node; `Node.run` starts it."""
+    control = Control(store, clock, options.node, lambda: None)
+    peers = Peers(options.node.name, clock, lambda: control.nodes)
+    groups: dict[str, GroupAccess] = {}
+    promoter = Promoter(
+        name=options.node.name,
+        clock=clock,
+        control=control,
+        peers=peers,
+        promote=promote,
+        list_groups=lambda: tuple(groups.values()),
+        organisation=lambda: next(
+            iter(control.catalog.organisations), OPEN_ORGANISATION
+        ),
+    )
+    rates = RateExchange(options.node.name, clock, control, peers)
+    node = Node(
+        options, clock, control, open_link, peers, promoter, log, rates, groups=groups
+    )
+    control.on_change = node.apply_control
+    return node
--- /dev/null
+++ b/src/radishtrack/pooler/peers.py
@@ -0,0 +1,104 @@
+"""Links to the other nodes of the fleet, opened when they are first needed."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.peer.link import LinkClosed, PeerLink, open_link
+from radishtrack.peer.messages import Message
+from radishtrack.pooler.catalog import NodeRecord
+
+RETRY_LINK_MS: Final = 500.0
+"""Pause after a peer could not be reached, so that a dead one costs little."""
+
+MakeMessage = Callable[[int], Message]
+"""Returns a message with the given request number."""
+
+
+@attrs.define(eq=False)
+class Peers:
+    """Links of one node.
+
+    Parameters
+    ----------
+    name : str
+        Name of this node.
+    clock : Clock
+        Time in milliseconds.
+    list_nodes : callable
+        Returns the registered nodes.
+    """
+
+    name: str
+    clock: Clock
+    list_nodes: Callable[[], tuple[NodeRecord, ...]]
+    secret: bytes = b""
+    links: dict[str, PeerLink] = attrs.field(factory=dict)
+    failed_ms: dict[str, float] = attrs.field(factory=dict)
+    locks: dict[str, asyncio.Lock] = attrs.field(factory=dict)
+    numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    def others(self) -> tuple[NodeRecord, ...]:
+        """Return the registered nodes without this one."""
+        return tuple(node for node in self.list_nodes() if node.name != self.name)
+
+    async def ask(
+        self, node: NodeRecord, make_message: MakeMessage, timeout_ms: float
+    ) -> Message | None:
+        """Ask one peer; None if it does not answer in time."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                link = await self._open(node)
+                if link is None:
+                    return None
+                request = next(self.numbers)
+                return await link.call(
+                    make_message(request), request, timeout_ms / 1000
+                )
+        except LinkClosed:
+            await self._drop(node.name)
+            return None
+        except TimeoutError:
+            return None
+
+    async def ask_all(
+        self, make_message: MakeMessage, timeout_ms: float
+    ) -> dict[str, Message | None]:
+        """Ask all registered peers at the same time; answers by node name."""
+        nodes = self.others()
+        answers = await asyncio.gather(
+            *(self.ask(node, make_message, timeout_ms) for node in nodes)
+        )
+        return {node.name: answer for node, answer in zip(nodes, answers, strict=True)}
+
+    async def close(self) -> None:
+        """Close all links."""
+        for name in tuple(self.links):
+            await self._drop(name)
+
+    async def _open(self, node: NodeRecord) -> PeerLink | None:
+        lock = self.locks.setdefault(node.name, asyncio.Lock())
+        async with lock:
+            link = self.links.get(node.name)
+            if link is not None and not link.closed:
+                return link
+            failed_ms = self.failed_ms.get(node.name)
+            now_ms = self.clock.now_ms()
+            if failed_ms is not None and now_ms - failed_ms < RETRY_LINK_MS:
+                return None
+            self.failed_ms[node.name] = now_ms
+            link = await open_link(f"{node.host}:{node.port}", self.name, self.secret)
+            del self.failed_ms[node.name]
+            self.links[node.name] = link
+            return link
+
+    async def _drop(self, name: str) -> None:
+        link = self.links.pop(name, None)
+        if link is not None:
+            await link.close()
--- /dev/null
+++ b/src/radishtrack/pooler/promoter.py
@@ -0,0 +1,323 @@
+"""Replaces primaries: claims the duty, fences members, orders the promotion."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.events import Event, log_event
+from radishtrack.group.status import Role
+from radishtrack.peer.messages import BeliefWithdrawn, Vote, VoteRequest, WithdrawBelief
+from radishtrack.pooler.catalog import MemberReport
+from radishtrack.pooler.control import Control
+from radishtrack.pooler.evidence import BELIEF_MS
+from radishtrack.pooler.group_access import GroupAccess
+from radishtrack.pooler.monitor import ask_member
+from radishtrack.pooler.peers import Peers
+from radishtrack.pooler.ports import (
+    Duty,
+    PromoteMember,
+    PromotionResult,
+    StoreUnavailable,
+)
+from radishtrack.pooler.promotion import (
+    Reason,
+    ReplicationProgress,
+    choose_successor,
+    count_needed,
+    find_reason,
+    is_leaderless,
+)
+from radishtrack.pooler.statements import AskStatus, Fence, MemberStatement, Unfence
+
+PROMOTION_DUTY: Final = "promotion"
+"""Name of the duty's record in the store."""
+CHECK_INTERVAL_MS: Final = 100.0
+"""Pause between checks of all groups; small against the time to notice a failure."""
+RANK_DELAY_MS: Final = 150.0
+"""Head start of each node over the next one, longer than a claim takes, so that nodes
+seldom fence the same members."""
+VOTE_TIMEOUT_MS: Final = 250.0
+"""A vote needs no work; a peer that takes longer can't be asked."""
+VOTE_SILENCE_MS: Final = 600.0
+"""A member that was not heard of for longer than a poll takes counts as unreachable
+when another node asks."""
+DUTY_LEASE_MS: Final = 3_000.0
+"""A promotion takes under 2 s, so a claim that is older belongs to a failed node."""
+DUTY_MARGIN_MS: Final = 800.0
+"""An order is given only while its claim has so much time left."""
+FENCE_ROUNDS: Final = 3
+"""Rounds in which members that did not answer are asked again."""
+FENCE_PAUSE_MS: Final = 100.0
+"""Pause between these rounds."""
+CONFIRM_PROMOTION_MS: Final = 2_000.0
+"""Longest wait until the promoted member leads; it takes some hundred milliseconds."""
+CONFIRM_POLL_MS: Final = 40.0
+"""Pause between questions whether the promoted member leads."""
+RETRY_MS: Final = 250.0
+"""Pause after a failed attempt."""
+WITHDRAW_TIMEOUT_MS: Final = 200.0
+"""Nodes that do not confirm by then are waited for until their belief ends."""
+
+MakeOrganisation = Callable[[], str]
+
+
+@attrs.define(eq=False)
+class Watched:
+    """What the promoter remembers of one group."""
+
+    progress: ReplicationProgress = attrs.field(factory=ReplicationProgress)
+    leaderless_since_ms: float | None = None
+    reason_since_ms: float | None = None
+    not_before_ms: float = 0.0
+    task: asyncio.Task[None] | None = None
+
+
+@attrs.define(eq=False)
+class Promoter:
+    """Watches all groups of a node; `run` never returns."""
+
+    name: str
+    clock: Clock
+    control: Control
+    peers: Peers
+    promote: PromoteMember
+    list_groups: Callable[[], tuple[GroupAccess, ...]]
+    organisation: MakeOrganisation
+    watched: dict[str, Watched] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Check all groups again and again."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+            for access in self.list_groups():
+                self.check(access)
+
+    def check(self, access: GroupAccess) -> None:
+        """Start an attempt if the group's primary has to be replaced."""
+        now_ms = self.clock.now_ms()
+        watched = self.watched.setdefault(access.name, Watched())
+        watched.progress.observe(access.evidence, now_ms)
+        if not is_leaderless(access.evidence):
+            watched.leaderless_since_ms = None
+        elif watched.leaderless_since_ms is None:
+            watched.leaderless_since_ms = now_ms
+        if watched.task is not None and not watched.task.done():
+            return
+        reason = find_reason(
+            access, watched.progress, watched.leaderless_since_ms, now_ms
+        )
+        if reason is None:
+            watched.reason_since_ms = None
+            return
+        if watched.reason_since_ms is None:
+            watched.reason_since_ms = now_ms
+        start_ms = watched.reason_since_ms + self._rank(access.name) * RANK_DELAY_MS
+        if now_ms < max(start_ms, watched.not_before_ms):
+            return
+        watched.task = asyncio.create_task(self._attempt(access, watched, reason))
+
+    def vote(self, group: str, member: str) -> bool:
+        """Answer a peer: whether this node finds that a primary can't serve."""
+        for access in self.list_groups():
+            if access.name != group:
+                continue
+            watched = self.watched.get(group)
+            pool = access.pools.get(member)
+            if pool is None or not pool.is_reachable:
+                return True
+            if self.clock.now_ms() - pool.heard_ms > VOTE_SILENCE_MS:
+                return True
+            if access.evidence.primary != member or watched is None:
+                return True
+            return watched.reason_since_ms is not None
+        return True
+
+    def _rank(self, group: str) -> int:
+        """Return this node's place in the group's order of promoting nodes."""
+        names = sorted(
+            (node.name for node in self.control.nodes),
+            key=lambda name: zlib.crc32(f"{group}/{name}".encode()),
+        )
+        return names.index(self.name) if self.name in names else len(names)
+
+    async def _attempt(
+        self, access: GroupAccess, watched: Watched, reason: Reason
+    ) -> None:
+        started_ms = self.clock.now_ms()
+        evidence = access.evidence
+        log_event(
+            Event.PRIMARY_SUSPECTED,
+            group=access.name,
+            primary=evidence.primary or "none",
+            term=evidence.term,
+            reason=reason.value,
+        )
+        try:
+            outcome = await self._replace(access, reason)
+        except StoreUnavailable as error:
+            outcome = f"store: {error}"
+        finally:
+            watched.not_before_ms = self.clock.now_ms() + RETRY_MS
+        event = Event.PROMOTION_FAILED if outcome else Event.PROMOTION_WON
+        log_event(
+            event,
+            group=access.name,
+            primary=evidence.primary or "none",
+            term=evidence.term,
+            detail=outcome or "promoted",
+            elapsed_ms=round(self.clock.now_ms() - started_ms),
+        )
+
+    async def _replace(self, access: GroupAccess, reason: Reason) -> str:
+        """Run one attempt; return why it failed, or nothing."""
+        old_primary = access.presumed_primary()
+        if reason.needs_votes and not await self._is_agreed(access, old_primary):
+            return "another node reaches the primary"
+        # Members that have just joined may hold acknowledged commits.
+        if not await self.control.confirm():
+            return "the store can't confirm the list of members"
+        claimed_ms = self.clock.now_ms()
+        duty = await self._claim()
+        if duty is None:
+            return "another node has the duty"
+        term = access.evidence.term + 1
+        log_event(
+            Event.PROMOTION_STARTED,
+            group=access.name,
+            term=term,
+            token=duty.revision,
+            reason=reason.value,
+        )
+        fenced_ms = await self._fence(access, term, old_primary)
+        if fenced_ms is None:
+            await self._unfence(access, old_primary)
+            return "too few members could be fenced"
+        await self._await_withdrawal(access, fenced_ms)
+        fenced = await self._read_fenced(access, term, old_primary)
+        leaving = frozenset(
+            name for name, pool in access.pools.items() if pool.member.is_leaving
+        )
+        successor = choose_successor(fenced, access.evidence, old_primary, leaving)
+        if access.evidence.term >= term:
+            return "another promotion was faster"
+        if successor is None:
+            await self._unfence(access, old_primary)
+            return "members did not stay fenced"
+        age_ms = self.clock.now_ms() - claimed_ms
+        if age_ms > DUTY_LEASE_MS - DUTY_MARGIN_MS:
+            return "the attempt took longer than its claim lasts"
+        result = await self.promote(
+            access.name, successor.member, self.name, duty.revision
+        )
+        log_event(
+            Event.PROMOTION_ORDERED,
+            group=access.name,
+            member=successor.member,
+            position=f"{successor.position.term}.{successor.position.sequence}",
+            token=duty.revision,
+            claim_age_ms=round(age_ms),
+            result=result.value,
+        )
+        if result is PromotionResult.REFUSED:
+            return f"the order to promote {successor.member} was refused"
+        if not await self._await_primary(access, successor.member, term):
+            return f"{successor.member} does not lead yet"
+        await self._unfence(access, successor.member)
+        return ""
+
+    async def _is_agreed(self, access: GroupAccess, primary: str) -> bool:
+        answers = await self.peers.ask_all(
+            lambda request: VoteRequest(request, access.name, primary), VOTE_TIMEOUT_MS
+        )
+        votes = [answer for answer in answers.values() if isinstance(answer, Vote)]
+        return all(vote.unreachable for vote in votes)
+
+    async def _claim(self) -> Duty | None:
+        """Become the node that may order promotions, or return None."""
+        known = self.control.find_duty(PROMOTION_DUTY)
+        age_ms = self.clock.now_ms() - known.seen_ms
+        if known.duty.holder not in ("", self.name) and age_ms < DUTY_LEASE_MS:
+            return None
+        return await self.control.claim_duty(PROMOTION_DUTY)
+
+    async def _fence(
+        self, access: GroupAccess, term: int, old_primary: str
+    ) -> float | None:
+        """Fence enough members; return when that was complete, or None."""
+        for _ in range(FENCE_ROUNDS):
+            names = [name for name in access.pools if name != old_primary]
+            await self._ask_all(access, names, Fence(term))
+            needed = count_needed(access.evidence, old_primary)
+            if self._count_fenced(access, term, old_primary) >= needed:
+                return self.clock.now_ms()
+            await asyncio.sleep(FENCE_PAUSE_MS / 1000)
+        return None
+
+    async def _await_withdrawal(self, access: GroupAccess, fenced_ms: float) -> None:
+        """Wait until no node believes in the old term any more.
+
+        The list of nodes has to be read after the members were fenced: a node that
+        registers later can't gather evidence of the old term.
+        """
+        access.evidence.withdraw_belief(self.clock.now_ms())
+        is_complete = await self.control.confirm()
+        answers = await self.peers.ask_all(
+            lambda request: WithdrawBelief(request, access.name),
+            WITHDRAW_TIMEOUT_MS,
+        )
+        if is_complete and all(
+            isinstance(answer, BeliefWithdrawn) for answer in answers.values()
+        ):
+            return
+        remaining_ms = fenced_ms + BELIEF_MS - self.clock.now_ms()
+        await asyncio.sleep(max(0.0, remaining_ms) / 1000)
+
+    async def _read_fenced(
+        self, access: GroupAccess, term: int, old_primary: str
+    ) -> dict[str, MemberReport]:
+        """Ask again, because a member that restarts forgets that it is fenced."""
+        names = [name for name in access.pools if name != old_primary]
+        reports = await self._ask_all(access, names, AskStatus())
+        return {
+            report.member: report for report in reports if report.fenced_term >= term
+        }
+
+    async def _unfence(self, access: GroupAccess, except_member: str) -> None:
+        names = [name for name in access.pools if name != except_member]
+        await self._ask_all(access, names, Unfence())
+
+    async def _await_primary(self, access: GroupAccess, member: str, term: int) -> bool:
+        until_ms = self.clock.now_ms() + CONFIRM_PROMOTION_MS
+        while self.clock.now_ms() < until_ms:
+            (report,) = await self._ask_all(access, [member], AskStatus()) or (None,)
+            leads = report is not None and report.role is Role.PRIMARY
+            if leads and report is not None and report.term >= term:
+                return True
+            if access.evidence.term >= term and access.evidence.primary:
+                return True
+            await asyncio.sleep(CONFIRM_POLL_MS / 1000)
+        return False
+
+    async def _ask_all(
+        self, access: GroupAccess, names: list[str], statement: MemberStatement
+    ) -> list[MemberReport]:
+        asked: list[Awaitable[MemberReport | None]] = [
+            ask_member(access, pool, statement, self.organisation(), self.clock)
+            for name in names
+            if (pool := access.pools.get(name)) is not None
+        ]
+        return [report for report in await asyncio.gather(*asked) if report is not None]
+
+    def _count_fenced(self, access: GroupAccess, term: int, old_primary: str) -> int:
+        return sum(
+            report.fenced_term >= term
+            for name in access.pools
+            if name != old_primary
+            and (report := access.evidence.find_report(name)) is not None
+        )
--- /dev/null
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -0,0 +1,187 @@
+"""Exchanges shares of rates with the rates' holder, or is that holder."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from typing import Final
+
+import attrs
+
+from radishtrack.clock import Clock
+from radishtrack.events import Event, log_event
+from radishtrack.peer.messages import SharesGranted, SharesWanted
+from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.control import Control
+from radishtrack.pooler.peers import Peers
+from radishtrack.pooler.ports import StoreUnavailable
+from radishtrack.pooler.rate_limit import RateLimiter
+from radishtrack.pooler.shares import ShareHolder, make_share_holder
+
+RATES_DUTY: Final = "rates"
+"""Name of the duty's record in the store."""
+HOLDER_LEASE_MS: Final = 2_500.0
+"""A holder grants only while its last look at the duty's record is younger; a new one
+waits as long. The store is read every 0.8 s, so two lost calls don't interrupt it."""
+EXCHANGE_INTERVAL_MS: Final = 300.0
+"""Pause between exchanges without a need: three fit into the time of a loan."""
+EXCHANGE_TIMEOUT_MS: Final = 300.0
+"""An answer takes one round trip."""
+ADMISSION_WAIT_MS: Final = 40.0
+"""Longest wait of an operation for a token; a round trip takes a few milliseconds."""
+LOST_AFTER_MS: Final = 700.0
+"""A holder that has not answered for so long is replaced."""
+RANK_DELAY_MS: Final = 200.0
+"""Head start of each node over the next one."""
+
+
+@attrs.define(eq=False)
+class RateExchange:
+    """State of one node; `run` never returns."""
+
+    name: str
+    clock: Clock
+    control: Control
+    peers: Peers
+    limiter: RateLimiter = attrs.field(factory=RateLimiter)
+    holder: ShareHolder | None = None
+    """This node's state as holder, while it is that."""
+    epoch: int = 0
+    reply: int = 0
+    """The last answer of the present holder."""
+    answered_ms: float = 0.0
+    wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    exchanged: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def configure(self) -> None:
+        """Apply the present configuration and number of nodes."""
+        now_ms = self.clock.now_ms()
+        nodes = max(1, len(self.control.nodes))
+        organisations = self.control.catalog.organisations
+        self.limiter.configure(organisations, nodes, now_ms)
+        self._follow_duty(now_ms)
+        if self.holder is not None:
+            self.holder.configure(organisations, nodes, now_ms)
+
+    async def admit(self, organisation: str) -> bool:
+        """Use one token of an organisation, and wait shortly for it if necessary."""
+        now_ms = self.clock.now_ms()
+        if self.limiter.take(organisation, now_ms):
+            return True
+        until_ms = now_ms + ADMISSION_WAIT_MS
+        self.limiter.want(organisation, 1)
+        try:
+            while self.limiter.may_ask(organisation, now_ms) and now_ms < until_ms:
+                self.wanted.set()
+                exchanged = self.exchanged
+                try:
+                    async with asyncio.timeout((until_ms - now_ms) / 1000):
+                        await exchanged.wait()
+                except TimeoutError:
+                    pass
+                now_ms = self.clock.now_ms()
+                if self.limiter.take(organisation, now_ms):
+                    return True
+            return False
+        finally:
+            self.limiter.want(organisation, -1)
+
+    def grant(self, node: str, message: SharesWanted) -> SharesGranted:
+        """Answer a node, as holder."""
+        now_ms = self.clock.now_ms()
+        holder = self.holder
+        is_confirmed = self.control.age_ms() < HOLDER_LEASE_MS
+        if holder is None or not is_confirmed:
+            return SharesGranted(message.request, 0, 0, ())
+        reply = message.reply if message.epoch == holder.epoch else 0
+        number, granted = holder.exchange(node, reply, message.wanted, now_ms)
+        return SharesGranted(message.request, holder.epoch, number, granted)
+
+    async def run(self) -> None:
+        """Exchange whenever tokens are needed, and regularly."""
+        self.answered_ms = self.clock.now_ms()
+        while True:
+            try:
+                async with asyncio.timeout(EXCHANGE_INTERVAL_MS / 1000):
+                    await self.wanted.wait()
+            except TimeoutError:
+                pass
+            self.wanted.clear()
+            if self.control.confirmed_ms is None:
+                await asyncio.sleep(EXCHANGE_INTERVAL_MS / 1000)
+                continue
+            if not await self._exchange():
+                await self._replace_holder()
+                await asyncio.sleep(EXCHANGE_INTERVAL_MS / 1000)
+            self.exchanged.set()
+            self.exchanged = asyncio.Event()
+
+    async def _exchange(self) -> bool:
+        """Ask the holder once; return whether it answered."""
+        holder = self.control.find_duty(RATES_DUTY).duty.holder
+        asked_ms = self.clock.now_ms()
+        wanted = self.limiter.list_wanted(asked_ms)
+        if holder == self.name:
+            answer = self.grant(
+                self.name, SharesWanted(0, self.epoch, self.reply, wanted)
+            )
+        else:
+            record = self._find_node(holder)
+            if record is None:
+                return False
+            received = await self.peers.ask(
+                record,
+                lambda request: SharesWanted(request, self.epoch, self.reply, wanted),
+                EXCHANGE_TIMEOUT_MS,
+            )
+            if not isinstance(received, SharesGranted):
+                return False
+            answer = received
+        if answer.epoch == 0:
+            return False
+        now_ms = self.clock.now_ms()
+        if answer.epoch != self.epoch and now_ms < self.limiter.lent_until_ms:
+            # The shares are still lent to the earlier holder.
+            return True
+        self.epoch, self.reply = answer.epoch, answer.reply
+        self.answered_ms = now_ms
+        self.limiter.note_granted(answer.granted, asked_ms, now_ms)
+        return True
+
+    async def _replace_holder(self) -> None:
+        """Become the holder if the present one has not answered for too long."""
+        now_ms = self.clock.now_ms()
+        delay_ms = LOST_AFTER_MS + self._rank() * RANK_DELAY_MS
+        known = self.control.find_duty(RATES_DUTY)
+        since_ms = max(self.answered_ms, known.seen_ms)
+        if known.duty.holder == self.name or now_ms - since_ms < delay_ms:
+            return
+        try:
+            duty = await self.control.claim_duty(RATES_DUTY)
+        except StoreUnavailable:
+            # The record shows at the next confirmation whether the claim took effect.
+            return
+        if duty is not None:
+            log_event(
+                Event.RATES_HELD, node=self.name, epoch=duty.revision, earlier=known
+            )
+            self.configure()
+
+    def _follow_duty(self, now_ms: float) -> None:
+        known = self.control.find_duty(RATES_DUTY)
+        if known.duty.holder != self.name:
+            self.holder = None
+        elif self.holder is None or self.holder.epoch != known.duty.revision:
+            # An earlier holder may go on until its last look at the record is too old.
+            starts_ms = now_ms + HOLDER_LEASE_MS
+            self.holder = make_share_holder(known.duty.revision, starts_ms)
+
+    def _find_node(self, name: str) -> NodeRecord | None:
+        return next((node for node in self.control.nodes if node.name == name), None)
+
+    def _rank(self) -> int:
+        names = sorted(
+            (node.name for node in self.control.nodes),
+            key=lambda name: zlib.crc32(f"{RATES_DUTY}/{name}".encode()),
+        )
+        return names.index(self.name) if self.name in names else len(names)
--- /dev/null
+++ b/src/radishtrack/pooler/request_log.py
@@ -0,0 +1,114 @@
+"""Log lines and metrics of operations, in a volume that is bounded under load."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import attrs
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from radishtrack.clock import Clock
+from radishtrack.events import Event, log_event
+from radishtrack.pooler.execution import Result
+from radishtrack.pooler.session import ClientSession
+
+REFUSED_LINES_PER_S: Final = 40
+"""Refused or failed statements that get a line of their own; the rest is counted."""
+SERVED_LINES_PER_S: Final = 5
+"""Served statements that get a line, as a sample."""
+PERIOD_MS: Final = 1_000.0
+SLOW_OBJECTIVES: Final = 1.0
+"""Statements that take longer than their objective are logged like refused ones."""
+LATENCY_BUCKETS_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
+
+
+@attrs.define(eq=False)
+class RequestLog:
+    """Counts and logs the results of statements; make it with `make_request_log`."""
+
+    clock: Clock
+    registry: CollectorRegistry
+    statements: Counter
+    latency: Histogram
+    period_ms: float = 0.0
+    refused_lines: int = 0
+    served_lines: int = 0
+    suppressed: int = 0
+
+    async def run(self) -> None:
+        """Report suppressed lines once a period; never returns."""
+        while True:
+            await asyncio.sleep(PERIOD_MS / 1000)
+            if self.suppressed:
+                log_event(Event.LINES_SUPPRESSED, lines=self.suppressed)
+            self.refused_lines = self.served_lines = self.suppressed = 0
+
+    def observe(
+        self,
+        session: ClientSession,
+        statement_id: str,
+        step: str,
+        result: Result,
+        arrived_ms: float,
+    ) -> None:
+        """Record what became of a statement."""
+        access = session.access
+        assert access is not None
+        elapsed_ms = self.clock.now_ms() - arrived_ms
+        refusal = result.answer.refusal
+        outcome = "served" if refusal is None else refusal.name.lower()
+        read_class = access.route.read_class.value
+        self.statements.labels(read_class, step, outcome).inc()
+        if refusal is None:
+            self.latency.labels(read_class, step).observe(elapsed_ms / 1000)
+        is_slow = elapsed_ms > SLOW_OBJECTIVES * access.route.objective_ms
+        if refusal is not None or is_slow:
+            if self.refused_lines >= REFUSED_LINES_PER_S:
+                self.suppressed += 1
+                return
+            self.refused_lines += 1
+        else:
+            if self.served_lines >= SERVED_LINES_PER_S:
+                return
+            self.served_lines += 1
+        group = session.context.find_group(access.route.group)
+        evidence = group.evidence
+        now_ms = self.clock.now_ms()
+        log_event(
+            Event.STATEMENT_FINISHED,
+            id=statement_id,
+            step=step,
+            outcome=outcome,
+            detail=result.answer.detail,
+            member=result.member,
+            group=group.name,
+            organisation=access.organisation,
+            read_class=read_class,
+            elapsed_ms=round(elapsed_ms, 1),
+            term=evidence.term,
+            primary=evidence.primary,
+            belief_left_ms=round(evidence.belief_until_ms() - now_ms),
+        )
+
+
+def make_request_log(clock: Clock) -> RequestLog:
+    """Return an empty log with metrics of its own."""
+    registry = CollectorRegistry()
+    return RequestLog(
+        clock=clock,
+        registry=registry,
+        statements=Counter(
+            "radishtrack_pooler_statements",
+            "Statements by read class, step and outcome",
+            ("read_class", "step", "outcome"),
+            registry=registry,
+        ),
+        latency=Histogram(
+            "radishtrack_pooler_statement_seconds",
+            "Time from the arrival of a served statement to its answer",
+            ("read_class", "step"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        ),
+    )
--- /dev/null
+++ b/src/radishtrack/pooler/transaction.py
@@ -0,0 +1,237 @@
+"""A client's transaction, pinned to one connection of one member."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import Final
+
+import attrs
+
+from radishtrack.errors import RequestError
+from radishtrack.pooler.execution import (
+    Executable,
+    Request,
+    Result,
+    is_open,
+    prepare_link,
+    refuse,
+    run_on_link,
+)
+from radishtrack.pooler.group_access import GroupAccess, ReadPlan
+from radishtrack.pooler.member_pool import MemberPool, PooledLink
+from radishtrack.pooler.ports import LinkLost, LinkRefused
+from radishtrack.pooler.retry import RETRY_PAUSE_MS
+from radishtrack.pooler.statements import (
+    NOT_RUN,
+    Begin,
+    Commit,
+    Refusal,
+    Rollback,
+    TransactionState,
+)
+from radishtrack.session.position import Position
+
+ROLLBACK_TIMEOUT_MS: Final = 500.0
+"""A rollback takes no slot; a connection that does not answer is closed, which rolls
+back as well."""
+
+
+@attrs.define(eq=False)
+class Transaction:
+    """A transaction; the member's part starts with the first statement.
+
+    Starting late keeps the scarce connection free while the client pauses after its
+    `BEGIN`, and can only make the data newer.
+
+    Parameters
+    ----------
+    access : GroupAccess
+        The group that the route named when the transaction began.
+    is_read_only : bool
+        Whether a replica may run it.
+    """
+
+    access: GroupAccess
+    is_read_only: bool
+    has_failed: bool = False
+    wrote: bool = False
+    member: str = ""
+    pooled: PooledLink | None = None
+    pool: MemberPool | None = None
+    stack: AsyncExitStack = attrs.field(factory=AsyncExitStack)
+
+    async def run(
+        self,
+        request: Request,
+        statement: Executable,
+        session_position: Position | None,
+        *,
+        is_write: bool,
+    ) -> Result:
+        """Run a statement of the transaction."""
+        if self.pooled is None:
+            refused = await self._begin(request, session_position)
+            if refused is not None:
+                await self.abandon()
+                return refused
+        assert self.pooled is not None and self.pool is not None
+        self.wrote = self.wrote or is_write
+        result = await self._run_pinned(request, statement)
+        if not is_open(result.answer):
+            await self.abandon()
+        return result
+
+    async def commit(
+        self, request: Request, statement: Commit, session_position: Position | None
+    ) -> Result:
+        """Commit; the transaction has ended whatever the result is."""
+        if self.has_failed:
+            await self.abandon()
+            return refuse(Refusal.ABORTED, "the transaction had failed", self.member)
+        if self.pooled is None:
+            refused = await self._begin(request, session_position)
+            if refused is not None:
+                await self.abandon()
+                return refused
+        assert self.pooled is not None and self.pool is not None
+        try:
+            answer = await run_on_link(
+                self.access,
+                self.pool,
+                self.pooled,
+                statement,
+                floor=None,
+                timeout_ms=request.plan.remaining_ms(self.access.clock.now_ms()),
+            )
+        except LinkLost as error:
+            await self.abandon()
+            if not error.is_sent:
+                return refuse(Refusal.ABORTED, error.reason, self.member)
+            # Without a write there is nothing whose fate could be unknown.
+            lost = Refusal.OUTCOME_UNKNOWN if self.wrote else Refusal.ABORTED
+            return refuse(lost, error.reason, self.member)
+        await self.abandon()
+        return Result(answer, self.member)
+
+    async def abandon(self) -> None:
+        """Roll back at the member and give the connection back."""
+        self.has_failed = True
+        pooled, self.pooled = self.pooled, None
+        if pooled is not None and pooled.is_in_transaction:
+            await self._roll_back(pooled)
+        await self.stack.aclose()
+
+    async def _roll_back(self, pooled: PooledLink) -> None:
+        if pooled.link.is_closed:
+            return
+        try:
+            await pooled.run(Rollback(), floor=None, timeout_ms=ROLLBACK_TIMEOUT_MS)
+        except LinkLost:
+            pooled.link.close()
+
+    async def _run_pinned(self, request: Request, statement: Executable) -> Result:
+        assert self.pooled is not None and self.pool is not None
+        plan = request.plan
+        while True:
+            plan.attempts += 1
+            try:
+                await prepare_link(self.pooled, request)
+                answer = await run_on_link(
+                    self.access,
+                    self.pool,
+                    self.pooled,
+                    statement,
+                    floor=None,
+                    timeout_ms=plan.remaining_ms(self.access.clock.now_ms()),
+                )
+            except LinkLost as error:
+                # The member rolls back a transaction whose connection has ended.
+                self.pooled.link.close()
+                return refuse(Refusal.ABORTED, error.reason, self.member)
+            stays_open = answer.state is TransactionState.OPEN
+            is_repeatable = answer.refusal in NOT_RUN and stays_open
+            if not is_repeatable or not plan.may_retry(self.access.clock.now_ms()):
+                return Result(answer, self.member)
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+
+    async def _begin(
+        self, request: Request, session_position: Position | None
+    ) -> Result | None:
+        """Start the transaction at a member; return the refusal if none does."""
+        plan = request.plan
+        while True:
+            plan.attempts += 1
+            read_plan = await self._await_plan(request, session_position)
+            if read_plan is None:
+                return refuse(Refusal.BUSY, "no recent evidence of the group's log")
+            refused: Result | None = refuse(
+                Refusal.BUSY, "no member can start the transaction"
+            )
+            for member in read_plan.members:
+                refused = await self._begin_at(member, request, read_plan.floor)
+                if refused is None:
+                    return None
+                if not plan.may_retry(self.access.clock.now_ms()):
+                    return refused
+            if not read_plan.members or not plan.may_retry(self.access.clock.now_ms()):
+                return refused
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+
+    async def _await_plan(
+        self, request: Request, session_position: Position | None
+    ) -> ReadPlan | None:
+        def find() -> ReadPlan | None:
+            if self.is_read_only:
+                return self.access.plan_read(
+                    request.route, session_position, request.organisation
+                )
+            return self.access.plan_primary(request.route, session_position)
+
+        found = find()
+        if found is None:
+            until_ms = request.plan.evidence_until_ms
+            if await self.access.wait_for(lambda: find() is not None, until_ms):
+                found = find()
+        return found
+
+    async def _begin_at(
+        self, member: str, request: Request, floor: Position | None
+    ) -> Result | None:
+        pool = self.access.pools.get(member)
+        if pool is None or not pool.is_reachable:
+            return refuse(Refusal.BUSY, f"{member} is not reachable", member)
+        stack = AsyncExitStack()
+        try:
+            pooled = await stack.enter_async_context(
+                pool.lease(
+                    request.organisation, request.values, request.plan.wait_until_ms
+                )
+            )
+            await prepare_link(pooled, request)
+            answer = await run_on_link(
+                self.access,
+                pool,
+                pooled,
+                Begin(self.is_read_only),
+                floor=floor,
+                timeout_ms=request.plan.remaining_ms(self.access.clock.now_ms()),
+            )
+        except RequestError as error:
+            await stack.aclose()
+            return refuse(Refusal.BUSY, error.failure.message, member)
+        except LinkRefused as error:
+            await stack.aclose()
+            return refuse(Refusal.BUSY, error.reason, member)
+        except LinkLost as error:
+            # Nothing of the client was sent yet.
+            await stack.aclose()
+            return refuse(Refusal.BUSY, error.reason, member)
+        except BaseException:
+            await stack.aclose()
+            raise
+        if not is_open(answer):
+            await stack.aclose()
+            return Result(answer, member)
+        self.member, self.pool, self.pooled, self.stack = member, pool, pooled, stack
+        return None
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -24,8 +24,9 @@
     f"/usr/bin/env -S python{sys.version_info[0]}.{sys.version_info[1]} -I"
 )
 
-# VMs have no disks, and compiled modules can only be loaded from a file system.
-ROOT: Final = "/dev/shm/radishtrack"
+# Compiled modules can only be loaded from a file system; on VMs without disks, /tmp is
+# the only place that a process may write to.
+ROOT: Final = "/tmp/radishtrack"
 
 # Only the benchmark's plots and reports need these; with numpy and fonts they are 70%
 # of the size.
