Test the whole path of the pooler with stand-ins; lend rates without a gap

The rates' holder answers only from when it may grant, and a first loan is confirmed at once; both had refused operations for up to 2.5 s after a start.

--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import zlib
 from typing import Final
 
@@ -16,7 +17,7 @@
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import StoreUnavailable
 from radishtrack.pooler.rate_limit import RateLimiter
-from radishtrack.pooler.shares import ShareHolder, make_share_holder
+from radishtrack.pooler.shares import GRANT_MS, ShareHolder, make_share_holder
 
 RATES_DUTY: Final = "rates"
 """Name of the duty's record in the store."""
@@ -27,8 +28,9 @@
 """Pause between exchanges without a need: three fit into the time of a loan."""
 EXCHANGE_TIMEOUT_MS: Final = 300.0
 """An answer takes one round trip."""
-ADMISSION_WAIT_MS: Final = 40.0
-"""Longest wait of an operation for a token; a round trip takes a few milliseconds."""
+ADMISSION_WAIT_MS: Final = 50.0
+"""Longest wait of an operation for a token: half of the shortest latency objective. A
+round trip takes a few milliseconds."""
 LOST_AFTER_MS: Final = 700.0
 """A holder that has not answered for so long is replaced."""
 RANK_DELAY_MS: Final = 200.0
@@ -50,6 +52,8 @@
     reply: int = 0
     """The last answer of the present holder."""
     answered_ms: float = 0.0
+    replaces_holder: bool = False
+    """Whether this node's claim ended the time of another holder."""
     wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
     exchanged: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -71,17 +75,13 @@
         until_ms = now_ms + ADMISSION_WAIT_MS
         self.limiter.want(organisation, 1)
         try:
-            while self.limiter.may_ask(organisation, now_ms) and now_ms < until_ms:
-                self.wanted.set()
-                exchanged = self.exchanged
-                try:
-                    async with asyncio.timeout((until_ms - now_ms) / 1000):
-                        await exchanged.wait()
-                except TimeoutError:
-                    pass
+            while (asks_ms := self.limiter.asks_from_ms(organisation)) < until_ms:
+                await self._await_exchange(asks_ms, until_ms)
                 now_ms = self.clock.now_ms()
                 if self.limiter.take(organisation, now_ms):
                     return True
+                if now_ms >= until_ms:
+                    return False
             return False
         finally:
             self.limiter.want(organisation, -1)
@@ -91,7 +91,8 @@
         now_ms = self.clock.now_ms()
         holder = self.holder
         is_confirmed = self.control.age_ms() < HOLDER_LEASE_MS
-        if holder is None or not is_confirmed:
+        # Until it may grant, the nodes are better off with their own shares.
+        if holder is None or not is_confirmed or now_ms < holder.starts_ms:
             return SharesGranted(message.request, 0, 0, ())
         reply = message.reply if message.epoch == holder.epoch else 0
         number, granted = holder.exchange(node, reply, message.wanted, now_ms)
@@ -101,11 +102,9 @@
         """Exchange whenever tokens are needed, and regularly."""
         self.answered_ms = self.clock.now_ms()
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(EXCHANGE_INTERVAL_MS / 1000):
                     await self.wanted.wait()
-            except TimeoutError:
-                pass
             self.wanted.clear()
             if self.control.confirmed_ms is None:
                 await asyncio.sleep(EXCHANGE_INTERVAL_MS / 1000)
@@ -116,6 +115,18 @@
             self.exchanged.set()
             self.exchanged = asyncio.Event()
 
+    async def _await_exchange(self, asks_ms: float, until_ms: float) -> None:
+        """Wait for the next exchange that is sent from `asks_ms` on."""
+        delay_ms = asks_ms - self.clock.now_ms()
+        if delay_ms > 0:
+            await asyncio.sleep(delay_ms / 1000)
+        self.wanted.set()
+        exchanged = self.exchanged
+        with contextlib.suppress(TimeoutError):
+            remaining_ms = max(0.0, until_ms - self.clock.now_ms())
+            async with asyncio.timeout(remaining_ms / 1000):
+                await exchanged.wait()
+
     async def _exchange(self) -> bool:
         """Ask the holder once; return whether it answered."""
         holder = self.control.find_duty(RATES_DUTY).duty.holder
@@ -143,6 +154,9 @@
         if answer.epoch != self.epoch and now_ms < self.limiter.lent_until_ms:
             # The shares are still lent to the earlier holder.
             return True
+        if answer.epoch != self.epoch:
+            # The loan counts only once the holder knows that its answer has arrived.
+            self.wanted.set()
         self.epoch, self.reply = answer.epoch, answer.reply
         self.answered_ms = now_ms
         self.limiter.note_granted(answer.granted, asked_ms, now_ms)
@@ -153,6 +167,7 @@
         now_ms = self.clock.now_ms()
         delay_ms = LOST_AFTER_MS + self._rank() * RANK_DELAY_MS
         known = self.control.find_duty(RATES_DUTY)
+        self.replaces_holder = known.duty.revision > 0
         since_ms = max(self.answered_ms, known.seen_ms)
         if known.duty.holder == self.name or now_ms - since_ms < delay_ms:
             return
@@ -173,8 +188,9 @@
             self.holder = None
         elif self.holder is None or self.holder.epoch != known.duty.revision:
             # An earlier holder may go on until its last look at the record is too old.
-            starts_ms = now_ms + HOLDER_LEASE_MS
-            self.holder = make_share_holder(known.duty.revision, starts_ms)
+            # An earlier process of this node has ended, but for the tokens it granted.
+            wait_ms = HOLDER_LEASE_MS if self.replaces_holder else GRANT_MS
+            self.holder = make_share_holder(known.duty.revision, now_ms + wait_ms)
 
     def _find_node(self, name: str) -> NodeRecord | None:
         return next((node for node in self.control.nodes if node.name == name), None)
--- a/src/radishtrack/pooler/rate_limit.py
+++ b/src/radishtrack/pooler/rate_limit.py
@@ -113,10 +113,10 @@
         demand.share.tokens -= 1.0
         return True
 
-    def may_ask(self, organisation: str, now_ms: float) -> bool:
-        """Tell whether the holder may have a token."""
+    def asks_from_ms(self, organisation: str) -> float:
+        """Return from when on the holder may have a token."""
         demand = self.demands.get(organisation)
-        return demand is not None and now_ms >= demand.refused_until_ms
+        return demand.refused_until_ms if demand is not None else float("inf")
 
     def want(self, organisation: str, count: int) -> None:
         """Note that `count` more operations wait for a token."""
--- a/src/radishtrack/pooler/shares.py
+++ b/src/radishtrack/pooler/shares.py
@@ -130,7 +130,7 @@
 
     def _grant(self, name: str, tokens: int, now_ms: float) -> tuple[str, int, float]:
         lent = self.buckets.get(name)
-        if lent is None or now_ms < self.starts_ms:
+        if lent is None:
             return name, 0, 0.0
         count = max(0, min(tokens, lent.bucket.available()))
         if count:
--- /dev/null
+++ b/src/radishtrack_standins/line_member.py
@@ -0,0 +1,238 @@
+"""A database member that speaks the users' line protocol, with settable faults."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+
+import attrs
+
+from radishtrack.platform.lines import ConnectionEnded, LineConnection, encode_line
+
+
+@attrs.define
+class MemberFaults:
+    """What a test makes a member do wrong."""
+
+    is_silent: bool = False
+    """Reads and answers nothing, also on open connections."""
+    lose_answers: int = 0
+    """Runs so many more reads, writes and commits without answering."""
+    refuse_with: str = ""
+    """Code with which all reads and writes are refused."""
+    work_ms: float = 0.0
+
+
+@attrs.define(eq=False)
+class LineMember:
+    """State of a member; `start` listens.
+
+    Parameters
+    ----------
+    group : str
+        Name of the service.
+    name : str
+        Identifier that connections may name.
+    role : str
+        ``primary`` or ``replica``.
+    """
+
+    group: str
+    name: str
+    role: str
+    term: int = 1
+    received: int = 0
+    applied: int = 0
+    fenced_term: int = 0
+    connection_limit: int = 16
+    faults: MemberFaults = attrs.field(factory=MemberFaults)
+    replicas: list[LineMember] = attrs.field(factory=list)
+    replicas_apply: bool = True
+    open_connections: set[LineConnection] = attrs.field(factory=set)
+    ran: list[tuple[str, str, str]] = attrs.field(factory=list)
+    """Organisation, statement identifier and text of what ran."""
+    values_seen: list[dict[str, str]] = attrs.field(factory=list)
+    opened: int = 0
+    server: asyncio.Server | None = None
+    port: int = 0
+    signatures: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on the loopback interface."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: LineConnection(self._accept), "127.0.0.1", port
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and reset all connections, like a crash."""
+        if self.server is not None:
+            self.server.close()
+        for connection in tuple(self.open_connections):
+            connection.abort()
+
+    def promote(self) -> None:
+        """Lead the next term with what was received."""
+        self.term, self.role, self.fenced_term = self.term + 1, "primary", 0
+        self.applied = self.received
+
+    @property
+    def position(self) -> str:
+        """What a read sees."""
+        return f"{self.term}.{self.applied}"
+
+    def _accept(self, connection: LineConnection) -> None:
+        self.open_connections.add(connection)
+        self.opened += 1
+        task = asyncio.create_task(_serve(self, connection))
+        task.add_done_callback(lambda _: self.open_connections.discard(connection))
+
+
+@attrs.define
+class _Connection:
+    member: LineMember
+    organisation: str
+    values: dict[str, str] = attrs.field(factory=dict)
+    prepared: dict[str, str] = attrs.field(factory=dict)
+    state: str = "I"
+    wrote: bool = False
+    is_read_only: bool = False
+
+    def answer(self, statement_id: str, text: str) -> list[str]:
+        """Return the lines that answer a statement, without `READY`."""
+        member = self.member
+        words = text.split(" ")
+        if words[0] == "SINCE":
+            if int(words[1].split(".")[1]) > member.applied:
+                return [f"ERROR LAGGING {member.name}"]
+            words = words[2:]
+        match words:
+            case ["STATUS"]:
+                return self._report()
+            case ["PAUSE", term]:
+                member.fenced_term = int(term)
+                return self._report()
+            case ["RESUME"]:
+                member.fenced_term = 0
+                return self._report()
+            case ["STEPDOWN", term]:
+                if int(term) > member.term:
+                    member.role = "replica"
+                return self._report()
+            case ["SET", name, value]:
+                self.values[name] = value
+            case ["PREPARE", name, mode, _]:
+                self.prepared[name] = mode
+            case ["DISCARD"]:
+                self.values.clear()
+                self.prepared.clear()
+            case ["BEGIN", *mode]:
+                if not mode and member.role != "primary":
+                    return [f"ERROR READONLY {member.name}"]
+                self.state, self.wrote = "T", False
+            case ["ROLLBACK"]:
+                self.state = "I"
+            case ["COMMIT"]:
+                return self._commit(statement_id, text)
+            case ["READ", *_] | ["WRITE", *_] | ["EXECUTE", *_]:
+                return self._execute(statement_id, text, words)
+            case _:
+                return [f"ERROR MALFORMED {words[0]}"]
+        return ["COMPLETE -"]
+
+    def _report(self) -> list[str]:
+        member = self.member
+        row = (
+            f"DATAROW {member.role} {member.term} {member.term}.{member.received} "
+            f"{member.fenced_term} 0 0 {len(member.open_connections)}"
+        )
+        return [row, "COMPLETE -"]
+
+    def _commit(self, statement_id: str, text: str) -> list[str]:
+        member = self.member
+        self.state = "I"
+        if self.wrote:
+            if member.role != "primary":
+                return [f"ERROR READONLY {member.name}"]
+            self._append()
+        return self._succeed(statement_id, text, [])
+
+    def _execute(self, statement_id: str, text: str, words: list[str]) -> list[str]:
+        member = self.member
+        is_write = words[0] == "WRITE"
+        if words[0] == "EXECUTE":
+            if words[1] not in self.prepared:
+                return self._fail(f"ERROR NOSTMT {words[1]}")
+            is_write = self.prepared[words[1]] == "WRITE"
+        if member.faults.refuse_with:
+            return self._fail(f"ERROR {member.faults.refuse_with} {member.name}")
+        if is_write and member.role != "primary":
+            return self._fail(f"ERROR READONLY {member.name}")
+        if is_write and self.state == "I":
+            self._append()
+        self.wrote = self.wrote or is_write
+        rows = [] if is_write else [f"DATAROW {member.name}@{member.position}"]
+        return self._succeed(statement_id, text, rows)
+
+    def _fail(self, line: str) -> list[str]:
+        if self.state == "T":
+            self.state = "E"
+        return [line]
+
+    def _append(self) -> None:
+        member = self.member
+        member.received += 1
+        member.applied = member.received
+        for replica in member.replicas:
+            if not replica.fenced_term:
+                replica.received = member.received
+                if member.replicas_apply:
+                    replica.applied = member.received
+
+    def _succeed(self, statement_id: str, text: str, rows: list[str]) -> list[str]:
+        member = self.member
+        member.ran.append((self.organisation, statement_id, text))
+        member.values_seen.append(dict(self.values))
+        return [*rows, f"COMPLETE {member.name}.{next(member.signatures)}"]
+
+
+async def _serve(member: LineMember, connection: LineConnection) -> None:
+    try:
+        words = (await connection.read_line()).split(" ")
+        if words[1] != member.group or words[3:] not in ([], [member.name]):
+            connection.write(encode_line(f"ERROR WRONGNODE {member.name}"))
+            return
+        if len(member.open_connections) > member.connection_limit:
+            connection.write(encode_line(f"ERROR CONNLIMIT {member.name}"))
+            return
+        state = _Connection(member, words[2])
+        if member.faults.is_silent:
+            await asyncio.Event().wait()
+        connection.write(encode_line(f"READY I {member.position}"))
+        while True:
+            await _serve_next(state, connection)
+    except ConnectionEnded:
+        pass
+    finally:
+        connection.close()
+
+
+async def _serve_next(state: _Connection, connection: LineConnection) -> None:
+    line = await connection.read_line()
+    member = state.member
+    if line == "TERMINATE":
+        raise ConnectionEnded("terminated")
+    _, statement_id, text = line.split(" ", 2)
+    if member.faults.is_silent:
+        await asyncio.Event().wait()
+    if member.faults.work_ms:
+        await asyncio.sleep(member.faults.work_ms / 1000)
+    lines = state.answer(statement_id, text)
+    if statement_id != "-" and member.faults.lose_answers:
+        member.faults.lose_answers -= 1
+        connection.abort()
+        raise ConnectionEnded("answer lost")
+    lines.append(f"READY {state.state} {member.position}")
+    connection.write(encode_line("\r\n".join(lines)))
--- /dev/null
+++ b/src/radishtrack_standins/object_store.py
@@ -0,0 +1,151 @@
+"""The users' object store and promotion service, with settable faults."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+
+@attrs.define
+class StoreFaults:
+    """What a test makes the store do wrong."""
+
+    status: int = 0
+    """Answers every call with this status, doing nothing."""
+    is_silent: bool = False
+    lose_writes: int = 0
+    """Carries out so many more writes without answering."""
+
+
+@attrs.define(eq=False)
+class StandInStore:
+    """Objects by kind and name; `start` listens."""
+
+    objects: dict[tuple[str, str], dict[str, Any]] = attrs.field(factory=dict)
+    revision: int = 0
+    page_size: int = 500
+    faults: StoreFaults = attrs.field(factory=StoreFaults)
+    calls: list[str] = attrs.field(factory=list)
+    orders: list[tuple[str, str, str, int]] = attrs.field(factory=list)
+    """Promotion orders: group, member, holder and token."""
+    on_order: Callable[[str, str], int] = lambda _group, _member: 200
+    runner: web.AppRunner | None = None
+    port: int = 0
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the store."""
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        """Listen on the loopback interface."""
+        application = web.Application()
+        application.router.add_route("*", "/-/objects/{kind}", self._serve_kind)
+        application.router.add_route(
+            "*", "/-/objects/{kind}/{name}", self._serve_object
+        )
+        application.router.add_post("/promotion", self._serve_order)
+        self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """Write an object, as the operator or a member does; return its revision."""
+        self.revision += 1
+        self.objects[kind, name] = {
+            "meta": {"name": name, "revision": self.revision},
+            "spec": spec,
+            "status": None,
+        }
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Delete an object."""
+        self.revision += 1
+        del self.objects[kind, name]
+
+    async def _fault(self, request: web.Request) -> web.Response | None:
+        self.calls.append(f"{request.method} {request.path}")
+        if self.faults.is_silent:
+            await asyncio.Event().wait()
+        if self.faults.status:
+            return web.Response(status=self.faults.status)
+        return None
+
+    async def _serve_kind(self, request: web.Request) -> web.StreamResponse:
+        if (fault := await self._fault(request)) is not None:
+            return fault
+        kind = request.match_info["kind"]
+        if request.method == "POST":
+            body = await request.json()
+            name = body["meta"]["name"]
+            if (kind, name) in self.objects:
+                return _answer(409, self.objects[kind, name])
+            self.put(kind, name, body["spec"])
+            return self._written(request, self.objects[kind, name])
+        after = request.query.get("after", "")
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        page = [self.objects[kind, name] for name in names[: self.page_size]]
+        has_more = len(names) > self.page_size
+        return _answer(
+            200, {"items": page, "hasMore": has_more, "atRev": self.revision}
+        )
+
+    async def _serve_object(self, request: web.Request) -> web.StreamResponse:
+        if (fault := await self._fault(request)) is not None:
+            return fault
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        present = self.objects.get((kind, name))
+        if present is None:
+            return _answer(404, None)
+        if request.method == "PUT":
+            body = await request.json()
+            if body["meta"].get("revision") not in (None, present["meta"]["revision"]):
+                return _answer(409, present)
+            if body["spec"] != present["spec"]:
+                self.put(kind, name, body["spec"])
+            return self._written(request, self.objects[kind, name])
+        if request.method == "DELETE":
+            self.remove(kind, name)
+        return _answer(200, present)
+
+    def _written(self, request: web.Request, stored: object) -> web.Response:
+        if self.faults.lose_writes:
+            self.faults.lose_writes -= 1
+            if request.transport is not None:
+                request.transport.abort()
+        return _answer(200, stored)
+
+    async def _serve_order(self, request: web.Request) -> web.StreamResponse:
+        if (fault := await self._fault(request)) is not None:
+            return fault
+        body = await request.json()
+        self.orders.append(
+            (
+                body["service"],
+                body["id"],
+                request.headers["X-Duty-Holder"],
+                int(request.headers["X-Fencing-Token"]),
+            )
+        )
+        return _answer(self.on_order(body["service"], body["id"]), {})
+
+
+def _answer(status: int, body: object) -> web.Response:
+    return web.Response(
+        status=status,
+        body=json.dumps(body).encode(),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/tests/pooler_world.py
@@ -0,0 +1,258 @@
+"""A small fleet in one process: store, members, nodes and clients on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+
+from radishtrack.clock import make_boot_clock
+from radishtrack.platform.control_store import PlatformControlStore
+from radishtrack.platform.frontend import Frontend, start_frontend
+from radishtrack.platform.lines import ConnectionEnded, LineConnection, encode_line
+from radishtrack.platform.member_link import open_wire_link
+from radishtrack.platform.object_store import ObjectStoreClient
+from radishtrack.platform.promotion_order import make_promote_member
+from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.node import Node, NodeOptions, make_node
+from radishtrack.pooler.request_log import make_request_log
+from radishtrack_standins.line_member import LineMember
+from radishtrack_standins.object_store import StandInStore
+
+GROUP = "strekk"
+KEY = "key-of-verksted"
+OTHER_KEY = "key-of-storgata"
+WAIT_LIMIT_S = 8.0
+PROMOTE_S = 0.1
+MIN_TOKENS = 50
+
+
+def find_free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def make_config(version: int = 1) -> dict[str, object]:
+    routes = [
+        ("orders", "primary", 0),
+        ("status", "bounded_staleness", 1500),
+        ("receipts", "session", 2500),
+    ]
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{host}",
+                "host": host,
+                "pathPrefix": "/",
+                "kind": kind,
+                "timeoutMs": 800,
+                "objectiveMs": 200,
+                "priority": 1,
+                "service": GROUP,
+                "maxAttempts": 2,
+                "public": False,
+            }
+            | ({"maxStalenessMs": age} if age else {})
+            for host, kind, age in routes
+        ],
+        "services": [{"name": GROUP, "maxConns": 16, "syncReplicas": 1}],
+        "limits": {"txIdleMs": 3000},
+        "tenants": [
+            {"name": "verksted", "apiKeys": [KEY], "ratePerS": 500, "burst": 500},
+            {"name": "storgata", "apiKeys": [OTHER_KEY], "ratePerS": 500, "burst": 500},
+        ],
+    }
+
+
+@attrs.define(eq=False)
+class Client:
+    """A session in the line protocol."""
+
+    connection: LineConnection
+    statements: int = 0
+
+    async def ask(self, text: str) -> list[str]:
+        """Return the lines that answer a statement; the last one is `READY`."""
+        self.statements += 1
+        self.connection.write(encode_line(f"QUERY q{self.statements} {text}"))
+        lines: list[str] = []
+        while not lines or not lines[-1].startswith("READY"):
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                lines.append(await self.connection.read_line())
+        return lines
+
+
+@attrs.define(eq=False)
+class RunningNode:
+    node: Node
+    frontend: Frontend
+    task: asyncio.Task[None]
+
+    @property
+    def port(self) -> int:
+        assert self.frontend.server is not None
+        port: int = self.frontend.server.sockets[0].getsockname()[1]
+        return port
+
+    async def stop(self) -> None:
+        self.task.cancel()
+        await asyncio.wait((self.task,))
+        self.frontend.stop_accepting()
+        for client in tuple(self.frontend.clients):
+            client.connection.abort()
+        for task in self.node.monitors.values():
+            task.cancel()
+        for access in self.node.groups.values():
+            for pool in access.pools.values():
+                pool.drop_all()
+        await self.node.peers.close()
+        store = self.node.control.store
+        assert isinstance(store, PlatformControlStore)
+        await store.client.close()
+
+
+@attrs.define(eq=False)
+class World:
+    """The fleet; make it with `open_world`."""
+
+    store: StandInStore
+    members: dict[str, LineMember]
+    nodes: list[RunningNode] = attrs.field(factory=list)
+
+    @property
+    def primary(self) -> LineMember:
+        return next(m for m in self.members.values() if m.role == "primary")
+
+    def register(self, member: LineMember, state: str = "ready") -> None:
+        self.store.put(
+            "servers",
+            member.name,
+            {
+                "service": member.group,
+                "address": f"127.0.0.1:{member.port}",
+                "zone": "oslo-a",
+                "version": "v1",
+                "slots": 2,
+                "state": state,
+                "coldLeftMs": 0,
+                "dbRole": member.role,
+                "sequence": 1,
+                "born": 1_700_000_000_000,
+            },
+        )
+
+    async def start_node(self, name: str) -> RunningNode:
+        clock = make_boot_clock()
+        record = NodeRecord(name, "127.0.0.1", find_free_port(), "oslo-a", 1)
+        options = NodeOptions(record, 6_000.0, 3_000.0)
+        node = make_node(
+            options,
+            clock,
+            PlatformControlStore(ObjectStoreClient(self.store.address)),
+            open_wire_link,
+            make_promote_member(self.store.address),
+            make_request_log(clock),
+        )
+        task = asyncio.create_task(node.run())
+        running = RunningNode(node, await start_frontend(node, "127.0.0.1", 0), task)
+        self.nodes.append(running)
+        return running
+
+    async def connect(self, node: RunningNode, database: str, key: str = KEY) -> Client:
+        connection = await self.open_connection(node)
+        connection.write(encode_line(f"STARTUP {database} {key}"))
+        line = await connection.read_line()
+        assert line == "READY I -", line
+        return Client(connection)
+
+    async def open_connection(self, node: RunningNode) -> LineConnection:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            LineConnection, "127.0.0.1", node.port
+        )
+        return connection
+
+    def promote(self, _group: str, name: str) -> int:
+        """Carry out a promotion order as the platform does."""
+        member = self.members[name]
+        if member.server is None or not member.server.is_serving():
+            return 409
+        asyncio.get_running_loop().call_later(PROMOTE_S, self._finish, member)
+        return 200
+
+    def _finish(self, member: LineMember) -> None:
+        member.promote()
+        member.replicas = [m for m in self.members.values() if m is not member]
+        for other in member.replicas:
+            if other.role == "replica":
+                other.term = member.term
+
+
+@asynccontextmanager
+async def open_world(nodes: int = 1) -> AsyncIterator[World]:
+    """Start a store, three members and some nodes that are ready to serve."""
+    store = StandInStore()
+    await store.start()
+    members = {
+        name: LineMember(GROUP, name, "primary" if name == "i-1" else "replica")
+        for name in ("i-1", "i-2", "i-3")
+    }
+    world = World(store, members)
+    store.on_order = world.promote
+    try:
+        for member in members.values():
+            await member.start()
+            world.register(member)
+        world.primary.replicas = [m for m in members.values() if m.role == "replica"]
+        store.put("config", "main", make_config())
+        for number in range(nodes):
+            await world.start_node(f"edge-{number + 1}")
+        for running in world.nodes:
+            await wait_until(running.node.is_ready)
+        await wait_until(lambda: _is_served(world))
+        yield world
+    finally:
+        for running in world.nodes:
+            await running.stop()
+        for member in members.values():
+            await member.stop()
+        await store.stop()
+
+
+def _is_served(world: World) -> bool:
+    """Tell whether all nodes have evidence and the rates' holder has tokens."""
+    holders = [running.node.rates.holder for running in world.nodes]
+    tokens = [
+        lent.bucket.available()
+        for holder in holders
+        if holder is not None
+        for lent in holder.buckets.values()
+    ]
+    return min(tokens, default=0) >= MIN_TOKENS and all(
+        running.node.find_group(GROUP).evidence.is_current(running.node.clock.now_ms())
+        for running in world.nodes
+    )
+
+
+async def wait_until(is_met: object, limit_s: float = WAIT_LIMIT_S) -> None:
+    """Wait for a condition; fail after a limit that only a fault can reach."""
+    assert callable(is_met)
+    async with asyncio.timeout(limit_s):
+        while not is_met():
+            await asyncio.sleep(0.01)
+
+
+async def is_closed(connection: LineConnection) -> bool:
+    """Tell whether the other side ends the connection."""
+    try:
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            await connection.read_line()
+    except ConnectionEnded:
+        return True
+    return False
