Ask the primary before voting against it

Cause: a node without recent traffic counted an idle primary as silent, so one node's bad network deposed a healthy primary. Change: a voting node that has not heard of the member for 200 ms asks it.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -244,7 +244,7 @@
     async def _answer_peer(self, peer: str, message: Message) -> Message | None:
         match message:
             case VoteRequest(request, database, member):
-                return Vote(request, self.promoter.vote(database, member))
+                return Vote(request, await self.promoter.vote(database, member))
             case WithdrawBelief(request, database):
                 access = self.groups.get(database)
                 if access is not None:
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -42,11 +42,12 @@
 RANK_DELAY_MS: Final = 150.0
 """Head start of each node over the next one, longer than a claim takes, so that nodes
 seldom fence the same members."""
-VOTE_TIMEOUT_MS: Final = 250.0
-"""A vote needs no work; a peer that takes longer can't be asked."""
-VOTE_SILENCE_MS: Final = 600.0
-"""A member that was not heard of for longer than a poll takes counts as unreachable
-when another node asks."""
+VOTE_TIMEOUT_MS: Final = 400.0
+"""A peer that takes longer than its own question to the member can't be asked."""
+VOTE_POLL_MS: Final = 300.0
+"""Wait for the primary's answer to a peer that votes."""
+VOTE_SILENCE_MS: Final = 200.0
+"""A member that has answered within this time is alive; else it is asked."""
 DUTY_LEASE_MS: Final = 3_000.0
 """A promotion takes under 2 s, so a claim that is older belongs to a failed node."""
 DUTY_MARGIN_MS: Final = 800.0
@@ -122,21 +123,28 @@
             return
         watched.task = asyncio.create_task(self._attempt(access, watched, reason))
 
-    def vote(self, group: str, member: str) -> bool:
+    async def vote(self, group: str, member: str) -> bool:
         """Answer a peer: whether this node finds that a primary can't serve."""
-        for access in self.list_groups():
-            if access.name != group:
-                continue
-            watched = self.watched.get(group)
-            pool = access.pools.get(member)
-            if pool is None or not pool.is_reachable:
-                return True
-            if self.clock.now_ms() - pool.heard_ms > VOTE_SILENCE_MS:
-                return True
-            if access.evidence.primary != member or watched is None:
-                return True
-            return watched.reason_since_ms is not None
-        return True
+        access = next((a for a in self.list_groups() if a.name == group), None)
+        if access is None:
+            return True
+        watched = self.watched.get(group)
+        pool = access.pools.get(member)
+        if pool is None or not pool.is_reachable or access.evidence.primary != member:
+            return True
+        if watched is not None and watched.reason_since_ms is not None:
+            return True
+        if self.clock.now_ms() - pool.heard_ms <= VOTE_SILENCE_MS:
+            return False
+        # An idle member is not heard of; only a question tells whether it lives.
+        try:
+            async with asyncio.timeout(VOTE_POLL_MS / 1000):
+                (report,) = await self._ask_all(access, [member], AskStatus()) or (
+                    None,
+                )
+        except TimeoutError:
+            return True
+        return report is None
 
     def _rank(self, group: str) -> int:
         """Return this node's place in the group's order of promoting nodes."""
--- a/tests/pooler_world.py
+++ b/tests/pooler_world.py
@@ -90,6 +90,8 @@
 
 @attrs.define(eq=False)
 class RunningNode:
+    """A node with its frontend and its task."""
+
     node: Node
     frontend: Frontend
     task: asyncio.Task[None]
--- /dev/null
+++ b/tests/test_pooler_failover.py
@@ -0,0 +1,196 @@
+"""Guards the change of primary and the outcomes that clients are told meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from tests.pooler_world import (
+    GROUP,
+    Client,
+    World,
+    find_free_port,
+    make_config,
+    open_world,
+    wait_until,
+)
+
+GAP_LIMIT_S = 7.0
+
+
+async def write_until_served(world: World, client: Client) -> None:
+    """Repeat a write until it succeeds; the limit is that for a change of primary."""
+    async with asyncio.timeout(GAP_LIMIT_S):
+        while not (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE"):
+            await asyncio.sleep(0.02)
+
+
+async def test_a_crashed_primary_is_replaced_and_loses_nothing() -> None:
+    """The promoted member must hold every acknowledged commit."""
+    async with open_world(nodes=2) as world:
+        client = await world.connect(world.nodes[0], "orders")
+        for _ in range(3):
+            assert (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE")
+        # One replica missed the last commit, which the other one acknowledged.
+        world.members["i-2"].received = world.members["i-2"].applied = 2
+        await world.members["i-1"].stop()
+        await write_until_served(world, client)
+        assert world.members["i-3"].role == "primary"
+        assert world.members["i-3"].received == 4
+        assert (await client.ask("READ 1"))[0] == "DATAROW i-3@2.4"
+
+
+async def test_fencing_tokens_grow_with_each_promotion() -> None:
+    """The platform may not check tokens, so none may be lower than an earlier one."""
+    async with open_world(nodes=2) as world:
+        client = await world.connect(world.nodes[0], "orders")
+        first = world.members["i-1"]
+        await first.stop()
+        await write_until_served(world, client)
+        first.role, first.term = "replica", 2
+        await first.start(first.port)
+        evidence = world.nodes[0].node.find_group(GROUP).evidence
+        await wait_until(
+            lambda: evidence.is_current(world.nodes[0].node.clock.now_ms())
+        )
+        pools = world.nodes[0].node.find_group(GROUP).pools
+        await wait_until(lambda: pools["i-1"].is_reachable)
+        await world.primary.stop()
+        await write_until_served(world, client)
+        tokens = [token for _, _, _, token in world.store.orders]
+        assert len(tokens) >= 2 and tokens == sorted(set(tokens))
+
+
+async def test_no_promotion_while_another_node_reaches_the_primary() -> None:
+    """One node's bad network must not depose a healthy primary."""
+    async with open_world(nodes=2) as world:
+        access = world.nodes[0].node.find_group(GROUP)
+        cut_off = attrs.evolve(access.pools["i-1"].member, port=find_free_port())
+        access.pools["i-1"].member = cut_off
+        access.pools["i-1"].drop_all()
+        await wait_until(lambda: not access.pools["i-1"].is_reachable)
+        await asyncio.sleep(1.0)
+        assert world.store.orders == []
+        client = await world.connect(world.nodes[1], "orders")
+        assert (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE i-1")
+
+
+async def test_a_leaving_primary_hands_over() -> None:
+    """A member that is about to stop must get no new work after some seconds."""
+    async with open_world(nodes=2) as world:
+        client = await world.connect(world.nodes[0], "orders")
+        assert (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE i-1")
+        world.register(world.members["i-1"], state="draining")
+        await wait_until(lambda: world.members["i-1"].role == "replica")
+        await write_until_served(world, client)
+        assert not any(member.fenced_term for member in world.members.values())
+
+
+async def test_no_promotion_without_the_store() -> None:
+    """Without the store a promoter can't be the only one, nor know all members."""
+    async with open_world() as world:
+        world.store.faults.status = 503
+        await world.members["i-1"].stop()
+        client = await world.connect(world.nodes[0], "orders")
+        answer = await client.ask("WRITE 1 x")
+        assert answer[0].startswith("ERROR BUSY")
+        await asyncio.sleep(1.0)
+        assert world.store.orders == []
+        assert not any(member.fenced_term for member in world.members.values())
+
+
+async def test_a_lost_answer_of_a_write_is_an_unknown_outcome() -> None:
+    """Saying that it did not run, or running it again, would be wrong."""
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        world.primary.faults.lose_answers = 1
+        assert (await client.ask("WRITE 1 x"))[0].startswith("ERROR INDOUBT")
+        assert world.primary.received == 1
+
+
+async def test_a_lost_answer_of_a_commit_is_an_unknown_outcome() -> None:
+    """The commit may have taken effect, so it is not a promise."""
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        await client.ask("BEGIN")
+        await client.ask("WRITE 1 x")
+        world.primary.faults.lose_answers = 1
+        assert (await client.ask("COMMIT"))[0].startswith("ERROR INDOUBT")
+
+
+async def test_a_lost_answer_inside_a_transaction_aborts_it() -> None:
+    """Nothing of a transaction is kept whose commit was never sent."""
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        await client.ask("BEGIN")
+        world.primary.faults.lose_answers = 1
+        failed = await client.ask("WRITE 1 x")
+        assert failed[0].startswith("ERROR ABORTED") and failed[1] == "READY E -"
+        assert (await client.ask("READ 1"))[0].startswith("ERROR MALFORMED")
+        assert (await client.ask("COMMIT"))[0].startswith("ERROR ABORTED")
+        assert (await client.ask("READ 1"))[-1] == "READY I -"
+        assert world.primary.received == 0
+
+
+async def test_a_read_goes_on_at_another_member() -> None:
+    """A read changes nothing, so a lost answer must not reach the client."""
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "status")
+        for member in world.members.values():
+            member.faults.lose_answers = 1
+        assert (await client.ask("READ 1"))[0].startswith("DATAROW")
+
+
+async def test_a_session_reads_its_own_write_while_replicas_lag() -> None:
+    """A replica that has not applied the session's commit must not serve it."""
+    async with open_world() as world:
+        world.primary.replicas_apply = False
+        client = await world.connect(world.nodes[0], "receipts")
+        for number in range(1, 6):
+            assert (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE")
+            assert (await client.ask("READ 1"))[0] == f"DATAROW i-1@1.{number}"
+
+
+async def test_strict_reads_need_evidence_from_two_members() -> None:
+    """A primary that was replaced behind a cut still answers reads."""
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        for name in ("i-2", "i-3"):
+            await world.members[name].stop()
+        evidence = world.nodes[0].node.find_group(GROUP).evidence
+        clock = world.nodes[0].node.clock
+        await wait_until(lambda: not evidence.is_current(clock.now_ms()))
+        assert (await client.ask("READ 1"))[0].startswith("ERROR BUSY")
+
+
+async def test_a_prepared_statement_survives_a_restart_of_the_member() -> None:
+    """A restarted member knows no prepared statements and no connections."""
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        await client.ask("PREPARE s READ q")
+        assert (await client.ask("EXECUTE s 1"))[0].startswith("DATAROW")
+        member = world.members["i-1"]
+        await member.stop()
+        await member.start(member.port)
+        async with asyncio.timeout(GAP_LIMIT_S):
+            while not (await client.ask("EXECUTE s 1"))[0].startswith("DATAROW"):
+                await asyncio.sleep(0.02)
+
+
+async def test_an_idle_transaction_is_rolled_back() -> None:
+    """A client that rests in a transaction must not keep a scarce connection."""
+    async with open_world() as world:
+        config = make_config(version=2)
+        config["limits"] = {"txIdleMs": 200}
+        world.store.put("config", "main", config)
+        control = world.nodes[0].node.control
+        await wait_until(lambda: control.catalog.version == 2)
+        client = await world.connect(world.nodes[0], "orders")
+        await client.ask("BEGIN")
+        await client.ask("WRITE 1 x")
+        pool = world.nodes[0].node.find_group(GROUP).pools["i-1"]
+        assert len(pool.busy) == 1
+        await wait_until(lambda: not pool.busy)
+        assert (await client.ask("COMMIT"))[0].startswith("ERROR ABORTED")
+        assert world.primary.received == 0
