Let one node poll the members and pass the reports on

Change: the node that holds the rates polls, the others ask it for what is new; an age counts from before each request, so a report never looks younger than it is. A node without reports polls itself before its evidence ends. Ruled out: a longer belief in a term, which lengthens the gap when a node does not answer.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -378,6 +378,45 @@
     granted: tuple[tuple[str, int, float], ...]
 
 
+@attrs.define(frozen=True)
+class ReportsWanted:
+    """Asks a node for the members' reports that it has and has not yet passed on.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    newer_than : int
+        Number of the last `Reports` that the sender has received; 0 for none.
+    """
+
+    request: int
+    newer_than: int
+
+
+@attrs.define(frozen=True)
+class Reports:
+    """Answers `ReportsWanted`.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    number : int
+        Number of this answer; 0 if the sender does not poll for others.
+    reports : tuple
+        For each member: group, name, whether it leads, term, term and sequence of the
+        received and of the applied position, fenced term, lag, and the age of the
+        report, the last two in milliseconds. An age counts up to this answer.
+    """
+
+    request: int
+    number: int
+    reports: tuple[
+        tuple[str, str, bool, int, int, int, int, int, int, float, float], ...
+    ]
+
+
 Message = (
     Hello
     | Challenge
@@ -405,6 +444,8 @@
     | BeliefWithdrawn
     | SharesWanted
     | SharesGranted
+    | ReportsWanted
+    | Reports
 )
 
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
@@ -434,5 +475,7 @@
     BeliefWithdrawn,
     SharesWanted,
     SharesGranted,
+    ReportsWanted,
+    Reports,
 )
 """The place in this tuple is the type number on the wire; only append."""
--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -118,7 +118,7 @@
 
     def observe_position(self, member: str, position: Position, at_ms: float) -> None:
         """Take in the position of an answer that was asked for at `at_ms`."""
-        self.applied[member] = position
+        self.applied[member] = max(position, self.applied.get(member, position))
         if member != self.primary or position.term > self.term:
             return
         if at_ms < self.belief_until_ms():
@@ -198,6 +198,7 @@
         ):
             latest = self.latest_position() or known.report.position
             self.incomplete[report.member] = max(latest, known.report.position)
+            self.applied.pop(report.member, None)
         target = self.incomplete.get(report.member)
         if target is not None and report.position >= target:
             del self.incomplete[report.member]
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -113,6 +113,8 @@
     heard_ms: float = 0.0
     """When the member last answered anything."""
     is_reachable: bool = True
+    polled_ms: float = 0.0
+    """When this node last asked for a report."""
     failures: int = 0
     """Polls in a row that failed."""
     on_link_end: Callable[[], None] = _ignore_end
--- a/src/radishtrack/pooler/monitor.py
+++ b/src/radishtrack/pooler/monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Final
 
@@ -27,6 +28,9 @@
 
 POLL_INTERVAL_MS: Final = 0.45 * BELIEF_MS
 """Two polls fit into the time for which a report is evidence."""
+RELAYED_INTERVAL_MS: Final = 0.75 * BELIEF_MS
+"""Age of a report at which a node that gets reports from another one asks itself:
+reports come with up to 1.4 s, and evidence must not end before the own answer."""
 MIN_POLL_SPACING_MS: Final = 60.0
 """Statements that wait for a report cause at most one poll in this time."""
 UNREACHABLE_POLL_INTERVAL_MS: Final = 250.0
@@ -59,6 +63,7 @@
     access: GroupAccess
     name: str
     organisation: Callable[[], str]
+    polls_for_fleet: Callable[[], bool]
     clock: Clock
 
     async def run(self) -> None:
@@ -66,21 +71,36 @@
         while (pool := self.access.pools.get(self.name)) is not None:
             wanted = self.access.poll_wanted
             await self.poll(pool)
-            interval_ms = POLL_INTERVAL_MS
-            if pool.failures:
-                interval_ms = UNREACHABLE_POLL_INTERVAL_MS
-                if pool.is_reachable:
-                    interval_ms = MIN_POLL_SPACING_MS
             await asyncio.sleep(MIN_POLL_SPACING_MS / 1000)
-            try:
-                pause_ms = interval_ms - MIN_POLL_SPACING_MS
+            await self._await_next(pool, wanted)
+
+    async def _await_next(self, pool: MemberPool, wanted: asyncio.Event) -> None:
+        """Wait until the member's report is too old, or until it is wanted sooner."""
+        while (pause_ms := self._pause_ms(pool)) > 0 and not wanted.is_set():
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause_ms / 1000):
                     await wanted.wait()
-            except TimeoutError:
-                continue
+
+    def _pause_ms(self, pool: MemberPool) -> float:
+        if pool.failures:
+            # The second failure decides whether the member counts as unreachable.
+            return 0.0 if pool.is_reachable else self._since_poll_ms(pool)
+        observation = self.access.evidence.observations.get(self.name)
+        if observation is None:
+            return self._since_poll_ms(pool)
+        interval_ms = (
+            POLL_INTERVAL_MS if self.polls_for_fleet() else RELAYED_INTERVAL_MS
+        )
+        pause_ms = observation.asked_ms + interval_ms - self.clock.now_ms()
+        # A member that answers without a report is too busy for a faster pace.
+        return max(pause_ms, self._since_poll_ms(pool))
+
+    def _since_poll_ms(self, pool: MemberPool) -> float:
+        return pool.polled_ms + UNREACHABLE_POLL_INTERVAL_MS - self.clock.now_ms()
 
     async def poll(self, pool: MemberPool) -> None:
         """Ask for one report and act on what it shows."""
+        pool.polled_ms = self.clock.now_ms()
         report = await self._ask(pool, AskStatus())
         if report is None:
             return
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -14,6 +14,7 @@
     BeliefWithdrawn,
     Execute,
     Message,
+    ReportsWanted,
     SharesWanted,
     Vote,
     VoteRequest,
@@ -34,6 +35,7 @@
 from radishtrack.pooler.promoter import Promoter
 from radishtrack.pooler.rate_exchange import RateExchange
 from radishtrack.pooler.readiness import StopPlan, make_stop_plan
+from radishtrack.pooler.report_relay import ReportRelay
 from radishtrack.pooler.request_log import RequestLog
 from radishtrack.pooler.session import (
     OPEN_ORGANISATION,
@@ -85,6 +87,7 @@
     promoter: Promoter
     log: RequestLog
     rates: RateExchange
+    relay: ReportRelay
     groups: dict[str, GroupAccess] = attrs.field(factory=dict)
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     sessions: set[ClientSession] = attrs.field(factory=set)
@@ -98,6 +101,7 @@
             tasks.create_task(self._serve_peers())
             tasks.create_task(self.promoter.run())
             tasks.create_task(self.rates.run())
+            tasks.create_task(self.relay.run())
             tasks.create_task(self._keep_house())
 
     async def open_session(
@@ -166,7 +170,13 @@
     def _start_monitor(self, access: GroupAccess, member: str) -> None:
         running = self.monitors.get(member)
         if running is None or running.done():
-            monitor = MemberMonitor(access, member, self._any_organisation, self.clock)
+            monitor = MemberMonitor(
+                access,
+                member,
+                self._any_organisation,
+                self.rates.is_holder,
+                self.clock,
+            )
             self.monitors[member] = asyncio.create_task(monitor.run())
 
     def _any_organisation(self) -> str:
@@ -252,6 +262,8 @@
                 return BeliefWithdrawn(request)
             case SharesWanted():
                 return self.rates.grant(peer, message)
+            case ReportsWanted():
+                return self.relay.answer(peer, message)
             case _:
                 log_event(
                     Event.PEER_REFUSED, peer=peer, reason=f"unexpected {type(message)}"
@@ -296,8 +308,24 @@
         ),
     )
     rates = RateExchange(options.node.name, clock, control, peers)
+    relay = ReportRelay(
+        clock=clock,
+        peers=peers,
+        find_relay=rates.find_holder,
+        is_relay=rates.is_holder,
+        groups=groups,
+    )
     node = Node(
-        options, clock, control, open_link, peers, promoter, log, rates, groups=groups
+        options,
+        clock,
+        control,
+        open_link,
+        peers,
+        promoter,
+        log,
+        rates,
+        relay,
+        groups=groups,
     )
     control.on_change = node.apply_control
     return node
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -33,6 +33,7 @@
     find_reason,
     is_leaderless,
 )
+from radishtrack.pooler.rate_exchange import RATES_DUTY
 from radishtrack.pooler.statements import AskStatus, Fence, MemberStatement, Unfence
 
 PROMOTION_DUTY: Final = "promotion"
@@ -148,9 +149,11 @@
 
     def _rank(self, group: str) -> int:
         """Return this node's place in the group's order of promoting nodes."""
+        poller = self.control.find_duty(RATES_DUTY).duty.holder
         names = sorted(
             (node.name for node in self.control.nodes),
-            key=lambda name: zlib.crc32(f"{group}/{name}".encode()),
+            # The node that polls for all notices a failure first.
+            key=lambda name: (name != poller, zlib.crc32(f"{group}/{name}".encode())),
         )
         return names.index(self.name) if self.name in names else len(names)
 
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -98,6 +98,17 @@
         number, granted = holder.exchange(node, reply, message.wanted, now_ms)
         return SharesGranted(message.request, holder.epoch, number, granted)
 
+    def is_holder(self) -> bool:
+        """Tell whether this node is the holder."""
+        return self.holder is not None
+
+    def find_holder(self) -> NodeRecord | None:
+        """Return the record of the holder, if it is another node that answers."""
+        if self.clock.now_ms() - self.answered_ms > LOST_AFTER_MS:
+            return None
+        holder = self.control.find_duty(RATES_DUTY).duty.holder
+        return self._find_node(holder) if holder != self.name else None
+
     async def run(self) -> None:
         """Exchange whenever tokens are needed, and regularly."""
         self.answered_ms = self.clock.now_ms()
