Replace a lost holder of the rates once, and hand the duty over at a planned stop

Cause: a new holder grants nothing for 2.5 s, and the other nodes took the duty from it meanwhile, so the rates had no holder for 15 s after each restart of one. Change: a new record is left alone for the lease and the detection time; a stopping node releases the duty, which ends the promises at once; an operation waits for a token for a quarter of its objective. Ruled out: a shorter lease, which two lost calls to the store would end. Tests of a lost holder fail before.

--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -35,7 +35,9 @@
     seen_ms: float
 
 
-NO_DUTY: Final = KnownDuty(Duty("", 0, ""), 0.0)
+NOBODY: Final = ""
+"""Holder of a duty that was released, or that nobody ever had."""
+NO_DUTY: Final = KnownDuty(Duty(NOBODY, 0, ""), 0.0)
 
 
 @attrs.define(eq=False)
@@ -123,10 +125,24 @@
         StoreUnavailable
             If it is not known whether the claim has succeeded.
         """
+        return await self._write_duty(name, self.node.name)
+
+    async def release_duty(self, name: str) -> None:
+        """Let another node become the holder of a duty without a wait.
+
+        Raises
+        ------
+        StoreUnavailable
+            If it is not known whether the record was written.
+        """
+        if self.find_duty(name).duty.holder == self.node.name:
+            await self._write_duty(name, NOBODY)
+
+    async def _write_duty(self, name: str, holder: str) -> Duty | None:
         self.claims += 1
         claim = f"{self.node.name}/{self.node.started_ms}/{self.claims}"
         known = self.find_duty(name).duty
-        claimed = await self.store.claim_duty(name, known, self.node.name, claim)
+        claimed = await self.store.claim_duty(name, known, holder, claim)
         if claimed is not None:
             self._note_duty(name, claimed)
         return claimed
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -92,6 +92,7 @@
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     sessions: set[ClientSession] = attrs.field(factory=set)
     stop_plan: StopPlan | None = None
+    releasing: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Run all tasks; never returns."""
@@ -131,6 +132,7 @@
         """Stop being ready; return when what happens."""
         if self.stop_plan is None:
             self.stop_plan = make_stop_plan(self.clock.now_ms(), self.options.grace_ms)
+            self.releasing = asyncio.create_task(self.rates.release())
             log_event(
                 Event.NODE_DRAINING,
                 node=self.options.node.name,
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -13,7 +13,7 @@
 from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import SharesGranted, SharesWanted
 from radishtrack.pooler.catalog import NodeRecord
-from radishtrack.pooler.control import Control
+from radishtrack.pooler.control import NOBODY, Control
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import StoreUnavailable
 from radishtrack.pooler.rate_limit import RateLimiter
@@ -28,9 +28,6 @@
 """Pause between exchanges without a need: three fit into the time of a loan."""
 EXCHANGE_TIMEOUT_MS: Final = 300.0
 """An answer takes one round trip."""
-ADMISSION_WAIT_MS: Final = 50.0
-"""Longest wait of an operation for a token: half of the shortest latency objective. A
-round trip takes a few milliseconds."""
 LOST_AFTER_MS: Final = 700.0
 """A holder that has not answered for so long is replaced."""
 RANK_DELAY_MS: Final = 200.0
@@ -52,6 +49,7 @@
     reply: int = 0
     """The last answer of the present holder."""
     answered_ms: float = 0.0
+    is_stopping: bool = False
     replaces_holder: bool = False
     """Whether this node's claim ended the time of another holder."""
     wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -67,12 +65,12 @@
         if self.holder is not None:
             self.holder.configure(organisations, nodes, now_ms)
 
-    async def admit(self, organisation: str) -> bool:
-        """Use one token of an organisation, and wait shortly for it if necessary."""
+    async def admit(self, organisation: str, wait_ms: float) -> bool:
+        """Use one token of an organisation, and wait for it up to `wait_ms`."""
         now_ms = self.clock.now_ms()
         if self.limiter.take(organisation, now_ms):
             return True
-        until_ms = now_ms + ADMISSION_WAIT_MS
+        until_ms = now_ms + wait_ms
         self.limiter.want(organisation, 1)
         try:
             while (asks_ms := self.limiter.asks_from_ms(organisation)) < until_ms:
@@ -92,7 +90,9 @@
         holder = self.holder
         is_confirmed = self.control.age_ms() < HOLDER_LEASE_MS
         # Until it may grant, the nodes are better off with their own shares.
-        if holder is None or not is_confirmed or now_ms < holder.starts_ms:
+        if self.is_stopping or holder is None or not is_confirmed:
+            return SharesGranted(message.request, 0, 0, ())
+        if now_ms < holder.starts_ms:
             return SharesGranted(message.request, 0, 0, ())
         reply = message.reply if message.epoch == holder.epoch else 0
         number, granted = holder.exchange(node, reply, message.wanted, now_ms)
@@ -138,6 +138,14 @@
             async with asyncio.timeout(remaining_ms / 1000):
                 await exchanged.wait()
 
+    async def release(self) -> None:
+        """Give the duty up before this node stops."""
+        self.is_stopping = True
+        try:
+            await self.control.release_duty(RATES_DUTY)
+        except StoreUnavailable as error:
+            log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
+
     async def _exchange(self) -> bool:
         """Ask the holder once; return whether it answered."""
         holder = self.control.find_duty(RATES_DUTY).duty.holder
@@ -175,12 +183,21 @@
 
     async def _replace_holder(self) -> None:
         """Become the holder if the present one has not answered for too long."""
+        if self.is_stopping:
+            return
+        # The holder may have released its duty a moment ago.
+        await self.control.refresh()
         now_ms = self.clock.now_ms()
-        delay_ms = LOST_AFTER_MS + self._rank() * RANK_DELAY_MS
         known = self.control.find_duty(RATES_DUTY)
-        self.replaces_holder = known.duty.revision > 0
-        since_ms = max(self.answered_ms, known.seen_ms)
-        if known.duty.holder == self.name or now_ms - since_ms < delay_ms:
+        if known.duty.holder == self.name:
+            return
+        self.replaces_holder = known.duty.holder != NOBODY
+        due_ms = known.seen_ms
+        if self.replaces_holder:
+            # A new holder grants nothing before the time of the earlier one has ended.
+            due_ms = max(self.answered_ms, known.seen_ms + HOLDER_LEASE_MS)
+            due_ms += LOST_AFTER_MS
+        if now_ms < due_ms + self._rank() * RANK_DELAY_MS:
             return
         try:
             duty = await self.control.claim_duty(RATES_DUTY)
@@ -189,12 +206,17 @@
             return
         if duty is not None:
             log_event(
-                Event.RATES_HELD, node=self.name, epoch=duty.revision, earlier=known
+                Event.RATES_HELD,
+                node=self.name,
+                epoch=duty.revision,
+                earlier=known.duty.holder,
             )
             self.configure()
 
     def _follow_duty(self, now_ms: float) -> None:
         known = self.control.find_duty(RATES_DUTY)
+        if known.duty.holder == NOBODY and known.duty.revision > self.epoch:
+            self.limiter.end_promise(now_ms)
         if known.duty.holder != self.name:
             self.holder = None
         elif self.holder is None or self.holder.epoch != known.duty.revision:
--- a/src/radishtrack/pooler/rate_limit.py
+++ b/src/radishtrack/pooler/rate_limit.py
@@ -124,6 +124,10 @@
         if demand is not None:
             demand.missing = max(0, demand.missing + count)
 
+    def end_promise(self, now_ms: float) -> None:
+        """Take the own shares back, because the holder has given up its duty."""
+        self.lent_until_ms = min(self.lent_until_ms, now_ms)
+
     def list_wanted(self, now_ms: float) -> tuple[tuple[str, int], ...]:
         """Return what to ask the holder for, and start counting anew."""
         return tuple(self._drain_wanted(now_ms))
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -41,6 +41,9 @@
 """Session values of one client; bounds the memory of a session."""
 MAX_PREPARED: Final = 256
 """Prepared statements of one client; bounds the memory of a session."""
+ADMISSION_OBJECTIVES: Final = 0.25
+"""Longest wait for a token, in latency objectives: a later refusal leaves the client too
+little time for another attempt. A token takes one round trip between nodes."""
 OPEN_ORGANISATION: Final = "-"
 """What members are told of clients of open routes, which have no organisation."""
 
@@ -75,7 +78,8 @@
     refresh : callable
         Reads the configuration from the store, for names that are not known yet.
     admit : callable
-        Takes an organisation; tells whether its rate admits one more operation.
+        Takes an organisation and how long to wait in milliseconds; tells whether its
+        rate admits one more operation.
     find_group : callable
         Returns the access to a group.
     observe : callable
@@ -86,7 +90,7 @@
     clock: Clock
     authorise: Callable[[str, bytes | None], Access | Denied]
     refresh: Callable[[], Awaitable[None]]
-    admit: Callable[[str], Awaitable[bool]]
+    admit: Callable[[str, float], Awaitable[bool]]
     find_group: Callable[[str], GroupAccess]
     observe: Callable[[ClientSession, str, str, Result, float], None]
 
@@ -253,7 +257,10 @@
         return self.access
 
     async def _admit(self, access: Access) -> bool:
-        return not access.is_limited or await self.context.admit(access.organisation)
+        if not access.is_limited:
+            return True
+        wait_ms = ADMISSION_OBJECTIVES * access.route.objective_ms
+        return await self.context.admit(access.organisation, wait_ms)
 
     def _refuse_over_rate(self, statement_id: str, step: str) -> ClientAnswer:
         result = refuse(Refusal.BUSY, "the organisation is over its rate")
--- /dev/null
+++ b/tests/test_pooler_rates.py
@@ -0,0 +1,58 @@
+"""Guards organisations' rates over all nodes, and who hands them out."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.pooler_world import World, open_world, wait_until
+
+SETTLE_S = 4.0
+
+
+def list_claims(world: World) -> list[str]:
+    return [call for call in world.store.calls if call.endswith("duty.rates")]
+
+
+def find_holder(world: World) -> int:
+    return next(
+        number
+        for number, running in enumerate(world.nodes)
+        if running.node.rates.is_holder()
+    )
+
+
+async def test_a_lost_holder_is_replaced_once() -> None:
+    """A new holder grants nothing at first; others took the duty from it in turn."""
+    async with open_world(nodes=3) as world:
+        lost = world.nodes.pop(find_holder(world))
+        claims = len(list_claims(world))
+        await lost.stop()
+        await wait_until(lambda: any(n.node.rates.is_holder() for n in world.nodes))
+        await asyncio.sleep(SETTLE_S)
+        assert len(list_claims(world)) == claims + 1
+        assert all(n.node.rates.limiter.is_lending for n in world.nodes)
+
+
+async def test_a_stopping_holder_hands_the_rates_over() -> None:
+    """During a rolling restart the rates must not pause with every holder."""
+    async with open_world(nodes=2) as world:
+        number = find_holder(world)
+        world.nodes[number].node.begin_stop()
+        other = world.nodes[1 - number].node.rates
+        await wait_until(other.is_holder, limit_s=2.0)
+        assert not world.nodes[number].node.rates.is_holder()
+
+
+async def test_a_node_without_a_holder_uses_its_own_share() -> None:
+    """An outage of the store or of the holder must not stop organisations."""
+    async with open_world(nodes=2) as world:
+        number = find_holder(world)
+        remaining = world.nodes[1 - number]
+        world.store.faults.status = 503
+        stopped = world.nodes.pop(number)
+        await stopped.stop()
+        rates = remaining.node.rates
+        await wait_until(lambda: rates.limiter.lent_until_ms < rates.clock.now_ms())
+        async with asyncio.timeout(2.0):
+            while not await rates.admit("verksted", 20.0):
+                await asyncio.sleep(0.02)
