Keep a quarter of each member's connections free

Cause: members keep the connections of nodes that lost power for 3 s; the restarted nodes got none, so neither reports nor statements for that time. Revoked keys caused a call of the store for each attempt, up to ten a second and node. Ruled out: fewer connections only after a power loss, which nobody can foresee.

--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -23,8 +23,9 @@
 one call may be lost and time out meanwhile."""
 RETRY_INTERVAL_MS: Final = 250.0
 """Pause after a call without an answer."""
-REFRESH_SPACING_MS: Final = 100.0
-"""Sessions with unknown names cause at most one call in this time."""
+REFRESH_SPACING_MS: Final = 400.0
+"""A copy of this age is read again for sessions with unknown names; revoked keys are
+tried again and again, and must not cost a call each."""
 
 
 @attrs.frozen
@@ -102,7 +103,8 @@
         """Confirm the copy on demand; calls at the same time share one."""
         now_ms = self.clock.now_ms()
         if self.pending is None or self.pending.done():
-            if now_ms - self.refreshed_ms < REFRESH_SPACING_MS:
+            spacing_ms = min(now_ms - self.refreshed_ms, self.age_ms())
+            if spacing_ms < REFRESH_SPACING_MS:
                 return
             self.refreshed_ms = now_ms
             self.pending = asyncio.create_task(self._confirm_once())
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -22,6 +22,9 @@
 MAX_USEFUL_LAG_MS: Final = 250.0
 """A replica that reports more lag is asked last for positions that it has not been seen
 to have; the usual lag is some tens of milliseconds."""
+RESERVED_CONNECTIONS: Final = 0.25
+"""Part of a member's connections that nobody uses. Members keep the connections of
+nodes that lost power for 3 s, and the nodes that start again need some meanwhile."""
 UNKNOWN_LIMIT: Final = 4
 """Connections a member while the group's settings are not known."""
 
@@ -233,7 +236,8 @@
     def _connection_limit(self) -> int:
         if self.settings is None:
             return UNKNOWN_LIMIT
-        return max(MIN_CONNECTIONS, self.settings.max_connections // self.nodes)
+        usable = int(self.settings.max_connections * (1.0 - RESERVED_CONNECTIONS))
+        return max(MIN_CONNECTIONS, usable // self.nodes)
 
 
 def make_group_access(
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -42,8 +42,8 @@
 MAX_PREPARED: Final = 256
 """Prepared statements of one client; bounds the memory of a session."""
 ADMISSION_OBJECTIVES: Final = 0.25
-"""Longest wait for a token, in latency objectives: a later refusal leaves the client too
-little time for another attempt. A token takes one round trip between nodes."""
+"""Longest wait for a token, in latency objectives: a later refusal leaves the client
+too little time for another attempt. A token takes one round trip between nodes."""
 OPEN_ORGANISATION: Final = "-"
 """What members are told of clients of open routes, which have no organisation."""
 
