--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -112,7 +112,7 @@
         error = running.exception()
         log_event(Event.TASK_FAILED, reason=repr(error))
         sys.exit(1)
-    await _stop(node, frontend)
+    await stop_node(node, frontend)
     reloading.cancel()
     log_event(Event.NODE_STOPPED, node=settings.node, sessions=len(node.sessions))
     sys.stdout.flush()
@@ -120,7 +120,8 @@
     os._exit(0)
 
 
-async def _stop(node: Node, frontend: Frontend) -> None:
+async def stop_node(node: Node, frontend: Frontend) -> None:
+    """Take no new work, let open work end, and return when the process may exit."""
     plan = node.begin_stop()
     while (now_ms := node.clock.now_ms()) < plan.exit_ms:
         if now_ms >= plan.accept_until_ms:
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -143,6 +143,7 @@
         self.is_stopping = True
         try:
             await self.control.release_duty(RATES_DUTY)
+            self._follow_duty(self.clock.now_ms())
         except StoreUnavailable as error:
             log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
 
--- /dev/null
+++ b/tests/test_pooler_stop.py
@@ -0,0 +1,35 @@
+"""Guards a planned stop: no request is cut, and the node leaves in time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from radishtrack.platform.main import stop_node
+from radishtrack.pooler.readiness import make_stop_plan
+from tests.pooler_world import is_closed, open_world
+
+
+def test_the_stop_fits_into_the_grace_period() -> None:
+    plan = make_stop_plan(1_000.0, 6_000.0)
+    assert plan.accept_until_ms <= plan.finish_until_ms < plan.exit_ms < 7_000.0
+
+
+async def test_idle_sessions_end_and_transactions_finish() -> None:
+    """The balancer still sends connections until it has missed two probes."""
+    async with open_world() as world:
+        running = world.nodes[0]
+        idle = await world.connect(running, "orders")
+        working = await world.connect(running, "orders")
+        await working.ask("BEGIN")
+        await working.ask("WRITE 1 x")
+        stopping = asyncio.create_task(stop_node(running.node, running.frontend))
+        await asyncio.sleep(0.2)
+        assert not running.node.is_ready()
+        late = await world.connect(running, "orders")
+        assert (await late.ask("READ 1"))[0].startswith("DATAROW")
+        assert await is_closed(idle.connection)
+        assert (await working.ask("READ 1"))[-1] == "READY T -"
+        assert (await working.ask("COMMIT"))[0].startswith("COMPLETE")
+        assert await is_closed(working.connection)
+        await stopping
+        assert world.primary.received == 1
--- /dev/null
+++ b/tests/test_pooler_wire.py
@@ -0,0 +1,199 @@
+"""Guards the platform's words: what is passed on, what is refused, what is decoded."""
+
+from __future__ import annotations
+
+import pytest
+
+from radishtrack.group.status import Role
+from radishtrack.platform.documents import (
+    DocumentError,
+    parse_address,
+    parse_catalog,
+    parse_member,
+)
+from radishtrack.platform.object_store import StoredObject
+from radishtrack.platform.settings import SettingsError, parse_settings
+from radishtrack.platform.wire import (
+    WireError,
+    format_client_answer,
+    format_query,
+    parse_answer,
+    parse_query,
+    parse_report,
+    parse_startup,
+)
+from radishtrack.pooler.catalog import ReadClass, digest_key
+from radishtrack.pooler.statements import (
+    Begin,
+    ClientAnswer,
+    Commit,
+    Fence,
+    Prepare,
+    Refusal,
+    Run,
+    RunPrepared,
+    SetValue,
+    TransactionState,
+    Unintelligible,
+)
+from radishtrack.session.position import Position
+from tests.pooler_world import KEY, make_config
+
+
+@pytest.mark.parametrize(
+    ("text", "statement"),
+    [
+        ("READ 1a4", Run("q", "READ 1a4", False)),
+        ("WRITE 1a4 some data  x", Run("q", "WRITE 1a4 some data  x", True)),
+        ("EXECUTE s1 1a4 x y", RunPrepared("q", "s1", "1a4 x y")),
+        ("SET a b c", SetValue("a", "b c")),
+        ("PREPARE s WRITE q2", Prepare("s", True, "q2")),
+        ("BEGIN", Begin(False)),
+        ("BEGIN READ", Begin(True)),
+        ("COMMIT", Commit("q")),
+    ],
+)
+def test_statements_are_understood(text: str, statement: object) -> None:
+    assert parse_query(f"QUERY q {text}") == statement
+
+
+@pytest.mark.parametrize(
+    "text", ["SINCE 1.1 READ a", "STATUS", "BEGIN WRITE", "read a", "PREPARE s X q"]
+)
+def test_other_words_never_reach_a_member(text: str) -> None:
+    """A client could otherwise fence or step down members."""
+    assert isinstance(parse_query(f"QUERY q {text}"), Unintelligible)
+
+
+@pytest.mark.parametrize("line", ["", "HELLO", "QUERY", "QUERY q", "QUERY q "])
+def test_lines_that_are_no_query_end_the_session(line: str) -> None:
+    with pytest.raises(WireError):
+        parse_query(line)
+
+
+def test_reads_and_writes_keep_their_identifier_and_text() -> None:
+    """A member rejects a statement whose text was changed."""
+    text = "WRITE 1a4 two  blanks\tand \udcff"
+    run = parse_query(f"QUERY 5c0e {text}")
+    assert isinstance(run, Run)
+    assert format_query(run, None) == f"QUERY 5c0e {text}"
+    assert format_query(run, Position(3, 7)) == f"QUERY 5c0e SINCE 3.7 {text}"
+    prepared = RunPrepared("5c0e", "w_q2", "1a4 x  y")
+    assert format_query(prepared, None) == "QUERY 5c0e EXECUTE w_q2 1a4 x  y"
+    assert format_query(Fence(4), None) == "QUERY - PAUSE 4"
+
+
+def test_startup_needs_a_database() -> None:
+    assert parse_startup("STARTUP orders key") == ("orders", "key")
+    assert parse_startup("STARTUP orders") == ("orders", None)
+    with pytest.raises(WireError):
+        parse_startup("STARTUP ")
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["READY I 1.1"],
+        ["DATAROW a", "READY I 1.1"],
+        ["COMPLETE s", "READY X 1.1"],
+        ["COMPLETE s", "READY I 1"],
+        ["nonsense", "COMPLETE s", "READY I -"],
+    ],
+)
+def test_answers_that_are_not_whole_are_not_answers(lines: list[str]) -> None:
+    """A cut or crossed answer must not be taken for a result."""
+    with pytest.raises(WireError):
+        parse_answer(lines, has_report=False)
+
+
+def test_an_unknown_code_is_no_promise() -> None:
+    """Codes that say that nothing ran are a promise to the client."""
+    answer = parse_answer(["ERROR STRANGE x", "READY I -"], has_report=False)
+    assert answer.refusal is Refusal.EXECUTION_FAILED
+
+
+def test_a_status_row_is_decoded() -> None:
+    report = parse_report("replica 3 3.1209 4 12.5 2 17")
+    assert report.role is Role.REPLICA and report.position == Position(3, 1209)
+    assert report.is_fenced and report.lag_ms == 12.5
+    for row in ("replica 3", "boss 3 3.1 0 0", "replica x 3.1 0 0"):
+        with pytest.raises(WireError):
+            parse_report(row)
+
+
+def test_an_error_text_stays_on_one_line() -> None:
+    """A line break in a message would look like an answer of its own."""
+    answer = ClientAnswer(
+        TransactionState.IDLE, refusal=Refusal.BUSY, detail="a\r\nREADY I -"
+    )
+    assert format_client_answer(answer) == "ERROR BUSY a READY I -\r\nREADY I -"
+
+
+def test_the_configuration_is_decoded_once() -> None:
+    catalog = parse_catalog(StoredObject("main", 7, make_config()))
+    assert catalog.routes["status"].read_class is ReadClass.AGED
+    assert catalog.routes["status"].max_age_ms == 1500
+    assert catalog.key_owners[digest_key(KEY)].name == "verksted"
+    assert KEY not in repr(catalog)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("routes", None),
+        ("routes", [{"host": 1}]),
+        ("version", "7"),
+        ("limits", {}),
+        ("tenants", [{"name": "a"}]),
+    ],
+)
+def test_a_configuration_that_is_not_understood_is_refused_whole(
+    field: str, value: object
+) -> None:
+    """Half of a configuration could drop routes that are in force."""
+    with pytest.raises(DocumentError):
+        parse_catalog(StoredObject("main", 7, make_config() | {field: value}))
+
+
+MEMBER = {
+    "service": "g",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 2,
+    "state": "ready",
+    "dbRole": "replica",
+    "born": 5,
+}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", ""),
+        ("address", "10.0.0.1"),
+        ("address", "10.0.0.1:99999"),
+        ("slots", "2"),
+        ("slots", True),
+        ("state", "maybe"),
+        ("dbRole", None),
+        ("born", 5.5),
+    ],
+)
+def test_an_invalid_entry_names_no_member(field: str, value: object) -> None:
+    """Entries come from other writers too."""
+    assert parse_member(StoredObject("i-1", 1, MEMBER)).started_ms == 5
+    with pytest.raises(DocumentError):
+        parse_member(StoredObject("i-1", 1, MEMBER | {field: value}))
+
+
+def test_addresses_need_host_and_port() -> None:
+    assert parse_address("10.0.0.1:80") == ("10.0.0.1", 80)
+    with pytest.raises(ValueError, match="not an address"):
+        parse_address(":80")
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"nodeName": "a"}'])
+def test_settings_that_are_half_written_are_refused(text: str) -> None:
+    """The file may be read while it is written; the node keeps what it has."""
+    with pytest.raises(SettingsError):
+        parse_settings(text)
