Return lent shares when the rates' holder loses the store

Cause: a holder that had lost the store granted nothing, and its nodes kept their promise for another second. Change: its answer returns the shares at once and for good. Ruled out: ending promises on any answer without an epoch, which a new holder gives too. Nodes that can't reach the store start no promotion attempts.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -367,7 +367,7 @@
     epoch : int
         The sender's period as holder of the rates; 0 if it is not the holder.
     reply : int
-        Number of this answer in the period.
+        Number of this answer in the period; 0 if the receiver's shares are returned.
     granted : tuple
         Organisation, number of tokens, and milliseconds until there may be more.
     """
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -122,6 +122,8 @@
         start_ms = watched.reason_since_ms + self._rank(access.name) * RANK_DELAY_MS
         if now_ms < max(start_ms, watched.not_before_ms) or self._is_duty_taken():
             return
+        if not self.control.is_available:
+            return
         watched.task = asyncio.create_task(self._attempt(access, watched, reason))
 
     async def vote(self, group: str, member: str) -> bool:
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -17,7 +17,12 @@
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import StoreUnavailable
 from radishtrack.pooler.rate_limit import RateLimiter
-from radishtrack.pooler.shares import GRANT_MS, ShareHolder, make_share_holder
+from radishtrack.pooler.shares import (
+    GRANT_MS,
+    NOTHING_LENT,
+    ShareHolder,
+    make_share_holder,
+)
 
 RATES_DUTY: Final = "rates"
 """Name of the duty's record in the store."""
@@ -90,11 +95,14 @@
         holder = self.holder
         is_confirmed = self.control.age_ms() < HOLDER_LEASE_MS
         # Until it may grant, the nodes are better off with their own shares.
-        if self.is_stopping or holder is None or not is_confirmed:
+        if holder is None or now_ms < holder.starts_ms:
             return SharesGranted(message.request, 0, 0, ())
-        if now_ms < holder.starts_ms:
-            return SharesGranted(message.request, 0, 0, ())
-        reply = message.reply if message.epoch == holder.epoch else 0
+        if self.is_stopping or not is_confirmed:
+            # The node may use its shares again at once, instead of when its promise
+            # ends; this holder has to count them as returned for good.
+            holder.forget(node)
+            return SharesGranted(message.request, holder.epoch, NOTHING_LENT, ())
+        reply = message.reply if message.epoch == holder.epoch else NOTHING_LENT
         number, granted = holder.exchange(node, reply, message.wanted, now_ms)
         return SharesGranted(message.request, holder.epoch, number, granted)
 
@@ -171,6 +179,10 @@
         if answer.epoch == 0:
             return False
         now_ms = self.clock.now_ms()
+        if answer.reply == NOTHING_LENT:
+            if answer.epoch == self.epoch:
+                self.limiter.end_promise(now_ms)
+            return False
         if answer.epoch != self.epoch and now_ms < self.limiter.lent_until_ms:
             # The shares are still lent to the earlier holder.
             return True
--- a/src/radishtrack/pooler/shares.py
+++ b/src/radishtrack/pooler/shares.py
@@ -31,6 +31,9 @@
 """How long granted tokens may be used, from when they were asked for."""
 REPLIES_KEPT: Final = 32
 """Answers whose sending times are remembered for each node."""
+NOTHING_LENT: Final = 0
+"""Number of no answer: a node that confirms it lends nothing yet, and a holder that
+answers with it counts nothing as lent any more."""
 SMALL_FLEET: Final = 16
 """Up to this number of nodes, an even share of less than one token of burst is rounded
 up to one; above, the sum would exceed the burst by too much."""
@@ -128,6 +131,10 @@
         granted = tuple(self._grant(name, tokens, now_ms) for name, tokens in wanted)
         return borrower.last_reply, granted
 
+    def forget(self, node: str) -> None:
+        """Count a node's shares as returned."""
+        self.borrowers.pop(node, None)
+
     def _grant(self, name: str, tokens: int, now_ms: float) -> tuple[str, int, float]:
         lent = self.buckets.get(name)
         if lent is None:
--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -59,3 +59,17 @@
         async with asyncio.timeout(2.0):
             while not await rates.admit("verksted", 20.0):
                 await asyncio.sleep(0.02)
+
+
+async def test_a_holder_without_the_store_returns_the_shares() -> None:
+    """Nodes were refused tokens for a second whenever the holder lost the store."""
+    async with open_world(nodes=2) as world:
+        number = find_holder(world)
+        holder, other = world.nodes[number].node, world.nodes[1 - number].node
+        await wait_until(lambda: other.rates.reply > 0)
+        holder.control.confirmed_ms = holder.clock.now_ms() - 10_000.0
+        limiter = other.rates.limiter
+        promised_ms = limiter.lent_until_ms
+        await other.rates._exchange()
+        assert limiter.lent_until_ms < promised_ms
+        assert other.options.node.name not in holder.rates.holder.borrowers  # type: ignore[union-attr]
