Remove the records of silent nodes, and take a refused peer for stopped

Cause: after a VM was replaced, its part of every rate and connection stayed unused, and each promotion waited 2 s for its answer. Change: the rates' holder removes the record of a node that has not asked for 4 s; all count it for another 4.5 s, in which it registers again or stops by its own limit. A refused connection proves that no process believes anything; a new process drops what it knew before it listened. Ruled out: heartbeats in the store (738 writes a second at 590 nodes).

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -39,6 +39,7 @@
     LISTING_INVALID = (4003, "warning", "entry in the platform's store is not usable")
     PLATFORM_UNAVAILABLE = (4001, "warning", "platform does not answer")
     PLATFORM_AVAILABLE = (4002, "info", "platform answers again")
+    NODE_REMOVED = (1006, "warning", "record of a silent node removed")
     SETTINGS_READ = (1004, "info", "settings file read")
     SETTINGS_INVALID = (1005, "error", "settings file can not be used")
     CONFIGURATION_ACCEPTED = (5001, "info", "configuration revision in force")
--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -23,11 +23,22 @@
 one call may be lost and time out meanwhile."""
 RETRY_INTERVAL_MS: Final = 250.0
 """Pause after a call without an answer."""
+DEPARTURE_MS: Final = 4_500.0
+"""A removed node either sees that its record is missing, within 0.8 s, or refuses all
+keys once its copy is 3 s old; the rest is margin."""
 REFRESH_SPACING_MS: Final = 400.0
 """A copy of this age is read again for sessions with unknown names; revoked keys are
 tried again and again, and must not cost a call each."""
 
 
+@attrs.frozen
+class Departure:
+    """A node whose record was removed, and when this node saw that."""
+
+    node: NodeRecord
+    at_ms: float
+
+
 @attrs.frozen
 class KnownDuty:
     """A duty's record and when this node first saw it."""
@@ -63,7 +74,9 @@
     on_change: Callable[[], None]
     catalog: Catalog = EMPTY_CATALOG
     members: tuple[Member, ...] = ()
-    nodes: tuple[NodeRecord, ...] = ()
+    registered: tuple[NodeRecord, ...] = ()
+    departed: dict[str, Departure] = attrs.field(factory=dict)
+    """Nodes whose records were removed a moment ago."""
     duties: dict[str, KnownDuty] = attrs.field(factory=dict)
     terms: Mapping[str, int] = attrs.field(factory=dict)
     failed_ms: float | None = None
@@ -126,6 +139,27 @@
             return False
         return self.clock.now_ms() - self.failed_ms < max_age_ms
 
+    @property
+    def nodes(self) -> tuple[NodeRecord, ...]:
+        """The nodes that may still use their shares or believe in a term.
+
+        A node whose record was removed may run and not know it; it has stopped or
+        registered again by the time it is left out here.
+        """
+        after_ms = self.clock.now_ms() - DEPARTURE_MS
+        recent = (d.node for d in self.departed.values() if d.at_ms > after_ms)
+        return (*self.registered, *recent)
+
+    def _note_nodes(self, registered: tuple[NodeRecord, ...]) -> None:
+        names = {node.name for node in registered}
+        now_ms = self.clock.now_ms()
+        for node in self.registered:
+            if node.name not in names:
+                self.departed[node.name] = Departure(node, now_ms)
+        for name in names & self.departed.keys():
+            del self.departed[name]
+        self.registered = registered
+
     def find_duty(self, name: str) -> KnownDuty:
         """Return what is known of a duty."""
         return self.duties.get(name, NO_DUTY)
@@ -195,7 +229,7 @@
         if is_newer:
             self.members = members
             self.members_read_ms = asked_ms
-            self.nodes = listing.nodes
+            self._note_nodes(listing.nodes)
             self.terms = listing.terms
             for name, duty in listing.duties.items():
                 self._note_duty(name, duty)
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -91,6 +91,10 @@
     groups: dict[str, GroupAccess] = attrs.field(factory=dict)
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     sessions: set[ClientSession] = attrs.field(factory=set)
+    applied_nodes: int = 0
+    """Nodes among which rates and connections are divided."""
+    is_listening: bool = False
+    """Whether peers can reach this node."""
     stop_plan: StopPlan | None = None
     releasing: asyncio.Task[None] | None = None
 
@@ -149,7 +153,7 @@
                 self.options.node.zone,
                 self.clock,
                 self.open_link,
-                self.control.knows_announcements,
+                self._knows_announcements,
             )
             self.groups[name] = access
         return access
@@ -158,7 +162,8 @@
         """Apply the present copy of the store."""
         now_ms = self.clock.now_ms()
         catalog = self.control.catalog
-        nodes = max(1, len(self.control.nodes))
+        self.applied_nodes = len(self.control.nodes)
+        nodes = max(1, self.applied_nodes)
         self.rates.configure()
         for name, settings in catalog.groups.items():
             self.find_group(name).configure(settings, nodes)
@@ -186,6 +191,9 @@
             )
             self.monitors[member] = asyncio.create_task(monitor.run())
 
+    def _knows_announcements(self, max_age_ms: float) -> bool:
+        return self.is_listening and self.control.knows_announcements(max_age_ms)
+
     def _any_organisation(self) -> str:
         return next(iter(self.control.catalog.organisations), OPEN_ORGANISATION)
 
@@ -198,12 +206,12 @@
         route = catalog.routes.get(database)
         if route is None:
             return Denied(Refusal.NO_DATABASE, "no such database")
+        if not self._has_recent_keys():
+            return Denied(Refusal.BUSY, "the configuration can't be confirmed now")
         if route.is_open:
             return Access(route, OPEN_ORGANISATION, False)
         if key_digest is None:
             return Denied(Refusal.NO_ACCESS, "the database needs a key")
-        if not self._has_recent_keys():
-            return Denied(Refusal.BUSY, "keys can't be confirmed at the moment")
         owner = catalog.key_owners.get(key_digest)
         if owner is None:
             return Denied(Refusal.NO_ACCESS, "the key is not accepted")
@@ -223,6 +231,10 @@
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
+            if len(self.control.nodes) != self.applied_nodes:
+                self.apply_control()
+            if self.options.key_age_limit_ms is not None:
+                await self._remove_silent_nodes()
             if self.control.age_ms() > UNLISTED_EXPIRY_MS:
                 # Without the store nobody knows whether an entry has come back.
                 continue
@@ -231,6 +243,21 @@
                 for name in access.expire_members(before_ms):
                     log_event(Event.MEMBER_REMOVED, group=access.name, member=name)
 
+    async def _remove_silent_nodes(self) -> None:
+        """Remove the records of nodes that are gone; one that lives registers again.
+
+        Only possible where a node without the store stops by itself.
+        """
+        for name in self.rates.list_silent_nodes():
+            log_event(Event.NODE_REMOVED, node=name, by=self.options.node.name)
+            try:
+                await self.control.store.remove_node(name)
+            except StoreUnavailable as error:
+                log_event(
+                    Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason
+                )
+                return
+
     async def _serve_peers(self) -> None:
         secret = await self._read_secret()
         self.peers.secret = secret
@@ -246,6 +273,11 @@
         server = await start_peer_server(
             node.host, node.port, node.name, secret, handlers
         )
+        # Nobody could ask this node to withdraw its evidence before.
+        now_ms = self.clock.now_ms()
+        for access in self.groups.values():
+            access.evidence.withdraw_belief(now_ms)
+        self.is_listening = True
         await server.wait_closed()
 
     async def _read_secret(self) -> bytes:
--- a/src/radishtrack/pooler/peers.py
+++ b/src/radishtrack/pooler/peers.py
@@ -17,6 +17,12 @@
 RETRY_LINK_MS: Final = 500.0
 """Pause after a peer could not be reached, so that a dead one costs little."""
 
+
+@attrs.frozen
+class NotRunning:
+    """The peer's host answered that no process listens there."""
+
+
 MakeMessage = Callable[[int], Message]
 """Returns a message with the given request number."""
 
@@ -50,7 +56,7 @@
 
     async def ask(
         self, node: NodeRecord, make_message: MakeMessage, timeout_ms: float
-    ) -> Message | None:
+    ) -> Message | NotRunning | None:
         """Ask one peer; None if it does not answer in time."""
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -61,15 +67,17 @@
                 return await link.call(
                     make_message(request), request, timeout_ms / 1000
                 )
-        except LinkClosed:
+        except LinkClosed as error:
             await self._drop(node.name)
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return NotRunning()
             return None
         except TimeoutError:
             return None
 
     async def ask_all(
         self, make_message: MakeMessage, timeout_ms: float
-    ) -> dict[str, Message | None]:
+    ) -> dict[str, Message | NotRunning | None]:
         """Ask all registered peers at the same time; answers by node name."""
         nodes = self.others()
         answers = await asyncio.gather(
@@ -92,8 +100,16 @@
             now_ms = self.clock.now_ms()
             if failed_ms is not None and now_ms - failed_ms < RETRY_LINK_MS:
                 return None
+            # A refused connection costs a round trip only, and says something.
             self.failed_ms[node.name] = now_ms
-            link = await open_link(f"{node.host}:{node.port}", self.name, self.secret)
+            try:
+                link = await open_link(
+                    f"{node.host}:{node.port}", self.name, self.secret
+                )
+            except LinkClosed as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    del self.failed_ms[node.name]
+                raise
             del self.failed_ms[node.name]
             self.links[node.name] = link
             return link
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -14,11 +14,11 @@
 from radishtrack.group.status import Role
 from radishtrack.peer.messages import BeliefWithdrawn, Vote, VoteRequest, WithdrawBelief
 from radishtrack.pooler.catalog import MemberReport
-from radishtrack.pooler.control import NOBODY, Control
+from radishtrack.pooler.control import DEPARTURE_MS, NOBODY, Control
 from radishtrack.pooler.evidence import BELIEF_MS
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import ask_member
-from radishtrack.pooler.peers import Peers
+from radishtrack.pooler.peers import NotRunning, Peers
 from radishtrack.pooler.ports import (
     Duty,
     PromoteMember,
@@ -92,9 +92,11 @@
     list_groups: Callable[[], tuple[GroupAccess, ...]]
     organisation: MakeOrganisation
     watched: dict[str, Watched] = attrs.field(factory=dict)
+    started_ms: float = 0.0
 
     async def run(self) -> None:
         """Check all groups again and again."""
+        self.started_ms = self.clock.now_ms()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
             for access in self.list_groups():
@@ -289,8 +291,16 @@
             lambda request: WithdrawBelief(request, access.name),
             WITHDRAW_TIMEOUT_MS,
         )
-        if is_complete and all(
-            isinstance(answer, BeliefWithdrawn) for answer in answers.values()
+        # A process that is not running believes nothing, and one that starts gathers
+        # its evidence after it listens. A young node may not know who has just left.
+        age_ms = self.clock.now_ms() - self.started_ms
+        if (
+            is_complete
+            and age_ms > DEPARTURE_MS
+            and all(
+                isinstance(answer, BeliefWithdrawn | NotRunning)
+                for answer in answers.values()
+            )
         ):
             return
         remaining_ms = fenced_ms + BELIEF_MS - self.clock.now_ms()
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -35,6 +35,10 @@
 """An answer takes one round trip."""
 LOST_AFTER_MS: Final = 700.0
 """A holder that has not answered for so long is replaced."""
+JOIN_MS: Final = 1_000.0
+"""All nodes have read the record of a new one by then."""
+SILENT_NODE_MS: Final = 4_000.0
+"""A node that has not asked for so long is taken as gone: a restart takes up to 2 s."""
 RANK_DELAY_MS: Final = 200.0
 """Head start of each node over the next one."""
 
@@ -54,6 +58,8 @@
     reply: int = 0
     """The last answer of the present holder."""
     answered_ms: float = 0.0
+    heard_ms: dict[str, float] = attrs.field(factory=dict)
+    """When each node last asked this one."""
     is_stopping: bool = False
     replaces_holder: bool = False
     """Whether this node's claim ended the time of another holder."""
@@ -63,6 +69,9 @@
     def configure(self) -> None:
         """Apply the present configuration and number of nodes."""
         now_ms = self.clock.now_ms()
+        if not self.limiter.demands:
+            # The other nodes divide the rates without this one until they know of it.
+            self.limiter.start_later(now_ms + JOIN_MS)
         nodes = max(1, len(self.control.nodes))
         organisations = self.control.catalog.organisations
         self.limiter.configure(organisations, nodes, now_ms)
@@ -92,6 +101,7 @@
     def grant(self, node: str, message: SharesWanted) -> SharesGranted:
         """Answer a node, as holder."""
         now_ms = self.clock.now_ms()
+        self.heard_ms[node] = now_ms
         holder = self.holder
         is_confirmed = self.control.age_ms() < HOLDER_LEASE_MS
         # Until it may grant, the nodes are better off with their own shares.
@@ -117,6 +127,19 @@
         holder = self.control.find_duty(RATES_DUTY).duty.holder
         return self._find_node(holder) if holder != self.name else None
 
+    def list_silent_nodes(self) -> tuple[str, ...]:
+        """Return the registered nodes that this holder has not heard of for long."""
+        if self.holder is None:
+            return ()
+        before_ms = self.clock.now_ms() - SILENT_NODE_MS
+        return tuple(
+            node.name
+            for node in self.control.registered
+            if node.name != self.name
+            and max(self.holder.starts_ms, self.heard_ms.get(node.name, 0.0))
+            < before_ms
+        )
+
     async def run(self) -> None:
         """Exchange whenever tokens are needed, and regularly."""
         self.answered_ms = self.clock.now_ms()
--- a/src/radishtrack/pooler/rate_limit.py
+++ b/src/radishtrack/pooler/rate_limit.py
@@ -124,6 +124,11 @@
         if demand is not None:
             demand.missing = max(0, demand.missing + count)
 
+    def start_later(self, from_ms: float) -> None:
+        """Use the own shares only from a time on."""
+        self.lent_until_ms = max(self.lent_until_ms, from_ms)
+        self.is_lending = True
+
     def end_promise(self, now_ms: float) -> None:
         """Take the own shares back, because the holder has given up its duty."""
         self.lent_until_ms = min(self.lent_until_ms, now_ms)
--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -73,3 +73,27 @@
         await other.rates._exchange()
         assert limiter.lent_until_ms < promised_ms
         assert other.options.node.name not in holder.rates.holder.borrowers  # type: ignore[union-attr]
+
+
+async def test_the_share_of_a_node_that_is_gone_goes_to_the_others() -> None:
+    """A replaced VM would otherwise keep its part of every rate for good."""
+    async with open_world(nodes=3) as world:
+        gone = world.nodes.pop(0 if find_holder(world) else 1)
+        name = gone.node.options.node.name
+        await gone.stop()
+        await wait_until(
+            lambda: ("radishtrack", f"node.{name}") not in world.store.objects
+        )
+        control = world.nodes[0].node.control
+        await wait_until(lambda: len(control.registered) == 2)
+        # It may not know yet, so nobody uses its share at once.
+        assert len(control.nodes) == 3
+        await wait_until(lambda: world.nodes[0].node.applied_nodes == 2)
+
+
+async def test_a_node_whose_record_was_removed_registers_again() -> None:
+    """The holder may have lost only its own path to that node."""
+    async with open_world(nodes=2) as world:
+        world.store.remove("radishtrack", "node.edge-2")
+        await wait_until(lambda: ("radishtrack", "node.edge-2") in world.store.objects)
+        assert len(world.nodes[0].node.control.nodes) == 2
