Let one node vouch for the store's revision

Change: the node that polls for the fleet also passes on the store's revision and its age; the others ask the store themselves every 4 s, or when the revision has moved, or when their copy is 1.3 s old. A name that is missing causes one call in 2 s, not per session. Ruled out: watches, whose silence can't be told from a quiet store.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -394,6 +394,10 @@
     newer_than: int
 
 
+PackedReport = tuple[str, str, bool, int, int, int, int, int, int, float, float]
+"""A member's report in `Reports`."""
+
+
 @attrs.define(frozen=True)
 class Reports:
     """Answers `ReportsWanted`.
@@ -404,6 +408,10 @@
         The request.
     number : int
         Number of this answer; 0 if the sender does not poll for others.
+    revision : int
+        Revision of the platform's store up to which the sender's copy is complete.
+    confirmed_age_ms : float
+        Milliseconds since the sender asked the store for that revision.
     reports : tuple
         For each member: group, name, whether it leads, term, term and sequence of the
         received and of the applied position, fenced term, lag, and the age of the
@@ -412,9 +420,9 @@
 
     request: int
     number: int
-    reports: tuple[
-        tuple[str, str, bool, int, int, int, int, int, int, float, float], ...
-    ]
+    revision: int
+    confirmed_age_ms: float
+    reports: tuple[PackedReport, ...]
 
 
 Message = (
--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+import contextlib
+from collections.abc import Callable, Hashable, Mapping
 from typing import Final
 
 import attrs
@@ -21,14 +22,28 @@
 CONFIRM_INTERVAL_MS: Final = 800.0
 """Pause between calls: a change of the configuration must be in force within 3 s, and
 one call may be lost and time out meanwhile."""
+VOUCHED_MS: Final = 1_300.0
+"""Age of the copy at which a node asks itself. Another node reads every 0.8 s and is
+asked every 0.45 s, so this comes about only when that node does not answer."""
+OWN_INTERVAL_MS: Final = 4_000.0
+"""Pause after which a node asks itself in any case, so that it notices when its own
+path to the store is lost."""
 RETRY_INTERVAL_MS: Final = 250.0
 """Pause after a call without an answer."""
 DEPARTURE_MS: Final = 4_500.0
 """A removed node either sees that its record is missing, within 0.8 s, or refuses all
 keys once its copy is 3 s old; the rest is margin."""
-REFRESH_SPACING_MS: Final = 400.0
-"""A copy of this age is read again for sessions with unknown names; revoked keys are
-tried again and again, and must not cost a call each."""
+REFRESH_SPACING_MS: Final = 100.0
+"""Sessions with unknown names cause at most one call in this time."""
+REFRESH_AGAIN_MS: Final = 2_000.0
+"""The same unknown name causes no second call in this time: clients with a revoked key
+try again and again."""
+MAX_UNKNOWN: Final = 1_000
+"""Unknown names that are remembered."""
+
+
+def _read_always() -> bool:
+    return True
 
 
 @attrs.frozen
@@ -72,6 +87,8 @@
     clock: Clock
     node: NodeRecord
     on_change: Callable[[], None]
+    reads_for_fleet: Callable[[], bool] = _read_always
+    """Whether the other nodes rely on this one for the age of their copies."""
     catalog: Catalog = EMPTY_CATALOG
     members: tuple[Member, ...] = ()
     registered: tuple[NodeRecord, ...] = ()
@@ -88,15 +105,45 @@
     members_read_ms: float | None = None
     claims: int = 0
     is_available: bool = True
+    is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set when the store has a later revision than the copy."""
     pending: asyncio.Task[None] | None = None
+    unknown: dict[Hashable, float] = attrs.field(factory=dict)
+    """Names that were missing, and when the store was asked for them."""
     refreshed_ms: float = -REFRESH_SPACING_MS
 
     async def run(self) -> None:
         """Confirm the copy again and again; never returns."""
         while True:
-            succeeded = await self.confirm()
-            pause_ms = CONFIRM_INTERVAL_MS if succeeded else RETRY_INTERVAL_MS
-            await asyncio.sleep(pause_ms / 1000)
+            asked_ms = self.clock.now_ms()
+            self.is_outdated.clear()
+            if not await self.confirm():
+                await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
+                continue
+            while (pause_ms := self._pause_ms(asked_ms)) > 0:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(pause_ms / 1000):
+                        await self.is_outdated.wait()
+                        break
+
+    def vouch(self, revision: int, confirmed_ms: float) -> None:
+        """Take in that the store had a revision at a time, as another node has read.
+
+        Only the age of the copy changes; what has changed is read from the store.
+        """
+        if revision == self.revision:
+            self._note_confirmed(confirmed_ms)
+        elif revision > self.revision:
+            self.is_outdated.set()
+
+    def _pause_ms(self, asked_ms: float) -> float:
+        """Return the time until this node has to ask the store itself."""
+        if self.reads_for_fleet():
+            due_ms = asked_ms + CONFIRM_INTERVAL_MS
+        else:
+            confirmed_ms = asked_ms if self.confirmed_ms is None else self.confirmed_ms
+            due_ms = min(asked_ms + OWN_INTERVAL_MS, confirmed_ms + VOUCHED_MS)
+        return due_ms - self.clock.now_ms()
 
     async def confirm(self) -> bool:
         """Bring the copy up to date; return whether the store answered."""
@@ -115,14 +162,23 @@
         self._note_available()
         return True
 
-    async def refresh(self) -> None:
-        """Confirm the copy on demand; calls at the same time share one."""
+    async def refresh(self, name: Hashable) -> None:
+        """Confirm the copy on demand; calls at the same time share one.
+
+        Parameters
+        ----------
+        name : hashable
+            What is missing in the copy.
+        """
         now_ms = self.clock.now_ms()
+        if now_ms - self.unknown.get(name, float("-inf")) < REFRESH_AGAIN_MS:
+            return
         if self.pending is None or self.pending.done():
-            spacing_ms = min(now_ms - self.refreshed_ms, self.age_ms())
-            if spacing_ms < REFRESH_SPACING_MS:
+            if now_ms - self.refreshed_ms < REFRESH_SPACING_MS:
                 return
-            self.refreshed_ms = now_ms
+            if len(self.unknown) >= MAX_UNKNOWN:
+                self.unknown.clear()
+            self.unknown[name] = self.refreshed_ms = now_ms
             self.pending = asyncio.create_task(self._confirm_once())
         await asyncio.shield(self.pending)
 
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -347,8 +347,10 @@
         ),
     )
     rates = RateExchange(options.node.name, clock, control, peers)
+    control.reads_for_fleet = rates.is_holder
     relay = ReportRelay(
         clock=clock,
+        control=control,
         peers=peers,
         find_relay=rates.find_holder,
         is_relay=rates.is_holder,
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -221,8 +221,9 @@
         """Become the holder if the present one has not answered for too long."""
         if self.is_stopping:
             return
+        known = self.control.find_duty(RATES_DUTY)
         # The holder may have released its duty a moment ago.
-        await self.control.refresh()
+        await self.control.refresh(known.duty)
         now_ms = self.clock.now_ms()
         known = self.control.find_duty(RATES_DUTY)
         if known.duty.holder == self.name:
--- a/src/radishtrack/pooler/report_relay.py
+++ b/src/radishtrack/pooler/report_relay.py
@@ -1,9 +1,10 @@
 """Passes members' reports on, so that one node of the fleet polls for all.
 
-The node that holds the rates polls every member; the others ask it for what is new. A
-report's age is counted from before the member was asked up to the answer, and its
-receiver dates it from before its own request, so that a report never looks younger than
-it is, whatever the clocks and the network do. A node that gets no reports polls itself.
+The node that holds the rates polls every member and reads the store's revision; the
+others ask it for what is new. An age is counted from before the question up to the
+answer, and its receiver dates it from before its own request, so that nothing ever
+looks younger than it is, whatever the clocks and the network do. A node that gets no
+answers asks members and store itself.
 """
 
 from __future__ import annotations
@@ -17,8 +18,9 @@
 from radishtrack.clock import Clock
 from radishtrack.events import Event, log_event
 from radishtrack.group.status import Role
-from radishtrack.peer.messages import Reports, ReportsWanted
+from radishtrack.peer.messages import PackedReport, Reports, ReportsWanted
 from radishtrack.pooler.catalog import MemberReport, NodeRecord
+from radishtrack.pooler.control import Control
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.peers import Peers
 from radishtrack.session.position import Position
@@ -28,9 +30,6 @@
 RELAY_TIMEOUT_MS: Final = 300.0
 """An answer takes one round trip."""
 
-PackedReport = tuple[str, str, bool, int, int, int, int, int, int, float, float]
-"""See `Reports`."""
-
 
 @attrs.define
 class Receiver:
@@ -46,6 +45,7 @@
     """State of one node, on either side; `run` never returns."""
 
     clock: Clock
+    control: Control
     peers: Peers
     find_relay: Callable[[], NodeRecord | None]
     is_relay: Callable[[], bool]
@@ -65,14 +65,20 @@
     def answer(self, node: str, message: ReportsWanted) -> Reports:
         """Return the reports that a node does not have yet."""
         if not self.is_relay():
-            return Reports(message.request, 0, ())
+            return Reports(message.request, 0, -1, 0.0, ())
         receiver = self.receivers.setdefault(node, Receiver())
         if message.newer_than != receiver.number:
             # The last answer was lost, or one of the two nodes has restarted.
             receiver.sent_ms.clear()
         receiver.number += 1
         reports = tuple(self._pack(receiver))
-        return Reports(message.request, receiver.number, reports)
+        return Reports(
+            message.request,
+            receiver.number,
+            self.control.revision,
+            self.control.age_ms(),
+            reports,
+        )
 
     def _pack(self, receiver: Receiver) -> Iterator[PackedReport]:
         now_ms = self.clock.now_ms()
@@ -111,6 +117,8 @@
             self.received = 0
             return
         self.received = answer.number
+        if answer.number:
+            self.control.vouch(answer.revision, asked_ms - answer.confirmed_age_ms)
         for packed in answer.reports:
             self._take_in(packed, asked_ms)
 
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Hashable
 from typing import Final
 
 import attrs
@@ -89,7 +89,7 @@
 
     clock: Clock
     authorise: Callable[[str, bytes | None], Access | Denied]
-    refresh: Callable[[], Awaitable[None]]
+    refresh: Callable[[Hashable], Awaitable[None]]
     admit: Callable[[str, float], Awaitable[bool]]
     find_group: Callable[[str], GroupAccess]
     observe: Callable[[ClientSession, str, str, Result, float], None]
@@ -303,7 +303,7 @@
     access = context.authorise(database, key_digest)
     if isinstance(access, Denied):
         # The database or key may have been added a moment ago.
-        await context.refresh()
+        await context.refresh((database, key_digest))
         access = context.authorise(database, key_digest)
     if isinstance(access, Denied):
         return access
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -43,6 +43,23 @@
     "tuple[str, ...]": st.lists(st.text(max_size=5), max_size=3).map(tuple),
     "tuple[int, ...]": st.lists(st.integers(0, 300), max_size=3).map(tuple),
     "tuple[bytes, ...]": st.lists(st.binary(max_size=5), max_size=3).map(tuple),
+    "tuple[tuple[str, int], ...]": st.lists(
+        st.tuples(st.text(max_size=5), st.integers(0, 300)), max_size=3
+    ).map(tuple),
+    "tuple[tuple[str, int, float], ...]": st.lists(
+        st.tuples(st.text(max_size=5), st.integers(0, 300), st.floats(allow_nan=False)),
+        max_size=3,
+    ).map(tuple),
+    "tuple[PackedReport, ...]": st.lists(
+        st.tuples(
+            st.text(max_size=5),
+            st.text(max_size=5),
+            st.booleans(),
+            *(st.integers(0, 2**40) for _ in range(6)),
+            *(st.floats(allow_nan=False) for _ in range(2)),
+        ),
+        max_size=3,
+    ).map(tuple),
     "tuple[Row, ...]": st.lists(
         st.lists(st.none() | st.text(max_size=5) | st.binary(max_size=5)).map(tuple),
         max_size=3,
--- /dev/null
+++ b/tests/test_pooler_control.py
@@ -0,0 +1,158 @@
+"""Guards a node's copy of the store: how old it is, and that it only moves forward."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from radishtrack.clock import ManualTime, make_manual_clock
+from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
+from radishtrack.pooler.control import DEPARTURE_MS, Control
+from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
+
+NODE = NodeRecord("edge-1", "10.0.0.1", 7560, "a", 1)
+OTHER = NodeRecord("edge-2", "10.0.0.2", 7560, "a", 1)
+
+
+@attrs.define(eq=False)
+class FakeStore:
+    """A control store whose content tests set."""
+
+    nodes: tuple[NodeRecord, ...] = (NODE,)
+    catalog: Catalog | None = EMPTY_CATALOG
+    revision: int = 1
+    is_down: bool = False
+    catalog_reads: int = 0
+    slow: asyncio.Event | None = None
+
+    async def list_fleet(self) -> FleetListing:
+        if self.is_down:
+            raise StoreUnavailable("list", "down", is_effect_unknown=False)
+        listing = FleetListing(self.nodes, {}, {}, self.revision)
+        if self.slow is not None:
+            await self.slow.wait()
+        return listing
+
+    async def register_node(self, node: NodeRecord) -> None:
+        self.nodes = (*self.nodes, node)
+        self.revision += 1
+
+    async def remove_node(self, name: str) -> None:
+        raise NotImplementedError
+
+    async def read_catalog(self) -> Catalog | None:
+        self.catalog_reads += 1
+        return self.catalog
+
+    async def list_members(self) -> tuple[Member, ...]:
+        return ()
+
+    async def claim_duty(
+        self, name: str, duty: Duty, holder: str, claim: str
+    ) -> Duty | None:
+        raise NotImplementedError
+
+    async def announce_term(self, group: str, term: int) -> None:
+        raise NotImplementedError
+
+    async def read_secret(self) -> bytes:
+        raise NotImplementedError
+
+
+@pytest.fixture
+def time() -> ManualTime:
+    return ManualTime(1_000.0)
+
+
+@pytest.fixture
+def store() -> FakeStore:
+    return FakeStore()
+
+
+@pytest.fixture
+def control(store: FakeStore, time: ManualTime) -> Control:
+    return Control(store, make_manual_clock(time), NODE, lambda: None)
+
+
+async def test_a_quiet_store_costs_one_call(control: Control, store: FakeStore) -> None:
+    """The fleet shares the store's calls; nothing may be read again unchanged."""
+    for _ in range(5):
+        assert await control.confirm()
+    assert store.catalog_reads == 1
+
+
+async def test_the_copy_is_as_old_as_the_question(
+    control: Control, store: FakeStore, time: ManualTime
+) -> None:
+    """A late answer must not make a withdrawn key look current."""
+    await control.confirm()
+    store.slow = asyncio.Event()
+    asked = asyncio.create_task(control.confirm())
+    await asyncio.sleep(0)
+    time.advance(700.0)
+    store.slow.set()
+    await asked
+    assert control.age_ms() == 700.0
+
+
+async def test_an_older_version_never_comes_back(
+    control: Control, store: FakeStore
+) -> None:
+    """A configuration that was in force must not be undone by an older copy."""
+    store.catalog = attrs.evolve(EMPTY_CATALOG, version=7)
+    await control.confirm()
+    store.catalog, store.revision = attrs.evolve(EMPTY_CATALOG, version=6), 2
+    await control.confirm()
+    assert control.catalog.version == 7
+
+
+async def test_another_node_vouches_for_the_same_revision_only(
+    control: Control, time: ManualTime
+) -> None:
+    """A copy that lacks a change is not current, whoever has read the change."""
+    await control.confirm()
+    time.advance(900.0)
+    control.vouch(2, 1_800.0)
+    assert control.age_ms() == 900.0 and control.is_outdated.is_set()
+    control.vouch(1, 1_800.0)
+    assert control.age_ms() == 100.0
+
+
+async def test_a_suspended_node_asks_before_it_believes(
+    control: Control, store: FakeStore, time: ManualTime
+) -> None:
+    """A promotion may have been announced and completed meanwhile."""
+    await control.confirm()
+    assert control.knows_announcements(2_000.0)
+    time.advance(10_000.0)
+    assert not control.knows_announcements(2_000.0)
+    store.is_down = True
+    assert not await control.confirm()
+    assert control.knows_announcements(2_000.0)
+
+
+async def test_a_removed_node_counts_until_it_must_have_stopped(
+    control: Control, store: FakeStore, time: ManualTime
+) -> None:
+    """It may use its share of the rates until it hears of its removal."""
+    store.nodes = (NODE, OTHER)
+    await control.confirm()
+    store.nodes, store.revision = (NODE,), 2
+    await control.confirm()
+    assert set(control.nodes) == {NODE, OTHER}
+    time.advance(DEPARTURE_MS + 1)
+    assert control.nodes == (NODE,)
+    store.nodes, store.revision = (NODE, OTHER), 3
+    await control.confirm()
+    assert control.nodes == (NODE, OTHER)
+
+
+async def test_an_outage_before_the_first_answer_is_survived(
+    control: Control, store: FakeStore
+) -> None:
+    """The age of a copy that does not exist yet ended the process on the bench."""
+    store.is_down = True
+    assert not await control.confirm()
+    assert control.age_ms() == float("inf")
