Log denied sessions, attempts and the configuration's age

Each line of a statement now names how often it was tried and how old the configuration was; sessions that may not run anything get a line too, within the same limit. Reads prefer the own zone over an idle connection elsewhere.

--- a/src/radishtrack/pooler/choice.py
+++ b/src/radishtrack/pooler/choice.py
@@ -7,9 +7,10 @@
 
 import attrs
 
-ZONE_COST: Final = 0.35
-"""Cost of a member in another zone: below one statement in flight, so that a busy
-member of the own zone does not collect a queue while others are free."""
+ZONE_COST: Final = 1.0
+"""Cost of a member in another zone, where bytes are dear: above that of opening a
+connection, and that of one statement in flight for each slot, so that a busy member of
+the own zone does not collect a queue while others are free."""
 CONNECT_COST: Final = 0.6
 """Cost of opening a connection, which takes a slot of the member for about as long as
 a statement."""
--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -102,7 +102,6 @@
     """The store's revision up to which the copy is complete."""
     confirmed_ms: float | None = None
     """A time at which the copy equalled the store; None before the first read."""
-    members_read_ms: float | None = None
     claims: int = 0
     is_available: bool = True
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -284,7 +283,6 @@
             self.catalog = catalog
         if is_newer:
             self.members = members
-            self.members_read_ms = asked_ms
             self._note_nodes(listing.nodes)
             self.terms = listing.terms
             for name, duty in listing.duties.items():
@@ -297,7 +295,6 @@
     def _note_confirmed(self, asked_ms: float) -> None:
         if self.confirmed_ms is None or asked_ms > self.confirmed_ms:
             self.confirmed_ms = asked_ms
-            self.members_read_ms = asked_ms
 
     def _note_unavailable(self, error: StoreUnavailable) -> None:
         self.failed_ms = self.clock.now_ms()
--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -72,10 +72,13 @@
         The member's answer, or the refusal that the client gets.
     member : str
         The member that answered; empty if none did.
+    attempts : int
+        Attempts at members; 0 if the statement was refused before.
     """
 
     answer: MemberAnswer
     member: str = ""
+    attempts: int = 0
 
 
 def refuse(refusal: Refusal, detail: str, member: str = "") -> Result:
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -155,10 +155,6 @@
         )
         return next(listed, "")
 
-    def is_unlisted(self, name: str) -> bool:
-        """Tell whether the store no longer lists a member."""
-        return name in self.unlisted_ms
-
     def plan_read(
         self, route: Route, session_position: Position | None, organisation: str
     ) -> ReadPlan | None:
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -226,6 +226,8 @@
             admit=self.rates.admit,
             find_group=self.find_group,
             observe=self.log.observe,
+            observe_denied=self.log.observe_denied,
+            catalog_age_ms=self.control.age_ms,
         )
 
     async def _keep_house(self) -> None:
--- a/src/radishtrack/pooler/request_log.py
+++ b/src/radishtrack/pooler/request_log.py
@@ -11,7 +11,7 @@
 from radishtrack.clock import Clock
 from radishtrack.events import Event, log_event
 from radishtrack.pooler.execution import Result
-from radishtrack.pooler.session import ClientSession
+from radishtrack.pooler.session import ClientSession, Denied
 
 REFUSED_LINES_PER_S: Final = 40
 """Refused or failed statements that get a line of their own; the rest is counted."""
@@ -64,13 +64,11 @@
             self.latency.labels(read_class, step).observe(elapsed_ms / 1000)
         is_slow = elapsed_ms > SLOW_OBJECTIVES * access.route.objective_ms
         if refusal is not None or is_slow:
-            if self.refused_lines >= REFUSED_LINES_PER_S:
-                self.suppressed += 1
+            if not self._may_write():
                 return
-            self.refused_lines += 1
+        elif self.served_lines >= SERVED_LINES_PER_S:
+            return
         else:
-            if self.served_lines >= SERVED_LINES_PER_S:
-                return
             self.served_lines += 1
         group = session.context.find_group(access.route.group)
         evidence = group.evidence
@@ -85,12 +83,35 @@
             group=group.name,
             organisation=access.organisation,
             read_class=read_class,
+            attempts=result.attempts,
             elapsed_ms=round(elapsed_ms, 1),
+            configuration_age_ms=round(session.context.catalog_age_ms()),
             term=evidence.term,
             primary=evidence.primary,
             belief_left_ms=round(evidence.belief_until_ms() - now_ms),
         )
 
+    def observe_denied(self, database: str, denied: Denied, age_ms: float) -> None:
+        """Record that a session may not run anything."""
+        outcome = denied.refusal.name.lower()
+        self.statements.labels("none", "access", outcome).inc()
+        if self._may_write():
+            log_event(
+                Event.CLIENT_REFUSED,
+                database=database,
+                outcome=outcome,
+                detail=denied.detail,
+                configuration_age_ms=age_ms,
+            )
+
+    def _may_write(self) -> bool:
+        """Tell whether another line fits into this second, and count it."""
+        if self.refused_lines >= REFUSED_LINES_PER_S:
+            self.suppressed += 1
+            return False
+        self.refused_lines += 1
+        return True
+
 
 def make_request_log(clock: Clock) -> RequestLog:
     """Return an empty log with metrics of its own."""
--- a/src/radishtrack/pooler/retry.py
+++ b/src/radishtrack/pooler/retry.py
@@ -12,7 +12,7 @@
 """A statement waits for a connection or a primary for at most so many times its latency
 objective: clients' deadlines are five to six objectives, and one more attempt after
 the refusal has to fit."""
-EVIDENCE_OBJECTIVES: Final = 0.25
+EVIDENCE_OBJECTIVES: Final = 0.2
 """Wait for reports of the members, in latency objectives. A round of reports takes a
 few milliseconds; without an answer by then the members can't be reached."""
 RETRY_PAUSE_MS: Final = 8.0
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -41,7 +41,7 @@
 """Session values of one client; bounds the memory of a session."""
 MAX_PREPARED: Final = 256
 """Prepared statements of one client; bounds the memory of a session."""
-ADMISSION_OBJECTIVES: Final = 0.25
+ADMISSION_OBJECTIVES: Final = 0.2
 """Longest wait for a token, in latency objectives: a later refusal leaves the client
 too little time for another attempt. A token takes one round trip between nodes."""
 OPEN_ORGANISATION: Final = "-"
@@ -85,6 +85,11 @@
     observe : callable
         Told of every operation's result: session, statement identifier, what ran, the
         result and when it arrived.
+    observe_denied : callable
+        Told of every session that may not run anything: database, why, and the age of
+        the configuration in milliseconds.
+    catalog_age_ms : callable
+        Returns that age.
     """
 
     clock: Clock
@@ -93,6 +98,12 @@
     admit: Callable[[str, float], Awaitable[bool]]
     find_group: Callable[[str], GroupAccess]
     observe: Callable[[ClientSession, str, str, Result, float], None]
+    observe_denied: Callable[[str, Denied, float], None]
+    catalog_age_ms: Callable[[], float]
+
+    def report_denied(self, database: str, denied: Denied) -> None:
+        """Tell that a session may not run anything."""
+        self.observe_denied(database, denied, self.catalog_age_ms())
 
 
 @attrs.define(eq=False)
@@ -125,6 +136,7 @@
         """Run one statement and return its answer."""
         denied = self._check_access()
         if denied is not None:
+            self.context.report_denied(self.database, denied)
             await self.close()
             # The client can go on at a node that may serve it.
             self.must_close = True
@@ -226,6 +238,7 @@
                 self._note_commit(group.name, result)
         else:
             result = await run_read(group, request, executable, position)
+        result = attrs.evolve(result, attempts=request.plan.attempts)
         step = "write" if is_write else "read"
         return self._answer(statement.statement_id, step, result, arrived_ms)
 
@@ -306,5 +319,6 @@
         await context.refresh((database, key_digest))
         access = context.authorise(database, key_digest)
     if isinstance(access, Denied):
+        context.report_denied(database, access)
         return access
     return ClientSession(context, database, key_digest, access=access)
--- /dev/null
+++ b/tests/test_pooler_request_log.py
@@ -0,0 +1,69 @@
+"""Guards that log lines stay bounded under load and explain what they report."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import pytest
+from absl import logging
+
+from radishtrack.events import use_json_lines
+from radishtrack.log_output import LineFormatter, NonBlockingHandler
+from radishtrack.pooler.request_log import REFUSED_LINES_PER_S
+from tests.pooler_world import open_world, wait_until
+
+
+async def test_refusals_are_logged_up_to_a_limit_and_counted_beyond(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """An overload must not turn into a flood of lines."""
+    caplog.set_level("INFO", logger="absl")
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        for member in world.members.values():
+            await member.stop()
+        log = world.nodes[0].node.log
+        log.refused_lines = REFUSED_LINES_PER_S
+        assert (await client.ask("WRITE 1 x"))[0].startswith("ERROR")
+        assert "id=q1" not in caplog.text
+        await wait_until(lambda: "lines suppressed" in caplog.text)
+        assert (await client.ask("WRITE 1 x"))[0].startswith("ERROR")
+        assert "id=q2" in caplog.text
+
+
+async def test_a_line_names_request_inputs_and_outcome(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """An engineer has the identifier and the log, and nothing else."""
+    caplog.set_level("INFO", logger="absl")
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        world.primary.faults.lose_answers = 1
+        use_json_lines(True)
+        try:
+            await client.ask("WRITE 1 x")
+        finally:
+            use_json_lines(False)
+        messages = [r.getMessage() for r in caplog.records]
+        line = json.loads(next(m for m in messages if '"id": "q1"' in m))
+        assert line["outcome"] == "outcome_unknown" and line["member"] == "i-1"
+        fields = {"term", "primary", "belief_left_ms", "configuration_age_ms"}
+        assert fields | {"attempts", "elapsed_ms", "group", "detail"} <= line.keys()
+
+
+def test_a_full_pipe_never_blocks_the_process() -> None:
+    """Whoever reads the log may be slow; lines are dropped and counted."""
+    reader, writer = os.pipe()
+    handler = NonBlockingHandler(writer)
+    handler.setFormatter(LineFormatter())
+    record = logging.get_absl_logger().makeRecord(
+        "absl", 20, "file", 1, '{"event": 1, "pad": "%s"}', ("x" * 1000,), None
+    )
+    for _ in range(200):
+        handler.emit(record)
+    assert handler.dropped > 0
+    line = json.loads(os.read(reader, 65_536).split(b"\n")[0])
+    assert line["event"] == 1 and line["level"] == "INFO"
+    os.close(reader)
+    os.close(writer)
