Log failed background tasks, and keep one copy of ranks and reports

Errors of client tasks, monitors and promotions ended without a line; each now has one. A member's report extends the product's member status, and both duties use one order of the nodes. A reset of a new connection no longer counts as a dead member: members reset connections beyond their limit.

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -46,6 +46,7 @@
     CONFIGURATION_REJECTED = (5002, "error", "configuration revision rejected")
     CONFIGURATION_COPIED = (5003, "warning", "configuration taken from peers")
     TASK_FAILED = (1090, "error", "task failed; node stops")
+    BACKGROUND_FAILED = (1091, "error", "background task failed")
     LEASE_RECORD_INVALID = (4090, "error", "lease record can not be read")
     GROUP_RECORD_INVALID = (3090, "error", "group record can not be read")
     PEER_REFUSED = (6001, "warning", "peer connection refused")
--- a/src/radishtrack/platform/frontend.py
+++ b/src/radishtrack/platform/frontend.py
@@ -20,6 +20,7 @@
 from radishtrack.pooler.node import Node
 from radishtrack.pooler.session import ClientSession, Denied
 from radishtrack.pooler.statements import TransactionState
+from radishtrack.pooler.tasks import start_task
 
 STARTUP_TIMEOUT_MS: Final = 5_000.0
 """A connection that sends nothing is closed; clients give up after 2 s."""
@@ -54,7 +55,7 @@
 
     def accept(self, connection: LineConnection) -> None:
         """Start the task of a new connection."""
-        task = asyncio.create_task(self._serve(connection))
+        task = start_task(self._serve(connection), "client connection")
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/src/radishtrack/platform/member_link.py
+++ b/src/radishtrack/platform/member_link.py
@@ -117,7 +117,8 @@
         raise LinkRefused(str(error)) from error
     except OSError as error:
         _abort(connection)
-        is_dead = error.errno in (errno.ECONNREFUSED, errno.ECONNRESET)
+        # Members also reset connections beyond their limit, which proves nothing.
+        is_dead = error.errno == errno.ECONNREFUSED
         raise LinkRefused(str(error), is_dead=is_dead) from error
     except asyncio.CancelledError:
         _abort(connection)
--- a/src/radishtrack/pooler/catalog.py
+++ b/src/radishtrack/pooler/catalog.py
@@ -8,8 +8,7 @@
 
 import attrs
 
-from radishtrack.group.status import Role
-from radishtrack.session.position import Position
+from radishtrack.group.status import MemberStatus, Role
 
 
 class ReadClass(enum.Enum):
@@ -182,37 +181,17 @@
 
 
 @attrs.frozen
-class MemberReport:
-    """A member's own report of its state.
+class MemberReport(MemberStatus):
+    """A member's own report of its state; its position is the end of what it received.
 
     Parameters
     ----------
-    member : str
-        Name of the member.
-    role : Role
-        The role that it believes it has.
-    term : int
-        Newest term that it knows.
-    position : Position
-        End of the log that it has received.
-    fenced_term : int
-        Term for which it stopped receiving; 0 if it receives.
     lag_ms : float
-        How far it is behind in applying.
+        How far it is behind in applying, in milliseconds.
     """
 
-    member: str
-    role: Role
-    term: int
-    position: Position
-    fenced_term: int
     lag_ms: float
 
-    @property
-    def is_fenced(self) -> bool:
-        """Whether the member waits for a promotion."""
-        return self.fenced_term > self.term
-
 
 def digest_key(key: str) -> bytes:
     """Return the digest under which a key is looked up; keys are not kept."""
--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -35,9 +35,6 @@
 keys once its copy is 3 s old; the rest is margin."""
 REFRESH_SPACING_MS: Final = 100.0
 """Sessions with unknown names cause at most one call in this time."""
-REFRESH_AGAIN_MS: Final = 2_000.0
-"""The same unknown name causes no second call in this time: clients with a revoked key
-try again and again."""
 MAX_UNKNOWN: Final = 1_000
 """Unknown names that are remembered."""
 
@@ -107,8 +104,8 @@
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the store has a later revision than the copy."""
     pending: asyncio.Task[None] | None = None
-    unknown: dict[Hashable, float] = attrs.field(factory=dict)
-    """Names that were missing, and when the store was asked for them."""
+    unknown: dict[Hashable, int] = attrs.field(factory=dict)
+    """Names that were missing, and the revision at which the store was asked."""
     refreshed_ms: float = -REFRESH_SPACING_MS
 
     async def run(self) -> None:
@@ -170,16 +167,19 @@
             What is missing in the copy.
         """
         now_ms = self.clock.now_ms()
-        if now_ms - self.unknown.get(name, float("-inf")) < REFRESH_AGAIN_MS:
+        if self.unknown.get(name) == self.revision:
+            # Clients with a revoked key try again and again; the store was asked for it
+            # at this revision.
             return
         if self.pending is None or self.pending.done():
             if now_ms - self.refreshed_ms < REFRESH_SPACING_MS:
                 return
             if len(self.unknown) >= MAX_UNKNOWN:
                 self.unknown.clear()
-            self.unknown[name] = self.refreshed_ms = now_ms
+            self.refreshed_ms = now_ms
             self.pending = asyncio.create_task(self._confirm_once())
         await asyncio.shield(self.pending)
+        self.unknown[name] = self.revision
 
     def knows_announcements(self, max_age_ms: float) -> bool:
         """Tell whether no announced promotion can be unknown here.
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -46,6 +46,7 @@
     make_session,
 )
 from radishtrack.pooler.statements import Refusal
+from radishtrack.pooler.tasks import start_task
 
 UNLISTED_EXPIRY_MS: Final = 5_000.0
 """Members that the store has not listed for so long get no more work: 2 s longer than
@@ -136,7 +137,7 @@
         """Stop being ready; return when what happens."""
         if self.stop_plan is None:
             self.stop_plan = make_stop_plan(self.clock.now_ms(), self.options.grace_ms)
-            self.releasing = asyncio.create_task(self.rates.release())
+            self.releasing = start_task(self.rates.release(), "release of the rates")
             log_event(
                 Event.NODE_DRAINING,
                 node=self.options.node.name,
@@ -189,7 +190,7 @@
                 self.rates.is_holder,
                 self.clock,
             )
-            self.monitors[member] = asyncio.create_task(monitor.run())
+            self.monitors[member] = start_task(monitor.run(), f"monitor of {member}")
 
     def _knows_announcements(self, max_age_ms: float) -> bool:
         return self.is_listening and self.control.knows_announcements(max_age_ms)
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -33,8 +32,10 @@
     find_reason,
     is_leaderless,
 )
+from radishtrack.pooler.rank import rank_node
 from radishtrack.pooler.rate_exchange import RATES_DUTY
 from radishtrack.pooler.statements import AskStatus, Fence, MemberStatement, Unfence
+from radishtrack.pooler.tasks import start_task
 
 PROMOTION_DUTY: Final = "promotion"
 """Name of the duty's record in the store."""
@@ -126,7 +127,9 @@
             return
         if not self.control.is_available:
             return
-        watched.task = asyncio.create_task(self._attempt(access, watched, reason))
+        watched.task = start_task(
+            self._attempt(access, watched, reason), f"promotion in {access.name}"
+        )
 
     async def vote(self, group: str, member: str) -> bool:
         """Answer a peer: whether this node finds that a primary can't serve."""
@@ -153,13 +156,9 @@
 
     def _rank(self, group: str) -> int:
         """Return this node's place in the group's order of promoting nodes."""
+        # The node that polls for all notices a failure first.
         poller = self.control.find_duty(RATES_DUTY).duty.holder
-        names = sorted(
-            (node.name for node in self.control.nodes),
-            # The node that polls for all notices a failure first.
-            key=lambda name: (name != poller, zlib.crc32(f"{group}/{name}".encode())),
-        )
-        return names.index(self.name) if self.name in names else len(names)
+        return rank_node(self.name, group, self.control.nodes, poller)
 
     async def _attempt(
         self, access: GroupAccess, watched: Watched, reason: Reason
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import zlib
 from typing import Final
 
 import attrs
@@ -16,6 +15,7 @@
 from radishtrack.pooler.control import NOBODY, Control
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import StoreUnavailable
+from radishtrack.pooler.rank import rank_node
 from radishtrack.pooler.rate_limit import RateLimiter
 from radishtrack.pooler.shares import (
     GRANT_MS,
@@ -266,8 +266,4 @@
         return next((node for node in self.control.nodes if node.name == name), None)
 
     def _rank(self) -> int:
-        names = sorted(
-            (node.name for node in self.control.nodes),
-            key=lambda name: zlib.crc32(f"{RATES_DUTY}/{name}".encode()),
-        )
-        return names.index(self.name) if self.name in names else len(names)
+        return rank_node(self.name, RATES_DUTY, self.control.nodes)
--- a/tests/test_pooler_control.py
+++ b/tests/test_pooler_control.py
@@ -26,8 +26,10 @@
     is_down: bool = False
     catalog_reads: int = 0
     slow: asyncio.Event | None = None
+    lists: int = 0
 
     async def list_fleet(self) -> FleetListing:
+        self.lists += 1
         if self.is_down:
             raise StoreUnavailable("list", "down", is_effect_unknown=False)
         listing = FleetListing(self.nodes, {}, {}, self.revision)
@@ -156,3 +158,20 @@
     store.is_down = True
     assert not await control.confirm()
     assert control.age_ms() == float("inf")
+
+
+async def test_an_unknown_name_costs_one_call_for_each_revision(
+    control: Control, store: FakeStore, time: ManualTime
+) -> None:
+    """Clients with a revoked key try again and again, ten times a second and node."""
+    await control.confirm()
+    store.lists = 0
+    for _ in range(20):
+        time.advance(500.0)
+        await control.refresh("revoked key")
+    assert store.lists == 1
+    store.revision = 2
+    await control.confirm()
+    time.advance(500.0)
+    await control.refresh("revoked key")
+    assert store.lists == 3
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -28,7 +28,7 @@
     position_term: int | None = None,
 ) -> MemberReport:
     position = Position(term if position_term is None else position_term, sequence)
-    return MemberReport(member, role, term, position, fenced_term, 0.0)
+    return MemberReport(member, term, fenced_term, role, position, 0.0)
 
 
 def make_evidence(*reports: MemberReport, asked_ms: float = 100.0) -> GroupEvidence:
