Let two members speak for a term also without synchronous replicas

Change: evidence of a term takes max(1, s) + 1 members; without synchronous replicas a commit is sent and acknowledged only with evidence, else its outcome is unknown. Ruled out: refusing groups without synchronous replicas. Two new tests fail before.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -1,9 +1,9 @@
 """Evidence of who leads a database group, and of what its logs contain.
 
 A promotion first fences `n - s` of the group's n members (s: synchronous replicas),
-and orders the promotion only when that has lasted for `BELIEF_MS`. Reports of `s + 1`
-unfenced members therefore prove that no later term acknowledges a commit before the
-oldest of these reports is `BELIEF_MS` old: the two sets share a member.
+and orders the promotion only when that has lasted for `BELIEF_MS`. Reports of `s + 1`,
+at least 2, unfenced members therefore prove that no later term acknowledges a commit
+before the oldest of these reports is `BELIEF_MS` old: the two sets share a member.
 """
 
 from __future__ import annotations
@@ -137,11 +137,13 @@
             ),
             reverse=True,
         )
-        needed = self.synchronous_replicas + 1
+        # Also without synchronous replicas, one replica has to speak for the others: a
+        # promotion fences all of them and may not reach the old primary.
+        needed = min(len(self.members), max(1, self.synchronous_replicas) + 1)
         if self.announced_term > self.term:
             # The promotion may have succeeded, and its members may be in use again.
             needed = max(needed, len(self.members))
-        if not self.primary or len(asked) < needed:
+        if not self.primary or not needed or len(asked) < needed:
             return 0.0
         return asked[needed - 1] + BELIEF_MS
 
--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -239,7 +239,7 @@
     if not _has_primary(access):
         await access.wait_for(lambda: _has_primary(access), plan.evidence_until_ms)
     pool = access.usable_primary()
-    if pool is None:
+    if pool is None or not access.may_acknowledge():
         return refuse(Refusal.BUSY, "the group has no reachable primary")
     member = pool.member.name
     is_sent = False
@@ -257,7 +257,7 @@
                 floor=None,
                 timeout_ms=plan.remaining_ms(access.clock.now_ms()),
             )
-            return Result(answer, member)
+            return confirm_commit(access, Result(answer, member))
     except RequestError as error:
         return refuse(Refusal.BUSY, error.failure.message, member)
     except LinkRefused as error:
@@ -269,8 +269,16 @@
         return refuse(Refusal.BUSY, f"connection to {member}: {error.reason}", member)
 
 
+def confirm_commit(access: GroupAccess, result: Result) -> Result:
+    """Return the result of a commit, unknown if a promotion may have discarded it."""
+    if result.answer.refusal is not None or access.may_acknowledge():
+        return result
+    detail = "the primary may have been replaced meanwhile"
+    return refuse(Refusal.OUTCOME_UNKNOWN, detail, result.member)
+
+
 def _has_primary(access: GroupAccess) -> bool:
-    return access.usable_primary() is not None
+    return access.usable_primary() is not None and access.may_acknowledge()
 
 
 def _refusal_of(error: LinkRefused) -> Refusal:
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -139,6 +139,14 @@
         )
         return self.clock.now_ms() - since_ms < LEAVING_USE_MS
 
+    def may_acknowledge(self) -> bool:
+        """Tell whether a commit at the primary is certainly kept by a promotion.
+
+        With synchronous replicas a replaced primary can't acknowledge. Without them, a
+        commit counts only while no later term can have begun.
+        """
+        return self.evidence.synchronous_replicas > 0 or self.is_current()
+
     def is_current(self) -> bool:
         """Tell whether the primary is certainly the present one."""
         is_current = self.evidence.is_current(self.clock.now_ms())
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -13,6 +13,7 @@
     Executable,
     Request,
     Result,
+    confirm_commit,
     is_open,
     prepare_link,
     refuse,
@@ -112,7 +113,8 @@
             lost = Refusal.OUTCOME_UNKNOWN if self.wrote else Refusal.ABORTED
             return refuse(lost, error.reason, self.member)
         await self.abandon()
-        return Result(answer, self.member)
+        result = Result(answer, self.member)
+        return confirm_commit(self.access, result) if self.wrote else result
 
     async def abandon(self) -> None:
         """Roll back at the member and give the connection back."""
--- a/tests/pooler_world.py
+++ b/tests/pooler_world.py
@@ -37,7 +37,7 @@
         return port
 
 
-def make_config(version: int = 1) -> dict[str, object]:
+def make_config(version: int = 1, replicas: int = 1) -> dict[str, object]:
     routes = [
         ("orders", "primary", 0),
         ("status", "bounded_staleness", 1500),
@@ -61,7 +61,7 @@
             | ({"maxStalenessMs": age} if age else {})
             for host, kind, age in routes
         ],
-        "services": [{"name": GROUP, "maxConns": 16, "syncReplicas": 1}],
+        "services": [{"name": GROUP, "maxConns": 16, "syncReplicas": replicas}],
         "limits": {"txIdleMs": 3000},
         "tenants": [
             {"name": "verksted", "apiKeys": [KEY], "ratePerS": 500, "burst": 500},
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -60,6 +60,23 @@
     assert evidence.is_current(200.0) is is_current
 
 
+@pytest.mark.parametrize(
+    ("replicas", "others", "is_current"),
+    [(0, "", False), (0, "b", True), (2, "b", False), (2, "bc", True)],
+)
+def test_how_many_members_a_term_is_believed_on(
+    replicas: int, others: str, is_current: bool
+) -> None:
+    """Without synchronous replicas the word of the primary alone proved its term.
+
+    On the bench a primary at 1.18 served a read after commit 2.11 then.
+    """
+    evidence = GroupEvidence("g", replicas, members=MEMBERS)
+    for report in (PRIMARY, *(make_report(name) for name in others)):
+        evidence.observe_report(report, 100.0, 101.0)
+    assert evidence.is_current(200.0) is is_current
+
+
 def test_belief_ends_with_the_age_of_the_older_report() -> None:
     """A promoter waits for exactly this time when a node does not answer."""
     evidence = make_evidence(PRIMARY, make_report("b"))
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -219,3 +219,20 @@
         assert not running.task.done()
         world.store.faults.status = 0
         await wait_until(running.node.is_ready)
+
+
+async def test_without_synchronous_replicas_commits_need_evidence_of_the_term() -> None:
+    """A replaced primary acknowledges alone, and its commits are discarded."""
+    async with open_world() as world:
+        world.store.put("config", "main", make_config(version=2, replicas=0))
+        access = world.nodes[0].node.find_group(GROUP)
+        await wait_until(lambda: access.evidence.synchronous_replicas == 0)
+        client = await world.connect(world.nodes[0], "orders")
+        assert (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE")
+        await client.ask("BEGIN")
+        await client.ask("WRITE 1 x")
+        for name in ("i-2", "i-3"):
+            await world.members[name].stop()
+        await wait_until(lambda: not access.is_current())
+        assert (await client.ask("COMMIT"))[0].startswith("ERROR INDOUBT")
+        assert (await client.ask("WRITE 1 x"))[0].startswith("ERROR BUSY")
