Take no single replica's word for the end of the log

Change: reports of replicas count only after the primary was proven in the same term, and against the largest number of members of that term; a report that completes the evidence also proves the primary's earlier one. Ruled out: the store's list alone, since entries lapse while members live. Open: a promotion still counts only listed members, as the users' pages say of missing entries.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -69,6 +69,8 @@
     """Names of all members that the store lists, leaving ones included."""
     observations: dict[str, Observation] = attrs.field(factory=dict)
     samples: deque[Sample] = attrs.field(factory=deque)
+    most_members: int = 0
+    """Largest number of members in the present term; entries can lapse."""
     term: int = 0
     primary: str = ""
     term_seen_ms: float = 0.0
@@ -85,6 +87,7 @@
     def set_members(self, names: frozenset[str]) -> None:
         """Replace the list of members; reports of others no longer count."""
         self.members = names
+        self.most_members = max(self.most_members, len(names))
         for name in set(self.observations) - names:
             self.forget(name)
 
@@ -113,9 +116,11 @@
         self._check_log(known, report)
         self.observations[report.member] = Observation(report, asked_ms)
         changed = self._follow_term(report, now_ms)
+        # The report that completes the evidence also proves the primary's earlier one.
+        lead = self.observations.get(self.primary)
+        if lead is not None and lead.report.role is Role.PRIMARY:
+            self.observe_position(self.primary, lead.report.position, lead.asked_ms)
         self._sample_replicas()
-        if report.role is Role.PRIMARY and report.term == self.term:
-            self.observe_position(report.member, report.position, asked_ms)
         return changed
 
     def observe_position(self, member: str, position: Position, at_ms: float) -> None:
@@ -237,6 +242,7 @@
         # A later term may lack what the earlier primary had not replicated, so its
         # positions can't be asked for any more.
         self.samples.clear()
+        self.most_members = len(self.members)
         return True
 
     def _sample_replicas(self) -> None:
@@ -244,10 +250,11 @@
 
         Every acknowledged commit has reached one of any `n - s` members, so the
         furthest of so many contains all that was acknowledged before they were asked.
-        This fails if members were replaced by new ones with less of the log, so the
-        result may not lie before a position that was seen already.
+        This fails if members were replaced by new ones with less of the log, or if
+        some are not known, so the result may not lie before a position that was proven
+        by the primary in this term.
         """
-        needed = len(self.members) - self.synchronous_replicas
+        needed = self.most_members - self.synchronous_replicas
         in_term = [
             observation
             for observation in self.observations.values()
@@ -260,7 +267,7 @@
         newest = in_term[:needed]
         position = max(observation.report.position for observation in newest)
         latest = self.latest_position()
-        if latest is None or position >= latest:
+        if latest is not None and position >= latest:
             self._add_sample(Sample(position, newest[-1].asked_ms))
 
     def _add_sample(self, sample: Sample) -> None:
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -32,7 +32,8 @@
 
 
 def make_evidence(*reports: MemberReport, asked_ms: float = 100.0) -> GroupEvidence:
-    evidence = GroupEvidence("g", members=MEMBERS)
+    evidence = GroupEvidence("g")
+    evidence.set_members(MEMBERS)
     for report in reports:
         evidence.observe_report(report, asked_ms, asked_ms + 1)
     return evidence
@@ -211,3 +212,24 @@
     evidence.observe_report(make_report("b", sequence=10), late_ms + 1, late_ms + 1)
     progress.observe(evidence, late_ms + 1)
     assert progress.stalled_ms(late_ms + 1) == 0.0
+
+
+def test_a_node_that_never_saw_the_primary_learns_nothing_from_one_replica() -> None:
+    """The primary's entry had lapsed when the node started, so two members were listed.
+
+    On the bench a replica at 1.37 served reads after commit 1.47 (hunt-e01f-27).
+    """
+    evidence = GroupEvidence("g")
+    evidence.set_members(frozenset({"b", "c"}))
+    evidence.observe_report(make_report("b", sequence=37), 100.0, 101.0)
+    assert evidence.find_floor(1_000.0, 200.0) is None
+    evidence.observe_report(make_report("c", sequence=47), 100.0, 101.0)
+    assert evidence.find_floor(1_000.0, 200.0) in (None, Position(1, 47))
+
+
+def test_a_member_that_lapsed_still_counts_for_what_was_acknowledged() -> None:
+    """It may be the only replica that has the primary's last commits."""
+    evidence = make_evidence(PRIMARY, make_report("b"), make_report("c"))
+    evidence.set_members(frozenset({"a", "b"}))
+    evidence.observe_report(make_report("b", sequence=11), 900.0, 901.0)
+    assert evidence.find_floor(200.0, 1_000.0) is None
