--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -22,6 +22,9 @@
 CONFIRM_INTERVAL_MS: Final = 800.0
 """Pause between calls: a change of the configuration must be in force within 3 s, and
 one call may be lost and time out meanwhile."""
+LATE_ANSWER_MS: Final = 500.0
+"""A call without an answer for so long counts as a failure to reach the store, so that
+the members' word is enough before the copy is too old."""
 VOUCHED_MS: Final = 1_300.0
 """Age of the copy at which a node asks itself. Another node reads every 0.8 s and is
 asked every 0.45 s, so this comes about only when that node does not answer."""
@@ -94,7 +97,7 @@
     duties: dict[str, KnownDuty] = attrs.field(factory=dict)
     terms: Mapping[str, int] = attrs.field(factory=dict)
     failed_ms: float | None = None
-    """When the store last gave no answer."""
+    """When the store last gave no answer, or none soon enough."""
     revision: int = -1
     """The store's revision up to which the copy is complete."""
     confirmed_ms: float | None = None
@@ -144,6 +147,9 @@
     async def confirm(self) -> bool:
         """Bring the copy up to date; return whether the store answered."""
         asked_ms = self.clock.now_ms()
+        late = asyncio.get_running_loop().call_later(
+            LATE_ANSWER_MS / 1000, self._note_late
+        )
         try:
             listing = await self.store.list_fleet()
             if not any(node == self.node for node in listing.nodes):
@@ -155,6 +161,8 @@
         except StoreUnavailable as error:
             self._note_unavailable(error)
             return False
+        finally:
+            late.cancel()
         self._note_available()
         return True
 
@@ -296,6 +304,9 @@
         if self.confirmed_ms is None or asked_ms > self.confirmed_ms:
             self.confirmed_ms = asked_ms
 
+    def _note_late(self) -> None:
+        self.failed_ms = self.clock.now_ms()
+
     def _note_unavailable(self, error: StoreUnavailable) -> None:
         self.failed_ms = self.clock.now_ms()
         if self.is_available:
--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -31,6 +31,8 @@
 its connection may have gone silent."""
 MIN_READ_ATTEMPT_MS: Final = 300.0
 """Shortest time that a read gets at one member."""
+CONFIRM_MS: Final = 300.0
+"""Wait for evidence after a commit; two polls take a few milliseconds."""
 LATE_ANSWER_MS: Final = 250.0
 """A statement that runs for so long is a reason to ask whether the member is alive."""
 
@@ -239,9 +241,9 @@
     if not _has_primary(access):
         await access.wait_for(lambda: _has_primary(access), plan.evidence_until_ms)
     pool = access.usable_primary()
-    if pool is None or not access.may_acknowledge():
+    if pool is None or not access.may_send_commit():
         return refuse(Refusal.BUSY, "the group has no reachable primary")
-    member = pool.member.name
+    member, term = pool.member.name, access.evidence.term
     is_sent = False
     try:
         async with pool.lease(
@@ -257,7 +259,7 @@
                 floor=None,
                 timeout_ms=plan.remaining_ms(access.clock.now_ms()),
             )
-            return confirm_commit(access, Result(answer, member))
+        return await confirm_commit(access, Result(answer, member), term)
     except RequestError as error:
         return refuse(Refusal.BUSY, error.failure.message, member)
     except LinkRefused as error:
@@ -269,16 +271,29 @@
         return refuse(Refusal.BUSY, f"connection to {member}: {error.reason}", member)
 
 
-def confirm_commit(access: GroupAccess, result: Result) -> Result:
-    """Return the result of a commit, unknown if a promotion may have discarded it."""
-    if result.answer.refusal is not None or access.may_acknowledge():
+async def confirm_commit(access: GroupAccess, result: Result, term: int) -> Result:
+    """Return the result of a commit, unknown if a promotion may have discarded it.
+
+    Parameters
+    ----------
+    access : GroupAccess
+        The group.
+    result : Result
+        What the member has answered.
+    term : int
+        The term that the member led when the commit was sent.
+    """
+    if result.answer.refusal is not None:
+        return result
+    until_ms = access.clock.now_ms() + CONFIRM_MS
+    if await access.confirm_term(result.member, term, until_ms):
         return result
     detail = "the primary may have been replaced meanwhile"
     return refuse(Refusal.OUTCOME_UNKNOWN, detail, result.member)
 
 
 def _has_primary(access: GroupAccess) -> bool:
-    return access.usable_primary() is not None and access.may_acknowledge()
+    return access.usable_primary() is not None and access.may_send_commit()
 
 
 def _refusal_of(error: LinkRefused) -> Refusal:
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -139,14 +139,29 @@
         )
         return self.clock.now_ms() - since_ms < LEAVING_USE_MS
 
-    def may_acknowledge(self) -> bool:
-        """Tell whether a commit at the primary is certainly kept by a promotion.
+    def may_send_commit(self) -> bool:
+        """Tell whether a commit may be sent to the primary.
 
-        With synchronous replicas a replaced primary can't acknowledge. Without them, a
-        commit counts only while no later term can have begun.
+        Without synchronous replicas a replaced primary acknowledges alone, so there has
+        to be evidence before; in any case there has to be some after.
         """
         return self.evidence.synchronous_replicas > 0 or self.is_current()
 
+    async def confirm_term(self, member: str, term: int, until_ms: float) -> bool:
+        """Tell whether a member certainly still leads a term; waits for evidence.
+
+        A replaced primary can go on acknowledging together with a replica that the
+        store no longer lists, which the promotion has therefore not fenced.
+        """
+
+        def leads() -> bool:
+            return self.evidence.primary == member and self.evidence.term == term
+
+        return (
+            await self.wait_for(lambda: self.is_current() or not leads(), until_ms)
+            and leads()
+        )
+
     def is_current(self) -> bool:
         """Tell whether the primary is certainly the present one."""
         is_current = self.evidence.is_current(self.clock.now_ms())
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -96,6 +96,7 @@
                 await self.abandon()
                 return refused
         assert self.pooled is not None and self.pool is not None
+        term = self.access.evidence.term
         try:
             answer = await run_on_link(
                 self.access,
@@ -114,7 +115,9 @@
             return refuse(lost, error.reason, self.member)
         await self.abandon()
         result = Result(answer, self.member)
-        return confirm_commit(self.access, result) if self.wrote else result
+        if not self.wrote:
+            return result
+        return await confirm_commit(self.access, result, term)
 
     async def abandon(self) -> None:
         """Roll back at the member and give the connection back."""
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -236,3 +236,32 @@
         await wait_until(lambda: not access.is_current())
         assert (await client.ask("COMMIT"))[0].startswith("ERROR INDOUBT")
         assert (await client.ask("WRITE 1 x"))[0].startswith("ERROR BUSY")
+
+
+async def test_a_commit_is_acknowledged_only_while_its_term_is_proven() -> None:
+    """A replaced primary can commit with a replica that lapsed from the store.
+
+    The promotion fences the members that are listed, so the lapsed one goes on.
+    """
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        assert (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE")
+        access = world.nodes[0].node.find_group(GROUP)
+        for name in ("i-2", "i-3"):
+            world.members[name].fenced_term = 2
+        access.evidence.withdraw_belief(access.clock.now_ms())
+        assert (await client.ask("WRITE 1 x"))[0].startswith("ERROR INDOUBT")
+        for name in ("i-2", "i-3"):
+            world.members[name].fenced_term = 0
+        await wait_until(access.is_current)
+        assert (await client.ask("WRITE 1 x"))[0].startswith("COMPLETE")
+
+
+async def test_a_commit_of_an_earlier_term_is_not_acknowledged() -> None:
+    """A suspended node gets the answer of a member that was replaced meanwhile."""
+    async with open_world() as world:
+        access = world.nodes[0].node.find_group(GROUP)
+        until_ms = access.clock.now_ms() + 1_000.0
+        assert await access.confirm_term("i-1", 1, until_ms)
+        assert not await access.confirm_term("i-1", 0, until_ms)
+        assert not await access.confirm_term("i-2", 1, until_ms)
