Let only a holder in touch with the store remove records

Change: records are removed only with a recent copy of the store; a repeated failure at a start is logged once; the position for a read is searched from the newest sample. Ruled out: a conditional delete, which would not have seen the replacement either. The new test fails before.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -168,10 +168,12 @@
         Position or None
             None if there is no evidence that is young enough.
         """
-        for sample in self.samples:
-            if sample.at_ms >= now_ms - max_age_ms:
-                return sample.position
-        return None
+        floor: Position | None = None
+        for sample in reversed(self.samples):
+            if sample.at_ms < now_ms - max_age_ms:
+                break
+            floor = sample.position
+        return floor
 
     def has_applied(self, member: str, floor: Position) -> bool:
         """Tell whether a member is known to have applied a position."""
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -284,13 +284,16 @@
         await server.wait_closed()
 
     async def _read_secret(self) -> bytes:
+        is_reported = False
         while True:
             try:
                 return await self.control.store.read_secret()
             except StoreUnavailable as error:
-                log_event(
-                    Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason
-                )
+                if not is_reported:
+                    is_reported = True
+                    log_event(
+                        Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason
+                    )
                 await asyncio.sleep(SECRET_RETRY_MS / 1000)
 
     async def _answer_peer(self, peer: str, message: Message) -> Message | None:
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -129,7 +129,8 @@
 
     def list_silent_nodes(self) -> tuple[str, ...]:
         """Return the registered nodes that this holder has not heard of for long."""
-        if self.holder is None:
+        # A holder that was out of touch may have been replaced without knowing it.
+        if self.holder is None or self.control.age_ms() >= HOLDER_LEASE_MS:
             return ()
         before_ms = self.clock.now_ms() - SILENT_NODE_MS
         return tuple(
--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -91,6 +91,22 @@
         await wait_until(lambda: world.nodes[0].node.applied_nodes == 2)
 
 
+async def test_a_holder_that_was_out_of_touch_removes_nobody() -> None:
+    """It may have been replaced, and the others no longer ask it.
+
+    In an incident a deposed holder removed the records of two nodes that served.
+    """
+    async with open_world(nodes=2) as world:
+        holder = world.nodes[find_holder(world)].node
+        rates, control = holder.rates, holder.control
+        assert rates.holder is not None
+        rates.holder.starts_ms = holder.clock.now_ms() - 10_000.0
+        rates.heard_ms.clear()
+        assert len(rates.list_silent_nodes()) == 1
+        control.confirmed_ms = holder.clock.now_ms() - 3_000.0
+        assert rates.list_silent_nodes() == ()
+
+
 async def test_a_node_whose_record_was_removed_registers_again() -> None:
     """The holder may have lost only its own path to that node."""
     async with open_world(nodes=2) as world:
