Renew the duty to promote between the steps of a promotion

Cause: an order was given only within 2.2 s of the claim. A node that does not answer costs 2 s of waiting until its evidence has ended, so that with a slow store no attempt reached its order; each also left the members fenced.

Ruled out: a longer lease, which would delay the takeover from a failed node by as much.

Change: the claim is renewed by compare-and-swap after the fence and after the wait, if it is older than 1 s, and given up if another node has taken the duty over. The duty is a module of its own.

Figures: test_a_promotion_outlasts_its_first_claim, store calls of 0.3 s and one silent node: no promotion within 7 s before, served after.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -33,6 +33,7 @@
     StoreUnavailable,
 )
 from radishtrack.pooler.promoter import Promoter
+from radishtrack.pooler.promotion_duty import PromotionDuty
 from radishtrack.pooler.rate_exchange import RateExchange
 from radishtrack.pooler.readiness import StopPlan, make_stop_plan
 from radishtrack.pooler.report_relay import ReportRelay
@@ -345,6 +346,7 @@
         name=options.node.name,
         clock=clock,
         control=control,
+        duty=PromotionDuty(options.node.name, clock, control),
         peers=peers,
         promote=promote,
         list_groups=lambda: tuple(groups.values()),
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -13,17 +13,12 @@
 from radishtrack.group.status import Role
 from radishtrack.peer.messages import BeliefWithdrawn, Vote, VoteRequest, WithdrawBelief
 from radishtrack.pooler.catalog import MemberReport
-from radishtrack.pooler.control import DEPARTURE_MS, NOBODY, Control
+from radishtrack.pooler.control import DEPARTURE_MS, Control
 from radishtrack.pooler.evidence import BELIEF_MS
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import ask_member
 from radishtrack.pooler.peers import NotRunning, Peers
-from radishtrack.pooler.ports import (
-    Duty,
-    PromoteMember,
-    PromotionResult,
-    StoreUnavailable,
-)
+from radishtrack.pooler.ports import PromoteMember, PromotionResult, StoreUnavailable
 from radishtrack.pooler.promotion import (
     Reason,
     ReplicationProgress,
@@ -32,13 +27,12 @@
     find_reason,
     is_leaderless,
 )
+from radishtrack.pooler.promotion_duty import PromotionDuty
 from radishtrack.pooler.rank import rank_node
 from radishtrack.pooler.rate_exchange import RATES_DUTY
 from radishtrack.pooler.statements import AskStatus, Fence, MemberStatement, Unfence
 from radishtrack.pooler.tasks import start_task
 
-PROMOTION_DUTY: Final = "promotion"
-"""Name of the duty's record in the store."""
 CHECK_INTERVAL_MS: Final = 100.0
 """Pause between checks of all groups; small against the time to notice a failure."""
 RANK_DELAY_MS: Final = 150.0
@@ -50,10 +44,6 @@
 """Wait for the primary's answer to a peer that votes."""
 VOTE_SILENCE_MS: Final = 200.0
 """A member that has answered within this time is alive; else it is asked."""
-DUTY_LEASE_MS: Final = 3_000.0
-"""A promotion takes under 2 s, so a claim that is older belongs to a failed node."""
-DUTY_MARGIN_MS: Final = 800.0
-"""An order is given only while its claim has so much time left."""
 FENCE_ROUNDS: Final = 3
 """Rounds in which members that did not answer are asked again."""
 FENCE_PAUSE_MS: Final = 100.0
@@ -88,6 +78,7 @@
     name: str
     clock: Clock
     control: Control
+    duty: PromotionDuty
     peers: Peers
     promote: PromoteMember
     list_groups: Callable[[], tuple[GroupAccess, ...]]
@@ -123,7 +114,7 @@
         if watched.reason_since_ms is None:
             watched.reason_since_ms = now_ms
         start_ms = watched.reason_since_ms + self._rank(access.name) * RANK_DELAY_MS
-        if now_ms < max(start_ms, watched.not_before_ms) or self._is_duty_taken():
+        if now_ms < max(start_ms, watched.not_before_ms) or self.duty.is_taken():
             return
         if not self.control.is_available:
             return
@@ -196,9 +187,8 @@
         # Members that have just joined may hold acknowledged commits.
         if not await self.control.confirm():
             return "the store can't confirm the list of members"
-        claimed_ms = self.clock.now_ms()
-        duty = await self._claim()
-        if duty is None:
+        claim = await self.duty.claim()
+        if claim is None:
             return "another node has the duty"
         term = access.evidence.term + 1
         await self.control.store.announce_term(access.name, term)
@@ -206,14 +196,19 @@
             Event.PROMOTION_STARTED,
             group=access.name,
             term=term,
-            token=duty.revision,
+            token=claim.duty.revision,
             reason=reason.value,
         )
         fenced_ms = await self._fence(access, term, old_primary)
         if fenced_ms is None:
             await self._unfence(access, old_primary)
             return "too few members could be fenced"
+        # A node that has taken over fences by itself; its members are left alone.
+        if not await self.duty.renew(claim):
+            return "another node has taken the duty over"
         await self._await_withdrawal(access, fenced_ms)
+        if not await self.duty.renew(claim):
+            return "another node has taken the duty over"
         fenced = await self._read_fenced(access, term, old_primary)
         leaving = frozenset(
             name for name, pool in access.pools.items() if pool.member.is_leaving
@@ -224,18 +219,19 @@
         if successor is None:
             await self._unfence(access, old_primary)
             return "members did not stay fenced"
-        age_ms = self.clock.now_ms() - claimed_ms
-        if age_ms > DUTY_LEASE_MS - DUTY_MARGIN_MS:
-            return "the attempt took longer than its claim lasts"
+        if not self.duty.may_order(claim):
+            await self._unfence(access, old_primary)
+            return "the last step took longer than a claim lasts"
+        age_ms = self.clock.now_ms() - claim.asked_ms
         result = await self.promote(
-            access.name, successor.member, self.name, duty.revision
+            access.name, successor.member, self.name, claim.duty.revision
         )
         log_event(
             Event.PROMOTION_ORDERED,
             group=access.name,
             member=successor.member,
             position=f"{successor.position.term}.{successor.position.sequence}",
-            token=duty.revision,
+            token=claim.duty.revision,
             claim_age_ms=round(age_ms),
             result=result.value,
         )
@@ -253,18 +249,6 @@
         votes = [answer for answer in answers.values() if isinstance(answer, Vote)]
         return all(vote.unreachable for vote in votes)
 
-    async def _claim(self) -> Duty | None:
-        """Become the node that may order promotions, or return None."""
-        if self._is_duty_taken():
-            return None
-        return await self.control.claim_duty(PROMOTION_DUTY)
-
-    def _is_duty_taken(self) -> bool:
-        """Tell whether another node has claimed the duty a moment ago."""
-        known = self.control.find_duty(PROMOTION_DUTY)
-        age_ms = self.clock.now_ms() - known.seen_ms
-        return known.duty.holder not in (NOBODY, self.name) and age_ms < DUTY_LEASE_MS
-
     async def _fence(
         self, access: GroupAccess, term: int, old_primary: str
     ) -> float | None:
--- a/src/radishtrack_standins/object_store.py
+++ b/src/radishtrack_standins/object_store.py
@@ -18,6 +18,8 @@
     status: int = 0
     """Answers every call with this status, doing nothing."""
     is_silent: bool = False
+    delay_s: float = 0.0
+    """Pause before each call is carried out."""
     lose_writes: int = 0
     """Carries out so many more writes without answering."""
 
@@ -80,6 +82,8 @@
         self.calls.append(f"{request.method} {request.path}")
         if self.faults.is_silent:
             await asyncio.Event().wait()
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
         if self.faults.status:
             return web.Response(status=self.faults.status)
         return None
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.control import DEPARTURE_MS
+from radishtrack.pooler.promotion_duty import PROMOTION_DUTY
 from tests.pooler_world import (
     GROUP,
     Client,
@@ -41,6 +44,55 @@
         assert (await client.ask("READ 1"))[0] == "DATAROW i-3@2.4"
 
 
+async def test_a_promotion_outlasts_its_first_claim() -> None:
+    """A silent node and a slow store together take longer than a claim lasts.
+
+    Attempts then ended just before the order, one after the other, and left the
+    members fenced.
+    """
+    async with open_world() as world:
+        client = await world.connect(world.nodes[0], "orders")
+        promoter = world.nodes[0].node.promoter
+        promoter.started_ms -= DEPARTURE_MS
+        silent = await asyncio.start_server(_keep_silent, "127.0.0.1", 0)
+        async with silent:
+            record = NodeRecord(
+                "edge-9", "127.0.0.1", silent.sockets[0].getsockname()[1], "oslo-a", 1
+            )
+            await world.nodes[0].node.control.store.register_node(record)
+            await world.nodes[0].node.control.confirm()
+            world.store.faults.delay_s = 0.3
+            await world.members["i-1"].stop()
+            await write_until_served(world, client)
+        tokens = [token for _, _, _, token in world.store.orders]
+        assert len(tokens) == 1
+
+
+async def test_a_claim_that_another_node_replaced_is_not_renewed() -> None:
+    """Renewing it would take the duty from a node that has begun a promotion."""
+    async with open_world() as world:
+        duty = world.nodes[0].node.promoter.duty
+        control = world.nodes[0].node.control
+        claim = await duty.claim()
+        assert claim is not None and await duty.renew(claim)
+        first = claim.duty.revision
+        claim.asked_ms -= 1_500.0
+        assert await duty.renew(claim)
+        assert claim.duty.revision > first
+        await control.store.claim_duty(PROMOTION_DUTY, claim.duty, "edge-2", "other")
+        await control.confirm()
+        claim.asked_ms -= 1_500.0
+        assert not await duty.renew(claim)
+        assert control.find_duty(PROMOTION_DUTY).duty.holder == "edge-2"
+
+
+async def _keep_silent(
+    reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+) -> None:
+    while await reader.read(1_000):
+        pass
+
+
 async def test_fencing_tokens_grow_with_each_promotion() -> None:
     """The platform may not check tokens, so none may be lower than an earlier one."""
     async with open_world(nodes=2) as world:
