Keep a cancellation that meets the answer of a peer

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation if both come in the same step. A node's exchange loop then went on after its task was cancelled, and the stop of the node waited for it without end. Seen once as a test run that hung for 10 minutes.

Ruled out: the new code of the rates, whose only part in it is that it asks more often.

Change: PeerLink.call uses asyncio.timeout, which keeps the cancellation.

Conclusion: only a stop inside a process was concerned; a node on the platform ends its process.

--- a/src/radishtrack/peer/link.py
+++ b/src/radishtrack/peer/link.py
@@ -84,7 +84,9 @@
             frame = encode(message)
             self.observe_control(len(frame))
             await self._send_frame(frame)
-            answer = await asyncio.wait_for(queue.get(), timeout_s)
+            # `asyncio.wait_for` can drop a cancellation that meets the answer.
+            async with asyncio.timeout(timeout_s):
+                answer = await queue.get()
         except TimeoutError as error:
             raise LinkClosed(f"peer {self.node} did not answer in time") from error
         finally:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -211,6 +211,37 @@
         assert link.waiting == {}
 
 
+class SilentSocket:
+    """Takes messages and never ends."""
+
+    async def send(self, _frame: bytes) -> None:
+        return
+
+
+@pytest.mark.parametrize("steps", range(5))
+async def test_an_answer_does_not_undo_a_cancellation(steps: int) -> None:
+    """`asyncio.wait_for` of Python 3.11 drops a cancellation that an answer meets.
+
+    A loop that asks peers again and again then went on after its task was cancelled.
+    """
+    link = PeerLink("edge-2", SilentSocket())  # type: ignore[arg-type]
+
+    async def ask_forever() -> None:
+        for request in range(1, 1_000):
+            await link.call(VoteRequest(request, "strekk", "i-1"), request, 10.0)
+
+    task = asyncio.create_task(ask_forever())
+    while 1 not in link.waiting:
+        await asyncio.sleep(0)
+    await asyncio.sleep(0.01)
+    link.waiting[1].put_nowait(Vote(1, True))
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    task.cancel()
+    done, _ = await asyncio.wait((task,), timeout=1.0)
+    assert done and task.cancelled()
+
+
 async def test_a_peer_with_another_secret_is_refused() -> None:
     async with open_pair(Holder()) as link:
         host, port = link.socket.remote_address[:2]
