Read only what has changed in the store, and share calls for unknown names

Every change of any object made each of 31 nodes read the records, the configuration and the members again, and each unknown key at each node cost a call for each revision of the store.

Ruled out: passing the copy itself between nodes: a listing is about 4 KB, and bytes between zones cost as much as the calls that it saves.

Change: the node that vouches for the revision also tells the version of the configuration and digests of members and records; a node reads the parts that differ. A call for unknown names is made once a second and once for each name and configuration.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -456,6 +456,12 @@
         Number of this answer; 0 if the sender does not poll for others.
     revision : int
         Revision of the platform's store up to which the sender's copy is complete.
+    catalog : int
+        Version of the configuration in that copy.
+    members : int
+        Digest of the members in that copy.
+    fleet : int
+        Digest of the nodes, duties and terms in that copy.
     confirmed_age_ms : float
         Milliseconds since the sender asked the store for that revision.
     reports : tuple
@@ -467,6 +473,9 @@
     request: int
     number: int
     revision: int
+    catalog: int
+    members: int
+    fleet: int
     confirmed_age_ms: float
     reports: tuple[PackedReport, ...]
 
--- a/src/radishtrack/pooler/control.py
+++ b/src/radishtrack/pooler/control.py
@@ -2,13 +2,16 @@
 
 One small linearizable call lists the registered nodes and tells the store's revision.
 Only if the revision has moved are the configuration and the members read again, so a
-quiet fleet costs one call a node and interval, and no watch has to be trusted.
+quiet fleet costs one call an interval, and no watch has to be trusted. One node reads
+for all: it vouches for the revision and tells digests of what it has read, so that the
+others read only what has changed.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import hashlib
 from collections.abc import Callable, Hashable, Mapping
 from typing import Final
 
@@ -17,7 +20,7 @@
 from radishtrack.clock import Clock
 from radishtrack.events import Event, log_event
 from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
-from radishtrack.pooler.ports import ControlStore, Duty, FleetListing, StoreUnavailable
+from radishtrack.pooler.ports import ControlStore, Duty, StoreUnavailable
 
 CONFIRM_INTERVAL_MS: Final = 800.0
 """Pause between calls: a change of the configuration must be in force within 3 s, and
@@ -36,8 +39,11 @@
 DEPARTURE_MS: Final = 4_500.0
 """A removed node either sees that its record is missing, within 0.8 s, or refuses all
 keys once its copy is 3 s old; the rest is margin."""
-REFRESH_SPACING_MS: Final = 100.0
-"""Sessions with unknown names cause at most one call in this time."""
+REFRESH_SPACING_MS: Final = 1_000.0
+"""Sessions with unknown names cause at most one call in this time: revoked keys are
+tried at all nodes, and a new name is known everywhere after 1.3 s in any case."""
+DIGEST_BYTES: Final = 7
+"""Digests have to fit into a signed integer of 64 bits."""
 MAX_UNKNOWN: Final = 1_000
 """Unknown names that are remembered."""
 
@@ -62,6 +68,28 @@
     seen_ms: float
 
 
+@attrs.frozen
+class CopyContent:
+    """What a copy of the store contains.
+
+    Parameters
+    ----------
+    revision : int
+        The store's revision up to which it is complete.
+    catalog : int
+        Version of the configuration.
+    members : int
+        Digest of the list of members.
+    fleet : int
+        Digest of nodes, duties and announced terms.
+    """
+
+    revision: int
+    catalog: int
+    members: int
+    fleet: int
+
+
 NOBODY: Final = ""
 """Holder of a duty that was released, or that nobody ever had."""
 NO_DUTY: Final = KnownDuty(Duty(NOBODY, 0, ""), 0.0)
@@ -108,7 +136,11 @@
     """Set when the store has a later revision than the copy."""
     pending: asyncio.Task[None] | None = None
     unknown: dict[Hashable, int] = attrs.field(factory=dict)
-    """Names that were missing, and the revision at which the store was asked."""
+    """Names that were missing, and the version of the configuration that lacks them."""
+    vouched: tuple[CopyContent, float] | None = None
+    """Content that this node has to read, and when another node found it current."""
+    fleet_digest: int = 0
+    members_digest: int = 0
     refreshed_ms: float = -REFRESH_SPACING_MS
 
     async def run(self) -> None:
@@ -116,7 +148,8 @@
         while True:
             asked_ms = self.clock.now_ms()
             self.is_outdated.clear()
-            if not await self.confirm():
+            vouched, self.vouched = self.vouched, None
+            if not await self.confirm(vouched):
                 await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
                 continue
             while (pause_ms := self._pause_ms(asked_ms)) > 0:
@@ -125,15 +158,27 @@
                         await self.is_outdated.wait()
                         break
 
-    def vouch(self, revision: int, confirmed_ms: float) -> None:
-        """Take in that the store had a revision at a time, as another node has read.
+    @property
+    def content(self) -> CopyContent:
+        """What the present copy contains."""
+        return CopyContent(
+            self.revision, self.catalog.version, self.members_digest, self.fleet_digest
+        )
+
+    def vouch(self, content: CopyContent, confirmed_ms: float) -> None:
+        """Take in that the store had some content at a time, as another node has read.
 
-        Only the age of the copy changes; what has changed is read from the store.
+        What this node lacks is read from the store.
         """
-        if revision == self.revision:
+        if content.revision < self.revision or self.confirmed_ms is None:
+            return
+        if content == attrs.evolve(self.content, revision=content.revision):
+            # Objects of other kinds have changed, or some were written back.
+            self.revision = content.revision
             self._note_confirmed(confirmed_ms)
-        elif revision > self.revision:
-            self.is_outdated.set()
+            return
+        self.vouched = (content, confirmed_ms)
+        self.is_outdated.set()
 
     def _pause_ms(self, asked_ms: float) -> float:
         """Return the time until this node has to ask the store itself."""
@@ -144,20 +189,25 @@
             due_ms = min(asked_ms + OWN_INTERVAL_MS, confirmed_ms + VOUCHED_MS)
         return due_ms - self.clock.now_ms()
 
-    async def confirm(self) -> bool:
-        """Bring the copy up to date; return whether the store answered."""
+    async def confirm(self, vouched: tuple[CopyContent, float] | None = None) -> bool:
+        """Bring the copy up to date; return whether the store answered.
+
+        Parameters
+        ----------
+        vouched : tuple, optional
+            The store's content as another node has read it, and when that was current.
+            What is equal in this copy is not read again.
+        """
         asked_ms = self.clock.now_ms()
         late = asyncio.get_running_loop().call_later(
             LATE_ANSWER_MS / 1000, self._note_late
         )
         try:
-            listing = await self.store.list_fleet()
-            if not any(node == self.node for node in listing.nodes):
-                await self.store.register_node(self.node)
-            if listing.revision != self.revision:
-                await self._read_changes(listing, asked_ms)
+            if vouched is not None and vouched[0].fleet == self.fleet_digest:
+                await self._read_vouched(*vouched)
             else:
-                self._note_confirmed(asked_ms)
+                content = vouched[0] if vouched is not None else None
+                await self._read_listing(asked_ms, content)
         except StoreUnavailable as error:
             self._note_unavailable(error)
             return False
@@ -175,9 +225,8 @@
             What is missing in the copy.
         """
         now_ms = self.clock.now_ms()
-        if self.unknown.get(name) == self.revision:
-            # Clients with a revoked key try again and again; the store was asked for it
-            # at this revision.
+        if self.unknown.get(name) == self.catalog.version:
+            # Clients with a revoked key try again and again.
             return
         if self.pending is None or self.pending.done():
             if now_ms - self.refreshed_ms < REFRESH_SPACING_MS:
@@ -187,7 +236,7 @@
             self.refreshed_ms = now_ms
             self.pending = asyncio.create_task(self._confirm_once())
         await asyncio.shield(self.pending)
-        self.unknown[name] = self.revision
+        self.unknown[name] = self.catalog.version
 
     def knows_announcements(self, max_age_ms: float) -> bool:
         """Tell whether no announced promotion can be unknown here.
@@ -276,31 +325,73 @@
     async def _confirm_once(self) -> None:
         await self.confirm()
 
-    async def _read_changes(self, listing: FleetListing, asked_ms: float) -> None:
+    async def _read_listing(self, asked_ms: float, vouched: CopyContent | None) -> None:
+        """Read the fleet's records, and what has changed with the store's revision."""
+        listing = await self.store.list_fleet()
+        if not any(node == self.node for node in listing.nodes):
+            await self.store.register_node(self.node)
+        if listing.revision == self.revision:
+            self._note_confirmed(asked_ms)
+            return
+        has_catalog = has_members = False
+        if vouched is not None and vouched.revision == listing.revision:
+            has_catalog = vouched.catalog == self.catalog.version
+            has_members = vouched.members == self.members_digest
         # Both reads start after the listing, so the copy is at least as new as it.
         catalog, members = await asyncio.gather(
-            self.store.read_catalog(), self.store.list_members()
+            self._read_catalog(has_catalog), self._read_members(has_members)
         )
-        is_newer = listing.revision > self.revision
-        if catalog is not None and catalog.version > self.catalog.version:
-            log_event(
-                Event.CONFIGURATION_ACCEPTED,
-                revision=catalog.version,
-                store_revision=listing.revision,
-                routes=len(catalog.routes),
-            )
-            self.catalog = catalog
-        if is_newer:
-            self.members = members
+        self._take_in_catalog(catalog, listing.revision)
+        if listing.revision > self.revision:
+            self._take_in_members(members)
             self._note_nodes(listing.nodes)
             self.terms = listing.terms
             for name, duty in listing.duties.items():
                 self.note_duty(name, duty)
+            self.fleet_digest = _digest(
+                (
+                    sorted(listing.nodes, key=repr),
+                    sorted(listing.duties.items()),
+                    sorted(listing.terms.items()),
+                )
+            )
             self.revision = listing.revision
         if catalog is not None:
             self._note_confirmed(asked_ms)
         self.on_change()
 
+    async def _read_vouched(self, vouched: CopyContent, confirmed_ms: float) -> None:
+        """Read the parts that differ from what another node has read."""
+        if vouched.catalog != self.catalog.version:
+            self._take_in_catalog(await self.store.read_catalog(), vouched.revision)
+        if vouched.members != self.members_digest:
+            self._take_in_members(await self.store.list_members())
+        if self.catalog.version >= vouched.catalog:
+            self.revision = max(self.revision, vouched.revision)
+            self._note_confirmed(confirmed_ms)
+        self.on_change()
+
+    async def _read_catalog(self, is_known: bool) -> Catalog | None:
+        return self.catalog if is_known else await self.store.read_catalog()
+
+    async def _read_members(self, is_known: bool) -> tuple[Member, ...]:
+        return self.members if is_known else await self.store.list_members()
+
+    def _take_in_catalog(self, catalog: Catalog | None, revision: int) -> None:
+        if catalog is None or catalog.version <= self.catalog.version:
+            return
+        log_event(
+            Event.CONFIGURATION_ACCEPTED,
+            revision=catalog.version,
+            store_revision=revision,
+            routes=len(catalog.routes),
+        )
+        self.catalog = catalog
+
+    def _take_in_members(self, members: tuple[Member, ...]) -> None:
+        self.members = members
+        self.members_digest = _digest(sorted(members, key=repr))
+
     def _note_confirmed(self, asked_ms: float) -> None:
         if self.confirmed_ms is None or asked_ms > self.confirmed_ms:
             self.confirmed_ms = asked_ms
@@ -323,3 +414,9 @@
         if not self.is_available:
             self.is_available = True
             log_event(Event.PLATFORM_AVAILABLE, store_revision=self.revision)
+
+
+def _digest(content: object) -> int:
+    """Return a digest of records that is the same at all nodes."""
+    text = repr(content).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest())
--- a/src/radishtrack/pooler/report_relay.py
+++ b/src/radishtrack/pooler/report_relay.py
@@ -20,7 +20,7 @@
 from radishtrack.group.status import Role
 from radishtrack.peer.messages import PackedReport, Reports, ReportsWanted
 from radishtrack.pooler.catalog import MemberReport, NodeRecord
-from radishtrack.pooler.control import Control
+from radishtrack.pooler.control import Control, CopyContent
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.peers import Peers
 from radishtrack.session.position import Position
@@ -65,17 +65,21 @@
     def answer(self, node: str, message: ReportsWanted) -> Reports:
         """Return the reports that a node does not have yet."""
         if not self.is_relay():
-            return Reports(message.request, 0, -1, 0.0, ())
+            return Reports(message.request, 0, -1, 0, 0, 0, 0.0, ())
         receiver = self.receivers.setdefault(node, Receiver())
         if message.newer_than != receiver.number:
             # The last answer was lost, or one of the two nodes has restarted.
             receiver.sent_ms.clear()
         receiver.number += 1
         reports = tuple(self._pack(receiver))
+        content = self.control.content
         return Reports(
             message.request,
             receiver.number,
-            self.control.revision,
+            content.revision,
+            content.catalog,
+            content.members,
+            content.fleet,
             self.control.age_ms(),
             reports,
         )
@@ -118,7 +122,10 @@
             return
         self.received = answer.number
         if answer.number:
-            self.control.vouch(answer.revision, asked_ms - answer.confirmed_age_ms)
+            content = CopyContent(
+                answer.revision, answer.catalog, answer.members, answer.fleet
+            )
+            self.control.vouch(content, asked_ms - answer.confirmed_age_ms)
         for packed in answer.reports:
             self._take_in(packed, asked_ms)
 
