Ask witnesses for a while before a lone node replaces the holder

Cause: a node that reaches no witness waits 3 s before it replaces a silent holder, but counted from the holder's silence. One lost answer of the only witness after these 3 s was enough for a claim.

Change: the 3 s count from the last answer of a witness.

Figures: test_a_lost_answer_of_a_witness_is_not_taken_for_a_lost_holder.

--- a/src/radishtrack/pooler/holder_succession.py
+++ b/src/radishtrack/pooler/holder_succession.py
@@ -63,6 +63,8 @@
     """When the holder last answered this node."""
     copy_confirmed_ms: float = 0.0
     """When the holder's copy of the store was confirmed, by its last answer."""
+    witnessed_ms: float = 0.0
+    """When a node that was asked for the holder last answered."""
     announcing: asyncio.Task[None] | None = None
 
     @property
@@ -105,7 +107,7 @@
         due_ms += self._rank() * RANK_DELAY_MS
         if self.clock.now_ms() < due_ms:
             return False
-        if not is_released and not await self._is_agreed(due_ms):
+        if not is_released and not await self.is_agreed(due_ms):
             return False
         return await self._claim(known.duty)
 
@@ -121,17 +123,14 @@
             return False
         return await self._claim(known)
 
-    async def release(self) -> None:
-        """Give the duty up, so that another node takes it without a wait."""
-        try:
-            await self.control.release_duty(RATES_DUTY)
-        except StoreUnavailable as error:
-            log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
-            return
-        await self._announce(self.control.find_duty(RATES_DUTY).duty)
+    async def is_agreed(self, due_ms: float) -> bool:
+        """Tell whether other nodes don't hear the holder either.
 
-    async def _is_agreed(self, due_ms: float) -> bool:
-        """Tell whether other nodes don't hear the holder either."""
+        Parameters
+        ----------
+        due_ms : float
+            From when on this node may replace the holder.
+        """
         others = [node for node in self.peers.others() if node.name != self.holder]
         # Each node asks others, so that no three decide for all.
         others.sort(key=lambda node: zlib.crc32(f"{self.name}/{node.name}".encode()))
@@ -143,10 +142,23 @@
             )
         )
         heard = [answer for answer in answers if isinstance(answer, HolderHeard)]
+        now_ms = self.clock.now_ms()
         if any(answer.age_ms < LOST_AFTER_MS for answer in heard):
+            self.witnessed_ms = now_ms
             return False
-        is_alone = bool(witnesses) and not heard
-        return not is_alone or self.clock.now_ms() >= due_ms + ALONE_MS
+        if heard or not witnesses:
+            return True
+        # One lost answer says nothing.
+        return now_ms >= max(due_ms, self.witnessed_ms) + ALONE_MS
+
+    async def release(self) -> None:
+        """Give the duty up, so that another node takes it without a wait."""
+        try:
+            await self.control.release_duty(RATES_DUTY)
+        except StoreUnavailable as error:
+            log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
+            return
+        await self._announce(self.control.find_duty(RATES_DUTY).duty)
 
     async def _claim(self, earlier: Duty) -> bool:
         try:
--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -34,7 +34,7 @@
 
 @attrs.define
 class PartialPeers:
-    """Links of a node that can't reach one other node."""
+    """Links of a node that can't reach one other node, or `*` for all."""
 
     peers: Peers
     missing: str
@@ -43,7 +43,9 @@
         return self.peers.others()
 
     async def ask(self, node: NodeRecord, *rest: Any) -> Any:
-        return None if node.name == self.missing else await self.peers.ask(node, *rest)
+        if self.missing in (node.name, "*"):
+            return None
+        return await self.peers.ask(node, *rest)
 
 
 async def find_longest_pause(node: Node, is_over: Callable[[], object]) -> float:
@@ -160,6 +162,23 @@
         assert read_epoch(world) == epoch
 
 
+async def test_a_lost_answer_of_a_witness_is_not_taken_for_a_lost_holder() -> None:
+    """The only other node answered for seconds that it hears the holder."""
+    async with open_world(nodes=3) as world:
+        number = find_holder(world)
+        holder_name = world.nodes[number].node.options.node.name
+        cut_off = world.nodes[number - 1].node
+        succession = cut_off.rates.succession
+        partial = PartialPeers(cut_off.peers, holder_name)
+        succession.peers = partial  # type: ignore[assignment]
+        long_ago_ms = cut_off.clock.now_ms() - 10_000.0
+        assert not await succession.is_agreed(long_ago_ms)
+        partial.missing = "*"
+        assert not await succession.is_agreed(long_ago_ms)
+        succession.witnessed_ms -= 3_000.0
+        assert await succession.is_agreed(long_ago_ms)
+
+
 async def test_shares_are_returned_to_a_node_that_changes_the_holder() -> None:
     """Without an answer it has to wait until its promise ends."""
     async with open_world(nodes=2) as world:
