Add a soak that injects random faults into real nodes

Ruled out: extending radishtrack_standins.faults, which drives the MySQL side with one fault at a time and its own stand-ins.

Change: radishtrack_standins.soak with three nodes as processes, relays on each of their links, stand-in store and members, seeded series of faults, clients, and a ledger of promises; the checks of the ledger have tests that feed them violations.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults bench capacity binary clean
+.PHONY: setup format lint test demo faults soak bench capacity binary clean
 
 setup: $(STAMP)
 
@@ -36,6 +36,9 @@
 faults: setup
 	$(PYTHON) -m radishtrack_standins.faults --seed $(or $(SEED),7)
 
+soak: setup
+	$(PYTHON) -m radishtrack_standins.soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --logs out/soak
+
 capacity: setup
 	@for program in decisions placement node watch lists peer rates clients statements; do \
 		PYTHONPATH=src $(PYTHON) benchmarks/capacity/$$program.py || exit 1; done
--- a/src/radishtrack_standins/line_member.py
+++ b/src/radishtrack_standins/line_member.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -49,6 +49,11 @@
     faults: MemberFaults = attrs.field(factory=MemberFaults)
     replicas: list[LineMember] = attrs.field(factory=list)
     replicas_apply: bool = True
+    replicate: Callable[[str], bool] | None = None
+    """Appends a commit to the group's logs instead of this class, and tells whether a
+    replica has it; one that no replica has is never answered."""
+    on_run: Callable[[str, str], None] | None = None
+    """Told organisation and identifier of each statement that runs."""
     open_connections: set[LineConnection] = attrs.field(factory=set)
     ran: list[tuple[str, str, str]] = attrs.field(factory=list)
     """Organisation, statement identifier and text of what ran."""
@@ -156,7 +161,7 @@
         if self.wrote:
             if member.role != "primary":
                 return [f"ERROR READONLY {member.name}"]
-            self._append()
+            self._append(statement_id)
         return self._succeed(statement_id, text, [])
 
     def _execute(self, statement_id: str, text: str, words: list[str]) -> list[str]:
@@ -171,7 +176,7 @@
         if is_write and member.role != "primary":
             return self._fail(f"ERROR READONLY {member.name}")
         if is_write and self.state == "I":
-            self._append()
+            self._append(statement_id)
         self.wrote = self.wrote or is_write
         rows = [] if is_write else [f"DATAROW {member.name}@{member.position}"]
         return self._succeed(statement_id, text, rows)
@@ -181,8 +186,12 @@
             self.state = "E"
         return [line]
 
-    def _append(self) -> None:
+    def _append(self, statement_id: str) -> None:
         member = self.member
+        if member.replicate is not None:
+            if not member.replicate(statement_id):
+                raise ConnectionEnded("no replica has received the commit")
+            return
         member.received += 1
         member.applied = member.received
         for replica in member.replicas:
@@ -193,6 +202,8 @@
 
     def _succeed(self, statement_id: str, text: str, rows: list[str]) -> list[str]:
         member = self.member
+        if member.on_run is not None:
+            member.on_run(self.organisation, statement_id)
         member.ran.append((self.organisation, statement_id, text))
         member.values_seen.append(dict(self.values))
         return [*rows, f"COMPLETE {member.name}.{next(member.signatures)}"]
--- a/src/radishtrack_standins/object_store.py
+++ b/src/radishtrack_standins/object_store.py
@@ -5,11 +5,18 @@
 import asyncio
 import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import attrs
 from aiohttp import web
 
+ShowObject = Callable[[str, dict[str, Any]], dict[str, Any]]
+SHOW_KEY: Final[web.AppKey[Any]] = web.AppKey("show")
+
+
+def _show_unchanged(_kind: str, stored: dict[str, Any]) -> dict[str, Any]:
+    return stored
+
 
 @attrs.define
 class StoreFaults:
@@ -36,7 +43,7 @@
     orders: list[tuple[str, str, str, int]] = attrs.field(factory=list)
     """Promotion orders: group, member, holder and token."""
     on_order: Callable[[str, str], int] = lambda _group, _member: 200
-    runner: web.AppRunner | None = None
+    runners: list[web.AppRunner] = attrs.field(factory=list)
     port: int = 0
 
     @property
@@ -46,22 +53,39 @@
 
     async def start(self) -> None:
         """Listen on the loopback interface."""
+        self.port = await self.open_view(_show_unchanged)
+
+    async def open_view(self, show: ShowObject) -> int:
+        """Listen on one more port, at which objects are shown differently.
+
+        Parameters
+        ----------
+        show : callable
+            Takes a kind and an object, and returns the object that readers get.
+
+        Returns
+        -------
+        int
+            The port.
+        """
         application = web.Application()
+        application[SHOW_KEY] = show
         application.router.add_route("*", "/-/objects/{kind}", self._serve_kind)
         application.router.add_route(
             "*", "/-/objects/{kind}/{name}", self._serve_object
         )
         application.router.add_post("/promotion", self._serve_order)
-        self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = self.runner.addresses[0][1]
+        runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        self.runners.append(runner)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        port: int = runner.addresses[0][1]
+        return port
 
     async def stop(self) -> None:
         """Stop listening."""
-        if self.runner is not None:
-            await self.runner.cleanup()
+        for runner in self.runners:
+            await runner.cleanup()
 
     def put(self, kind: str, name: str, spec: object) -> int:
         """Write an object, as the operator or a member does; return its revision."""
@@ -101,7 +125,10 @@
             return self._written(request, self.objects[kind, name])
         after = request.query.get("after", "")
         names = sorted(n for k, n in self.objects if k == kind and n > after)
-        page = [self.objects[kind, name] for name in names[: self.page_size]]
+        show = request.app[SHOW_KEY]
+        page = [
+            show(kind, self.objects[kind, name]) for name in names[: self.page_size]
+        ]
         has_more = len(names) > self.page_size
         return _answer(
             200, {"items": page, "hasMore": has_more, "atRev": self.revision}
@@ -123,7 +150,7 @@
             return self._written(request, self.objects[kind, name])
         if request.method == "DELETE":
             self.remove(kind, name)
-        return _answer(200, present)
+        return _answer(200, request.app[SHOW_KEY](kind, present))
 
     def _written(self, request: web.Request, stored: object) -> web.Response:
         if self.faults.lose_writes:
--- /dev/null
+++ b/src/radishtrack_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on real nodes, while clients check what the product promises."""
--- /dev/null
+++ b/src/radishtrack_standins/soak/__main__.py
@@ -0,0 +1,38 @@
+"""Command line of the soak."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+from radishtrack_standins.soak.run import run_soak
+
+
+def main() -> int:
+    """Run seeds one after the other; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="radishtrack_standins.soak")
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--length", type=float, default=12.0, help="seconds of faults")
+    parser.add_argument("--logs", type=Path, help="directory for the nodes' logs")
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        ledger = asyncio.run(run_soak(seed, arguments.length, directory))
+        verdict = "; ".join(ledger.violations) or "kept"
+        print(f"seed {seed}: {verdict} {dict(ledger.outcomes)}", flush=True)
+        if ledger.violations:
+            failed += 1
+            if arguments.logs is not None:
+                shutil.copytree(directory, arguments.logs / f"seed-{seed}")
+        shutil.rmtree(directory)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
