Let the soak crash and isolate the present primary

Ruled out: longer faults of all kinds, which stop the service too often.

Change: two kinds of faults on the present primary, of 4 s and more: a crash, and a cut from all members and nodes but one, which is frozen meanwhile and wakes with what it believed.

--- a/src/radishtrack_standins/soak/group.py
+++ b/src/radishtrack_standins/soak/group.py
@@ -24,6 +24,8 @@
 
     members: dict[str, LineMember]
     logs: dict[str, list[str]]
+    isolated: set[str] = attrs.field(factory=set)
+    """Members that no other member reaches."""
     deposed_s: dict[str, float] = attrs.field(factory=dict)
     task: asyncio.Task[None] | None = None
 
@@ -45,7 +47,7 @@
         """Append a commit; return whether a replica has received it."""
         self.logs[member.name].append(statement_id)
         member.received = member.applied = len(self.logs[member.name])
-        receivers = [other for other in self._receivers(member)]
+        receivers = self._receivers(member)
         for other in receivers:
             self._receive(member, other)
         return bool(receivers)
@@ -100,18 +102,21 @@
         for member in self.members.values():
             if member is primary or member.role != "primary":
                 self.deposed_s.pop(member.name, None)
-            elif self.is_running(member):
+            elif self.is_running(member) and member.name not in self.isolated:
                 since_s = self.deposed_s.setdefault(member.name, now_s)
                 if now_s - since_s >= STEP_DOWN_S:
                     member.role = "replica"
 
     def _receivers(self, primary: LineMember) -> list[LineMember]:
+        if primary.name in self.isolated:
+            return []
         return [
             member
             for member in self.members.values()
             if member is not primary
             and member.role == "replica"
             and self.is_running(member)
+            and member.name not in self.isolated
             and not member.fenced_term
             and member.term <= primary.term
         ]
--- a/src/radishtrack_standins/soak/run.py
+++ b/src/radishtrack_standins/soak/run.py
@@ -32,6 +32,11 @@
 START_S: Final = 12.0
 RECOVER_S: Final = 15.0
 """After the last fault, every node serves a write within this time (`recoverS`)."""
+WAKE_S: Final = 1.0
+"""Time that a woken node has with a primary that was replaced."""
+
+Steps = tuple[Callable[[], Awaitable[None]], Callable[[], Awaitable[None]]]
+"""What begins and what ends a fault."""
 
 
 @attrs.define(eq=False)
@@ -105,6 +110,7 @@
         """End everything that may still be wrong."""
         self.store.faults.status = 0
         self.store.faults.delay_s = self.store.faults.lose_writes = 0
+        self.group.isolated.clear()
         for name, member in self.group.members.items():
             member.faults.lose_answers = 0
             await self.group.restart(name)
@@ -155,7 +161,7 @@
 
     def _make_fault(
         self, fault: Fault, node: NodeProcess, relay: Relay | None
-    ) -> tuple[Callable[[], Awaitable[None]], Callable[[], Awaitable[None]]]:
+    ) -> Steps:
         """Return what begins and what ends a fault."""
         faults = self.store.faults
         member = self.group.members.get(fault.target)
@@ -200,6 +206,10 @@
                     lambda: self.group.crash(fault.target),
                     lambda: self.group.restart(fault.target),
                 )
+            case "crash_primary":
+                return self._make_primary_crash()
+            case "isolate_primary":
+                return self._make_primary_isolation(node)
             case "store_down":
                 return lambda: set_store(503, 0.0), lambda: set_store(0, 0.0)
             case "store_slow":
@@ -233,6 +243,48 @@
                 return lambda: set_relay(refuse=True), lambda: set_relay(refuse=False)
         raise ValueError(f"unknown fault {fault.kind}")
 
+    def _make_primary_crash(self) -> Steps:
+        crashed: list[str] = []
+
+        async def begin() -> None:
+            if self.group.primary is not None:
+                crashed.append(self.group.primary.name)
+                await self.group.crash(crashed[0])
+
+        async def end() -> None:
+            for name in crashed:
+                await self.group.restart(name)
+
+        return begin, end
+
+    def _make_primary_isolation(self, node: NodeProcess) -> Steps:
+        """Return a cut of the primary from all but one node, which is frozen.
+
+        The node wakes with what it believed before, and reaches a member that does not
+        know of its replacement.
+        """
+        isolated: list[str] = []
+        others = [other for other in self.nodes.values() if other is not node]
+
+        async def begin() -> None:
+            if self.group.primary is None:
+                return
+            isolated.append(self.group.primary.name)
+            self.group.isolated.add(isolated[0])
+            node.send(signal.SIGSTOP)
+            for other in others:
+                await other.relays[isolated[0]].cut()
+
+        async def end() -> None:
+            node.send(signal.SIGCONT)
+            await asyncio.sleep(WAKE_S)
+            for name in isolated:
+                self.group.isolated.discard(name)
+                for other in others:
+                    await other.relays[name].heal()
+
+        return begin, end
+
     def _make_config(self) -> dict[str, object]:
         routes = (
             (STRICT, "primary", 0),
--- a/src/radishtrack_standins/soak/schedule.py
+++ b/src/radishtrack_standins/soak/schedule.py
@@ -19,7 +19,9 @@
     "kill": 2,
     "terminate": 1,
     "freeze": 2,
-    "crash": 2,
+    "crash": 1,
+    "crash_primary": 2,
+    "isolate_primary": 2,
     "store_down": 1,
     "store_slow": 1,
     "store_loses_answers": 1,
@@ -30,8 +32,10 @@
     "answer_lost": 1,
     "rate": 1,
 }
+PROMOTION_S: Final = 4.0
+"""A primary stays away for at least as long, which a change of primary needs."""
+PRIMARY_FAULTS: Final = frozenset({"crash_primary", "isolate_primary"})
 LINK_FAULTS: Final = frozenset({"cut", "cut_one_way", "delay", "reset"})
-MEMBER_FAULTS: Final = frozenset({"crash", "answer_lost"})
 
 
 @attrs.frozen
@@ -80,7 +84,8 @@
             ends = [*members, "store", *(other for other in nodes if other != node)]
         fault = Fault(
             at_s=random.uniform(0.0, length_s),
-            for_s=random.uniform(SHORTEST_S, LONGEST_S),
+            for_s=random.uniform(SHORTEST_S, LONGEST_S)
+            + (PROMOTION_S if kind in PRIMARY_FAULTS else 0.0),
             kind=kind,
             node=node,
             target=random.choice(ends),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,12 @@
 
 from radishtrack_standins.soak.ledger import RATE_MARGIN, REVOKE_MS, Ledger
 from radishtrack_standins.soak.run import run_soak
-from radishtrack_standins.soak.schedule import LONGEST_S, WEIGHTS, draw_faults
+from radishtrack_standins.soak.schedule import (
+    LONGEST_S,
+    PROMOTION_S,
+    WEIGHTS,
+    draw_faults,
+)
 
 NODES = ("edge-1", "edge-2", "edge-3")
 MEMBERS = ("i-1", "i-2", "i-3")
@@ -63,11 +68,11 @@
 
 def test_a_seed_determines_the_faults() -> None:
     """A seed that failed has to bring the same series again."""
-    first = draw_faults(7, 200.0, NODES, MEMBERS)
-    assert first == draw_faults(7, 200.0, NODES, MEMBERS)
-    assert first != draw_faults(8, 200.0, NODES, MEMBERS)
+    first = draw_faults(7, 400.0, NODES, MEMBERS)
+    assert first == draw_faults(7, 400.0, NODES, MEMBERS)
+    assert first != draw_faults(8, 400.0, NODES, MEMBERS)
     assert {fault.kind for fault in first} == set(WEIGHTS)
-    assert all(fault.for_s <= LONGEST_S for fault in first)
+    assert all(fault.for_s <= LONGEST_S + PROMOTION_S for fault in first)
     assert all(fault.target != fault.node for fault in first)
 
 
