--- a/src/radishtrack_standins/soak/run.py
+++ b/src/radishtrack_standins/soak/run.py
@@ -32,6 +32,7 @@
 START_S: Final = 12.0
 RECOVER_S: Final = 15.0
 """After the last fault, every node serves a write within this time (`recoverS`)."""
+MOST_LOST_ANSWERS: Final = 12
 WAKE_S: Final = 1.0
 """Time that a woken node has with a primary that was replaced."""
 
@@ -218,7 +219,8 @@
             case "store_loses_answers":
                 return lambda: lose(2, 0), nothing
             case "answer_lost":
-                return lambda: lose(0, 3), nothing
+                answers = 1 + int(MOST_LOST_ANSWERS * fault.strength)
+                return lambda: lose(0, answers), nothing
             case "rate":
                 return set_rate, nothing
             case "cut_one_way":
--- a/src/radishtrack_standins/soak/schedule.py
+++ b/src/radishtrack_standins/soak/schedule.py
@@ -29,7 +29,7 @@
     "cut_one_way": 2,
     "delay": 2,
     "reset": 2,
-    "answer_lost": 1,
+    "answer_lost": 3,
     "rate": 1,
 }
 PROMOTION_S: Final = 4.0
