Do not freeze a node in the soak that was asked to end

Ruled out: a fault of the node; a stopped process can't end.

Change: SIGSTOP is not sent to a process that was asked to end.

Figures: test_a_node_that_is_ending_is_not_frozen fails before.

--- a/src/radishtrack_standins/soak/fleet.py
+++ b/src/radishtrack_standins/soak/fleet.py
@@ -51,6 +51,7 @@
     directory: Path
     relays: dict[str, Relay] = attrs.field(factory=dict)
     process: subprocess.Popen[bytes] | None = None
+    is_ending: bool = False
     starts: int = 0
 
     def start(self) -> None:
@@ -69,7 +70,12 @@
             )
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process, if it runs."""
+        """Send a signal to the process, if it runs.
+
+        A process that was asked to end is not stopped: it could not end in time.
+        """
+        if self.is_ending and number is signal.SIGSTOP:
+            return
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
@@ -77,6 +83,7 @@
         """End the process with a signal; return whether it ended by itself in time."""
         if self.process is None:
             return True
+        self.is_ending = True
         self.send(signal.SIGCONT)
         self.send(number)
         loop = asyncio.get_running_loop()
@@ -87,6 +94,7 @@
         if not in_time:
             self.process.kill()
         self.process.wait(END_S)
+        self.is_ending = False
         return in_time
 
     def _make_settings(self) -> dict[str, Any]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import signal
+import subprocess
+import sys
 from pathlib import Path
 
+from radishtrack_standins.soak.fleet import NodeProcess
 from radishtrack_standins.soak.ledger import RATE_MARGIN, REVOKE_MS, Ledger
 from radishtrack_standins.soak.run import run_soak
 from radishtrack_standins.soak.schedule import (
@@ -76,6 +81,27 @@
     assert all(fault.target != fault.node for fault in first)
 
 
+async def test_a_node_that_is_ending_is_not_frozen(tmp_path: Path) -> None:
+    """Seed 1013 froze a node after its SIGTERM and blamed it for not ending."""
+    program = (
+        "import signal, sys, time\n"
+        "signal.signal(signal.SIGTERM, lambda *_: (time.sleep(0.5), sys.exit()))\n"
+        "print('ready', flush=True)\n"
+        "time.sleep(60)\n"
+    )
+    node = NodeProcess("edge-1", "127.0.0.1", {}, tmp_path)
+    node.process = subprocess.Popen(
+        [sys.executable, "-c", program], stdout=subprocess.PIPE
+    )
+    assert node.process.stdout is not None
+    with node.process.stdout as output:
+        output.readline()
+    ending = asyncio.create_task(node.end(signal.SIGTERM))
+    await asyncio.sleep(0.1)
+    node.send(signal.SIGSTOP)
+    assert await ending
+
+
 async def test_a_short_series_of_faults_breaks_no_promise(tmp_path: Path) -> None:
     """Real nodes, faults from outside, and clients that check every answer."""
     ledger = await run_soak(CI_SEED, CI_LENGTH_S, tmp_path)
