--- a/src/radishtrack_standins/soak/fleet.py
+++ b/src/radishtrack_standins/soak/fleet.py
@@ -16,7 +16,7 @@
 import attrs
 
 from radishtrack.platform.settings import SETTINGS_VARIABLE
-from radishtrack_standins.object_store import StandInStore
+from radishtrack_standins.object_store import ShowObject, StandInStore
 from radishtrack_standins.relay import Relay, start_relay
 from radishtrack_standins.soak.group import Group
 
@@ -155,7 +155,7 @@
     return nodes
 
 
-def _make_view(node: NodeProcess):  # type: ignore[no-untyped-def]
+def _make_view(node: NodeProcess) -> ShowObject:
     """Return how a node sees addresses: as those of its own relays."""
 
     def show(kind: str, stored: dict[str, Any]) -> dict[str, Any]:
--- a/src/radishtrack_standins/soak/group.py
+++ b/src/radishtrack_standins/soak/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -147,5 +148,5 @@
     return group
 
 
-def _make_replicate(group: Group, member: LineMember):  # type: ignore[no-untyped-def]
+def _make_replicate(group: Group, member: LineMember) -> Callable[[str], bool]:
     return lambda statement_id: group.replicate(member, statement_id)
--- a/src/radishtrack_standins/soak/ledger.py
+++ b/src/radishtrack_standins/soak/ledger.py
@@ -23,7 +23,6 @@
     """Writes that clients were told to be kept, and when."""
     refused: set[str] = attrs.field(factory=set)
     """Writes that clients were told not to have run."""
-    commits: list[str] = attrs.field(factory=list)
     runs: dict[str, list[float]] = attrs.field(factory=lambda: defaultdict(list))
     """When statements of an organisation ran."""
     revoked_ms: dict[str, float] = attrs.field(factory=dict)
@@ -46,10 +45,6 @@
         elif answer.startswith("ERROR BUSY"):
             self.refused.add(statement_id)
 
-    def count_acknowledged(self, before_ms: float) -> int:
-        """Return how many writes were acknowledged before a time."""
-        return sum(at_ms <= before_ms for at_ms in self.acknowledged.values())
-
     def check_read(self, kind: str, row: str, log: list[str], needed: set[str]) -> None:
         """Check that a read has seen all writes that it must see.
 
