Use one configuration and one port finder in the pooler's tests and soak

Read once more: tests/pooler_world.py and the soak each wrote the users' configuration, the members' entries and the search for free ports, which radishtrack_standins.cluster has already. The first two are now in radishtrack_standins.platform_objects, and both call find_free_ports.

The merge of the lists of quiet libraries had silenced asyncio for the MySQL side too, where unhandled errors of tasks are logged by it. The list is as before again; the pooler adds asyncio itself. The new test fails before.

--- a/src/radishtrack/log_output.py
+++ b/src/radishtrack/log_output.py
@@ -14,7 +14,6 @@
 
 QUIET_LIBRARIES: Final = (
     "aiohttp",
-    "asyncio",
     "mysql_mimic",
     "transitions",
     "websockets",
@@ -23,9 +22,9 @@
 statement as an error, which would flood the log in an overload."""
 
 
-def silence_libraries() -> None:
+def silence_libraries(*more: str) -> None:
     """Drop the lines that libraries log themselves."""
-    for name in QUIET_LIBRARIES:
+    for name in (*QUIET_LIBRARIES, *more):
         standard_logging.getLogger(name).setLevel(standard_logging.CRITICAL)
 
 
@@ -64,7 +63,7 @@
 
 def configure_stdout_logging() -> None:
     """Send all events as JSON lines to standard output."""
-    silence_libraries()
+    silence_libraries("asyncio")
     handler = NonBlockingHandler(sys.stdout.fileno())
     handler.setFormatter(LineFormatter())
     root = standard_logging.getLogger()
--- a/src/radishtrack_standins/soak/clients.py
+++ b/src/radishtrack_standins/soak/clients.py
@@ -11,6 +11,12 @@
 import attrs
 
 from radishtrack.platform.lines import ConnectionEnded, LineConnection, encode_line
+from radishtrack_standins.platform_objects import (
+    AGED,
+    AGED_MAX_AGE_MS,
+    OWN,
+    STRICT,
+)
 from radishtrack_standins.soak.fleet import NodeProcess
 from radishtrack_standins.soak.group import Group
 from radishtrack_standins.soak.ledger import Ledger
@@ -20,10 +26,6 @@
 PAUSE_S: Final = 0.03
 LEAVE_SHARE: Final = 0.02
 """Part of the statements after which a client leaves without a word."""
-STRICT, OWN, AGED = "orders", "receipts", "status"
-"""Databases by kind of read."""
-MAX_AGE_MS: Final = 1_500.0
-"""Age from which `AGED` reads must show a write."""
 
 
 @attrs.define(eq=False)
@@ -125,7 +127,7 @@
     def _list_needed(self, database: str) -> set[str]:
         """Return the writes that a read which starts now must see."""
         now_ms = self.now_ms()
-        age_ms = {STRICT: 0.0, OWN: None, AGED: MAX_AGE_MS}[database]
+        age_ms = {STRICT: 0.0, OWN: None, AGED: AGED_MAX_AGE_MS}[database]
         if age_ms is None:
             return set(self.own_writes)
         acknowledged = self.ledger.acknowledged.items()
--- a/src/radishtrack_standins/soak/fleet.py
+++ b/src/radishtrack_standins/soak/fleet.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -16,6 +15,7 @@
 import attrs
 
 from radishtrack.platform.settings import SETTINGS_VARIABLE
+from radishtrack_standins.cluster import find_free_ports
 from radishtrack_standins.object_store import ShowObject, StandInStore
 from radishtrack_standins.relay import Relay, start_relay
 from radishtrack_standins.soak.group import Group
@@ -120,15 +120,6 @@
     return f"127.{process >> 8 & 255}.{process & 255}.{number}"
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    probes = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports: list[int] = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
-
-
 async def make_nodes(
     names: tuple[str, ...], store: StandInStore, group: Group, directory: Path
 ) -> dict[str, NodeProcess]:
--- a/src/radishtrack_standins/soak/run.py
+++ b/src/radishtrack_standins/soak/run.py
@@ -8,15 +8,20 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
 from radishtrack.clock import make_boot_clock
 from radishtrack.platform.lines import ConnectionEnded
 from radishtrack_standins.object_store import StandInStore
+from radishtrack_standins.platform_objects import (
+    STRICT,
+    make_config,
+    make_member_entry,
+)
 from radishtrack_standins.relay import Relay
-from radishtrack_standins.soak.clients import AGED, OWN, STRICT, SoakClient
+from radishtrack_standins.soak.clients import SoakClient
 from radishtrack_standins.soak.fleet import NodeProcess, make_nodes
 from radishtrack_standins.soak.group import GROUP, MEMBERS, Group, start_group
 from radishtrack_standins.soak.ledger import Ledger
@@ -67,18 +72,7 @@
     def register_members(self) -> None:
         """Write the members' entries that have changed."""
         for member in self.group.members.values():
-            spec = {
-                "service": GROUP,
-                "address": f"127.0.0.1:{member.port}",
-                "zone": "oslo-a",
-                "version": "v1",
-                "slots": 4,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "dbRole": member.role,
-                "sequence": 1,
-                "born": 1_700_000_000_000,
-            }
+            spec = make_member_entry(member, slots=4)
             present = self.store.objects.get(("servers", member.name))
             if present is None or present["spec"] != spec:
                 self.store.put("servers", member.name, spec)
@@ -287,42 +281,14 @@
 
         return begin, end
 
-    def _make_config(self) -> dict[str, object]:
-        routes = (
-            (STRICT, "primary", 0),
-            (OWN, "session", 2_500),
-            (AGED, "bounded_staleness", 1_500),
-        )
-        return {
-            "version": self.version,
-            "routes": [
-                {
-                    "name": f"r-{host}",
-                    "host": host,
-                    "pathPrefix": "/",
-                    "kind": kind,
-                    "timeoutMs": 800,
-                    "objectiveMs": 200,
-                    "priority": 1,
-                    "service": GROUP,
-                    "maxAttempts": 2,
-                    "public": False,
-                }
-                | ({"maxStalenessMs": age} if age else {})
-                for host, kind, age in routes
-            ],
-            "services": [{"name": GROUP, "maxConns": 16, "syncReplicas": 1}],
-            "limits": {"txIdleMs": 3_000},
-            "tenants": [
-                {
-                    "name": name,
-                    "apiKeys": [] if name in self.ledger.revoked_ms else [key],
-                    "ratePerS": self.rate_per_s,
-                    "burst": BURST,
-                }
-                for name, key in ORGANISATIONS.items()
-            ],
+    def _make_config(self) -> dict[str, Any]:
+        keys = {
+            name: [] if name in self.ledger.revoked_ms else [key]
+            for name, key in ORGANISATIONS.items()
         }
+        return make_config(
+            self.version, GROUP, keys, rate_per_s=self.rate_per_s, burst=BURST
+        )
 
 
 @asynccontextmanager
--- a/tests/pooler_world.py
+++ b/tests/pooler_world.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import attrs
 
@@ -19,8 +19,11 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.node import Node, NodeOptions, make_node
 from radishtrack.pooler.request_log import make_request_log
+from radishtrack_standins import platform_objects
+from radishtrack_standins.cluster import find_free_ports
 from radishtrack_standins.line_member import LineMember
 from radishtrack_standins.object_store import StandInStore
+from radishtrack_standins.platform_objects import make_member_entry
 
 GROUP = "strekk"
 KEY = "key-of-verksted"
@@ -30,44 +33,15 @@
 MIN_TOKENS = 50
 
 
-def find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
-def make_config(version: int = 1, replicas: int = 1) -> dict[str, object]:
-    routes = [
-        ("orders", "primary", 0),
-        ("status", "bounded_staleness", 1500),
-        ("receipts", "session", 2500),
-    ]
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": f"r-{host}",
-                "host": host,
-                "pathPrefix": "/",
-                "kind": kind,
-                "timeoutMs": 800,
-                "objectiveMs": 200,
-                "priority": 1,
-                "service": GROUP,
-                "maxAttempts": 2,
-                "public": False,
-            }
-            | ({"maxStalenessMs": age} if age else {})
-            for host, kind, age in routes
-        ],
-        "services": [{"name": GROUP, "maxConns": 16, "syncReplicas": replicas}],
-        "limits": {"txIdleMs": 3000},
-        "tenants": [
-            {"name": "verksted", "apiKeys": [KEY], "ratePerS": 500, "burst": 500},
-            {"name": "storgata", "apiKeys": [OTHER_KEY], "ratePerS": 500, "burst": 500},
-        ],
-    }
+def make_config(version: int = 1, replicas: int = 1) -> dict[str, Any]:
+    return platform_objects.make_config(
+        version,
+        GROUP,
+        {"verksted": [KEY], "storgata": [OTHER_KEY]},
+        rate_per_s=500,
+        burst=500,
+        replicas=replicas,
+    )
 
 
 @attrs.define(eq=False)
@@ -132,26 +106,12 @@
         return next(m for m in self.members.values() if m.role == "primary")
 
     def register(self, member: LineMember, state: str = "ready") -> None:
-        self.store.put(
-            "servers",
-            member.name,
-            {
-                "service": member.group,
-                "address": f"127.0.0.1:{member.port}",
-                "zone": "oslo-a",
-                "version": "v1",
-                "slots": 2,
-                "state": state,
-                "coldLeftMs": 0,
-                "dbRole": member.role,
-                "sequence": 1,
-                "born": 1_700_000_000_000,
-            },
-        )
+        entry = make_member_entry(member, slots=2, state=state)
+        self.store.put("servers", member.name, entry)
 
     async def start_node(self, name: str) -> RunningNode:
         clock = make_boot_clock()
-        record = NodeRecord(name, "127.0.0.1", find_free_port(), "oslo-a", 1)
+        record = NodeRecord(name, "127.0.0.1", find_free_ports(1)[0], "oslo-a", 1)
         options = NodeOptions(record, 6_000.0, 3_000.0)
         node = make_node(
             options,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,6 +6,7 @@
 import contextlib
 import io
 import json
+import logging
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 from typing import Any
@@ -23,6 +24,7 @@
 )
 from radishtrack.cli.main import make_parser, run_command
 from radishtrack.config.store import StoreUnavailable
+from radishtrack.log_output import silence_libraries
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 FJELLSKO = str(EXAMPLES / "fjellsko.toml")
@@ -230,3 +232,13 @@
     with pytest.raises(SystemExit) as stopped:
         make_parser().parse_args(argv)
     assert stopped.value.code == ExitCode.USAGE
+
+
+def test_unhandled_errors_of_tasks_stay_in_the_log() -> None:
+    """Asyncio reports them; only the pooler's JSON output leaves its lines out."""
+    logger = logging.getLogger("asyncio")
+    level = logger.level
+    logger.setLevel(logging.NOTSET)
+    silence_libraries()
+    assert logger.isEnabledFor(logging.ERROR)
+    logger.setLevel(level)
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -9,11 +9,11 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.control import DEPARTURE_MS
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY
+from radishtrack_standins.cluster import find_free_ports
 from tests.pooler_world import (
     GROUP,
     Client,
     World,
-    find_free_port,
     make_config,
     open_world,
     wait_until,
@@ -118,7 +118,7 @@
     """One node's bad network must not depose a healthy primary."""
     async with open_world(nodes=2) as world:
         access = world.nodes[0].node.find_group(GROUP)
-        cut_off = attrs.evolve(access.pools["i-1"].member, port=find_free_port())
+        cut_off = attrs.evolve(access.pools["i-1"].member, port=find_free_ports(1)[0])
         access.pools["i-1"].member = cut_off
         access.pools["i-1"].drop_all()
         await wait_until(lambda: not access.pools["i-1"].is_reachable)
