Count only requests inside each window for the retry budget

Change: a retry must fit into every window that begins in the last second; requests before a window's begin do not count for the retries in it. On the code before, four tests of the file fail; now all pass.

--- a/src/radishtrack/admission/retry_budget.py
+++ b/src/radishtrack/admission/retry_budget.py
@@ -1,4 +1,4 @@
-"""Retry budget of one database: 10% of its requests + 10, in a sliding second."""
+"""Retry budget of one database: 10% of its requests + 10, in each sliding second."""
 
 from __future__ import annotations
 
@@ -26,8 +26,9 @@
 class RetryBudget:
     """Counts of the last second, by interval.
 
-    Intervals that overlap the window count with all their retries, but requests count
-    only in intervals that lie inside it, so the limit holds for every window of 1 s.
+    A retry must fit into every window of 1 s that contains it, whatever follows. A
+    window may begin anywhere in the last second, so requests can't be saved up: those
+    before the window's begin don't count for the retries after it.
     """
 
     intervals: deque[IntervalCounts] = attrs.field(factory=deque)
@@ -39,15 +40,14 @@
     def try_retry(self, now_ms: float) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
         current = self._current_interval(now_ms)
-        first_whole_index = (now_ms - WINDOW_MS) / INTERVAL_MS
-        requests = sum(
-            interval.requests
-            for interval in self.intervals
-            if interval.index >= first_whole_index
-        )
-        retries = sum(interval.retries for interval in self.intervals)
-        if retries >= requests // REQUESTS_PER_RETRY + RETRIES_PER_SECOND:
-            return False
+        requests = retries = 0
+        for interval in reversed(self.intervals):
+            # A window that begins in this interval may have all its retries and none
+            # of its requests.
+            retries += interval.retries
+            if retries >= requests // REQUESTS_PER_RETRY + RETRIES_PER_SECOND:
+                return False
+            requests += interval.requests
         current.retries += 1
         return True
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -42,8 +42,31 @@
     assert budget.try_retry(1_100.0)
 
 
-def test_one_more_retry_for_each_ten_requests() -> None:
+def test_one_more_retry_for_each_ten_requests_of_the_same_second() -> None:
+    budget = make_retry_budget()
+    retries = 0
+    for start_ms in range(0, 1_000, 50):
+        for _ in range(10):
+            budget.count_request(start_ms)
+        retries += sum(budget.try_retry(start_ms + 20.0) for _ in range(99))
+    # The last retry follows the requests of 19 intervals.
+    assert retries == 10 + 19
+
+
+def test_requests_before_a_window_do_not_allow_retries_in_it() -> None:
+    """Ten retries fit into a window that begins after 200 requests, not thirty."""
     budget = make_retry_budget()
     for _ in range(200):
         budget.count_request(10.0)
-    assert sum(budget.try_retry(20.0) for _ in range(99)) == 30
+    assert sum(budget.try_retry(800.0) for _ in range(99)) == 10
+
+
+def test_retries_stay_within_the_limit_after_their_requests_left_the_window() -> None:
+    """A retry was allowed by a request that left the window before the retry did."""
+    budget = make_retry_budget()
+    assert sum(budget.try_retry(5_000.0) for _ in range(40)) == 10
+    budget.count_request(5_700.0)
+    for _ in range(9):
+        budget.count_request(6_400.0)
+    # At 7,100 ms the window holds nine requests and these retries.
+    assert sum(budget.try_retry(6_400.0) for _ in range(40)) <= 0.1 * 9 + 10
