Compare the term of SINCE in the stand-in member

Change: a position of a later term, or with a higher number, is lacking. Test first: the function is new; the replaced expression accepts 2.373 at 1.402.

--- a/src/radishtrack_standins/line_member.py
+++ b/src/radishtrack_standins/line_member.py
@@ -113,7 +113,7 @@
         member = self.member
         words = text.split(" ")
         if words[0] == "SINCE":
-            if int(words[1].split(".")[1]) > member.applied:
+            if read_lacks_position(member, words[1]):
                 return [f"ERROR LAGGING {member.name}"]
             words = words[2:]
         match words:
@@ -212,6 +212,21 @@
         return [*rows, f"COMPLETE {member.name}.{next(member.result_numbers)}"]
 
 
+def read_lacks_position(member: LineMember, position: str) -> bool:
+    """Return whether a read at a member may miss commits up to a position.
+
+    Parameters
+    ----------
+    member : LineMember
+        The member that would run the read.
+    position : str
+        ``TERM.NUMBER``. Numbers go on from one term to the next, so the term alone
+        tells apart logs that differ after a rollback.
+    """
+    term, number = map(int, position.split("."))
+    return term > member.term or number > member.applied
+
+
 async def _serve(member: LineMember, connection: LineConnection) -> None:
     try:
         words = (await connection.read_line()).split(" ")
