Let a starting node delegate its shares at once and credit its start

Cause: a starting process left its shares undelegated for JOIN_DELAY_MS (1 s), so that after a loss of power no coordinator had anything to grant and nearly all was refused at admit for a second. Also, while nothing was delegated yet, a request was told to wait GRANT_MS (0.5 s), and a restarted coordinator acted under the epoch of its earlier process, whose response numbers nodes may confirm.

Change: a node delegates with its first exchanges. The coordinator grants no more than what remains beside the largest share that each other node may use by itself, so a joining node cannot add to the rate; its own shares stay unused for 1 s as before. The coordinator credits the time since the start of a process, in which its shares were neither used nor counted elsewhere. A coordinator that restarts claims the duty anew. An epoch of the same node ends the delegation to its earlier process, and tokens of a coordinator that a node may not delegate to yet are used. Buckets are refilled when used, not all at each exchange.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -353,6 +353,9 @@
         share of each rate.
     wanted : tuple
         Pairs of organisation and requested number of tokens.
+    unused_ms : float
+        Time in milliseconds for which the sender's shares were neither used nor
+        delegated before its first delegation; 0 later.
     """
 
     request: int
@@ -360,6 +363,7 @@
     reply: int
     nodes: int
     wanted: tuple[tuple[str, int], ...]
+    unused_ms: float
 
 
 @attrs.define(frozen=True)
--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -14,7 +14,7 @@
 
 import uvloop
 
-from radishtrack.clock import make_boot_clock
+from radishtrack.clock import Clock, make_boot_clock
 from radishtrack.events import Event, log_event
 from radishtrack.log_output import configure_stdout_logging
 from radishtrack.platform.control_store import PlatformControlStore
@@ -54,8 +54,22 @@
     return parser
 
 
-def run(argv: Sequence[str] | None = None) -> int:
-    """Run a node until it is stopped; return the exit code."""
+def run(
+    argv: Sequence[str] | None = None, process_started_ms: float | None = None
+) -> int:
+    """Run a node until it is stopped; return the exit code.
+
+    Parameters
+    ----------
+    argv : sequence of str, optional
+        The arguments; those of the process by default.
+    process_started_ms : float, optional
+        Start of the process on the boot clock, before the imports of this package; the
+        current time by default.
+    """
+    clock = make_boot_clock()
+    if process_started_ms is None:
+        process_started_ms = clock.now_ms()
     arguments = make_parser().parse_args(argv)
     configure_stdout_logging()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
@@ -67,13 +81,14 @@
     if arguments.check:
         return 0
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(settings, path))
+        runner.run(serve(settings, path, clock, process_started_ms))
     return 0
 
 
-async def serve(settings: PlatformSettings, path: Path) -> None:
+async def serve(
+    settings: PlatformSettings, path: Path, clock: Clock, process_started_ms: float
+) -> None:
     """Run a node until SIGTERM."""
-    clock = make_boot_clock()
     record = NodeRecord(
         name=settings.node,
         host=settings.ip,
@@ -83,7 +98,7 @@
     )
     log = make_request_log(clock)
     node = make_node(
-        _make_options(settings, record),
+        _make_options(settings, record, process_started_ms),
         clock,
         PlatformControlStore(ObjectStoreClient(settings.store)),
         open_wire_link,
@@ -152,7 +167,9 @@
             log_event(Event.SETTINGS_INVALID, path=path, reason=error)
             continue
         loaded_version = _read_file_version(path)
-        node.options = _make_options(settings, node.options.node)
+        node.options = _make_options(
+            settings, node.options.node, node.options.process_started_ms
+        )
         log_event(Event.SETTINGS_READ, grace_ms=settings.grace_ms, store=settings.store)
 
 
@@ -164,8 +181,12 @@
     return (status.st_mtime_ns, status.st_size)
 
 
-def _make_options(settings: PlatformSettings, record: NodeRecord) -> NodeOptions:
-    return NodeOptions(record, settings.grace_ms, settings.key_age_limit_ms)
+def _make_options(
+    settings: PlatformSettings, record: NodeRecord, process_started_ms: float
+) -> NodeOptions:
+    return NodeOptions(
+        record, settings.grace_ms, settings.key_age_limit_ms, process_started_ms
+    )
 
 
 if __name__ == "__main__":
--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -99,6 +99,11 @@
 
     async def replace_lost(self) -> bool:
         """Become the coordinator if there is none, or if it does not respond."""
+        recorded = self.store_copy.find_duty(RATES_DUTY).duty
+        if recorded.holder == self.name and not self.store_copy.is_own_claim(recorded):
+            # An earlier process of this node was the coordinator. Nodes may confirm its
+            # responses until there is a new epoch.
+            return await self._claim(recorded)
         # The duty may just have been released or claimed.
         await self.store_copy.refresh(self.store_copy.find_duty(RATES_DUTY).duty)
         observed = self.store_copy.find_duty(RATES_DUTY)
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -75,11 +75,14 @@
     key_age_limit_ms : float or None
         Age of the configuration copy from which on keys are not accepted; None for no
         limit.
+    process_started_ms : float
+        Start of this process on the node's clock.
     """
 
     node: NodeRecord
     grace_ms: float
     key_age_limit_ms: float | None
+    process_started_ms: float
 
 
 @attrs.define(eq=False)
@@ -369,7 +372,9 @@
             iter(store_copy.catalog.organisations), OPEN_ORGANISATION
         ),
     )
-    rates = make_rate_exchange(options.node.name, clock, store_copy, peers)
+    rates = make_rate_exchange(
+        options.node.name, clock, store_copy, peers, options.process_started_ms
+    )
     store_copy.reads_for_fleet = rates.is_coordinator
     relay = ReportRelay(
         clock=clock,
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -49,6 +49,7 @@
     store_copy: StoreCopy
     peers: Peers
     failover: CoordinatorFailover
+    process_started_ms: float
     limiter: RateLimiter = attrs.field(factory=RateLimiter)
     coordinator: RateCoordinator | None = None
     """State as coordinator; None while another node has the duty."""
@@ -57,11 +58,17 @@
     """Number of the current coordinator's last response."""
     delegated_to: str = ""
     """Coordinator to which this node has delegated its shares; empty if none."""
+    counted_elsewhere_until_ms: float = 0.0
+    """Until then an earlier coordinator may count this node's delegation."""
     last_request_ms: dict[str, float] = attrs.field(factory=dict)
     """When each node last sent a request to this one."""
     is_stopping: bool = False
+    has_restarted_as_coordinator: bool = False
+    """Whether the duty's record names an earlier process of this node."""
     exchange_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     exchange_done: asyncio.Event = attrs.field(factory=asyncio.Event)
+    duty_announced: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set when another node announces who the coordinator is."""
 
     def configure(self) -> None:
         """Apply the current configuration and number of nodes."""
@@ -70,12 +77,16 @@
             # Until the other nodes have read this node's record, they divide the rates
             # without it.
             self.limiter.defer_own_shares(now_ms + JOIN_DELAY_MS)
+            self.limiter.unused_since_ms = self.process_started_ms
+            self.exchange_requested.set()
         nodes = max(1, len(self.store_copy.nodes))
         organisations = self.store_copy.catalog.organisations
         self.limiter.configure(organisations, nodes, now_ms)
         self.follow_duty()
         if self.coordinator is not None:
-            self.coordinator.configure(organisations, now_ms)
+            self.coordinator.configure(
+                organisations, (node.name for node in self.store_copy.nodes), now_ms
+            )
 
     async def admit(self, organisation: str, wait_ms: float) -> bool:
         """Acquire one token of an organisation, waiting up to `wait_ms`."""
@@ -107,13 +118,13 @@
         if self.is_stopping:
             # The node uses its shares again at once, before its delegation expires, so
             # this coordinator must never count them again.
-            coordinator.remove_delegation(node)
+            coordinator.remove_delegation(node, now_ms)
             return SharesGranted(
                 message.request, coordinator.epoch, NO_DELEGATION, (), age_ms
             )
         reply = message.reply if message.epoch == coordinator.epoch else NO_DELEGATION
         number, granted = coordinator.exchange(
-            node, message.nodes, reply, message.wanted, now_ms
+            node, message.nodes, reply, message.wanted, now_ms, message.unused_ms
         )
         return SharesGranted(
             message.request, coordinator.epoch, number, granted, age_ms
@@ -125,7 +136,7 @@
         """End the delegation of a node that has changed to another coordinator."""
         epoch = 0
         if self.coordinator is not None:
-            self.coordinator.remove_delegation(node)
+            self.coordinator.remove_delegation(node, self.clock.now_ms())
             epoch = self.coordinator.epoch
         age_ms = self.store_copy.age_ms()
         return SharesGranted(message.request, epoch, NO_DELEGATION, (), age_ms)
@@ -135,6 +146,7 @@
         duty = Duty(message.holder, message.revision, message.claim)
         self.store_copy.record_duty(message.name, duty)
         self.follow_duty()
+        self.duty_announced.set()
         self.exchange_requested.set()
         return DutyNoted(message.request)
 
@@ -166,16 +178,29 @@
                     await self.exchange_requested.wait()
             self.exchange_requested.clear()
             if self.store_copy.confirmed_ms is None:
-                await asyncio.sleep(EXCHANGE_INTERVAL_MS / 1000)
                 continue
-            has_response = await self._exchange()
-            if not self.is_stopping:
-                await self._take_over(has_response)
-            if not has_response:
-                await asyncio.sleep(EXCHANGE_INTERVAL_MS / 1000)
+            self.duty_announced.clear()
+            if not await self.exchange():
+                # Waiting operations must not cause requests to an unresponsive node.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(EXCHANGE_INTERVAL_MS / 1000):
+                        await self.duty_announced.wait()
             self.exchange_done.set()
             self.exchange_done = asyncio.Event()
 
+    async def exchange(self) -> bool:
+        """Send the coordinator one request, and replace it if it is lost.
+
+        Returns
+        -------
+        bool
+            Whether the coordinator has responded.
+        """
+        has_response = await self._exchange()
+        if self.is_stopping:
+            return has_response
+        return await self._take_over(has_response) or has_response
+
     async def _await_exchange(self, request_ms: float, until_ms: float) -> None:
         """Wait for the next exchange at `request_ms` or later."""
         delay_ms = request_ms - self.clock.now_ms()
@@ -201,6 +226,7 @@
         node has to wait until the delegation expires.
         """
         earlier, self.delegated_to = self.delegated_to, ""
+        self.counted_elsewhere_until_ms = self.limiter.delegated_until_ms
         is_returned = earlier == self.name
         record = self.failover.find_node(earlier)
         if not is_returned and record is not None:
@@ -209,15 +235,22 @@
             )
             is_returned = isinstance(response, SharesGranted | NotRunning)
         if is_returned:
-            self.limiter.end_delegation(self.clock.now_ms())
+            self._end_delegation()
+
+    def _end_delegation(self) -> None:
+        now_ms = self.clock.now_ms()
+        self.limiter.end_delegation(now_ms)
+        self.counted_elsewhere_until_ms = now_ms
 
-    async def _take_over(self, has_response: bool) -> None:
-        """Replace a lost or stale coordinator, unless another node is faster."""
+    async def _take_over(self, has_response: bool) -> bool:
+        """Replace a lost or stale coordinator; return whether this node did."""
         failover = self.failover
         replace = failover.replace_stale if has_response else failover.replace_lost
-        if await replace():
-            self.configure()
-            self.exchange_requested.set()
+        if not await replace():
+            return False
+        self.configure()
+        self.exchange_requested.set()
+        return True
 
     async def _exchange(self) -> bool:
         """Send the coordinator one request; return whether it is the coordinator."""
@@ -233,16 +266,22 @@
         now_ms = self.clock.now_ms()
         if response.reply == NO_DELEGATION:
             if response.epoch == self.epoch:
-                self.limiter.end_delegation(now_ms)
+                self._end_delegation()
             return False
         self.failover.record_response(requested_ms, response.copy_age_ms)
         if response.epoch != self.epoch:
-            if now_ms < self.limiter.delegated_until_ms:
-                # The shares are still delegated to the earlier coordinator.
+            if self.delegated_to != coordinator_name and (
+                now_ms < self.counted_elsewhere_until_ms
+            ):
+                # The shares are still delegated to the earlier coordinator, so this
+                # response must not be confirmed. Its tokens are shares of other nodes.
+                self.limiter.record_grants(response.granted, requested_ms, now_ms)
                 return True
             # The coordinator counts the delegation only when the next request confirms
             # this response.
             self.exchange_requested.set()
+        else:
+            self.limiter.unused_since_ms = None
         self.delegated_to = coordinator_name
         self.epoch, self.reply = response.epoch, response.reply
         self.limiter.record_grants(response.granted, requested_ms, now_ms)
@@ -252,33 +291,46 @@
         self, coordinator_name: str, requested: tuple[tuple[str, int], ...]
     ) -> SharesGranted | None:
         nodes = max(1, len(self.store_copy.nodes))
+        unused_ms = self.limiter.unused_ms(self.clock.now_ms())
+
+        def make_request(request: int) -> SharesWanted:
+            return SharesWanted(
+                request, self.epoch, self.reply, nodes, requested, unused_ms
+            )
+
         if coordinator_name == self.name:
-            own = SharesWanted(0, self.epoch, self.reply, nodes, requested)
-            return self.grant(self.name, own)
+            return self.grant(self.name, make_request(0))
         record = self.failover.find_node(coordinator_name)
         if record is None:
             return None
         response = await self.peers.send_request(
-            record,
-            lambda request: SharesWanted(
-                request, self.epoch, self.reply, nodes, requested
-            ),
-            EXCHANGE_TIMEOUT_MS,
+            record, make_request, EXCHANGE_TIMEOUT_MS
         )
         return response if isinstance(response, SharesGranted) else None
 
     def follow_duty(self) -> None:
         """Become coordinator or stop being it, according to the duty's record."""
         duty = self.store_copy.find_duty(RATES_DUTY).duty
-        if duty.holder != self.name:
+        if not self.store_copy.is_own_claim(duty):
+            self.has_restarted_as_coordinator = duty.holder == self.name
             self.coordinator = None
         elif self.coordinator is None or self.coordinator.epoch != duty.revision:
-            self.coordinator = make_rate_coordinator(duty.revision, self.clock.now_ms())
+            restarted_ms = None
+            if self.has_restarted_as_coordinator:
+                restarted_ms = self.process_started_ms
+            self.coordinator = make_rate_coordinator(
+                duty.revision, self.clock.now_ms(), restarted_ms
+            )
+            self.has_restarted_as_coordinator = False
 
 
 def make_rate_exchange(
-    name: str, clock: Clock, store_copy: StoreCopy, peers: Peers
+    name: str,
+    clock: Clock,
+    store_copy: StoreCopy,
+    peers: Peers,
+    process_started_ms: float,
 ) -> RateExchange:
     """Return a node's part in dividing the rates; no shares are delegated yet."""
     failover = CoordinatorFailover(name, clock, store_copy, peers)
-    return RateExchange(name, clock, store_copy, peers, failover)
+    return RateExchange(name, clock, store_copy, peers, failover, process_started_ms)
--- a/src/radishtrack/pooler/rate_limit.py
+++ b/src/radishtrack/pooler/rate_limit.py
@@ -75,6 +75,9 @@
     delegated_until_ms: float = 0.0
     """The node does not use its own shares before this time."""
     is_delegating: bool = False
+    unused_since_ms: float | None = None
+    """Since when this process has neither used nor delegated its own shares; None once
+    it has."""
 
     def configure(
         self, organisations: Mapping[str, Organisation], nodes: int, now_ms: float
@@ -112,6 +115,7 @@
         if demand.share.tokens < 1.0:
             return False
         demand.share.tokens -= 1.0
+        self.unused_since_ms = None
         return True
 
     def next_request_ms(self, organisation: str) -> float:
@@ -134,6 +138,10 @@
         """Use this node's shares again, since the coordinator no longer counts them."""
         self.delegated_until_ms = min(self.delegated_until_ms, now_ms)
 
+    def unused_ms(self, now_ms: float) -> float:
+        """Return for how long the shares of a starting process have been unused."""
+        return 0.0 if self.unused_since_ms is None else now_ms - self.unused_since_ms
+
     def collect_requests(self, now_ms: float) -> tuple[tuple[str, int], ...]:
         """Return the tokens to request, and reset the counts of used tokens."""
         return tuple(self._collect_requests(now_ms))
--- a/src/radishtrack/pooler/shares.py
+++ b/src/radishtrack/pooler/shares.py
@@ -11,6 +11,17 @@
 
 Therefore several nodes may act as coordinator at a time: each grants no more than is
 delegated to it, and a node delegates to one at a time.
+
+A node that has just started may delegate at once, before the others divide the rates by
+one node more. The shares then add up to more than the rate, but the coordinator leaves
+out the largest share that each other node may use by itself, so it grants no more than
+what remains. Its own shares the node may not use until all have read its record.
+
+Tokens of a share are counted once for each moment. A process that starts has neither
+used nor delegated its shares since its start, and an earlier process of its name ended
+before it. So the coordinator credits the shares of that time, as if they had been
+delegated to it, but not the time in which it or another coordinator may have counted a
+delegation of the earlier process.
 """
 
 from __future__ import annotations
@@ -31,6 +42,11 @@
 in; losing the coordinator interrupts small shares for as long."""
 GRANT_MS: Final = 500.0
 """Validity of granted tokens, from the time of the request."""
+UNDELEGATED_WAIT_MS: Final = 20.0
+"""Wait for tokens while no shares are delegated: a few round trips between nodes."""
+UNUSED_LIMIT_MS: Final = 1_000.0
+"""Longest time for which a starting node's unused shares are credited; a start takes
+less."""
 TRACKED_RESPONSES: Final = 32
 """Responses to each node whose sending times are kept."""
 NO_DELEGATION: Final = 0
@@ -70,6 +86,13 @@
     outstanding: deque[tuple[float, int]] = attrs.field(factory=deque)
     """Expiry and number of granted tokens, in order of expiry."""
 
+    def refill(self, now_ms: float) -> None:
+        """Add the refill up to now and settle the grants that have expired."""
+        self.bucket.refill(now_ms)
+        while self.outstanding and self.outstanding[0][0] <= now_ms:
+            _, count = self.outstanding.popleft()
+            self.bucket.settle(count)
+
 
 @attrs.define
 class RateCoordinator:
@@ -81,22 +104,34 @@
         Revision of the duty's record that made this node the coordinator.
     since_ms : float
         When it became the coordinator.
+    sole_since_ms : float
+        Since when no other coordinator has counted a delegation.
     """
 
     epoch: int
     since_ms: float
+    sole_since_ms: float
     organisations: Mapping[str, Organisation] = attrs.field(factory=dict)
+    nodes: tuple[str, ...] = ()
+    """Names of the nodes that may use shares of their own."""
     delegations: dict[str, Delegation] = attrs.field(factory=dict)
     buckets: dict[str, DelegatedBucket] = attrs.field(factory=dict)
+    part: float = 0.0
+    """Part of every rate that the buckets have."""
 
     def configure(
-        self, organisations: Mapping[str, Organisation], now_ms: float
+        self,
+        organisations: Mapping[str, Organisation],
+        nodes: Iterable[str],
+        now_ms: float,
     ) -> None:
-        """Apply the configured rates."""
-        self._refill(now_ms)
+        """Apply the configured rates and the names of all nodes."""
+        self._refill_all(now_ms)
         self.organisations = organisations
+        self.nodes = tuple(nodes)
         for name in self.buckets.keys() - organisations.keys():
             del self.buckets[name]
+        self.part = self._delegated_part(now_ms)
         self._apply_rates(now_ms)
 
     def exchange(
@@ -106,6 +141,7 @@
         reply: int,
         requested: Iterable[tuple[str, int]],
         now_ms: float,
+        unused_ms: float = 0.0,
     ) -> tuple[int, tuple[tuple[str, int, float], ...]]:
         """Record a node's delegation and return a response number and the grants.
 
@@ -121,6 +157,8 @@
             Pairs of organisation and number of tokens.
         now_ms : float
             Current time in milliseconds.
+        unused_ms : float
+            Time in milliseconds for which its shares were unused until now.
 
         Returns
         -------
@@ -128,56 +166,84 @@
             Number of the response, and for each request the organisation, the granted
             tokens and, if there are none, the time in milliseconds until there may be.
         """
-        self._refill(now_ms)
         delegation = self.delegations.setdefault(node, Delegation())
         delegation.nodes = max(1, nodes)
+        credited_ms = 0.0
         sent_ms = delegation.sent_ms.get(reply)
         if sent_ms is not None:
-            delegated_until_ms = sent_ms + DELEGATION_MS
+            counted_until_ms = delegation.delegated_until_ms
+            if counted_until_ms < now_ms:
+                uncounted_ms = now_ms - max(counted_until_ms, self.sole_since_ms)
+                credited_ms = min(unused_ms, UNUSED_LIMIT_MS, uncounted_ms)
             delegation.delegated_until_ms = max(
-                delegation.delegated_until_ms, delegated_until_ms
+                counted_until_ms, sent_ms + DELEGATION_MS
             )
         delegation.last_reply += 1
         delegation.sent_ms[delegation.last_reply] = now_ms
         delegation.sent_ms.pop(delegation.last_reply - TRACKED_RESPONSES, None)
-        self._apply_rates(now_ms)
+        part = self._delegated_part(now_ms)
+        if part != self.part:
+            self._refill_all(now_ms)
+            credited_part = min(1.0 / delegation.nodes, max(0.0, part - self.part))
+            self.part = part
+            self._apply_rates(now_ms)
+            if credited_ms > 0:
+                self._credit(credited_part, credited_ms)
         granted = tuple(self._grant(name, tokens, now_ms) for name, tokens in requested)
         return delegation.last_reply, granted
 
-    def remove_delegation(self, node: str) -> None:
+    def remove_delegation(self, node: str, now_ms: float) -> None:
         """Count a node's shares as returned."""
+        self._refill_all(now_ms)
         self.delegations.pop(node, None)
+        self.part = self._delegated_part(now_ms)
+        self._apply_rates(now_ms)
 
     def _grant(self, name: str, tokens: int, now_ms: float) -> tuple[str, int, float]:
         delegated = self.buckets.get(name)
         if delegated is None:
             return name, 0, 0.0
+        delegated.refill(now_ms)
         count = max(0, min(tokens, delegated.bucket.available()))
         if count:
             delegated.bucket.reserve(count)
             delegated.outstanding.append((now_ms + GRANT_MS, count))
             return name, count, 0.0
+        if self.part == 0.0:
+            # The nodes delegate with their next requests.
+            return name, 0, UNDELEGATED_WAIT_MS
         wait_ms = delegated.bucket.wait_ms()
         return name, 0, wait_ms if math.isfinite(wait_ms) else GRANT_MS
 
-    def _refill(self, now_ms: float) -> None:
+    def _refill_all(self, now_ms: float) -> None:
         for delegated in self.buckets.values():
-            delegated.bucket.refill(now_ms)
-            while delegated.outstanding and delegated.outstanding[0][0] <= now_ms:
-                _, count = delegated.outstanding.popleft()
-                delegated.bucket.settle(count)
+            delegated.refill(now_ms)
 
-    def _apply_rates(self, now_ms: float) -> None:
-        """Set the buckets to the shares that are delegated now."""
-        delegated_part = math.fsum(
-            1.0 / delegation.nodes
-            for delegation in self.delegations.values()
+    def _delegated_part(self, now_ms: float) -> float:
+        """Return the part of every rate that no node uses by itself."""
+        delegated = {
+            name
+            for name, delegation in self.delegations.items()
             if delegation.delegated_until_ms > now_ms
+        }
+        part = math.fsum(1.0 / self.delegations[name].nodes for name in delegated)
+        used_elsewhere = math.fsum(
+            1.0 / self._count_nodes(name)
+            for name in self.nodes
+            if name not in delegated
         )
-        part = min(1.0, delegated_part)
+        return max(0.0, min(part, 1.0 - used_elsewhere))
+
+    def _count_nodes(self, name: str) -> int:
+        """Return the number of nodes among which a node divides, as far as known."""
+        delegation = self.delegations.get(name)
+        return len(self.nodes) if delegation is None else delegation.nodes
+
+    def _apply_rates(self, now_ms: float) -> None:
+        """Set the buckets to the shares that are delegated now."""
         for name, organisation in self.organisations.items():
-            rate_micro = int(organisation.rate_per_s * part * MICRO)
-            capacity = int(organisation.burst * part)
+            rate_micro = int(organisation.rate_per_s * self.part * MICRO)
+            capacity = int(organisation.burst * self.part)
             existing = self.buckets.get(name)
             if existing is None:
                 bucket = make_empty_bucket(rate_micro, capacity, now_ms)
@@ -185,7 +251,26 @@
             else:
                 existing.bucket.configure(rate_micro, capacity)
 
+    def _credit(self, part: float, unused_ms: float) -> None:
+        for name, organisation in self.organisations.items():
+            rate_micro = int(organisation.rate_per_s * part * MICRO)
+            self.buckets[name].bucket.credit(rate_micro, unused_ms)
+
+
+def make_rate_coordinator(
+    epoch: int, since_ms: float, restarted_ms: float | None = None
+) -> RateCoordinator:
+    """Return a coordinator to which no shares are delegated yet.
 
-def make_rate_coordinator(epoch: int, since_ms: float) -> RateCoordinator:
-    """Return a coordinator to which no shares are delegated yet."""
-    return RateCoordinator(epoch, since_ms)
+    Parameters
+    ----------
+    epoch : int
+        Revision of the duty's record.
+    since_ms : float
+        Current time in milliseconds.
+    restarted_ms : float, optional
+        Start of this process, if an earlier process of this node was the coordinator
+        before; that process has ended, and its delegations with it.
+    """
+    sole_since_ms = since_ms + DELEGATION_MS if restarted_ms is None else restarted_ms
+    return RateCoordinator(epoch, since_ms, sole_since_ms)
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -318,9 +318,17 @@
         if self.find_duty(name).duty.holder == self.node.name:
             await self._write_duty(name, NO_HOLDER)
 
+    def is_own_claim(self, duty: Duty) -> bool:
+        """Return whether this process, not an earlier one here, claimed a duty."""
+        return duty.holder == self.node.name and duty.claim.startswith(self._claim_mark)
+
+    @property
+    def _claim_mark(self) -> str:
+        return f"{self.node.name}/{self.node.started_ms}/"
+
     async def _write_duty(self, name: str, holder: str) -> Duty | None:
         self.claim_count += 1
-        claim = f"{self.node.name}/{self.node.started_ms}/{self.claim_count}"
+        claim = f"{self._claim_mark}{self.claim_count}"
         observed = self.find_duty(name).duty
         claimed = await self.store.claim_duty(name, observed, holder, claim)
         if claimed is not None:
--- a/src/radishtrack/rates/bucket.py
+++ b/src/radishtrack/rates/bucket.py
@@ -57,6 +57,12 @@
         added = self.rate_micro * elapsed_ns * DRIFT_NUMERATOR // DRIFT_DENOMINATOR
         self.level_units = min(self.level_units + added, self.max_level_units())
 
+    def credit(self, rate_micro: int, duration_ms: float) -> None:
+        """Add what another bucket's rate added in the time in which it was not used."""
+        duration_ns = int(duration_ms * NANOSECONDS_PER_MILLISECOND)
+        added = rate_micro * duration_ns * DRIFT_NUMERATOR // DRIFT_DENOMINATOR
+        self.level_units = min(self.level_units + added, self.max_level_units())
+
     def max_level_units(self) -> int:
         """Return the highest level that the reserved tokens allow."""
         return max(0, self.capacity - self.reserved) * UNITS_PER_TOKEN
--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -112,7 +112,7 @@
     async def start_node(self, name: str) -> RunningNode:
         clock = make_boot_clock()
         record = NodeRecord(name, "127.0.0.1", find_free_ports(1)[0], "oslo-a", 1)
-        options = NodeOptions(record, 6_000.0, 3_000.0)
+        options = NodeOptions(record, 6_000.0, 3_000.0, clock.now_ms())
         node = make_node(
             options,
             clock,
--- a/tests/test_holder_cleanup.py
+++ b/tests/test_holder_cleanup.py
@@ -46,7 +46,9 @@
     return
 
 
-async def test_statement_in_a_transaction_has_ended_when_its_iterator_is_closed() -> None:
+async def test_statement_in_a_transaction_has_ended_when_its_iterator_is_closed() -> (
+    None
+):
     """The late cleanup of a statement ended the transaction under the next one.
 
     The client saw 9001 "the transaction was rolled back" for an error of its own.
--- a/tests/test_pooler_shares.py
+++ b/tests/test_pooler_shares.py
@@ -39,7 +39,7 @@
     """Requests and responses are lost or late, and one node restarts."""
     random = Random(seed).random
     coordinator = make_rate_coordinator(1, 0.0)
-    coordinator.configure(CONFIGURED, 0.0)
+    coordinator.configure(CONFIGURED, NODES, 0.0)
     limiters = {name: RateLimiter() for name in NODES}
     replies = dict.fromkeys(NODES, 0)
     for limiter in limiters.values():
@@ -78,7 +78,7 @@
 def test_delegated_shares_follow_the_demand() -> None:
     """One node may need the whole rate of an organisation."""
     coordinator = make_rate_coordinator(1, 0.0)
-    coordinator.configure(CONFIGURED, 0.0)
+    coordinator.configure(CONFIGURED, NODES, 0.0)
     for round_ms in (0.0, 10.0):
         for name in NODES:
             coordinator.exchange(name, len(NODES), int(round_ms > 0), (), round_ms)
@@ -140,7 +140,7 @@
     random = Random(seed).random
     coordinators = {1: make_rate_coordinator(1, 0.0), 2: make_rate_coordinator(2, 0.0)}
     for coordinator in coordinators.values():
-        coordinator.configure(CONFIGURED, 0.0)
+        coordinator.configure(CONFIGURED, NODES, 0.0)
     limiters = {name: RateLimiter() for name in NODES}
     epochs = dict.fromkeys(NODES, 0)
     replies = dict.fromkeys(NODES, 0)
@@ -156,7 +156,7 @@
                 continue
             target = 2 if now >= turns[name] else 1
             if target == 2 and epochs[name] == 1 and random() < returned:
-                coordinators[1].remove_delegation(name)
+                coordinators[1].remove_delegation(name, now)
                 limiter.end_delegation(now)
             limiter.add_waiting("verksted", 50)
             requested = limiter.collect_requests(now)
