Keep nodes and tasks running after a bad message or an unexpected error

Cause: an unexpected error in any long-lived task of a platform node ended the process; in a member's monitor it ended the polls until the store changed next. A peer's malformed group record ended a node of the MySQL side. A failed handler of a peer's request, also one whose response exceeds the frame limit, left the peer waiting for its whole time limit, and nothing was logged. An organisation that is removed meanwhile raised KeyError in find_allocator_node. Copies opened one link more to an unlisted seed in each round. Entry.count_not_run had no caller, so radishtrack_refused stayed 0. The object client counted characters as bytes. Change: supervise() starts long-lived tasks of a platform node again after a growing pause; the peer server logs the error and answers Failed; the others as named.

--- a/src/radishtrack/frontend/session.py
+++ b/src/radishtrack/frontend/session.py
@@ -106,6 +106,7 @@
             reply = await self.entry.execute(self.state, prepared)
             return await self._make_result(reply)
         except RequestError as error:
+            self.entry.count_not_run(self.state, error.failure)
             raise _make_error(error) from error
         finally:
             self._update_status()
--- a/src/radishtrack/objects/client.py
+++ b/src/radishtrack/objects/client.py
@@ -49,7 +49,7 @@
 
 
 ObserveCall = Callable[[str, int], None]
-"""Called with the result of a call and the length of its response text."""
+"""Called with the result of a call and the length of its response in bytes."""
 
 
 def _ignore_call(_result: str, _size: int) -> None:
@@ -305,8 +305,10 @@
                     raise PlatformUnavailable(
                         step, self.url, is_write, f"status {response.status}"
                     )
-                text = await response.text()
-                return _Response(response.status, _decode(text), len(text))
+                body_bytes = await response.read()
+                return _Response(
+                    response.status, _decode(body_bytes.decode()), len(body_bytes)
+                )
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailable(step, self.url, False, str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
--- a/src/radishtrack/peer/server.py
+++ b/src/radishtrack/peer/server.py
@@ -122,16 +122,35 @@
     async def _handle(self, message: Message) -> None:
         # A lost connection also ends `read`, after which `end` cleans up.
         with contextlib.suppress(WebSocketException):
-            if isinstance(message, Execute):
-                await self._execute(message)
-            elif isinstance(message, EndSession):
-                await self.handlers.end_session(self.connection_id, message.session)
-            else:
-                response = await self.handlers.call(self.node, message)
-                if response is not None:
-                    frame = encode(response)
-                    self.handlers.observe_control(len(frame))
-                    await self.socket.send(frame)
+            try:
+                await self._respond(message)
+            except WebSocketException:
+                raise
+            except Exception as error:
+                # Only this exchange fails. Without a response, the peer would wait for
+                # its whole time limit.
+                name = type(message).__name__
+                log_event(
+                    Event.BACKGROUND_FAILED,
+                    task=f"response to {name} of {self.node}",
+                    reason=repr(error),
+                )
+                number = getattr(message, "request", None)
+                if number is not None:
+                    failure = _make_send_failure(number, repr(error))
+                    await self.socket.send(encode(failure))
+
+    async def _respond(self, message: Message) -> None:
+        if isinstance(message, Execute):
+            await self._execute(message)
+        elif isinstance(message, EndSession):
+            await self.handlers.end_session(self.connection_id, message.session)
+        else:
+            response = await self.handlers.call(self.node, message)
+            if response is not None:
+                frame = encode(response)
+                self.handlers.observe_control(len(frame))
+                await self.socket.send(frame)
 
     async def _execute(self, message: Execute) -> None:
         credit = self.credits[message.request]
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -51,7 +51,7 @@
 )
 from radishtrack.pooler.statements import Refusal
 from radishtrack.pooler.store_copy import StoreCopy
-from radishtrack.pooler.tasks import start_task
+from radishtrack.pooler.tasks import start_task, supervise
 
 UNLISTED_EXPIRY_MS: Final = 5_000.0
 """Members that the store has not listed for this long get no more work: 2 s longer than
@@ -111,13 +111,16 @@
     async def run(self) -> None:
         """Run all tasks; never returns."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self.store_copy.run())
-            tasks.create_task(self.log.run())
-            tasks.create_task(self._serve_peers())
-            tasks.create_task(self.promoter.run())
-            tasks.create_task(self.rates.run())
-            tasks.create_task(self.relay.run())
-            tasks.create_task(self._run_housekeeping())
+            for run, name in (
+                (self.store_copy.run, "copy of the store"),
+                (self.log.run, "request log"),
+                (self._serve_peers, "peer server"),
+                (self.promoter.run, "promoter"),
+                (self.rates.run, "rate exchange"),
+                (self.relay.run, "report relay"),
+                (self._run_housekeeping, "housekeeping"),
+            ):
+                tasks.create_task(supervise(run, name, self.clock))
 
     async def open_session(
         self, database: str, key: str | None
@@ -199,7 +202,10 @@
                 self.rates.is_coordinator,
                 self.clock,
             )
-            self.monitors[member] = start_task(monitor.run(), f"monitor of {member}")
+            name = f"monitor of {member}"
+            self.monitors[member] = start_task(
+                supervise(monitor.run, name, self.clock), name
+            )
 
     def _has_all_announcements(self, max_age_ms: float) -> bool:
         return self.is_listening and self.store_copy.has_all_announcements(max_age_ms)
--- a/src/radishtrack/proxy/allocators.py
+++ b/src/radishtrack/proxy/allocators.py
@@ -95,8 +95,8 @@
         )
 
     def find_allocator_node(self, organisation: str) -> str:
-        """Return the node where an organisation's allocator is placed."""
-        if self.document is None:
+        """Return the node of an organisation's allocator; empty if it is unknown."""
+        if self.document is None or organisation not in self.document.organisations:
             return ""
         owner = self.document.organisations[organisation].owner
         regions = sorted(
--- a/src/radishtrack/proxy/copies.py
+++ b/src/radishtrack/proxy/copies.py
@@ -79,6 +79,8 @@
     on_revoked: Callable[[RevokedKey], None]
     on_configured: Callable[[], None]
     last_request_ms: float = 0.0
+    seed_links: dict[str, PeerLink] = attrs.field(factory=dict)
+    """Open links to seeds that the platform's list lacks, by address."""
     numbers: itertools.count[int] = attrs.field(
         factory=lambda: itertools.count(-2_000_000_000, step=-1)
     )
@@ -174,10 +176,13 @@
         await self._request_over_link(link)
 
     async def _request_seed(self, seed: Address) -> None:
-        try:
-            link = await self.router.open_link(str(seed))
-        except LinkClosed:
-            return
+        link = self.seed_links.get(str(seed))
+        if link is None or link.closed:
+            try:
+                link = await self.router.open_link(str(seed))
+            except LinkClosed:
+                return
+            self.seed_links[str(seed)] = link
         current = self.router.links.get(link.node)
         if current is None or current.closed:
             self.router.links[link.node] = link
--- a/src/radishtrack/proxy/votes.py
+++ b/src/radishtrack/proxy/votes.py
@@ -11,7 +11,8 @@
 
 from radishtrack.backend.admin_connection import MEMBER_ERRORS, make_connect
 from radishtrack.clock import Clock
-from radishtrack.group.record import format_record, parse_record
+from radishtrack.events import Event, log_event
+from radishtrack.group.record import RecordError, format_record, parse_record
 from radishtrack.peer.link import LinkClosed
 from radishtrack.peer.messages import Record, RecordRequest, Vote, VoteRequest
 from radishtrack.proxy.router import Router
@@ -118,8 +119,13 @@
         except LinkClosed:
             return
         if isinstance(response, Record) and response.version:
-            value = cbor2.loads(response.value)
-            self.slots.update_record(parse_record(database, response.version, value))
+            try:
+                value = cbor2.loads(response.value)
+                record = parse_record(database, response.version, value)
+            except (RecordError, cbor2.CBORDecodeError, ValueError) as error:
+                log_event(Event.PEER_REFUSED, peer=name, reason=error)
+                return
+            self.slots.update_record(record)
 
     async def _request_vote(self, name: str, database: str, member: str) -> bool | None:
         number = next(self.numbers)
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -13,6 +13,7 @@
 import struct
 import subprocess
 import time
+import urllib.request
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -181,6 +182,22 @@
     assert catch_error_code(run_statement) in (9005, 1049)
 
 
+def test_refused_request_is_counted_by_reason(
+    cluster: Cluster, connection: Any
+) -> None:
+    """Nothing called the function that counts, so the metric stayed 0."""
+    assert catch_error_code(run, connection, "FLUSH TABLES") == 9001
+    address = f"http://127.0.0.1:{cluster.proxies[0].admin_port}/metrics"
+    with urllib.request.urlopen(address, timeout=5) as response:
+        lines = response.read().decode().splitlines()
+    counts = [
+        float(line.split()[-1])
+        for line in lines
+        if line.startswith("radishtrack_refused_total") and 'reason="option"' in line
+    ]
+    assert sum(counts) >= 1
+
+
 def test_database_can_be_selected_later(cluster: Cluster) -> None:
     connection = connect(cluster, database=None, autocommit=True)
     connection.select_db(DATABASE)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -16,8 +16,10 @@
 from radishtrack.peer.link import LinkClosed, PeerLink, open_link
 from radishtrack.peer.messages import (
     MAX_FRAME_BYTES,
+    Copy,
     Done,
     Execute,
+    Failed,
     Message,
     ResultHead,
     Rows,
@@ -72,6 +74,10 @@
         self.ended.append("connection")
 
     async def call(self, peer: str, message: Message) -> Message | None:
+        if isinstance(message, VoteRequest) and message.member == "faulty":
+            raise KeyError("unexpected")
+        if isinstance(message, VoteRequest) and message.member == "large":
+            return Copy(message.request, 0.0, (bytes(MAX_FRAME_BYTES),))
         if isinstance(message, VoteRequest) and message.member != "silent":
             return Vote(message.request, True)
         return None
@@ -218,6 +224,15 @@
         return
 
 
+@pytest.mark.parametrize("member", ["faulty", "large"])
+async def test_failed_handler_ends_only_its_exchange(member: str) -> None:
+    """The peer waited for its whole time limit, and the error was not logged."""
+    async with open_pair(Holder()) as link:
+        request = VoteRequest(1, "d", member)
+        assert isinstance(await link.call(request, 1, 30.0), Failed)
+        assert isinstance(await link.call(VoteRequest(2, "d", "m"), 2, 5.0), Vote)
+
+
 @pytest.mark.parametrize("steps", range(5))
 async def test_a_response_does_not_undo_a_cancellation(steps: int) -> None:
     """`asyncio.wait_for` in Python 3.11 can drop a cancellation as a response arrives.
