Answer no unknown database before the first configuration is read

Cause: a node listens before it has read the configuration, and answered NODB until then. Change: a client that comes first waits for the first read, at most 0.4 s, and is refused as BUSY if there is still none. Tests first: both fail on the code before.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -217,6 +217,9 @@
     def _authorise(
         self, database: str, key_digest: bytes | None
     ) -> SessionAccess | Denied:
+        if self.store_copy.confirmed_ms is None:
+            # Without a configuration, the node can't tell that a name is unknown.
+            return Denied(Refusal.BUSY, "the configuration has not been read yet")
         catalog = self.store_copy.catalog
         route = catalog.routes.get(database)
         if route is None:
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -40,6 +40,9 @@
 DEPARTURE_MS: Final = 4_500.0
 """Time for which a removed node still counts. It either sees within 0.8 s that its
 record is missing, or refuses all keys once its copy is 3 s old; the rest is margin."""
+FIRST_COPY_WAIT_MS: Final = 400.0
+"""Longest wait of a client for the first read of a starting node; clients come back
+after a refusal in about this time."""
 REFRESH_SPACING_MS: Final = 1_000.0
 """Smallest interval of calls caused by sessions with unknown names. Revoked keys are
 tried at all nodes, and a new name reaches every node within 1.3 s in any case."""
@@ -136,6 +139,8 @@
     is_available: bool = True
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the store has a later revision than the copy."""
+    has_copy: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set by the first read."""
     pending: asyncio.Task[None] | None = None
     unknown: dict[Hashable, int] = attrs.field(factory=dict)
     """Names missing from the configuration, with its version at that time."""
@@ -228,11 +233,18 @@
     async def refresh(self, name: Hashable) -> None:
         """Confirm the copy on demand; concurrent calls share one confirmation.
 
+        Before the first read it waits for that one, for `FIRST_COPY_WAIT_MS` at most.
+
         Parameters
         ----------
         name : hashable
             Name that is missing in the copy.
         """
+        if self.confirmed_ms is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_COPY_WAIT_MS / 1000):
+                    await self.has_copy.wait()
+            return
         now_ms = self.clock.now_ms()
         if self.unknown.get(name) == self.catalog.version:
             # Clients with a revoked key retry continually.
@@ -424,6 +436,7 @@
     def _record_confirmation(self, requested_ms: float) -> None:
         if self.confirmed_ms is None or requested_ms > self.confirmed_ms:
             self.confirmed_ms = requested_ms
+            self.has_copy.set()
 
     def _record_late(self) -> None:
         self.failed_ms = self.clock.now_ms()
--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -192,6 +192,9 @@
 def _is_ready(simulation: Simulation) -> bool:
     """Return whether all nodes have evidence and the rate coordinator has tokens."""
     coordinators = [running.node.rates.coordinator for running in simulation.nodes]
+    for running in simulation.nodes:
+        if running.node.rates.coordinator is not None:
+            running.node.rates.configure()
     tokens = [
         delegated.bucket.available()
         for coordinator in coordinators
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -168,3 +168,21 @@
         client: Client = await simulation.connect(simulation.nodes[0], "orders")
         assert (await client.execute("READ 1"))[0].startswith("DATAROW")
         assert simulation.nodes[0].node.find_group(GROUP).evidence.term == 1
+
+
+async def test_starting_node_refuses_no_name_before_it_has_read_any() -> None:
+    """After a loss of power, clients were told that their database does not exist."""
+    async with open_simulation() as simulation:
+        simulation.store.faults.is_unresponsive = True
+        starting = await simulation.start_node("edge-2")
+        connection = await simulation.open_connection(starting)
+        connection.write(encode_line(f"STARTUP orders {KEY}"))
+        assert (await connection.read_line()).startswith("ERROR BUSY")
+
+
+async def test_client_of_a_starting_node_waits_for_the_first_copy() -> None:
+    """A refusal costs a retry, and the first read takes a few milliseconds."""
+    async with open_simulation() as simulation:
+        starting = await simulation.start_node("edge-2")
+        assert starting.node.store_copy.confirmed_ms is None
+        await simulation.connect(starting, "orders")
