--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -69,6 +69,8 @@
     """When the coordinator's copy of the store was confirmed, by its last response."""
     probe_confirmed_ms: float = 0.0
     """When an indirect probe last showed that the coordinator responds."""
+    checked_duty: Duty | None = None
+    """Record that was last compared with the store before a replacement."""
     announcing: asyncio.Task[None] | None = None
 
     @property
@@ -104,8 +106,10 @@
             # An earlier process of this node was the coordinator. Nodes may confirm its
             # responses until there is a new epoch.
             return await self._claim(recorded)
-        # The duty may just have been released or claimed.
-        await self.store_copy.refresh(self.store_copy.find_duty(RATES_DUTY).duty)
+        if recorded != self.checked_duty:
+            # The duty may just have been released or claimed.
+            self.checked_duty = recorded
+            await self.store_copy.confirm_shared()
         observed = self.store_copy.find_duty(RATES_DUTY)
         if observed.duty.holder == self.name:
             return False
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -255,9 +255,14 @@
             if len(self.unknown) >= MAX_UNKNOWN_NAMES:
                 self.unknown.clear()
             self.refreshed_ms = now_ms
+        await self.confirm_shared()
+        self.unknown[name] = self.catalog.version
+
+    async def confirm_shared(self) -> None:
+        """Confirm the copy, together with concurrent callers."""
+        if self.pending is None or self.pending.done():
             self.pending = asyncio.create_task(self._confirm_once())
         await asyncio.shield(self.pending)
-        self.unknown[name] = self.catalog.version
 
     def has_all_announcements(self, max_age_ms: float) -> bool:
         """Return whether the node can rely on its knowledge of announced promotions.
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from radishtrack.platform.lines import encode_line
 from tests.pooler_simulation import (
     GROUP,
@@ -148,7 +150,7 @@
     async with open_simulation() as simulation:
         node = simulation.nodes[0].node
         client = await simulation.connect(simulation.nodes[0], "orders")
-        node.options = type(node.options)(node.options.node, 6_000.0, 500.0)
+        node.options = attrs.evolve(node.options, key_age_limit_ms=500.0)
         simulation.store.faults.status = 503
         await wait_until(lambda: not node.is_ready())
         assert (await client.execute("READ 1"))[0].startswith("ERROR BUSY")
