Let one node of each zone read changes of the store for the others

Cause: calls of the store are the largest price on the large site. Each node read the store every 4 s, each change of configuration, members or nodes itself, and each restart changed a record, which all nodes then read again. A new coordinator confirmed the copies only after up to 1.3 s, so that all nodes read the store in between. Change: a node takes changed parts from the first node of its zone, if they equal the digests that the coordinator confirmed, and reads the store if not; a restart at the same address changes no record; own reads every 20 s; a new coordinator reads at once; concurrent reads of a node are one. Tests first: with four nodes in a zone a change is read twice, before by all.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -489,6 +489,40 @@
     reports: tuple[PackedReport, ...]
 
 
+@attrs.define(frozen=True)
+class ContentWanted:
+    """Requests the parts of the store's content that the sender lacks.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    revision, catalog, members, fleet : int
+        The content that was confirmed to the sender, as in `Reports`.
+    present_catalog, present_members, present_fleet : int
+        Version and digests of the sender's own copy.
+    """
+
+    request: int
+    revision: int
+    catalog: int
+    members: int
+    fleet: int
+    present_catalog: int
+    present_members: int
+    present_fleet: int
+
+
+@attrs.define(frozen=True)
+class Content:
+    """Response to `ContentWanted`; parts that the receiver has already are empty."""
+
+    request: int
+    catalog: bytes
+    members: bytes
+    fleet: bytes
+
+
 Message = (
     Hello
     | Challenge
@@ -523,6 +557,8 @@
     | DutyNoted
     | ReportsWanted
     | Reports
+    | ContentWanted
+    | Content
 )
 
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
@@ -559,5 +595,7 @@
     DutyNoted,
     ReportsWanted,
     Reports,
+    ContentWanted,
+    Content,
 )
 """The index in this tuple is the type number on the wire; only append to it."""
--- a/src/radishtrack/pooler/catalog.py
+++ b/src/radishtrack/pooler/catalog.py
@@ -171,14 +171,16 @@
     zone : str
         Availability zone.
     started_ms : int
-        Unix time of its start.
+        Unix time of the start of the process that registered it. Records that differ
+        in it alone are equal, so a restart at the same address changes no record: each
+        change is read by all zones.
     """
 
     name: str
     host: str
     port: int
     zone: str
-    started_ms: int
+    started_ms: int = attrs.field(eq=False)
 
 
 @attrs.frozen
--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -109,7 +109,7 @@
         if recorded != self.checked_duty:
             # The duty may just have been released or claimed.
             self.checked_duty = recorded
-            await self.store_copy.confirm_shared()
+            await self.store_copy.confirm()
         observed = self.store_copy.find_duty(RATES_DUTY)
         if observed.duty.holder == self.name:
             return False
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -12,6 +12,7 @@
 from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import (
     BeliefWithdrawn,
+    ContentWanted,
     DutyChanged,
     Execute,
     HolderAsked,
@@ -26,6 +27,7 @@
 )
 from radishtrack.peer.server import PeerHandlers, start_peer_server
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.content_exchange import ContentExchange
 from radishtrack.pooler.group_access import GroupAccess, make_group_access
 from radishtrack.pooler.monitor import MemberMonitor
 from radishtrack.pooler.peers import Peers
@@ -98,6 +100,7 @@
     log: RequestLog
     rates: RateExchange
     relay: ReportRelay
+    content: ContentExchange
     groups: dict[str, GroupAccess] = attrs.field(factory=dict)
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     sessions: set[ClientSession] = attrs.field(factory=set)
@@ -337,6 +340,8 @@
                 return self.rates.record_duty(message)
             case ReportsWanted():
                 return self.relay.collect_reports(peer, message)
+            case ContentWanted():
+                return await self.content.respond(message)
             case _:
                 log_event(
                     Event.PEER_REFUSED, peer=peer, reason=f"unexpected {type(message)}"
@@ -393,6 +398,8 @@
         is_relay=rates.is_coordinator,
         groups=groups,
     )
+    content = ContentExchange(options.node, clock, store_copy, peers)
+    store_copy.request_content = content.request
     node = Node(
         options,
         clock,
@@ -403,6 +410,7 @@
         log,
         rates,
         relay,
+        content,
         groups=groups,
     )
     store_copy.on_change = node.apply_store_copy
--- a/src/radishtrack/pooler/rank.py
+++ b/src/radishtrack/pooler/rank.py
@@ -8,6 +8,15 @@
 from radishtrack.pooler.catalog import NodeRecord
 
 
+def find_first(duty: str, nodes: Iterable[NodeRecord]) -> NodeRecord | None:
+    """Return the node that ranks first for a duty; None if there are no nodes."""
+    return min(nodes, key=lambda node: _rank_key(duty, node.name), default=None)
+
+
+def _rank_key(duty: str, name: str) -> int:
+    return zlib.crc32(f"{duty}/{name}".encode())
+
+
 def rank_node(
     name: str, duty: str, nodes: Iterable[NodeRecord], first: str = ""
 ) -> int:
@@ -31,6 +40,6 @@
     """
     names = sorted(
         (node.name for node in nodes),
-        key=lambda other: (other != first, zlib.crc32(f"{duty}/{other}".encode())),
+        key=lambda other: (other != first, _rank_key(duty, other)),
     )
     return names.index(name) if name in names else len(names)
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -322,6 +322,9 @@
                 duty.revision, self.clock.now_ms(), restarted_ms
             )
             self.has_restarted_as_coordinator = False
+            # The others read the store themselves unless this node confirms their
+            # copies in time.
+            self.store_copy.is_outdated.set()
 
 
 def make_rate_exchange(
--- a/src/radishtrack/pooler/report_relay.py
+++ b/src/radishtrack/pooler/report_relay.py
@@ -22,7 +22,8 @@
 from radishtrack.pooler.catalog import MemberReport, NodeRecord
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.peers import Peers
-from radishtrack.pooler.store_copy import CopyContent, StoreCopy
+from radishtrack.pooler.store_content import CopyContent
+from radishtrack.pooler.store_copy import StoreCopy
 from radishtrack.session.position import Position
 
 RELAY_INTERVAL_MS: Final = 450.0
--- /dev/null
+++ b/src/radishtrack/pooler/store_content.py
@@ -0,0 +1,57 @@
+"""Describes what a copy of the store contains, by version and digests."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+import attrs
+
+from radishtrack.pooler.catalog import Member
+from radishtrack.pooler.ports import FleetListing
+
+DIGEST_BYTES: Final = 7
+"""Size of a digest, which must fit into a signed integer of 64 bits."""
+
+
+@attrs.frozen
+class CopyContent:
+    """What a copy of the store contains.
+
+    Parameters
+    ----------
+    revision : int
+        Store revision up to which the copy is complete.
+    catalog : int
+        Version of the configuration.
+    members : int
+        Digest of the list of members.
+    fleet : int
+        Digest of nodes, duties and announced terms.
+    """
+
+    revision: int
+    catalog: int
+    members: int
+    fleet: int
+
+
+def digest_members(members: tuple[Member, ...]) -> int:
+    """Return a digest of members; equal members have the same digest at all nodes."""
+    return _digest(sorted(members, key=repr))
+
+
+def digest_fleet(listing: FleetListing) -> int:
+    """Return a digest of the fleet's records, without the store's revision."""
+    return _digest(
+        (
+            sorted(listing.nodes, key=repr),
+            sorted(listing.duties.items()),
+            sorted(listing.terms.items()),
+        )
+    )
+
+
+def _digest(content: object) -> int:
+    text = repr(content).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest())
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -11,16 +11,33 @@
 
 import asyncio
 import contextlib
-import hashlib
-from collections.abc import Callable, Hashable, Mapping
+import math
+from collections.abc import Awaitable, Callable, Hashable, Mapping
 from typing import Final
 
 import attrs
 
 from radishtrack.clock import Clock
 from radishtrack.events import Event, log_event
+from radishtrack.peer.messages import Content
 from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
-from radishtrack.pooler.ports import ControlStore, Duty, StoreUnavailable
+from radishtrack.pooler.content_codec import (
+    ContentError,
+    decode_catalog,
+    decode_fleet,
+    decode_members,
+)
+from radishtrack.pooler.ports import (
+    ControlStore,
+    Duty,
+    FleetListing,
+    StoreUnavailable,
+)
+from radishtrack.pooler.store_content import (
+    CopyContent,
+    digest_fleet,
+    digest_members,
+)
 
 CONFIRM_INTERVAL_MS: Final = 800.0
 """Pause between calls. A change of the configuration must be in force within 3 s, even
@@ -32,8 +49,8 @@
 """Age of the copy at which a node reads the store itself. The coordinator reads it
 every 0.8 s and confirms every 0.45 s, so the copy reaches this age only if that node
 does not respond."""
-OWN_READ_INTERVAL_MS: Final = 4_000.0
-"""Pause after which a node reads the store itself in any case, so that it detects the
+OWN_READ_INTERVAL_MS: Final = 20_000.0
+"""Pause after which a node reads the store itself in any case, so that it reports the
 loss of its own path to the store."""
 RETRY_INTERVAL_MS: Final = 250.0
 """Pause after a call without a response."""
@@ -46,8 +63,6 @@
 REFRESH_SPACING_MS: Final = 1_000.0
 """Smallest interval of calls caused by sessions with unknown names. Revoked keys are
 tried at all nodes, and a new name reaches every node within 1.3 s in any case."""
-DIGEST_BYTES: Final = 7
-"""Size of a digest, which must fit into a signed integer of 64 bits."""
 MAX_UNKNOWN_NAMES: Final = 1_000
 """Number of unknown names that are cached."""
 
@@ -56,6 +71,10 @@
     return True
 
 
+async def _take_nothing(_wanted: CopyContent) -> Content | None:
+    return None
+
+
 @attrs.frozen
 class Departure:
     """A node whose record was removed, and when this node observed that."""
@@ -72,30 +91,9 @@
     observed_ms: float
 
 
-@attrs.frozen
-class CopyContent:
-    """What a copy of the store contains.
-
-    Parameters
-    ----------
-    revision : int
-        Store revision up to which the copy is complete.
-    catalog : int
-        Version of the configuration.
-    members : int
-        Digest of the list of members.
-    fleet : int
-        Digest of nodes, duties and announced terms.
-    """
-
-    revision: int
-    catalog: int
-    members: int
-    fleet: int
-
-
 NO_HOLDER: Final = ""
 """Holder of a duty that was released or never claimed."""
+EMPTY_FLEET: Final = FleetListing((), {}, {}, 0)
 NO_DUTY: Final = ObservedDuty(Duty(NO_HOLDER, 0, ""), 0.0)
 
 
@@ -121,6 +119,8 @@
     on_change: Callable[[], None]
     reads_for_fleet: Callable[[], bool] = _read_always
     """Returns whether the other nodes rely on this one to confirm their copies."""
+    request_content: Callable[[CopyContent], Awaitable[Content | None]] = _take_nothing
+    """Requests changed content from another node; None if the store must be read."""
     catalog: Catalog = EMPTY_CATALOG
     members: tuple[Member, ...] = ()
     registered: tuple[NodeRecord, ...] = ()
@@ -141,12 +141,14 @@
     """Set when the store has a later revision than the copy."""
     has_copy: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set by the first read."""
-    pending: asyncio.Task[None] | None = None
+    pending: asyncio.Task[bool] | None = None
     unknown: dict[Hashable, int] = attrs.field(factory=dict)
     """Names missing from the configuration, with its version at that time."""
     peer_confirmation: tuple[CopyContent, float] | None = None
     """Content confirmed by another node that this copy lacks, and the time at which it
     was current."""
+    fleet: FleetListing = EMPTY_FLEET
+    """The listing that the digest of the fleet describes."""
     fleet_digest: int = 0
     members_digest: int = 0
     refreshed_ms: float = -REFRESH_SPACING_MS
@@ -180,7 +182,7 @@
         """
         if content.revision < self.revision or self.confirmed_ms is None:
             return
-        if content == attrs.evolve(self.content, revision=content.revision):
+        if self.has_parts(content):
             # Objects of other kinds have changed, or objects were rewritten unchanged.
             self.revision = content.revision
             self._record_confirmation(confirmed_ms)
@@ -212,7 +214,68 @@
             The store's content as read by another node, and the time at which it was
             current. Parts that are equal in this copy are not read again.
         """
-        requested_ms = self.clock.now_ms()
+        if confirmation is not None and await self._take_from_peer(*confirmation):
+            return True
+        return await self._read_shared(confirmation)
+
+    def has_parts(self, content: CopyContent) -> bool:
+        """Return whether the copy has this content, whatever its revision is."""
+        return content == attrs.evolve(self.content, revision=content.revision)
+
+    async def read_content(self, content: CopyContent) -> None:
+        """Read content from the store that another node was told of."""
+        confirmed_ms = -math.inf if self.confirmed_ms is None else self.confirmed_ms
+        await self._read_shared((content, confirmed_ms))
+
+    async def _read_shared(
+        self, confirmation: tuple[CopyContent, float] | None
+    ) -> bool:
+        """Read the store, together with concurrent callers."""
+        if self.pending is None or self.pending.done():
+            self.pending = asyncio.create_task(
+                self._read_store(confirmation, self.clock.now_ms())
+            )
+        return await asyncio.shield(self.pending)
+
+    async def _take_from_peer(self, content: CopyContent, confirmed_ms: float) -> bool:
+        """Take changed content from another node; return whether the copy has it now.
+
+        The content counts only if it equals the confirmed digests.
+        """
+        if self.confirmed_ms is None:
+            return False
+        response = await self.request_content(content)
+        if response is None:
+            return False
+        try:
+            if response.catalog:
+                self._update_catalog(decode_catalog(response.catalog), content.revision)
+            if response.members:
+                members = decode_members(response.members)
+                if digest_members(members) == content.members:
+                    self._update_members(members)
+            if response.fleet:
+                listing = decode_fleet(response.fleet)
+                if digest_fleet(listing) == content.fleet and any(
+                    node == self.node for node in listing.nodes
+                ):
+                    self._update_fleet(listing)
+        except ContentError as error:
+            log_event(Event.LISTING_INVALID, object="content", reason=error)
+        is_complete = (
+            self.catalog.version >= content.catalog
+            and self.members_digest == content.members
+            and self.fleet_digest == content.fleet
+        )
+        if is_complete:
+            self.revision = max(self.revision, content.revision)
+            self._record_confirmation(confirmed_ms)
+        self.on_change()
+        return is_complete
+
+    async def _read_store(
+        self, confirmation: tuple[CopyContent, float] | None, requested_ms: float
+    ) -> bool:
         late_timer = asyncio.get_running_loop().call_later(
             LATE_RESPONSE_MS / 1000, self._record_late
         )
@@ -255,15 +318,9 @@
             if len(self.unknown) >= MAX_UNKNOWN_NAMES:
                 self.unknown.clear()
             self.refreshed_ms = now_ms
-        await self.confirm_shared()
+        await self.confirm()
         self.unknown[name] = self.catalog.version
 
-    async def confirm_shared(self) -> None:
-        """Confirm the copy, together with concurrent callers."""
-        if self.pending is None or self.pending.done():
-            self.pending = asyncio.create_task(self._confirm_once())
-        await asyncio.shield(self.pending)
-
     def has_all_announcements(self, max_age_ms: float) -> bool:
         """Return whether the node can rely on its knowledge of announced promotions.
 
@@ -363,9 +420,6 @@
             return float("inf")
         return self.clock.now_ms() - self.confirmed_ms
 
-    async def _confirm_once(self) -> None:
-        await self.confirm()
-
     async def _read_listing(
         self, requested_ms: float, peer_content: CopyContent | None
     ) -> None:
@@ -388,17 +442,7 @@
         self._update_catalog(catalog, listing.revision)
         if listing.revision > self.revision:
             self._update_members(members)
-            self._record_nodes(listing.nodes)
-            self.terms = listing.terms
-            for name, duty in listing.duties.items():
-                self.record_duty(name, duty)
-            self.fleet_digest = _digest(
-                (
-                    sorted(listing.nodes, key=repr),
-                    sorted(listing.duties.items()),
-                    sorted(listing.terms.items()),
-                )
-            )
+            self._update_fleet(listing)
             self.revision = listing.revision
         if catalog is not None:
             self._record_confirmation(requested_ms)
@@ -436,7 +480,15 @@
 
     def _update_members(self, members: tuple[Member, ...]) -> None:
         self.members = members
-        self.members_digest = _digest(sorted(members, key=repr))
+        self.members_digest = digest_members(members)
+
+    def _update_fleet(self, listing: FleetListing) -> None:
+        self._record_nodes(listing.nodes)
+        self.terms = listing.terms
+        for name, duty in listing.duties.items():
+            self.record_duty(name, duty)
+        self.fleet = listing
+        self.fleet_digest = digest_fleet(listing)
 
     def _record_confirmation(self, requested_ms: float) -> None:
         if self.confirmed_ms is None or requested_ms > self.confirmed_ms:
@@ -461,9 +513,3 @@
         if not self.is_available:
             self.is_available = True
             log_event(Event.PLATFORM_AVAILABLE, store_revision=self.revision)
-
-
-def _digest(content: object) -> int:
-    """Return a digest of records; equal records have the same digest at all nodes."""
-    text = repr(content).encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest())
--- /dev/null
+++ b/tests/test_content_exchange.py
@@ -0,0 +1,161 @@
+"""Tests that nodes of a zone share reads of the store and trust only proven content."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishtrack.clock import ManualTime, make_manual_clock
+from radishtrack.group.status import Role
+from radishtrack.peer.messages import Content
+from radishtrack.pooler.catalog import (
+    Catalog,
+    GroupSettings,
+    Member,
+    NodeRecord,
+    Organisation,
+    ReadClass,
+    Route,
+)
+from radishtrack.pooler.content_codec import (
+    ContentError,
+    decode_catalog,
+    decode_fleet,
+    decode_members,
+    encode_catalog,
+    encode_fleet,
+    encode_members,
+)
+from radishtrack.pooler.ports import Duty, FleetListing
+from radishtrack.pooler.store_content import (
+    CopyContent,
+    digest_fleet,
+    digest_members,
+)
+from radishtrack.pooler.store_copy import StoreCopy
+from tests.pooler_simulation import make_config, open_simulation, wait_until
+from tests.test_pooler_store_copy import FakeStore
+
+NODE = NodeRecord("edge-1", "10.0.0.1", 7560, "a", 1)
+ORGANISATION = Organisation("verksted", 20.0, 40.0)
+CATALOG = Catalog(
+    7,
+    {
+        "orders": Route(
+            "orders", "strekk", ReadClass.STRICT, 0.0, 600.0, 100.0, 1, False
+        )
+    },
+    {"verksted": ORGANISATION},
+    {b"\x01\x02": ORGANISATION},
+    {"strekk": GroupSettings("strekk", 16, 1)},
+    2_000.0,
+)
+MEMBER = Member(
+    "i-1", "strekk", "10.0.1.1", 8085, "a", 2, False, Role.PRIMARY, 1_700_000_000_000
+)
+LISTING = FleetListing((NODE,), {"rates": Duty("edge-1", 4, "c")}, {"strekk": 3}, 9)
+
+
+def test_content_is_unchanged_by_a_transfer() -> None:
+    assert decode_catalog(encode_catalog(CATALOG)) == CATALOG
+    members = decode_members(encode_members((MEMBER,)))
+    assert members == (MEMBER,)
+    assert digest_members(members) == digest_members((MEMBER,))
+    listing = decode_fleet(encode_fleet(LISTING))
+    assert digest_fleet(listing) == digest_fleet(LISTING)
+
+
+@given(st.binary(max_size=60))
+def test_malformed_content_raises_one_kind_of_error(data: bytes) -> None:
+    """Any other error would end the task that keeps the copy up to date."""
+    for decode in (decode_catalog, decode_members, decode_fleet):
+        with contextlib.suppress(ContentError):
+            decode(data)
+
+
+def make_store_copy(response: Content | None) -> tuple[StoreCopy, FakeStore]:
+    store = FakeStore(catalog=attrs.evolve(CATALOG, version=6))
+    clock = make_manual_clock(ManualTime(10_000.0))
+
+    async def request_content(_wanted: CopyContent) -> Content | None:
+        return response
+
+    copy = StoreCopy(store, clock, NODE, lambda: None)
+    copy.request_content = request_content
+    return copy, store
+
+
+async def test_confirmed_content_of_a_peer_needs_no_call_of_the_store() -> None:
+    copy, store = make_store_copy(Content(1, encode_catalog(CATALOG), b"", b""))
+    await copy.confirm()
+    calls = store.list_calls + store.catalog_reads
+    wanted = attrs.evolve(copy.content, revision=5, catalog=CATALOG.version)
+    assert await copy.confirm((wanted, 10_500.0))
+    assert copy.catalog == CATALOG
+    assert copy.confirmed_ms == 10_500.0
+    assert store.list_calls + store.catalog_reads == calls
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        None,
+        Content(1, b"", encode_members((MEMBER,)), b""),
+        Content(1, b"\xff", b"\xff", b"\xff"),
+        Content(1, b"", b"", encode_fleet(FleetListing((), {}, {}, 99))),
+    ],
+)
+async def test_content_that_differs_from_the_digests_is_not_used(
+    response: Content | None,
+) -> None:
+    """A peer with an old copy must not bring back a member that has left."""
+    copy, store = make_store_copy(response)
+    await copy.confirm()
+    calls = store.list_calls + store.catalog_reads
+    members = copy.members
+    wanted = attrs.evolve(copy.content, revision=5, catalog=7, members=123)
+    await copy.confirm((wanted, 10_500.0))
+    assert store.list_calls + store.catalog_reads > calls
+    assert copy.members == members
+    assert copy.registered == (NODE,)
+
+
+async def test_one_node_of_a_zone_reads_a_change_for_the_others() -> None:
+    """Each node read each change itself: the largest price of a large fleet."""
+    async with open_simulation(nodes=4) as simulation:
+        copies = [running.node.store_copy for running in simulation.nodes]
+        await wait_until(lambda: len({copy.content for copy in copies}) == 1)
+        await asyncio.sleep(1.0)
+        await wait_until(lambda: len({copy.content for copy in copies}) == 1)
+        calls = simulation.store.calls
+        calls.clear()
+        simulation.store.put("config", "main", make_config(version=9))
+        await wait_until(
+            lambda: all(
+                running.node.store_copy.catalog.version == 9
+                for running in simulation.nodes
+            )
+        )
+        reads = [call for call in calls if "config" in call]
+        # The coordinator, which polls the store, and the reader of the zone.
+        assert len(reads) <= 2, calls
+
+
+async def test_restart_at_the_same_address_changes_no_record() -> None:
+    """Each restart made all nodes read the fleet's records again."""
+    copy, store = make_store_copy(None)
+    await copy.confirm()
+    restarted = StoreCopy(
+        store, copy.clock, attrs.evolve(NODE, started_ms=2), lambda: None
+    )
+    revision = store.revision
+    await restarted.confirm()
+    assert store.revision == revision
+    moved = StoreCopy(store, copy.clock, attrs.evolve(NODE, port=7561), lambda: None)
+    await moved.confirm()
+    assert store.revision > revision
