--- a/benchmarks/capacity/budget.py
+++ b/benchmarks/capacity/budget.py
@@ -14,8 +14,8 @@
 
 from measuring import DATABASES, NODES, ORGANISATIONS, SLOTS, emit
 
-from radishtrack.peer.link import PING_INTERVAL_S
 from radishtrack.objects.watch import DEFAULT_WATCH_MS
+from radishtrack.peer.link import PING_INTERVAL_S
 from radishtrack.proxy.node import RECONCILE_INTERVAL_S, VM_LIST_INTERVAL_S
 from radishtrack.rates.lease import RENEW_AFTER_MS
 from radishtrack.usage.report import REPORT_INTERVAL_MS
--- a/benchmarks/capacity/decisions.py
+++ b/benchmarks/capacity/decisions.py
@@ -32,6 +32,7 @@
 from radishtrack.membership.placement import make_placement
 from radishtrack.metrics import make_metrics
 from radishtrack.peer.link import PeerLink
+from radishtrack.proxy.access import check_access, find_affinity, find_database
 from radishtrack.proxy.entry import ClientState, Entry
 from radishtrack.proxy.holder import Holder
 from radishtrack.proxy.router import Router
@@ -39,9 +40,11 @@
 from radishtrack.routing.route import EffectiveClass, ReadRequest, choose_member
 from radishtrack.routing.statement import make_classifier
 from radishtrack.session.position import Position, TermStart
+from radishtrack.usage.counter import make_usage_counter
 
 ORGANISATION_SIZES: Final = (8, 100, 1_000)
 DATABASE_SIZES: Final = (3, 100, 710)
+MAX_STATEMENT_BYTES: Final = 1 << 20
 STATEMENTS: Final = 4_000
 REPEATS: Final = 3
 SEED: Final = 1
@@ -71,16 +74,18 @@
     router = Router(
         nodes[0],
         clock,
-        Holder(clock, admit),
+        Holder(clock, admit, make_usage_counter(), lambda _organisation: "owner"),
         membership,
         make_placement(nodes),
         open_no_link,
+        lambda _size: None,
     )
     return (
         Entry(
             clock,
             b"secret",
             5000.0,
+            MAX_STATEMENT_BYTES,
             keyring,
             lambda: document,
             lambda: None,
@@ -126,11 +131,15 @@
         client.database = database
         entry.check_client(client)
         prepared = entry.read_statement(client, sql)
-        target = entry._find_database(client)
-        organisation = entry._check_access(client, target, prepared.statement)
+        document = entry.get_document()
+        target = find_database(document, client)
+        organisation = check_access(document, client, target, prepared.statement)
         request = entry._make_execute(client, target, organisation, prepared)
         return request, entry.router.list_holders(
-            target.name, target.region, target.slots
+            target.name,
+            target.region,
+            target.slots,
+            find_affinity(document, request.organisation),
         )
 
     return decide
--- a/benchmarks/capacity/node.py
+++ b/benchmarks/capacity/node.py
@@ -46,7 +46,8 @@
 from radishtrack.objects.budget import CallBudget
 from radishtrack.objects.client import PlatformClient, make_platform_client
 from radishtrack.objects.records import VmRecord, VmState
-from radishtrack.proxy.node import NodeServer, make_node_server
+from radishtrack.proxy.assembly import make_node_server
+from radishtrack.proxy.node import NodeServer
 from radishtrack.settings import load_settings
 from radishtrack_standins.launch import StandinProcess, start_standin
 
@@ -157,7 +158,7 @@
     result = load_settings(path)
     if result.is_error():
         raise RuntimeError("\n".join(str(error) for error in result.error))
-    return make_node_server(result.ok, make_system_clock())
+    return make_node_server(result.ok, make_system_clock(), incarnation=1)
 
 
 async def sample_cpu_percent(windows: int = WINDOWS) -> Spread:
--- a/benchmarks/capacity/peer.py
+++ b/benchmarks/capacity/peer.py
@@ -84,7 +84,7 @@
     async def ignore(*_: object) -> None:
         return None
 
-    return PeerHandlers(execute, ignore, ignore, ignore)
+    return PeerHandlers(execute, ignore, ignore, ignore, lambda _size: None)
 
 
 async def run_statements(link: PeerLink) -> None:
