--- a/src/radishtrack/platform/documents.py
+++ b/src/radishtrack/platform/documents.py
@@ -27,6 +27,9 @@
 IS_LEAVING_BY_STATE: Final = {"ready": False, "draining": True}
 """Whether a member in this state is leaving."""
 
+MAX_INTEGER: Final = 2**63 - 1
+MAX_SLOTS: Final = 100_000
+
 _T = TypeVar("_T")
 ReportInvalid = Callable[[str, Exception], None]
 """Called with the name of an invalid object and the error."""
@@ -115,7 +118,7 @@
             host=host,
             port=port,
             zone=_text(spec, "zone"),
-            slots=_integer(spec, "slots"),
+            slots=_slots(spec),
             is_leaving=IS_LEAVING_BY_STATE[spec["state"]],
             role=ROLES[spec["dbRole"]],
             # Only this field changes on a restart under the same name.
@@ -195,11 +198,23 @@
     value = item[field]
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{field} is not an integer")
+    if abs(value) > MAX_INTEGER:
+        raise ValueError(f"{field} is out of range")
     return value
 
 
+def _slots(item: Any) -> int:
+    slots = _integer(item, "slots")
+    if not 0 < slots <= MAX_SLOTS:
+        raise ValueError("slots is out of range")
+    return slots
+
+
 def _number(item: Any, field: str) -> float:
     value = item[field]
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"{field} is not a number")
+    # JSON allows integers of any size, and the parser also accepts NaN and Infinity.
+    if not 0 <= value <= MAX_INTEGER:
+        raise ValueError(f"{field} is out of range")
     return float(value)
--- a/src/radishtrack/platform/object_store.py
+++ b/src/radishtrack/platform/object_store.py
@@ -84,7 +84,7 @@
                 has_more = bool(data["hasMore"])
                 # Later pages may be newer; the list is complete up to this revision.
                 revision = int(data["atRev"]) if revision is None else revision
-            except (KeyError, TypeError, ValueError) as error:
+            except (KeyError, TypeError, ValueError, OverflowError) as error:
                 raise _malformed("list", error) from error
             objects += page
             if not has_more or not page:
@@ -151,7 +151,7 @@
                         step, f"status {response.status}", is_effect_unknown=False
                     )
                 data = await response.read()
-                return response.status, json.loads(data) if data else None
+                return response.status, decode_body(data)
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailable(step, str(error), is_effect_unknown=False) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
@@ -163,7 +163,7 @@
             raise StoreUnavailable(step, f"status {status}", is_effect_unknown=False)
         try:
             return _parse_object(data)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise _malformed(step, error) from error
 
     def _open_session(self) -> aiohttp.ClientSession:
@@ -173,6 +173,20 @@
         return self.session
 
 
+def decode_body(data: bytes) -> Any:
+    """Return the content of a response's body; None if it is empty.
+
+    Raises
+    ------
+    ValueError
+        If it is not valid JSON, or nested too deeply.
+    """
+    try:
+        return json.loads(data) if data else None
+    except RecursionError as error:
+        raise ValueError("body is nested too deeply") from error
+
+
 def _path(kind: str, name: str | None = None) -> str:
     path = f"/-/objects/{quote(kind, safe='')}"
     return path if name is None else f"{path}/{quote(name, safe='')}"
--- a/src/radishtrack/platform/settings.py
+++ b/src/radishtrack/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from pathlib import Path
 from typing import Any, Final
 
@@ -71,7 +72,7 @@
         data: Any = json.loads(text)
         bounds = data["bounds"]
         is_strict = bool(bounds.get("revokeStrict", False))
-        revoke_ms = float(bounds.get("revokeMs", 0))
+        revoke_ms = _duration(bounds.get("revokeMs", 0))
         return PlatformSettings(
             node=_text(data["nodeName"]),
             ip=_text(data["ip"]),
@@ -82,10 +83,18 @@
             peer_port=int(data["internalPorts"][0]),
             store=_address(data["platform"]["address"]),
             orders=_address(data["cloudApi"]["address"]),
-            grace_ms=float(bounds["graceS"]) * MS_PER_S,
+            grace_ms=_duration(bounds["graceS"]) * MS_PER_S,
             key_age_limit_ms=KEY_AGE_LIMIT_FRACTION * revoke_ms if is_strict else None,
         )
-    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        IndexError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise SettingsError(f"settings: {error!r}") from error
 
 
@@ -110,6 +119,13 @@
     return value
 
 
+def _duration(value: Any) -> float:
+    duration = float(value)
+    if not 0 <= duration < math.inf:
+        raise ValueError(f"not a duration: {value!r}")
+    return duration
+
+
 def _address(value: Any) -> str:
     parse_address(value)
     return str(value)
