Look up unknown names at the coordinator, and removed ones not at all

Change: a name that a version has removed is refused without a lookup until a version brings it back; another unknown name is looked up at the coordinator, whose confirmation is at most 0.8 s old, and at the store if that does not respond. The decision is a small state object of its own.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -400,6 +400,7 @@
     )
     content = ContentExchange(options.node, clock, store_copy, peers)
     store_copy.request_content = content.request
+    store_copy.request_confirmation = relay.request_reports
     node = Node(
         options,
         clock,
--- a/src/radishtrack/pooler/report_relay.py
+++ b/src/radishtrack/pooler/report_relay.py
@@ -62,9 +62,12 @@
         """Request reports periodically."""
         while True:
             await asyncio.sleep(RELAY_INTERVAL_MS / 1000)
-            relay = self.find_relay()
-            if relay is not None:
-                await self._poll_relay(relay)
+            await self.request_reports()
+
+    async def request_reports(self) -> bool:
+        """Request reports and a confirmation of the copy; return whether they came."""
+        relay = self.find_relay()
+        return relay is not None and await self._poll_relay(relay)
 
     def collect_reports(self, node: str, message: ReportsWanted) -> Reports:
         """Return the reports that a node does not have yet."""
@@ -112,7 +115,7 @@
                     now_ms - observation.requested_ms,
                 )
 
-    async def _poll_relay(self, relay: NodeRecord) -> None:
+    async def _poll_relay(self, relay: NodeRecord) -> bool:
         if relay.name != self.relay_name:
             self.relay_name, self.received_number = relay.name, 0
         requested_ms = self.clock.now_ms()
@@ -123,7 +126,7 @@
         )
         if not isinstance(response, Reports):
             self.received_number = 0
-            return
+            return False
         self.received_number = response.number
         if response.number:
             content = CopyContent(
@@ -134,6 +137,7 @@
             )
         for packed in response.reports:
             self._apply_report(packed, requested_ms)
+        return response.number > 0
 
     def _apply_report(self, packed: PackedReport, requested_ms: float) -> None:
         group, name, is_primary, term, term_received, received, *rest = packed
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Hashable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import attrs
@@ -94,7 +94,7 @@
 
     clock: Clock
     authorise: Callable[[str, bytes | None], SessionAccess | Denied]
-    refresh: Callable[[Hashable], Awaitable[None]]
+    refresh: Callable[[str, bytes | None], Awaitable[None]]
     admit: Callable[[str, float], Awaitable[bool]]
     find_group: Callable[[str], GroupAccess]
     observe: Callable[[ClientSession, str, str, Result, float], None]
@@ -322,7 +322,7 @@
     access = context.authorise(database, key_digest)
     if isinstance(access, Denied):
         # The database or key may have been added a moment ago.
-        await context.refresh((database, key_digest))
+        await context.refresh(database, key_digest)
         access = context.authorise(database, key_digest)
     if isinstance(access, Denied):
         context.report_denied(database, access)
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -12,7 +12,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Awaitable, Callable, Hashable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 import attrs
@@ -38,6 +38,7 @@
     digest_fleet,
     digest_members,
 )
+from radishtrack.pooler.unknown_names import UnknownNames
 
 CONFIRM_INTERVAL_MS: Final = 800.0
 """Pause between calls. A change of the configuration must be in force within 3 s, even
@@ -60,17 +61,16 @@
 FIRST_COPY_WAIT_MS: Final = 400.0
 """Longest wait of a client for the first read of a starting node; clients come back
 after a refusal in about this time."""
-REFRESH_SPACING_MS: Final = 1_000.0
-"""Smallest interval of calls caused by sessions with unknown names. Revoked keys are
-tried at all nodes, and a new name reaches every node within 1.3 s in any case."""
-MAX_UNKNOWN_NAMES: Final = 1_000
-"""Number of unknown names that are cached."""
 
 
 def _read_always() -> bool:
     return True
 
 
+async def _confirm_nothing() -> bool:
+    return False
+
+
 async def _take_nothing(_wanted: CopyContent) -> Content | None:
     return None
 
@@ -119,6 +119,9 @@
     on_change: Callable[[], None]
     reads_for_fleet: Callable[[], bool] = _read_always
     """Returns whether the other nodes rely on this one to confirm their copies."""
+    request_confirmation: Callable[[], Awaitable[bool]] = _confirm_nothing
+    """Requests a confirmation from the node that reads for the fleet; returns whether
+    it came."""
     request_content: Callable[[CopyContent], Awaitable[Content | None]] = _take_nothing
     """Requests changed content from another node; None if the store must be read."""
     catalog: Catalog = EMPTY_CATALOG
@@ -142,8 +145,9 @@
     has_copy: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set by the first read."""
     pending: asyncio.Task[bool] | None = None
-    unknown: dict[Hashable, int] = attrs.field(factory=dict)
-    """Names missing from the configuration, with its version at that time."""
+    lookup: asyncio.Task[None] | None = None
+    """Lookup of a missing name that is under way."""
+    unknown: UnknownNames = attrs.field(factory=UnknownNames)
     peer_confirmation: tuple[CopyContent, float] | None = None
     """Content confirmed by another node that this copy lacks, and the time at which it
     was current."""
@@ -151,7 +155,6 @@
     """The listing that the digest of the fleet describes."""
     fleet_digest: int = 0
     members_digest: int = 0
-    refreshed_ms: float = -REFRESH_SPACING_MS
 
     async def run(self) -> None:
         """Confirm the copy periodically; never returns."""
@@ -293,33 +296,43 @@
         self._record_available()
         return True
 
-    async def refresh(self, name: Hashable) -> None:
-        """Confirm the copy on demand; concurrent calls share one confirmation.
+    async def refresh(self, database: str, key_digest: bytes | None) -> None:
+        """Confirm the copy on demand, since a name is missing in it.
 
-        Before the first read it waits for that one, for `FIRST_COPY_WAIT_MS` at most.
+        The node that reads for the fleet is asked, and the store only if that node does
+        not respond or is this one. Before the first read it waits for that one, for
+        `FIRST_COPY_WAIT_MS` at most.
 
         Parameters
         ----------
-        name : hashable
-            Name that is missing in the copy.
+        database : str
+            Name of the database that a client asks for.
+        key_digest : bytes or None
+            Digest of its key.
         """
         if self.confirmed_ms is None:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(FIRST_COPY_WAIT_MS / 1000):
                     await self.has_copy.wait()
             return
-        now_ms = self.clock.now_ms()
-        if self.unknown.get(name) == self.catalog.version:
-            # Clients with a revoked key retry continually.
-            return
-        if self.pending is None or self.pending.done():
-            if now_ms - self.refreshed_ms < REFRESH_SPACING_MS:
+        name = (database, key_digest)
+        is_pending = self.lookup is not None and not self.lookup.done()
+        if not is_pending:
+            now_ms = self.clock.now_ms()
+            if not self.unknown.start_lookup(name, self.catalog.version, now_ms):
                 return
-            if len(self.unknown) >= MAX_UNKNOWN_NAMES:
-                self.unknown.clear()
-            self.refreshed_ms = now_ms
-        await self.confirm()
-        self.unknown[name] = self.catalog.version
+            self.lookup = asyncio.create_task(self._look_up())
+        assert self.lookup is not None
+        await asyncio.shield(self.lookup)
+        self.unknown.record(name, self.catalog.version)
+
+    async def _look_up(self) -> None:
+        if not await self.request_confirmation():
+            await self.confirm()
+            return
+        confirmation, self.peer_confirmation = self.peer_confirmation, None
+        if confirmation is not None:
+            await self.confirm(confirmation)
 
     def has_all_announcements(self, max_age_ms: float) -> bool:
         """Return whether the node can rely on its knowledge of announced promotions.
@@ -476,6 +489,7 @@
             store_revision=revision,
             routes=len(catalog.routes),
         )
+        self.unknown.apply(self.catalog, catalog)
         self.catalog = catalog
 
     def _update_members(self, members: tuple[Member, ...]) -> None:
--- a/tests/test_content_exchange.py
+++ b/tests/test_content_exchange.py
@@ -159,3 +159,38 @@
     moved = StoreCopy(store, copy.clock, attrs.evolve(NODE, port=7561), lambda: None)
     await moved.confirm()
     assert store.revision > revision
+
+
+async def test_removed_names_need_no_confirmation() -> None:
+    """Clients with withdrawn keys made half of the fleet's calls of the store."""
+    copy, store = make_store_copy(None)
+    store.catalog, store.revision = CATALOG, 2
+    await copy.confirm()
+    store.catalog = attrs.evolve(CATALOG, version=8, routes={}, key_owners={})
+    store.revision = 3
+    await copy.confirm()
+    calls = store.list_calls
+    await copy.refresh("orders", b"\x05")
+    await copy.refresh("other", b"\x01\x02")
+    assert store.list_calls == calls
+    await copy.refresh("other", b"\x05")
+    assert store.list_calls == calls + 1
+    store.catalog, store.revision = attrs.evolve(CATALOG, version=9), 4
+    await copy.confirm()
+    assert copy.unknown.removed == set()
+
+
+async def test_unknown_name_is_looked_up_through_the_coordinator() -> None:
+    copy, store = make_store_copy(Content(1, encode_catalog(CATALOG), b"", b""))
+    await copy.confirm()
+    calls = store.list_calls + store.catalog_reads
+
+    async def request_confirmation() -> bool:
+        wanted = attrs.evolve(copy.content, revision=5, catalog=CATALOG.version)
+        copy.accept_confirmation(wanted, 10_500.0)
+        return True
+
+    copy.request_confirmation = request_confirmation
+    await copy.refresh("orders", b"\x01\x02")
+    assert copy.catalog == CATALOG
+    assert store.list_calls + store.catalog_reads == calls
--- a/tests/test_pooler_store_copy.py
+++ b/tests/test_pooler_store_copy.py
@@ -234,17 +234,17 @@
     store.list_calls = 0
     for _ in range(20):
         time.advance(500.0)
-        await store_copy.refresh("revoked key")
+        await store_copy.refresh("orders", b"revoked key")
     assert store.list_calls == 1
     store.revision = 2
     await store_copy.confirm()
     time.advance(1_500.0)
-    await store_copy.refresh("revoked key")
+    await store_copy.refresh("orders", b"revoked key")
     assert store.list_calls == 2
     store.revision, store.catalog = 3, attrs.evolve(EMPTY_CATALOG, version=7)
     await store_copy.confirm()
     time.advance(1_500.0)
-    await store_copy.refresh("revoked key")
+    await store_copy.refresh("orders", b"revoked key")
     assert store.list_calls == 4
 
 
@@ -256,5 +256,5 @@
     store.list_calls = 0
     for number in range(100):
         time.advance(10.0)
-        await store_copy.refresh(f"revoked key {number}")
+        await store_copy.refresh("orders", f"key {number}".encode())
     assert store.list_calls <= 1
