Log any failed client handshake as a refused client

Cause: a handshake packet with a wrong sequence number raised an error of the library that no handler named, so asyncio logged it instead of event 2001. Change: whatever a client sends ends its own connection, with event 2001. Test first: fails on the code before.

--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -313,13 +313,11 @@
         connection.connection_id = number
         try:
             await connection.start()
-        except (
-            PermissionError,
-            asyncio.IncompleteReadError,
-            PacketTooLarge,
-            ssl.SSLError,
-        ) as error:
-            log_event(Event.CLIENT_REFUSED, reason=error)
+        except (ConnectionError, ConnectionClosed):
+            raise
+        except Exception as error:
+            # Whatever a client sends ends its own connection only.
+            log_event(Event.CLIENT_REFUSED, reason=str(error) or repr(error))
         finally:
             writer.close()
             await self.control.remove(number)
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -198,6 +198,20 @@
     assert sum(counts) >= 1
 
 
+def test_malformed_handshake_is_logged_as_a_refused_client(cluster: Cluster) -> None:
+    """A packet with a wrong sequence number ended in asyncio's own error log."""
+    proxy = cluster.proxies[0]
+    with socket.create_connection(("127.0.0.1", proxy.client_port), timeout=5) as sock:
+        sock.recv(1024)
+        sock.sendall(b"\x04\x00\x00\x07" + b"\x00" * 4)
+        with contextlib.suppress(ConnectionError):
+            while sock.recv(1024):
+                pass
+    log = proxy.log.read_text(errors="replace")
+    assert "Unhandled exception" not in log
+    assert "R2001" in log
+
+
 def test_database_can_be_selected_later(cluster: Cluster) -> None:
     connection = connect(cluster, database=None, autocommit=True)
     connection.select_db(DATABASE)
