Replace a rate coordinator at once whose process has ended

Nodes waited until an unresponsive coordinator counts as lost, also when its host refused the connection, which proves that its process has ended. Change: a refused connection makes it the turn of the ranked nodes at once. A node claims the duty only while peers can reach it, so that its own start is not taken for an end. Test first: before, the duty had not changed 0.6 s after the kill.

--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import zlib
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -43,6 +44,10 @@
 of the store."""
 
 
+def _serve_always() -> bool:
+    return True
+
+
 @attrs.define(eq=False)
 class CoordinatorFailover:
     """Replaces the rate coordinator from the point of view of one node.
@@ -69,6 +74,12 @@
     """When the coordinator's copy of the store was confirmed, by its last response."""
     probe_confirmed_ms: float = 0.0
     """When an indirect probe last showed that the coordinator responds."""
+    ended_duty: Duty | None = None
+    """Record of a coordinator whose process was found to have ended."""
+    ended_ms: float = 0.0
+    """When that was found."""
+    can_serve: Callable[[], bool] = _serve_always
+    """Returns whether other nodes can reach this one as coordinator."""
     checked_duty: Duty | None = None
     """Record that was last compared with the store before a replacement."""
     announcing: asyncio.Task[None] | None = None
@@ -83,6 +94,16 @@
         self.last_response_ms = self.clock.now_ms()
         self.copy_confirmed_ms = requested_ms - copy_age_ms
 
+    def record_end(self) -> None:
+        """Record that the coordinator's host refuses connections.
+
+        No process listens there, so the one that was the coordinator has ended and
+        counts no more delegations.
+        """
+        duty = self.store_copy.find_duty(RATES_DUTY).duty
+        if duty != self.ended_duty:
+            self.ended_duty, self.ended_ms = duty, self.clock.now_ms()
+
     def response_age_ms(self) -> float:
         """Return the time since the coordinator last responded to this node."""
         if self.coordinator_name == self.name:
@@ -101,6 +122,8 @@
 
     async def replace_lost(self) -> bool:
         """Become the coordinator if there is none, or if it does not respond."""
+        if not self.can_serve():
+            return False
         recorded = self.store_copy.find_duty(RATES_DUTY).duty
         if recorded.holder == self.name and not self.store_copy.is_own_claim(recorded):
             # An earlier process of this node was the coordinator. Nodes may confirm its
@@ -113,21 +136,23 @@
         observed = self.store_copy.find_duty(RATES_DUTY)
         if observed.duty.holder == self.name:
             return False
-        is_released = observed.duty.holder == NO_HOLDER
+        has_ended = observed.duty.holder == NO_HOLDER
         due_ms = observed.observed_ms
-        if not is_released:
+        if observed.duty == self.ended_duty:
+            has_ended, due_ms = True, self.ended_ms
+        if not has_ended:
             due_ms = max(self.last_response_ms, observed.observed_ms) + LOST_AFTER_MS
         due_ms += self._rank() * RANK_DELAY_MS
         if self.clock.now_ms() < due_ms:
             return False
-        if not is_released and not await self.is_loss_confirmed(due_ms):
+        if not has_ended and not await self.is_loss_confirmed(due_ms):
             return False
         return await self._claim(observed.duty)
 
     async def replace_stale(self) -> bool:
         """Become the coordinator if the current one does not reach the store."""
         observed = self.store_copy.find_duty(RATES_DUTY).duty
-        if observed.holder in (self.name, NO_HOLDER):
+        if observed.holder in (self.name, NO_HOLDER) or not self.can_serve():
             return False
         age_ms = self.clock.now_ms() - self.copy_confirmed_ms
         if age_ms < STALE_COPY_MS + self._rank() * RANK_DELAY_MS:
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -422,4 +422,5 @@
         groups=groups,
     )
     store_copy.on_change = node.apply_store_copy
+    rates.failover.can_serve = lambda: node.is_listening
     return node
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -16,7 +16,11 @@
     SharesReturned,
     SharesWanted,
 )
-from radishtrack.pooler.coordinator_failover import RATES_DUTY, CoordinatorFailover
+from radishtrack.pooler.coordinator_failover import (
+    RANK_DELAY_MS,
+    RATES_DUTY,
+    CoordinatorFailover,
+)
 from radishtrack.pooler.peers import NotRunning, Peers
 from radishtrack.pooler.ports import Duty
 from radishtrack.pooler.rate_limit import RateLimiter
@@ -183,11 +187,19 @@
             if not await self.exchange():
                 # Waiting operations must not cause requests to an unresponsive node.
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(EXCHANGE_INTERVAL_MS / 1000):
+                    async with asyncio.timeout(self._retry_pause_ms() / 1000):
                         await self.duty_announced.wait()
             self.exchange_done.set()
             self.exchange_done = asyncio.Event()
 
+    def _retry_pause_ms(self) -> float:
+        """Return the pause after an exchange without a response."""
+        ended_duty = self.failover.ended_duty
+        if ended_duty == self.store_copy.find_duty(RATES_DUTY).duty:
+            # This node's turn to replace the coordinator comes soon.
+            return RANK_DELAY_MS / 2
+        return EXCHANGE_INTERVAL_MS
+
     async def exchange(self) -> bool:
         """Send the coordinator one request, and replace it if it is lost.
 
@@ -306,6 +318,8 @@
         response = await self.peers.send_request(
             record, make_request, EXCHANGE_TIMEOUT_MS
         )
+        if isinstance(response, NotRunning):
+            self.failover.record_end()
         return response if isinstance(response, SharesGranted) else None
 
     def follow_duty(self) -> None:
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -140,6 +140,8 @@
 
     seed: int
     loss: float
+    refusal_share: float = 0.7
+    """Share of requests to a stopped process that its host refuses."""
     time: ManualTime = attrs.field(factory=lambda: ManualTime(10_000.0))
     store: SharedStore = attrs.field(factory=SharedStore)
     processes: dict[str, Process] = attrs.field(factory=dict)
@@ -183,7 +185,8 @@
         if sender not in self.processes:
             return None
         if process is None or self.time.value_ms < process.ready_ms:
-            return NotRunning() if self.random.random() < 0.7 else None
+            is_refused = self.random.random() < self.refusal_share
+            return NotRunning() if is_refused else None
         if (
             process.is_isolated
             or self.processes[sender].is_isolated
--- a/tests/test_rate_restarts.py
+++ b/tests/test_rate_restarts.py
@@ -29,6 +29,10 @@
 FIRST_TOKEN_LIMIT_MS = 300.0
 """Time after the first node knows the configuration, within which all are served."""
 
+REPLACED_LIMIT_MS = 600.0
+"""Rank delays of four nodes, one of which may be the coordinator itself; less than the
+time after which an unresponsive one counts as lost."""
+
 Disturb = Callable[[RateFleet], Coroutine[None, None, None]]
 
 
@@ -154,3 +158,20 @@
         assert served >= 0.5 * ORGANISATION.rate_per_s * FIRST_TOKEN_LIMIT_MS / 1_000
 
     asyncio.run(play_loss())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_ended_coordinator_is_replaced_before_it_counts_as_lost(seed: int) -> None:
+    """Nodes waited 0.7 s for a coordinator whose process had ended."""
+
+    async def play_kill() -> None:
+        fleet = RateFleet(seed, 0.0, refusal_share=1.0)
+        for number in range(4):
+            fleet.start(f"edge-{number}")
+        await fleet.advance(3_000)
+        ended = find_holder(fleet)
+        fleet.kill(ended, 5_000)
+        await fleet.advance(REPLACED_LIMIT_MS)
+        assert find_holder(fleet) != ended
+
+    asyncio.run(play_kill())
