Keep a new node's shares unused for its first second in any case

Cause, found by reading the diff: a returned delegation ended the time in which a node that joined leaves its own shares unused, since both were one field. A node delegates at once since the change of the rates at a start, so a coordinator that stops in that second let it use a share that the others did not count yet. Change: a field of its own. Test first: fails on the code before.

--- a/src/radishtrack/pooler/rate_limit.py
+++ b/src/radishtrack/pooler/rate_limit.py
@@ -73,7 +73,9 @@
 
     demands: dict[str, Demand] = attrs.field(factory=dict)
     delegated_until_ms: float = 0.0
-    """The node does not use its own shares before this time."""
+    """The coordinator may count this node's shares before this time."""
+    joined_ms: float = 0.0
+    """Other nodes may divide the rates without this node before this time."""
     is_delegating: bool = False
     unused_since_ms: float | None = None
     """Since when this process has neither used nor delegated its own shares; None once
@@ -107,7 +109,7 @@
             demand.tokens -= 1
             demand.used_tokens += 1
             return True
-        if now_ms < self.delegated_until_ms:
+        if now_ms < self.own_from_ms:
             return False
         if self.is_delegating:
             self._reset_own_shares()
@@ -130,10 +132,15 @@
             demand.waiting = max(0, demand.waiting + count)
 
     def defer_own_shares(self, from_ms: float) -> None:
-        """Leave this node's own shares unused until `from_ms`."""
-        self.delegated_until_ms = max(self.delegated_until_ms, from_ms)
+        """Leave this node's own shares unused until `from_ms`, also if it delegates."""
+        self.joined_ms = from_ms
         self.is_delegating = True
 
+    @property
+    def own_from_ms(self) -> float:
+        """Time before which this node does not use its own shares."""
+        return max(self.delegated_until_ms, self.joined_ms)
+
     def end_delegation(self, now_ms: float) -> None:
         """Use this node's shares again, since the coordinator no longer counts them."""
         self.delegated_until_ms = min(self.delegated_until_ms, now_ms)
@@ -185,4 +192,4 @@
         """Restart this node's own shares empty, as of the end of the delegation."""
         self.is_delegating = False
         for demand in self.demands.values():
-            demand.share.reset(self.delegated_until_ms)
+            demand.share.reset(self.own_from_ms)
--- a/tests/test_pooler_shares.py
+++ b/tests/test_pooler_shares.py
@@ -126,6 +126,18 @@
     assert limiter.acquire("verksted", 300.0)
 
 
+def test_returned_delegation_does_not_shorten_the_time_of_joining() -> None:
+    """A new node whose coordinator stops used its share before the others knew it."""
+    limiter = RateLimiter()
+    limiter.configure(CONFIGURED, len(NODES), 0.0)
+    limiter.defer_own_shares(1_000.0)
+    limiter.record_grants((), 0.0, 10.0)
+    limiter.end_delegation(100.0)
+    assert not limiter.acquire("verksted", 900.0)
+    assert not limiter.acquire("verksted", 1_050.0)
+    assert limiter.acquire("verksted", 1_200.0)
+
+
 @settings(max_examples=60, deadline=None)
 @given(
     seed=st.integers(0, 10_000),
