Drop content of a peer that is older than the copy by now

Cause, found by reading the diff: a response that arrives after the node has read a newer listing itself replaced members, nodes and announced terms by older ones, since only the digests were compared. Change: it is dropped. Test first: fails on the code before.

--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -250,6 +250,9 @@
         response = await self.request_content(content)
         if response is None:
             return False
+        if content.revision < self.revision:
+            # The copy has become newer meanwhile; older parts must not replace it.
+            return True
         try:
             if response.catalog:
                 self._update_catalog(decode_catalog(response.catalog), content.revision)
--- a/tests/test_content_exchange.py
+++ b/tests/test_content_exchange.py
@@ -130,6 +130,28 @@
     assert copy.registered == (NODE,)
 
 
+async def test_content_that_arrives_after_a_newer_read_is_not_used() -> None:
+    """A late response brought back a member that had left, and an older term."""
+    copy, store = make_store_copy(None)
+    await copy.confirm()
+    members = encode_members((MEMBER,))
+    old_fleet = FleetListing((NODE,), {}, {"strekk": 2}, 4)
+
+    async def respond_late(_wanted: CopyContent) -> Content:
+        store.revision = 9
+        await copy.confirm()
+        return Content(1, b"", members, encode_fleet(old_fleet))
+
+    copy.request_content = respond_late
+    wanted = CopyContent(
+        5, copy.catalog.version, digest_members((MEMBER,)), digest_fleet(old_fleet)
+    )
+    await copy.confirm((wanted, 10_500.0))
+    assert copy.revision == 9
+    assert copy.members == ()
+    assert copy.terms == {}
+
+
 async def test_one_node_of_a_zone_reads_a_change_for_the_others() -> None:
     """Each node read each change itself: the largest price of a large fleet."""
     async with open_simulation(nodes=4) as simulation:
