Serve small organisations below their rate in large fleets

Change: grants of up to three tokens are valid for 0.25 s, the capacity is rounded up, grants are settled as of their expiry.

--- a/src/radishtrack/pooler/rate_limit.py
+++ b/src/radishtrack/pooler/rate_limit.py
@@ -8,7 +8,7 @@
 import attrs
 
 from radishtrack.pooler.catalog import Organisation
-from radishtrack.pooler.shares import DELEGATION_MS, GRANT_MS, even_share
+from radishtrack.pooler.shares import DELEGATION_MS, even_share, grant_validity_ms
 
 MS_PER_S: Final = 1_000.0
 PREFETCH_MIN_USED: Final = 4
@@ -170,7 +170,7 @@
                 unused_tokens = demand.tokens if now_ms < demand.expires_ms else 0
                 demand.tokens = unused_tokens + tokens
                 # All tokens expire with the oldest, so that one expiry time suffices.
-                expires_ms = requested_ms + GRANT_MS
+                expires_ms = requested_ms + grant_validity_ms(tokens)
                 if unused_tokens:
                     expires_ms = min(expires_ms, demand.expires_ms)
                 demand.expires_ms = expires_ms
--- a/src/radishtrack/pooler/shares.py
+++ b/src/radishtrack/pooler/shares.py
@@ -42,11 +42,18 @@
 in; losing the coordinator interrupts small shares for as long."""
 GRANT_MS: Final = 500.0
 """Validity of granted tokens, from the time of the request."""
+SMALL_GRANT_MS: Final = 250.0
+"""Validity of a grant of a few tokens. Operations wait for them, so they are used on
+arrival, and a bucket of a few tokens refills only when its grants have expired."""
+SMALL_GRANT_TOKENS: Final = 3
+"""Largest number of tokens of such a grant."""
 UNDELEGATED_WAIT_MS: Final = 20.0
 """Wait for tokens while no shares are delegated: a few round trips between nodes."""
 UNUSED_LIMIT_MS: Final = 1_000.0
 """Longest time for which a starting node's unused shares are credited; a start takes
 less."""
+ROUNDING: Final = 1e-9
+"""Error of a sum of parts that must not round up a whole number of tokens."""
 TRACKED_RESPONSES: Final = 32
 """Responses to each node whose sending times are kept."""
 NO_DELEGATION: Final = 0
@@ -57,6 +64,14 @@
 one; with more nodes, the sum would exceed the burst by too much."""
 
 
+def grant_validity_ms(tokens: int) -> float:
+    """Return for how long a grant of `tokens` is valid, from the time of the request.
+
+    Node and coordinator both compute it from the number of tokens.
+    """
+    return SMALL_GRANT_MS if tokens <= SMALL_GRANT_TOKENS else GRANT_MS
+
+
 def even_share(organisation: Organisation, nodes: int) -> tuple[float, float]:
     """Return tokens per second and burst of one node's share."""
     part = 1.0 / max(1, nodes)
@@ -84,14 +99,19 @@
 
     bucket: Bucket
     outstanding: deque[tuple[float, int]] = attrs.field(factory=deque)
-    """Expiry and number of granted tokens, in order of expiry."""
+    """Expiry and number of granted tokens, in the order in which they were granted. A
+    small grant after a large one is settled with the large one at the latest."""
 
     def refill(self, now_ms: float) -> None:
-        """Add the refill up to now and settle the grants that have expired."""
-        self.bucket.refill(now_ms)
+        """Add the refill up to now and settle the grants that have expired.
+
+        Each is settled as of its expiry, since its tokens limit the refill until then.
+        """
         while self.outstanding and self.outstanding[0][0] <= now_ms:
-            _, count = self.outstanding.popleft()
+            expires_ms, count = self.outstanding.popleft()
+            self.bucket.refill(expires_ms)
             self.bucket.settle(count)
+        self.bucket.refill(now_ms)
 
 
 @attrs.define
@@ -207,7 +227,8 @@
         count = max(0, min(tokens, delegated.bucket.available()))
         if count:
             delegated.bucket.reserve(count)
-            delegated.outstanding.append((now_ms + GRANT_MS, count))
+            expires_ms = now_ms + grant_validity_ms(count)
+            delegated.outstanding.append((expires_ms, count))
             return name, count, 0.0
         if self.part == 0.0:
             # The nodes delegate with their next requests.
@@ -243,7 +264,9 @@
         """Set the buckets to the shares that are delegated now."""
         for name, organisation in self.organisations.items():
             rate_micro = int(organisation.rate_per_s * self.part * MICRO)
-            capacity = int(organisation.burst * self.part)
+            # A part of a token is rounded up: a bucket of two tokens instead of three
+            # refuses a small organisation below its rate.
+            capacity = math.ceil(organisation.burst * self.part - ROUNDING)
             existing = self.buckets.get(name)
             if existing is None:
                 bucket = make_empty_bucket(rate_micro, capacity, now_ms)
--- a/tests/test_pooler_shares.py
+++ b/tests/test_pooler_shares.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from radishtrack.pooler.catalog import Organisation
 from radishtrack.pooler.rate_limit import RateLimiter
 from radishtrack.pooler.shares import DELEGATION_MS, GRANT_MS, make_rate_coordinator
+from radishtrack.rates.bucket import make_empty_bucket
+from radishtrack.rates.messages import MICRO
 
 ORGANISATION = Organisation("verksted", rate_per_s=40.0, burst=40.0)
 CONFIGURED = {"verksted": ORGANISATION}
@@ -18,6 +23,7 @@
 STEP_MS = 20
 SECOND_MS = 1_000
 WINDOW_MS = 5_000
+FLEET_NODES = 30
 
 
 def count_most_admitted(times: list[int], window_ms: int) -> int:
@@ -192,3 +198,85 @@
         # Finally the successor grants the whole rate; lost grants expire unused.
         late = sum(time >= RUN_MS - SECOND_MS for time in admitted)
         assert late >= 0.9 * ORGANISATION.rate_per_s
+
+
+@pytest.mark.parametrize("rate_per_s", [2.5, 3.0, 5.0, 10.0])
+def test_small_organisation_is_served_below_its_rate(rate_per_s: float) -> None:
+    """An organisation of a few tokens was refused far below its rate in a large fleet.
+
+    The load is 0.6 of the rate, in random order at 30 nodes, and each operation waits
+    for 150 ms at most. Compared with one token bucket in one place.
+    """
+    refused = _play_operations(rate_per_s, make_fleet_bucket(rate_per_s))
+    least = _play_operations(rate_per_s, make_single_bucket(rate_per_s))
+    assert refused <= least + 0.05
+
+
+Step = Callable[[int, list[tuple[int, int]]], Callable[[int], bool]]
+"""Prepares a step, given the time and the waiting operations with their nodes; returns
+a function that acquires a token at a node."""
+
+
+def make_single_bucket(rate_per_s: float) -> Step:
+    bucket = make_empty_bucket(int(rate_per_s * MICRO), math.ceil(rate_per_s), 0.0)
+
+    def acquire(_node: int) -> bool:
+        if bucket.available() < 1:
+            return False
+        bucket.consume(1)
+        return True
+
+    def prepare(now: int, _waiting: list[tuple[int, int]]) -> Callable[[int], bool]:
+        bucket.refill(now)
+        return acquire
+
+    return prepare
+
+
+def make_fleet_bucket(rate_per_s: float) -> Step:
+    nodes = [f"edge-{number}" for number in range(FLEET_NODES)]
+    configured = {"small": Organisation("small", rate_per_s, rate_per_s)}
+    coordinator = make_rate_coordinator(1, 0.0)
+    coordinator.configure(configured, nodes, 0.0)
+    limiters = [RateLimiter() for _ in nodes]
+    for limiter in limiters:
+        limiter.configure(configured, len(nodes), 0.0)
+    replies, exchanged = [0] * len(nodes), [0] * len(nodes)
+
+    def prepare(now: int, waiting: list[tuple[int, int]]) -> Callable[[int], bool]:
+        for number, limiter in enumerate(limiters):
+            count = sum(node == number for _, node in waiting)
+            is_wanted = count and now >= limiter.next_request_ms("small")
+            if not is_wanted and now - exchanged[number] < 300:
+                continue
+            exchanged[number] = now
+            limiter.add_waiting("small", count)
+            requested = limiter.collect_requests(now)
+            limiter.add_waiting("small", -count)
+            replies[number], granted = coordinator.exchange(
+                nodes[number], len(nodes), replies[number], requested, now
+            )
+            limiter.record_grants(granted, now, now)
+        return lambda number: limiters[number].acquire("small", now)
+
+    return prepare
+
+
+def _play_operations(rate_per_s: float, prepare: Step) -> float:
+    """Return the share of operations that are refused at 0.6 of a rate."""
+    random = Random(3).random
+    waiting: list[tuple[int, int]] = []
+    served = refused = 0
+    for now in range(0, 120_000, 5):
+        if random() < 0.6 * rate_per_s * 0.005:
+            waiting.append((now, int(random() * FLEET_NODES)))
+        acquire = prepare(now, waiting)
+        for operation in list(waiting):
+            arrived, node = operation
+            if acquire(node):
+                waiting.remove(operation)
+                served += 1
+            elif now - arrived >= 150:
+                waiting.remove(operation)
+                refused += 1
+    return refused / (served + refused)
