Keep the rates at a stopping node that is the only one

A node that stops released the rates although no other node can take them, and within a second of its start it may not use its own shares yet. Change: a node without others keeps the duty until it exits; its next process claims it anew, as after a crash.

--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -226,7 +226,9 @@
                 await exchange_done.wait()
 
     async def release(self) -> None:
-        """Release the duty before this node stops."""
+        """Release the duty before this node stops, if another node can take it."""
+        if not self.peers.others():
+            return
         self.is_stopping = True
         await self.failover.release()
         self.follow_duty()
