Promote no member that lacks the term of acknowledged commits

From the logs: commits 3.196 and 3.197 were acknowledged by the primary and a leaving replica, which left 0.5 s later with its log. The primary went dark; the entries of the replica that left and of a crashed member expired, so that of the two members left one fenced replica sufficed, and the new member in the leaving one's place was promoted at 2.195, the end of the term before. Change: nodes record the newest term in which they acknowledged a commit, tell it to a promoter with the withdrawal of their evidence, and a member without a commit of that term is not promoted; the group waits for a member that has it. Ruled out: comparing whole positions, since a primary's position may include commits that no replica has yet. Tests first: the choice of a successor, and the collection from all nodes.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -331,9 +331,19 @@
 
 @attrs.define(frozen=True)
 class BeliefWithdrawn:
-    """Response to `WithdrawBelief`, after the evidence was invalidated."""
+    """Response to `WithdrawBelief`, after the evidence was invalidated.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    acknowledged_term : int
+        Newest term in which the sender has acknowledged a commit of the group; 0 if it
+        has acknowledged none.
+    """
 
     request: int
+    acknowledged_term: int
 
 
 @attrs.define(frozen=True)
--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -81,6 +81,8 @@
     """Term of the newest promotion announced in the store by any node."""
     valid_from_ms: float = 0.0
     """Reports requested before this time no longer prove the term."""
+    acknowledged_term: int = 0
+    """Newest term in which this node has acknowledged a commit."""
     incomplete: dict[str, Position] = attrs.field(factory=dict)
     """Members that lost their log, with the position at which they count again."""
 
@@ -138,6 +140,10 @@
         if at_ms < self.valid_until_ms():
             self._add_sample(Sample(position, at_ms))
 
+    def record_acknowledged(self, term: int) -> None:
+        """Record that a commit of a term was acknowledged to a client."""
+        self.acknowledged_term = max(self.acknowledged_term, term)
+
     def valid_until_ms(self) -> float:
         """Return the time before which no later term acknowledges a commit."""
         request_times_ms = sorted(
--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -285,6 +285,7 @@
         return result
     until_ms = access.clock.now_ms() + CONFIRM_TIMEOUT_MS
     if await access.confirm_term(result.member, term, until_ms):
+        access.evidence.record_acknowledged(term)
         return result
     detail = "the primary may have been replaced meanwhile"
     return make_refusal(Refusal.OUTCOME_UNKNOWN, detail, result.member)
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -327,9 +327,10 @@
                 return Vote(request, await self.promoter.vote(database, member))
             case WithdrawBelief(request, database):
                 access = self.groups.get(database)
-                if access is not None:
-                    access.evidence.invalidate(self.clock.now_ms())
-                return BeliefWithdrawn(request)
+                if access is None:
+                    return BeliefWithdrawn(request, 0)
+                access.evidence.invalidate(self.clock.now_ms())
+                return BeliefWithdrawn(request, access.evidence.acknowledged_term)
             case SharesWanted():
                 return self.rates.grant(peer, message)
             case SharesReturned():
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -222,19 +222,24 @@
         # unfenced here.
         if not await self.duty.renew(claim):
             return "another node has taken the duty over"
-        await self._await_invalidation(access, fenced_ms)
+        acknowledged_term = await self._await_invalidation(access, fenced_ms)
         if not await self.duty.renew(claim):
             return "another node has taken the duty over"
         fenced = await self._read_fenced(access, term, old_primary)
         leaving = frozenset(
             name for name, pool in access.pools.items() if pool.member.is_leaving
         )
-        successor = choose_successor(fenced, access.evidence, old_primary, leaving)
+        successor = choose_successor(
+            fenced, access.evidence, old_primary, leaving, acknowledged_term
+        )
         if access.evidence.term >= term:
             return "another promotion was faster"
         if successor is None:
             await self._unfence(access, old_primary)
-            return "too few members remained fenced"
+            return (
+                "too few members remained fenced, or they lack the commits of term "
+                f"{acknowledged_term}"
+            )
         if not self.duty.may_order(claim):
             await self._unfence(access, old_primary)
             return "the claim is too old to order the promotion"
@@ -280,9 +285,12 @@
             await asyncio.sleep(FENCE_PAUSE_MS / 1000)
         return None
 
-    async def _await_invalidation(self, access: GroupAccess, fenced_ms: float) -> None:
+    async def _await_invalidation(self, access: GroupAccess, fenced_ms: float) -> int:
         """Wait until no node has valid evidence of the old term.
 
+        Returns the newest term in which a node that responded has acknowledged a
+        commit.
+
         The list of nodes must be read after the members were fenced: a node that
         registers later can't obtain evidence of the old term.
         """
@@ -292,6 +300,15 @@
             lambda request: WithdrawBelief(request, access.name),
             INVALIDATE_TIMEOUT_MS,
         )
+        acknowledged_term = max(
+            (
+                response.acknowledged_term
+                for response in responses.values()
+                if isinstance(response, BeliefWithdrawn)
+            ),
+            default=0,
+        )
+        acknowledged_term = max(acknowledged_term, access.evidence.acknowledged_term)
         # A process that is not running has no evidence, and one that starts discards
         # what it had when it begins to listen. If this node started recently, it may
         # not know nodes that were removed shortly before.
@@ -304,9 +321,10 @@
                 for response in responses.values()
             )
         ):
-            return
+            return acknowledged_term
         remaining_ms = fenced_ms + EVIDENCE_VALID_MS - self.clock.now_ms()
         await asyncio.sleep(max(0.0, remaining_ms) / 1000)
+        return acknowledged_term
 
     async def _read_fenced(
         self, access: GroupAccess, term: int, old_primary: str
--- a/src/radishtrack/pooler/promotion.py
+++ b/src/radishtrack/pooler/promotion.py
@@ -168,6 +168,7 @@
     evidence: GroupEvidence,
     old_primary: str,
     leaving: frozenset[str],
+    acknowledged_term: int = 0,
 ) -> MemberReport | None:
     """Return the member to promote.
 
@@ -183,11 +184,15 @@
     leaving : frozenset of str
         Members that are about to stop; one of them is promoted only if no other member
         is as advanced.
+    acknowledged_term : int
+        Newest term in which nodes are known to have acknowledged a commit.
 
     Returns
     -------
     MemberReport or None
-        None if too few members are fenced to contain every acknowledged commit.
+        None if too few members are fenced to contain every acknowledged commit, or if
+        none of them has a commit of `acknowledged_term`. The replica that received
+        these commits has left with its log, so that only the old primary has them.
     """
     complete = {
         name: report
@@ -204,5 +209,7 @@
     if len(candidates) < needed:
         return None
     most_advanced = max(report.position for report in candidates.values())
+    if most_advanced.term < acknowledged_term:
+        return None
     successors = [r for r in candidates.values() if r.position == most_advanced]
     return min(successors, key=lambda report: (report.member in leaving, report.member))
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -183,6 +183,19 @@
     assert (chosen.member if chosen else None) == expected
 
 
+def test_member_without_the_term_of_acknowledged_commits_is_not_promoted() -> None:
+    """A hunted day lost commits that only a leaving replica had received.
+
+    It left with its log, the primary went dark, and the new member in its place, still
+    at the end of the term before, was promoted.
+    """
+    evidence = GroupEvidence("g", 1, members=frozenset("ab"))
+    fenced = {"b": make_report("b", term=2, sequence=195, fenced_term=4)}
+    assert choose_successor(fenced, evidence, "a", frozenset(), 3) is None
+    chosen = choose_successor(fenced, evidence, "a", frozenset(), 2)
+    assert chosen is not None and chosen.member == "b"
+
+
 @pytest.mark.parametrize(
     ("members", "replicas", "old_primary", "needed"),
     [("abc", 1, "a", 2), ("abc", 1, "", 3), ("abcd", 1, "a", 3), ("abc", 2, "a", 1)],
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -325,3 +325,18 @@
         assert await access.confirm_term("i-1", 1, until_ms)
         assert not await access.confirm_term("i-1", 0, until_ms)
         assert not await access.confirm_term("i-2", 1, until_ms)
+
+
+async def test_nodes_tell_the_promoter_in_which_term_they_acknowledged_commits() -> (
+    None
+):
+    """A promotion must not discard what another node has acknowledged."""
+    async with open_simulation(nodes=2) as simulation:
+        first, second = (running.node for running in simulation.nodes)
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        assert first.find_group(GROUP).evidence.acknowledged_term == 0
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        assert first.find_group(GROUP).evidence.acknowledged_term == 1
+        access = second.find_group(GROUP)
+        fenced_ms = second.clock.now_ms()
+        assert await second.promoter._await_invalidation(access, fenced_ms) == 1
