Start the read of a confirmation after its call

Cause, found by reading the diff: since concurrent reads of a node are one, so a confirmation could join a read that had started before its call. A promotion relies on a list of members from after its claim, and of nodes from after its fence: a node that registers in between may hold evidence of the old term. Change: a read under way is waited for and suffices only if the copy then has the confirmed content; otherwise the callers share one new read.

--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -233,11 +233,23 @@
     async def _read_shared(
         self, confirmation: tuple[CopyContent, float] | None
     ) -> bool:
-        """Read the store, together with concurrent callers."""
-        if self.pending is None or self.pending.done():
+        """Read the store after this call, together with concurrent callers.
+
+        A read under way has started before the call. It suffices only if the copy then
+        has the confirmed content: a promotion needs nodes that are listed after its
+        fence.
+        """
+        earlier = self.pending
+        if earlier is not None and not earlier.done():
+            await asyncio.wait((earlier,))
+            if confirmation is not None and self.has_parts(confirmation[0]):
+                self.accept_confirmation(*confirmation)
+                return True
+        if self.pending is earlier:
             self.pending = asyncio.create_task(
                 self._read_store(confirmation, self.clock.now_ms())
             )
+        assert self.pending is not None
         return await asyncio.shield(self.pending)
 
     async def _take_from_peer(self, content: CopyContent, confirmed_ms: float) -> bool:
--- a/tests/test_pooler_store_copy.py
+++ b/tests/test_pooler_store_copy.py
@@ -258,3 +258,19 @@
         time.advance(10.0)
         await store_copy.refresh("orders", f"key {number}".encode())
     assert store.list_calls <= 1
+
+
+async def test_a_confirmation_reads_what_the_store_holds_after_its_call(
+    store_copy: StoreCopy, store: FakeStore
+) -> None:
+    """A promotion reads the list of nodes after its fence, not one from before."""
+    store.list_gate = asyncio.Event()
+    earlier = asyncio.create_task(store_copy.confirm())
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    store.nodes, store.revision = (NODE, OTHER), 2
+    later = asyncio.create_task(store_copy.confirm())
+    await asyncio.sleep(0)
+    store.list_gate.set()
+    assert await later and await earlier
+    assert OTHER in store_copy.registered
