Log the store's era and what each read of it applied

Cause: the logs can't tell the three hypotheses of the incident apart: 4002 names the copy's revision only, and a read that applies nothing, a read that applies only the configuration and a dropped confirmation write no line. Change: events 4005 (the store came back from an older copy), 4006 (a read that found another revision or era, with both sides and what was applied) and 4007 (first dropped confirmation of a series); gauges of era, revision, version and age of the copy. Nothing is decided by the era yet.

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -39,6 +39,13 @@
     LISTING_INVALID = (4003, "warning", "entry in the platform's store is not usable")
     PLATFORM_UNAVAILABLE = (4001, "warning", "platform does not answer")
     PLATFORM_AVAILABLE = (4002, "info", "platform answers again")
+    STORE_RESTORED = (4005, "warning", "platform's store came back from an older copy")
+    COPY_READ = (4006, "info", "copy of the store compared with the store")
+    CONFIRMATION_DROPPED = (
+        4007,
+        "warning",
+        "peer's confirmation is older than the copy",
+    )
     NODE_REMOVED = (1006, "warning", "record of a silent node removed")
     SETTINGS_READ = (1004, "info", "settings file read")
     SETTINGS_INVALID = (1005, "error", "settings file can not be used")
--- a/src/radishtrack/platform/http_client.py
+++ b/src/radishtrack/platform/http_client.py
@@ -40,10 +40,21 @@
 
 @attrs.frozen
 class HttpResponse:
-    """Status and body of a response."""
+    """Status, body and headers of a response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    body : bytes
+        The whole body.
+    headers : mapping
+        Values by name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes]
 
 
 @attrs.define(eq=False)
@@ -77,6 +88,7 @@
         data += protocol.send(h11.EndOfMessage()) or b""
         self.writer.write(data)
         status, content = 0, bytearray()
+        response_headers: dict[bytes, bytes] = {}
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
@@ -84,6 +96,7 @@
                 protocol.receive_data(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                response_headers = dict(event.headers)
             elif isinstance(event, h11.Data):
                 content += event.data
                 if len(content) > MAX_BODY_BYTES:
@@ -95,7 +108,7 @@
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
             protocol.start_next_cycle()
         self.idle_since_s = _now_s()
-        return HttpResponse(status, bytes(content))
+        return HttpResponse(status, bytes(content), response_headers)
 
     def abort(self) -> None:
         """Close the connection at once."""
--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -32,6 +32,7 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.node import Node, NodeOptions, make_node
 from radishtrack.pooler.request_log import make_request_log
+from radishtrack.pooler.store_metrics import register_store_metrics
 
 SETTINGS_POLL_S: Final = 2.0
 """Interval of checks of the settings file, which may change without a signal."""
@@ -106,6 +107,7 @@
         log,
     )
     await start_ready_endpoint(*settings.ready, node.is_ready)
+    register_store_metrics(log.registry, node.store_copy)
     await start_metrics_endpoint(settings.ip, log.registry)
     frontend = await start_frontend(node, *settings.frontend)
     log_event(
--- a/src/radishtrack/platform/object_store.py
+++ b/src/radishtrack/platform/object_store.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from radishtrack.platform.http_client import HttpClient, HttpError
+from radishtrack.events import Event, log_event
+from radishtrack.platform.http_client import HttpClient, HttpError, HttpResponse
 from radishtrack.pooler.ports import StoreUnavailable
 
 CALL_TIMEOUT_MS: Final = 1_200.0
@@ -21,6 +22,11 @@
 NOT_FOUND: Final = 404
 CONFLICT: Final = 409
 TOO_MANY_REQUESTS: Final = 429
+ERA_HEADER: Final = b"store-era"
+"""Header of all responses; rises by one each time the store comes back from an older
+copy. A store without it loses nothing."""
+NO_ERA: Final = 0
+"""Era of a store that does not send the header."""
 
 
 @attrs.frozen
@@ -44,10 +50,11 @@
 
 @attrs.frozen
 class ObjectList:
-    """All objects of a kind, with the store's revision at the first page."""
+    """All objects of a kind, with the store's revision and era at the first page."""
 
     objects: tuple[StoredObject, ...]
     revision: int
+    era: int
 
 
 @attrs.define(eq=False)
@@ -64,6 +71,8 @@
 
     address: str
     timeout_ms: float = CALL_TIMEOUT_MS
+    era: int = NO_ERA
+    """Latest era that a response has named."""
     http: HttpClient = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -73,6 +82,7 @@
         """Return all objects of a kind."""
         objects: list[StoredObject] = []
         revision: int | None = None
+        era = NO_ERA
         after = ""
         for _ in range(MAX_PAGES):
             query = f"?after={quote(after, safe='')}" if after else ""
@@ -84,13 +94,14 @@
                     )
                 page = [_parse_object(item) for item in data["items"]]
                 has_more = bool(data["hasMore"])
-                # Later pages may be newer; the list is complete up to this revision.
-                revision = int(data["atRev"]) if revision is None else revision
+                if revision is None:
+                    # Later pages may be newer; the list is complete up to this one.
+                    revision, era = int(data["atRev"]), self.era
             except (KeyError, TypeError, ValueError, OverflowError) as error:
                 raise _malformed("list", error) from error
             objects += page
             if not has_more or not page:
-                return ObjectList(tuple(objects), revision)
+                return ObjectList(tuple(objects), revision, era)
             after = page[-1].name
         raise StoreUnavailable("list", "too many pages", is_effect_unknown=False)
 
@@ -146,6 +157,7 @@
                 timeout_ms=self.timeout_ms,
                 body=b"" if body is None else json.dumps(body).encode(),
             )
+            self._observe_era(response)
             if response.status >= 500 or response.status == TOO_MANY_REQUESTS:
                 # With either status the store has changed nothing.
                 raise StoreUnavailable(
@@ -161,6 +173,19 @@
                 step, str(error), is_effect_unknown=is_write
             ) from error
 
+    def _observe_era(self, response: HttpResponse) -> None:
+        """Record the era that a response names.
+
+        Raises
+        ------
+        ValueError
+            If the header is not a number.
+        """
+        era = int(response.headers.get(ERA_HEADER, self.era))
+        if era > self.era != NO_ERA:
+            log_event(Event.STORE_RESTORED, era=era, earlier_era=self.era)
+        self.era = max(self.era, era)
+
     def _expect_object(self, step: str, status: int, data: Any) -> StoredObject:
         if status not in OK_STATUSES:
             raise StoreUnavailable(step, f"status {status}", is_effect_unknown=False)
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -159,12 +159,15 @@
         Newest term for which a promotion was announced, by group.
     revision : int
         Store revision; grows with each change of any object.
+    era : int
+        Number of times the store has come back from an older copy.
     """
 
     nodes: tuple[NodeRecord, ...]
     duties: Mapping[str, Duty]
     terms: Mapping[str, int]
     revision: int
+    era: int = 0
 
 
 class ControlStore(Protocol):
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -138,6 +138,8 @@
     confirmed_ms: float | None = None
     """Latest time at which the copy is known to have equalled the store; None before
     the first read."""
+    era: int = 0
+    """Era of the store at the last listing."""
     claim_count: int = 0
     is_available: bool = True
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -148,6 +150,8 @@
     lookup: asyncio.Task[None] | None = None
     """Lookup of a missing name that is under way."""
     unknown: UnknownNames = attrs.field(factory=UnknownNames)
+    has_dropped_confirmation: bool = False
+    """Whether the last confirmation of another node was dropped."""
     peer_confirmation: tuple[CopyContent, float] | None = None
     """Content confirmed by another node that this copy lacks, and the time at which it
     was current."""
@@ -184,7 +188,9 @@
         Content that the copy lacks is read from the store by `run`.
         """
         if content.revision < self.revision or self.confirmed_ms is None:
+            self._record_dropped(content)
             return
+        self.has_dropped_confirmation = False
         if self.has_parts(content):
             # Objects of other kinds have changed, or objects were rewritten unchanged.
             self.revision = content.revision
@@ -193,6 +199,16 @@
         self.peer_confirmation = (content, confirmed_ms)
         self.is_outdated.set()
 
+    def _record_dropped(self, content: CopyContent) -> None:
+        if not self.has_dropped_confirmation and self.confirmed_ms is not None:
+            self.has_dropped_confirmation = True
+            log_event(
+                Event.CONFIRMATION_DROPPED,
+                era=self.era,
+                copy_revision=self.revision,
+                peer_revision=content.revision,
+            )
+
     def _pause_ms(self, requested_ms: float) -> float:
         """Return the time until this node must read the store itself."""
         if self.reads_for_fleet():
@@ -455,7 +471,10 @@
         listing = await self.store.list_fleet()
         if not any(node == self.node for node in listing.nodes):
             await self.store.register_node(self.node)
+        earlier_era, self.era = self.era, listing.era
         if listing.revision == self.revision:
+            if listing.era != earlier_era:
+                self._log_read(listing, "nothing")
             self._record_confirmation(requested_ms)
             return
         is_catalog_current = is_member_list_current = False
@@ -469,13 +488,26 @@
         )
         self._update_catalog(catalog, listing.revision)
         if listing.revision > self.revision:
+            self._log_read(listing, "all")
             self._update_members(members)
             self._update_fleet(listing)
             self.revision = listing.revision
+        else:
+            self._log_read(listing, "configuration")
         if catalog is not None:
             self._record_confirmation(requested_ms)
         self.on_change()
 
+    def _log_read(self, listing: FleetListing, applied: str) -> None:
+        log_event(
+            Event.COPY_READ,
+            era=listing.era,
+            store_revision=listing.revision,
+            copy_revision=self.revision,
+            version=self.catalog.version,
+            applied=applied,
+        )
+
     async def _read_differences(
         self, peer_content: CopyContent, confirmed_ms: float
     ) -> None:
--- /dev/null
+++ b/src/radishtrack/pooler/store_metrics.py
@@ -0,0 +1,33 @@
+"""Metrics of a node's copy of the store."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Gauge
+
+from radishtrack.pooler.store_copy import StoreCopy
+
+
+def register_store_metrics(registry: CollectorRegistry, store_copy: StoreCopy) -> None:
+    """Add gauges of the copy's era, revision, version and age to a registry.
+
+    The age is infinite before the first read of the store.
+    """
+    gauges = (
+        ("era", "Era of the store at the last listing", lambda: store_copy.era),
+        ("revision", "Store revision of the copy", lambda: store_copy.revision),
+        (
+            "configuration_version",
+            "Version of the configuration in force",
+            lambda: store_copy.catalog.version,
+        ),
+        (
+            "copy_age_seconds",
+            "Upper bound of the copy's age",
+            lambda: store_copy.age_ms() / 1000,
+        ),
+    )
+    for name, documentation, read in gauges:
+        gauge = Gauge(
+            f"radishtrack_pooler_store_{name}", documentation, registry=registry
+        )
+        gauge.set_function(read)
