Reproduce the missed configuration after a restored store

The store's stand-in can be restored to a backup: it loses what it acknowledged since, gives out the revisions again and names its era in all responses.

--- a/src/radishtrack_standins/object_store.py
+++ b/src/radishtrack_standins/object_store.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Final
 
 import attrs
 from aiohttp import web
 
 ShowObject = Callable[[str, dict[str, Any]], dict[str, Any]]
+ERA_HEADER: Final = "Store-Era"
+WRITTEN_AGAIN: Final = ("config", "servers")
+"""Kinds whose writers, the operator and the members, notice that their writes are gone
+and write them again."""
 SHOW_KEY: Final[web.AppKey[Any]] = web.AppKey("show")
 
 
@@ -32,12 +37,22 @@
     """Number of upcoming writes that take effect but lose their response."""
 
 
+@attrs.frozen
+class StoreBackup:
+    """Objects and revision of the store at some time."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    revision: int
+
+
 @attrs.define(eq=False)
 class StandinStore:
     """Object store with its promotion service; `start` opens the port."""
 
     objects: dict[tuple[str, str], dict[str, Any]] = attrs.field(factory=dict)
     revision: int = 0
+    era: int = 1
+    """Rises by one with each restore; sent in all responses."""
     page_size: int = 500
     faults: StoreFaults = attrs.field(factory=StoreFaults)
     calls: list[str] = attrs.field(factory=list)
@@ -72,6 +87,7 @@
         """
         application = web.Application()
         application[SHOW_KEY] = show
+        application.on_response_prepare.append(self._name_era)
         application.router.add_route("*", "/-/objects/{kind}", self._serve_kind)
         application.router.add_route(
             "*", "/-/objects/{kind}/{name}", self._serve_object
@@ -104,6 +120,39 @@
         self.revision += 1
         del self.objects[kind, name]
 
+    def back_up(self) -> StoreBackup:
+        """Return a copy of the objects, to which the store can be restored."""
+        return StoreBackup(copy.deepcopy(self.objects), self.revision)
+
+    def restore(
+        self, backup: StoreBackup, written_again: Collection[str] = WRITTEN_AGAIN
+    ) -> None:
+        """Lose what was written since a backup; revisions are given out again.
+
+        Parameters
+        ----------
+        backup : StoreBackup
+            The state that the store comes back with.
+        written_again : collection of str
+            Kinds of which lost writes are made again at once, with new revisions.
+        """
+        lost = self.objects
+        self.objects = copy.deepcopy(backup.objects)
+        self.revision = backup.revision
+        self.era += 1
+        for key in sorted(lost.keys() | self.objects.keys()):
+            if key[0] not in written_again:
+                continue
+            if key not in lost:
+                self.remove(*key)
+            elif lost[key]["spec"] != self.objects.get(key, {}).get("spec"):
+                self.put(*key, lost[key]["spec"])
+
+    async def _name_era(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[ERA_HEADER] = str(self.era)
+
     async def _apply_faults(self, request: web.Request) -> web.Response | None:
         self.calls.append(f"{request.method} {request.path}")
         if self.faults.is_unresponsive:
