Order the store's revisions by its era

Cause: the copy of the store took an equal revision as unchanged and a smaller one as older. A store that comes back from a backup gives out revisions again, so version 12 got the revision 19 that version 8 had had before. Change: the adapter composes the pooler's revisions of the store's era and its own revision, so they keep their order over restores and also between peers, of which one has not seen the restore yet.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -59,7 +59,7 @@
             for item in listing.objects
             if item.name.startswith(TERM_PREFIX)
         }
-        return FleetListing(tuple(nodes), duties, terms, listing.revision, listing.era)
+        return FleetListing(tuple(nodes), duties, terms, listing.revision)
 
     async def register_node(self, node: NodeRecord) -> None:
         """Create or replace a node's record."""
--- a/src/radishtrack/platform/object_store.py
+++ b/src/radishtrack/platform/object_store.py
@@ -12,6 +12,7 @@
 from radishtrack.events import Event, log_event
 from radishtrack.platform.http_client import HttpClient, HttpError, HttpResponse
 from radishtrack.pooler.ports import StoreUnavailable
+from radishtrack.pooler.revision import get_era, make_revision
 
 CALL_TIMEOUT_MS: Final = 1_200.0
 """The store responds in milliseconds, or in a few hundred when it is slow. A call on an
@@ -50,11 +51,18 @@
 
 @attrs.frozen
 class ObjectList:
-    """All objects of a kind, with the store's revision and era at the first page."""
+    """All objects of a kind, with the store's revision at the first page.
+
+    Parameters
+    ----------
+    objects : tuple of StoredObject
+        The objects.
+    revision : int
+        Revision as in `radishtrack.pooler.revision`; those of objects are the store's.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
-    era: int
 
 
 @attrs.define(eq=False)
@@ -82,7 +90,6 @@
         """Return all objects of a kind."""
         objects: list[StoredObject] = []
         revision: int | None = None
-        era = NO_ERA
         after = ""
         for _ in range(MAX_PAGES):
             query = f"?after={quote(after, safe='')}" if after else ""
@@ -96,12 +103,16 @@
                 has_more = bool(data["hasMore"])
                 if revision is None:
                     # Later pages may be newer; the list is complete up to this one.
-                    revision, era = int(data["atRev"]), self.era
+                    revision = make_revision(self.era, int(data["atRev"]))
             except (KeyError, TypeError, ValueError, OverflowError) as error:
                 raise _malformed("list", error) from error
             objects += page
+            if self.era != get_era(revision):
+                raise StoreUnavailable(
+                    "list", "restored between two pages", is_effect_unknown=False
+                )
             if not has_more or not page:
-                return ObjectList(tuple(objects), revision, era)
+                return ObjectList(tuple(objects), revision)
             after = page[-1].name
         raise StoreUnavailable("list", "too many pages", is_effect_unknown=False)
 
@@ -157,7 +168,7 @@
                 timeout_ms=self.timeout_ms,
                 body=b"" if body is None else json.dumps(body).encode(),
             )
-            self._observe_era(response)
+            self._check_era(response)
             if response.status >= 500 or response.status == TOO_MANY_REQUESTS:
                 # With either status the store has changed nothing.
                 raise StoreUnavailable(
@@ -173,18 +184,21 @@
                 step, str(error), is_effect_unknown=is_write
             ) from error
 
-    def _observe_era(self, response: HttpResponse) -> None:
+    def _check_era(self, response: HttpResponse) -> None:
         """Record the era that a response names.
 
         Raises
         ------
         ValueError
-            If the header is not a number.
+            If the header is malformed, or names an earlier era than another response:
+            what this one reports may be lost.
         """
         era = int(response.headers.get(ERA_HEADER, self.era))
+        if era < self.era:
+            raise ValueError(f"response of era {era} after one of era {self.era}")
         if era > self.era != NO_ERA:
             log_event(Event.STORE_RESTORED, era=era, earlier_era=self.era)
-        self.era = max(self.era, era)
+        self.era = era
 
     def _expect_object(self, step: str, status: int, data: Any) -> StoredObject:
         if status not in OK_STATUSES:
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -158,16 +158,14 @@
     terms : mapping
         Newest term for which a promotion was announced, by group.
     revision : int
-        Store revision; grows with each change of any object.
-    era : int
-        Number of times the store has come back from an older copy.
+        Store revision, see `radishtrack.pooler.revision`; grows with each change of any
+        object and when the store comes back from a backup.
     """
 
     nodes: tuple[NodeRecord, ...]
     duties: Mapping[str, Duty]
     terms: Mapping[str, int]
     revision: int
-    era: int = 0
 
 
 class ControlStore(Protocol):
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -33,6 +33,7 @@
     FleetListing,
     StoreUnavailable,
 )
+from radishtrack.pooler.revision import NO_REVISION, get_era, get_number
 from radishtrack.pooler.store_content import (
     CopyContent,
     digest_fleet,
@@ -133,13 +134,11 @@
     terms: Mapping[str, int] = attrs.field(factory=dict)
     failed_ms: float | None = None
     """When a call last failed or was late."""
-    revision: int = -1
+    revision: int = NO_REVISION
     """Store revision up to which the copy is complete."""
     confirmed_ms: float | None = None
     """Latest time at which the copy is known to have equalled the store; None before
     the first read."""
-    era: int = 0
-    """Era of the store at the last listing."""
     claim_count: int = 0
     is_available: bool = True
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -175,6 +174,11 @@
                         await self.is_outdated.wait()
                         break
 
+    @property
+    def era(self) -> int:
+        """Era of the copy's revision; it rises when the store is restored."""
+        return get_era(self.revision)
+
     @property
     def content(self) -> CopyContent:
         """Revision, version and digests of the copy."""
@@ -205,8 +209,9 @@
             log_event(
                 Event.CONFIRMATION_DROPPED,
                 era=self.era,
-                copy_revision=self.revision,
-                peer_revision=content.revision,
+                copy_revision=get_number(self.revision),
+                peer_era=get_era(content.revision),
+                peer_revision=get_number(content.revision),
             )
 
     def _pause_ms(self, requested_ms: float) -> float:
@@ -471,10 +476,7 @@
         listing = await self.store.list_fleet()
         if not any(node == self.node for node in listing.nodes):
             await self.store.register_node(self.node)
-        earlier_era, self.era = self.era, listing.era
         if listing.revision == self.revision:
-            if listing.era != earlier_era:
-                self._log_read(listing, "nothing")
             self._record_confirmation(requested_ms)
             return
         is_catalog_current = is_member_list_current = False
@@ -501,9 +503,10 @@
     def _log_read(self, listing: FleetListing, applied: str) -> None:
         log_event(
             Event.COPY_READ,
-            era=listing.era,
-            store_revision=listing.revision,
-            copy_revision=self.revision,
+            era=get_era(listing.revision),
+            store_revision=get_number(listing.revision),
+            copy_era=self.era,
+            copy_revision=get_number(self.revision),
             version=self.catalog.version,
             applied=applied,
         )
@@ -533,7 +536,7 @@
         log_event(
             Event.CONFIGURATION_ACCEPTED,
             revision=catalog.version,
-            store_revision=revision,
+            store_revision=get_number(revision),
             routes=len(catalog.routes),
         )
         self.unknown.apply(self.catalog, catalog)
@@ -573,4 +576,8 @@
     def _record_available(self) -> None:
         if not self.is_available:
             self.is_available = True
-            log_event(Event.PLATFORM_AVAILABLE, store_revision=self.revision)
+            log_event(
+                Event.PLATFORM_AVAILABLE,
+                era=self.era,
+                store_revision=get_number(self.revision),
+            )
--- a/src/radishtrack/pooler/store_metrics.py
+++ b/src/radishtrack/pooler/store_metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
+from radishtrack.pooler.revision import get_number
 from radishtrack.pooler.store_copy import StoreCopy
 
 
@@ -13,8 +14,12 @@
     The age is infinite before the first read of the store.
     """
     gauges = (
-        ("era", "Era of the store at the last listing", lambda: store_copy.era),
-        ("revision", "Store revision of the copy", lambda: store_copy.revision),
+        ("era", "Era of the copy", lambda: store_copy.era),
+        (
+            "revision",
+            "The store's own revision of the copy",
+            lambda: get_number(store_copy.revision),
+        ),
         (
             "configuration_version",
             "Version of the configuration in force",
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import attrs
@@ -15,6 +16,8 @@
 from radishtrack.platform.control_store import PlatformControlStore
 from radishtrack.platform.object_store import ObjectStoreClient
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.ports import StoreUnavailable
+from radishtrack.pooler.revision import get_era, get_number, make_revision
 from radishtrack.pooler.store_copy import StoreCopy
 from radishtrack_standins.line_member import LineMember
 from radishtrack_standins.object_store import StandinStore
@@ -39,9 +42,8 @@
         return self.store_copies[-1]
 
     def register(self, name: str, state: str = "ready") -> None:
-        entry = make_member_entry(
-            LineMember(GROUP, name, "replica"), slots=2, state=state
-        )
+        member = LineMember(GROUP, name, "replica", port=7_000)
+        entry = make_member_entry(member, slots=2, state=state)
         self.store.put("servers", name, entry)
 
 
@@ -87,3 +89,50 @@
     fixture.register("i-new")
     await store_copy.confirm()
     assert [member.name for member in store_copy.members] == ["i-new"]
+
+
+async def test_a_later_era_is_ordered_after_every_revision_of_an_earlier_one() -> None:
+    """Revisions of two eras were compared as if one counter had given them out."""
+    revisions = [make_revision(1, 5), make_revision(1, 900), make_revision(2, 1)]
+    assert revisions == sorted(revisions)
+    assert [(get_era(r), get_number(r)) for r in revisions] == [
+        (1, 5),
+        (1, 900),
+        (2, 1),
+    ]
+    with pytest.raises(ValueError, match="no revision"):
+        make_revision(1, 1 << 40)
+
+
+async def test_a_late_response_of_an_earlier_era_is_not_used(
+    fixture: CopyFixture,
+) -> None:
+    """What the earlier era acknowledged may be lost, so its answer proves nothing."""
+    client = ObjectStoreClient(fixture.store.address)
+    fixture.store.era = 2
+    await client.list_objects("config")
+    fixture.store.era = 1
+    with pytest.raises(StoreUnavailable) as read:
+        await client.list_objects("config")
+    with pytest.raises(StoreUnavailable) as write:
+        await client.create("radishtrack", "duty.rates", {})
+    await client.close()
+    assert not read.value.is_effect_unknown and write.value.is_effect_unknown
+
+
+async def test_a_list_is_not_joined_from_pages_of_two_eras(
+    fixture: CopyFixture,
+) -> None:
+    """Objects of both states would be listed, and taken as the present members."""
+    for number in range(3):
+        fixture.register(f"i-{number}")
+    backup = fixture.store.back_up()
+    fixture.store.page_size = 1
+    fixture.store.faults.delay_s = 0.05
+    client = ObjectStoreClient(fixture.store.address)
+    listing = asyncio.create_task(client.list_objects("servers"))
+    await asyncio.sleep(0.07)
+    fixture.store.restore(backup)
+    with pytest.raises(StoreUnavailable, match="restored between two pages"):
+        await listing
+    await client.close()
