Compare a copy's revision with the store's in its era

test_invalid_entries_of_other_writers_are_ignored waited for the copy's revision to equal the store's own one, and ran into its time limit since revisions are ordered by era. It now waits for the same revision in the stand-in's era, which is as strict.

--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -19,6 +19,7 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.node import Node, NodeOptions, make_node
 from radishtrack.pooler.request_log import make_request_log
+from radishtrack.pooler.revision import make_revision
 from radishtrack_standins import platform_objects
 from radishtrack_standins.cluster import find_free_ports
 from radishtrack_standins.line_member import LineMember
@@ -105,6 +106,11 @@
     def primary(self) -> LineMember:
         return next(m for m in self.members.values() if m.role == "primary")
 
+    @property
+    def revision(self) -> int:
+        """The store's revision, as nodes read it."""
+        return make_revision(self.store.era, self.store.revision)
+
     def register(self, member: LineMember, state: str = "ready") -> None:
         entry = make_member_entry(member, slots=2, state=state)
         self.store.put("servers", member.name, entry)
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -165,7 +165,7 @@
         simulation.store.put("servers", "i-text", "not an object")
         simulation.store.put("radishtrack", "node.bad", {"name": None})
         store_copy = simulation.nodes[0].node.store_copy
-        await wait_until(lambda: store_copy.revision == simulation.store.revision)
+        await wait_until(lambda: store_copy.revision == simulation.revision)
         assert {member.name for member in store_copy.members} == set(simulation.members)
         client: Client = await simulation.connect(simulation.nodes[0], "orders")
         assert (await client.execute("READ 1"))[0].startswith("DATAROW")
