Keep duties unique when the store loses a claim

Cause, the same as for the configuration: the token is the record's revision, which a restored store gives out again; a claim names the last observed revision, which the store no longer has; and a record that is gone says that nobody holds the duty, although the holder of the lost claim still acts. Change: records name the era of their claim, and tokens are ordered by it; conditional writes name the record that the restored store lists; for the time of a lease after a node has learned of a restore it starts no promotion, and one under way orders nothing once it has; the rate coordinator claims its duty again in each era and keeps its delegations. Why it is safe: a lost claim was made before the restore, so its lease ends within that time.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -19,6 +19,7 @@
 from radishtrack.platform.object_store import ObjectStoreClient, StoredObject
 from radishtrack.pooler.catalog import Catalog, Member, NodeRecord
 from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
+from radishtrack.pooler.revision import get_era, get_number, make_revision
 
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
@@ -49,8 +50,9 @@
             parse_node,
             self._report,
         )
+        era = get_era(listing.revision)
         duties = {
-            item.name.removeprefix(DUTY_PREFIX): _parse_duty(item)
+            item.name.removeprefix(DUTY_PREFIX): _parse_duty(item, era)
             for item in listing.objects
             if item.name.startswith(DUTY_PREFIX)
         }
@@ -90,16 +92,29 @@
     async def claim_duty(
         self, name: str, duty: Duty, holder: str, claim: str
     ) -> Duty | None:
-        """Replace a duty's record if it is still `duty`; otherwise return None."""
+        """Replace a duty's record if it is still `duty`; otherwise return None.
+
+        The record names the era of its claim: its revision alone may be one that a
+        claim had which the store has lost.
+        """
         stored_name = DUTY_PREFIX + name
-        spec = {"holder": holder, "claim": claim}
+        era = self.client.era
+        spec = {"holder": holder, "claim": claim, "era": era}
         if duty.revision == 0:
             stored = await self.client.create(FLEET_KIND, stored_name, spec)
         else:
             stored = await self.client.replace(
-                FLEET_KIND, stored_name, spec, duty.revision
+                FLEET_KIND, stored_name, spec, get_number(duty.revision)
+            )
+        while stored is not None and era != self.client.era:
+            # The store was restored before the write.
+            era = self.client.era
+            stored = await self.client.replace(
+                FLEET_KIND, stored_name, spec | {"era": era}, stored.revision
             )
-        return Duty(holder, stored.revision, claim) if stored is not None else None
+        if stored is None:
+            return None
+        return Duty(holder, make_revision(era, stored.revision), claim)
 
     async def announce_term(self, group: str, term: int) -> None:
         """Announce that a promotion to a term may be ordered from now on."""
@@ -144,8 +159,13 @@
     return term if isinstance(term, int) else 0
 
 
-def _parse_duty(stored: StoredObject) -> Duty:
+def _parse_duty(stored: StoredObject, store_era: int) -> Duty:
     spec = stored.spec if isinstance(stored.spec, dict) else {}
+    era = spec.get("era")
+    # Records of earlier versions of this program name no era.
+    era = min(max(era, 0), store_era) if isinstance(era, int) else 0
     return Duty(
-        str(spec.get("holder", "")), stored.revision, str(spec.get("claim", ""))
+        str(spec.get("holder", "")),
+        make_revision(era, stored.revision),
+        str(spec.get("claim", "")),
     )
--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -149,6 +149,10 @@
             return False
         return await self._claim(observed.duty)
 
+    async def renew_claim(self) -> bool:
+        """Claim this node's duty again, after the store has come back from a backup."""
+        return await self._claim(self.store_copy.find_duty(RATES_DUTY).duty)
+
     async def replace_stale(self) -> bool:
         """Become the coordinator if the current one does not reach the store."""
         observed = self.store_copy.find_duty(RATES_DUTY).duty
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -134,8 +134,9 @@
     holder : str
         Node that holds the duty; empty if it was released or never claimed.
     revision : int
-        Revision of the record's last change, 0 if there is no record. It is unique and
-        grows with each claim.
+        Revision of the record's last change in the era that it names, 0 if there is no
+        record; see `radishtrack.pooler.revision`. It is unique and grows with each
+        claim, also if the store has lost claims.
     claim : str
         Identifies the claim, so that a lost response can be resolved.
     """
--- a/src/radishtrack/pooler/promotion_duty.py
+++ b/src/radishtrack/pooler/promotion_duty.py
@@ -8,6 +8,7 @@
 
 from radishtrack.clock import Clock
 from radishtrack.pooler.ports import Duty
+from radishtrack.pooler.revision import get_era
 from radishtrack.pooler.store_copy import NO_HOLDER, StoreCopy
 
 PROMOTION_DUTY: Final = "promotion"
@@ -47,9 +48,15 @@
     store_copy: StoreCopy
 
     def is_held_by_other(self) -> bool:
-        """Return whether another node holds the duty and its lease may still run."""
+        """Return whether another node may hold the duty and its lease may still run.
+
+        A restored store may have lost the record of the holder.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms - self.store_copy.restored_ms < DUTY_LEASE_MS:
+            return True
         observed = self.store_copy.find_duty(PROMOTION_DUTY)
-        age_ms = self.clock.now_ms() - observed.observed_ms
+        age_ms = now_ms - observed.observed_ms
         return (
             observed.duty.holder not in (NO_HOLDER, self.name)
             and age_ms < DUTY_LEASE_MS
@@ -67,7 +74,9 @@
             return None
         requested_ms = self.clock.now_ms()
         duty = await self.store_copy.claim_duty(PROMOTION_DUTY)
-        return Claim(duty, requested_ms) if duty is not None else None
+        if duty is None or get_era(duty.revision) != self.store_copy.era:
+            return None
+        return Claim(duty, requested_ms)
 
     async def renew(self, claim: Claim) -> bool:
         """Renew a claim that is old; return whether this node still holds the duty.
@@ -78,7 +87,7 @@
             If it is unknown whether the claim has succeeded.
         """
         observed = self.store_copy.find_duty(PROMOTION_DUTY).duty
-        if observed.revision != claim.duty.revision:
+        if observed.revision != claim.duty.revision or self.is_outdated(claim):
             return False
         requested_ms = self.clock.now_ms()
         if requested_ms - claim.requested_ms < RENEW_AFTER_MS:
@@ -92,4 +101,12 @@
     def may_order(self, claim: Claim) -> bool:
         """Return whether a claim lasts long enough for an order to arrive."""
         age_ms = self.clock.now_ms() - claim.requested_ms
-        return age_ms <= DUTY_LEASE_MS - ORDER_MARGIN_MS
+        is_recent = age_ms <= DUTY_LEASE_MS - ORDER_MARGIN_MS
+        return is_recent and not self.is_outdated(claim)
+
+    def is_outdated(self, claim: Claim) -> bool:
+        """Return whether the store was restored after a claim.
+
+        It may have lost the claim and the announcement of the term.
+        """
+        return get_era(claim.duty.revision) < self.store_copy.era
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -259,7 +259,10 @@
     async def _take_over(self, has_response: bool) -> bool:
         """Replace a lost or stale coordinator; return whether this node did."""
         failover = self.failover
-        replace = failover.replace_stale if has_response else failover.replace_lost
+        if self.store_copy.has_outdated_claim(RATES_DUTY):
+            replace = failover.renew_claim
+        else:
+            replace = failover.replace_stale if has_response else failover.replace_lost
         if not await replace():
             return False
         self.configure()
@@ -330,7 +333,10 @@
         if not self.store_copy.is_own_claim(duty):
             self.has_restarted_as_coordinator = duty.holder == self.name
             self.coordinator = None
-        elif self.coordinator is None or self.coordinator.epoch != duty.revision:
+        elif self.coordinator is None:
+            if self.store_copy.has_outdated_claim(RATES_DUTY):
+                # Another node may have claimed the duty after this claim.
+                return
             restarted_ms = None
             if self.has_restarted_as_coordinator:
                 restarted_ms = self.process_started_ms
@@ -341,6 +347,8 @@
             # The others read the store themselves unless this node confirms their
             # copies in time.
             self.store_copy.is_outdated.set()
+        elif self.coordinator.epoch != duty.revision:
+            self.coordinator.renew(duty.revision, self.clock.now_ms())
 
 
 def make_rate_exchange(
--- a/src/radishtrack/pooler/shares.py
+++ b/src/radishtrack/pooler/shares.py
@@ -154,6 +154,15 @@
         self.part = self._delegated_part(now_ms)
         self._apply_rates(now_ms)
 
+    def renew(self, epoch: int, now_ms: float) -> None:
+        """Continue with a later claim of the duty.
+
+        Delegations stay: nodes count them as long whatever the epoch is. Another node
+        may have been the coordinator in between.
+        """
+        self.epoch = epoch
+        self.sole_since_ms = max(self.sole_since_ms, now_ms + DELEGATION_MS)
+
     def exchange(
         self,
         node: str,
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -139,6 +139,8 @@
     confirmed_ms: float | None = None
     """Latest time at which the copy is known to have equalled the store; None before
     the first read."""
+    restored_ms: float = -math.inf
+    """When this node learned that the store has come back from a backup."""
     claim_count: int = 0
     is_available: bool = True
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -197,7 +199,7 @@
         self.has_dropped_confirmation = False
         if self.has_parts(content):
             # Objects of other kinds have changed, or objects were rewritten unchanged.
-            self.revision = content.revision
+            self._advance(content.revision)
             self._record_confirmation(confirmed_ms)
             return
         self.peer_confirmation = (content, confirmed_ms)
@@ -307,7 +309,7 @@
             and self.fleet_digest == content.fleet
         )
         if is_complete:
-            self.revision = max(self.revision, content.revision)
+            self._advance(content.revision)
             self._record_confirmation(confirmed_ms)
         self.on_change()
         return is_complete
@@ -449,11 +451,29 @@
     def _claim_mark(self) -> str:
         return f"{self.node.name}/{self.node.started_ms}/"
 
+    def has_outdated_claim(self, name: str) -> bool:
+        """Return whether this process claimed a duty before the store was restored.
+
+        The record may be lost, so the duty has to be claimed again.
+        """
+        duty = self.find_duty(name).duty
+        return self.is_own_claim(duty) and get_era(duty.revision) < self.era
+
+    def _find_stored_duty(self, name: str) -> Duty:
+        """Return a duty's record in the store, as far as known.
+
+        It is older than the last observed one if a restored store has lost that.
+        """
+        observed = self.find_duty(name).duty
+        if get_era(observed.revision) >= self.era:
+            return observed
+        return self.fleet.duties.get(name, NO_DUTY.duty)
+
     async def _write_duty(self, name: str, holder: str) -> Duty | None:
         self.claim_count += 1
         claim = f"{self._claim_mark}{self.claim_count}"
-        observed = self.find_duty(name).duty
-        claimed = await self.store.claim_duty(name, observed, holder, claim)
+        stored = self._find_stored_duty(name)
+        claimed = await self.store.claim_duty(name, stored, holder, claim)
         if claimed is not None:
             self.record_duty(name, claimed)
         return claimed
@@ -493,7 +513,7 @@
             self._log_read(listing, "all")
             self._update_members(members)
             self._update_fleet(listing)
-            self.revision = listing.revision
+            self._advance(listing.revision)
         else:
             self._log_read(listing, "configuration")
         if catalog is not None:
@@ -520,7 +540,7 @@
         if peer_content.members != self.members_digest:
             self._update_members(await self.store.list_members())
         if self.catalog.version >= peer_content.catalog:
-            self.revision = max(self.revision, peer_content.revision)
+            self._advance(peer_content.revision)
             self._record_confirmation(confirmed_ms)
         self.on_change()
 
@@ -530,6 +550,12 @@
     async def _read_members(self, is_unchanged: bool) -> tuple[Member, ...]:
         return self.members if is_unchanged else await self.store.list_members()
 
+    def _advance(self, revision: int) -> None:
+        """Record that the copy is complete up to a revision."""
+        if get_era(revision) > self.era and self.revision != NO_REVISION:
+            self.restored_ms = self.clock.now_ms()
+        self.revision = max(self.revision, revision)
+
     def _update_catalog(self, catalog: Catalog | None, revision: int) -> None:
         if catalog is None or catalog.version <= self.catalog.version:
             return
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -16,15 +16,23 @@
 from radishtrack.platform.control_store import PlatformControlStore
 from radishtrack.platform.object_store import ObjectStoreClient
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.coordinator_failover import RATES_DUTY
 from radishtrack.pooler.ports import StoreUnavailable
+from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, PromotionDuty
 from radishtrack.pooler.revision import get_era, get_number, make_revision
 from radishtrack.pooler.store_copy import StoreCopy
 from radishtrack_standins.line_member import LineMember
 from radishtrack_standins.object_store import StandinStore
 from radishtrack_standins.platform_objects import make_member_entry
-from tests.pooler_simulation import GROUP, make_config
+from tests.pooler_simulation import (
+    GROUP,
+    make_config,
+    open_simulation,
+    wait_until,
+)
 
 NODE = NodeRecord("edge-1", "10.0.0.1", 7560, "oslo-a", 1)
+OTHER = NodeRecord("edge-2", "10.0.0.2", 7560, "oslo-b", 1)
 
 
 @attrs.define(eq=False)
@@ -41,6 +49,9 @@
         self.store_copies.append(StoreCopy(store, clock, node, lambda: None))
         return self.store_copies[-1]
 
+    def add_duty(self, store_copy: StoreCopy) -> PromotionDuty:
+        return PromotionDuty(store_copy.node.name, store_copy.clock, store_copy)
+
     def register(self, name: str, state: str = "ready") -> None:
         member = LineMember(GROUP, name, "replica", port=7_000)
         entry = make_member_entry(member, slots=2, state=state)
@@ -136,3 +147,88 @@
     with pytest.raises(StoreUnavailable, match="restored between two pages"):
         await listing
     await client.close()
+
+
+async def test_a_fencing_token_rises_over_a_lost_claim(fixture: CopyFixture) -> None:
+    """The next holder got a lower token than the one whose claim the store had lost."""
+    first, second = fixture.add_copy(), fixture.add_copy(OTHER)
+    await first.confirm()
+    await second.confirm()
+    backup = fixture.store.back_up()
+    for version in range(2, 6):
+        fixture.store.put("config", "main", make_config(version))
+    lost = await fixture.add_duty(first).claim()
+    fixture.store.restore(backup)
+    await second.confirm()
+    fixture.time.advance(DUTY_LEASE_MS)
+    claim = await fixture.add_duty(second).claim()
+    assert lost is not None and claim is not None
+    assert claim.duty.revision > lost.duty.revision
+
+
+async def test_a_lost_claim_does_not_block_the_next_one(fixture: CopyFixture) -> None:
+    """Claims named a record that the store no longer had, and were refused."""
+    store_copy = fixture.add_copy()
+    await store_copy.confirm()
+    assert await store_copy.claim_duty(RATES_DUTY)
+    backup = fixture.store.back_up()
+    assert await store_copy.claim_duty(RATES_DUTY)
+    fixture.store.restore(backup)
+    await store_copy.confirm()
+    assert await store_copy.claim_duty(RATES_DUTY)
+
+
+async def test_no_promotion_starts_while_a_lost_claim_may_be_used(
+    fixture: CopyFixture,
+) -> None:
+    """The holder of a lost claim and the next one both ordered promotions."""
+    first, second = fixture.add_copy(), fixture.add_copy(OTHER)
+    await first.confirm()
+    await second.confirm()
+    backup = fixture.store.back_up()
+    lost = await fixture.add_duty(first).claim()
+    fixture.store.restore(backup)
+    await second.confirm()
+    fixture.time.advance(DUTY_LEASE_MS - 1.0)
+    assert lost is not None and await fixture.add_duty(second).claim() is None
+    # The node of the lost claim stops as soon as it sees the restore.
+    await first.confirm()
+    assert not await fixture.add_duty(first).renew(lost)
+    assert not fixture.add_duty(first).may_order(lost)
+
+
+async def test_a_claim_that_meets_a_restore_starts_no_promotion(
+    fixture: CopyFixture,
+) -> None:
+    """The condition of a claim can hold again in the era after it was read."""
+    store_copy = fixture.add_copy()
+    await store_copy.confirm()
+    fixture.store.restore(fixture.store.back_up())
+    duty = fixture.add_duty(store_copy)
+    assert await duty.claim() is None
+    observed = store_copy.find_duty("promotion").duty
+    assert get_era(observed.revision) == fixture.store.era
+    assert fixture.store.objects["radishtrack", "duty.promotion"]["spec"]["era"] == 2
+
+
+async def test_the_coordinator_claims_its_lost_duty_again() -> None:
+    """Without a record, each node that starts took another one for the coordinator."""
+    async with open_simulation(2) as simulation:
+        backup = simulation.store.back_up()
+        del backup.objects["radishtrack", "duty.rates"]
+        coordinators = [
+            running.node.rates.coordinator
+            for running in simulation.nodes
+            if running.node.rates.coordinator is not None
+        ]
+        (coordinator,) = coordinators
+        simulation.store.restore(backup)
+        await wait_until(lambda: get_era(coordinator.epoch) == simulation.store.era)
+        assert ("radishtrack", "duty.rates") in simulation.store.objects
+        await wait_until(
+            lambda: (
+                {running.node.rates.epoch for running in simulation.nodes}
+                == {coordinator.epoch}
+            )
+        )
+        assert coordinator.part > 0.9
