Confirm no copy by a store that may still lack acknowledged writes

Callers: a key that was withdrawn in the lost seconds was accepted, longer than revokeMs after its withdrawal was acknowledged, by every node that read the restored store before the operator had written again, and by a process that started in that moment even with the keys and rates of the older configuration.

Cause: a linearizable read was taken as proof that the copy has all that was acknowledged before it. Change: for 2 s after a node has learned of a restore its reads don't confirm the copy, whose age goes on from the last confirmation; keys stay usable while that is younger than 0.6 of revokeMs. A starting process sees from the record 'era', which the coordinator writes 3 s after a restore, whether the store has settled; if not, it waits likewise, or takes confirmed content from a running node. The coordinator is not replaced for its age then, and a node whose reads don't confirm pauses between them.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -30,6 +30,7 @@
 DUTY_PREFIX: Final = "duty."
 TERM_PREFIX: Final = "term."
 SECRET_NAME: Final = "secret"
+ERA_NAME: Final = "era"
 SECRET_BYTES: Final = 32
 MAX_REPORTED_ENTRIES: Final = 1_000
 """Limit of the invalid objects that are remembered in order to log each only once."""
@@ -57,11 +58,15 @@
             if item.name.startswith(DUTY_PREFIX)
         }
         terms = {
-            item.name.removeprefix(TERM_PREFIX): _parse_term(item)
+            item.name.removeprefix(TERM_PREFIX): _parse_number(item, "term")
             for item in listing.objects
             if item.name.startswith(TERM_PREFIX)
         }
-        return FleetListing(tuple(nodes), duties, terms, listing.revision)
+        settled_era = max(
+            (_parse_number(o, "era") for o in listing.objects if o.name == ERA_NAME),
+            default=0,
+        )
+        return FleetListing(tuple(nodes), duties, terms, listing.revision, settled_era)
 
     async def register_node(self, node: NodeRecord) -> None:
         """Create or replace a node's record."""
@@ -137,6 +142,10 @@
                 "secret", repr(error), is_effect_unknown=False
             ) from error
 
+    async def record_settled_era(self, era: int) -> None:
+        """Record that the writes which an era's restore lost were made again."""
+        await self._write(ERA_NAME, {"era": era})
+
     async def _write(self, name: str, spec: dict[str, object]) -> None:
         """Create or replace an object that only one node writes at a time."""
         if await self.client.create(FLEET_KIND, name, spec) is not None:
@@ -154,16 +163,16 @@
             log_event(Event.LISTING_INVALID, object=name, reason=error)
 
 
-def _parse_term(stored: StoredObject) -> int:
-    term = stored.spec.get("term") if isinstance(stored.spec, dict) else None
-    return term if isinstance(term, int) else 0
+def _parse_number(stored: StoredObject, field: str) -> int:
+    """Return a number in an object's content; 0 if there is none."""
+    number = stored.spec.get(field) if isinstance(stored.spec, dict) else None
+    return number if isinstance(number, int) else 0
 
 
 def _parse_duty(stored: StoredObject, store_era: int) -> Duty:
     spec = stored.spec if isinstance(stored.spec, dict) else {}
-    era = spec.get("era")
     # Records of earlier versions of this program name no era.
-    era = min(max(era, 0), store_era) if isinstance(era, int) else 0
+    era = min(max(_parse_number(stored, "era"), 0), store_era)
     return Duty(
         str(spec.get("holder", "")),
         make_revision(era, stored.revision),
--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -16,7 +16,11 @@
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import Duty, StoreUnavailable
 from radishtrack.pooler.rank import rank_node
-from radishtrack.pooler.store_copy import NO_HOLDER, StoreCopy
+from radishtrack.pooler.store_copy import (
+    NO_HOLDER,
+    RESTORE_SETTLE_MS,
+    StoreCopy,
+)
 from radishtrack.pooler.tasks import start_task
 
 RATES_DUTY: Final = "rates"
@@ -163,6 +167,10 @@
             return False
         if self.store_copy.age_ms() >= RECENT_COPY_MS:
             return False
+        # After a restore no copy is confirmed for a while, whoever reads the store.
+        settled_ms = self.store_copy.restored_ms + RESTORE_SETTLE_MS
+        if self.clock.now_ms() < settled_ms + STALE_COPY_MS:
+            return False
         return await self._claim(observed)
 
     async def is_loss_confirmed(self, due_ms: float) -> bool:
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -161,12 +161,16 @@
     revision : int
         Store revision, see `radishtrack.pooler.revision`; grows with each change of any
         object and when the store comes back from a backup.
+    settled_era : int
+        Latest era in which the lost writes are known to have been made again, 0 if
+        there is no record of one.
     """
 
     nodes: tuple[NodeRecord, ...]
     duties: Mapping[str, Duty]
     terms: Mapping[str, int]
     revision: int
+    settled_era: int = 0
 
 
 class ControlStore(Protocol):
@@ -195,6 +199,9 @@
     async def announce_term(self, group: str, term: int) -> None:
         """Announce that a promotion to a term may be ordered from now on."""
 
+    async def record_settled_era(self, era: int) -> None:
+        """Record that the writes which an era's restore lost were made again."""
+
     async def read_secret(self) -> bytes:
         """Return the secret of the fleet's peers, creating it if there is none."""
 
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -181,7 +181,7 @@
                 async with asyncio.timeout(EXCHANGE_INTERVAL_MS / 1000):
                     await self.exchange_requested.wait()
             self.exchange_requested.clear()
-            if self.store_copy.confirmed_ms is None:
+            if not self.store_copy.has_content:
                 continue
             self.duty_announced.clear()
             if not await self.exchange():
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -56,6 +56,13 @@
 loss of its own path to the store."""
 RETRY_INTERVAL_MS: Final = 250.0
 """Pause after a call without a response."""
+RESTORE_SETTLE_MS: Final = 2_000.0
+"""Time after a restore of the store in which the operator and the members write again
+what it has lost. A read of this time may lack a configuration that was acknowledged,
+so it does not confirm the copy."""
+RECORDS_SETTLED_MS: Final = 3_000.0
+"""Time after a restore from which a process that starts may rely on all records. A
+holder of a lost claim may use it for as long."""
 DEPARTURE_MS: Final = 4_500.0
 """Time for which a removed node still counts. It either sees within 1.3 s that its
 record is missing, or refuses all keys once its copy is 3 s old; the rest is margin."""
@@ -138,7 +145,7 @@
     """Store revision up to which the copy is complete."""
     confirmed_ms: float | None = None
     """Latest time at which the copy is known to have equalled the store; None before
-    the first read."""
+    the first confirmation."""
     restored_ms: float = -math.inf
     """When this node learned that the store has come back from a backup."""
     claim_count: int = 0
@@ -146,7 +153,7 @@
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the store has a later revision than the copy."""
     has_copy: asyncio.Event = attrs.field(factory=asyncio.Event)
-    """Set by the first read."""
+    """Set by the first confirmation."""
     pending: asyncio.Task[bool] | None = None
     lookup: asyncio.Task[None] | None = None
     """Lookup of a missing name that is under way."""
@@ -181,6 +188,15 @@
         """Era of the copy's revision; it rises when the store is restored."""
         return get_era(self.revision)
 
+    @property
+    def has_content(self) -> bool:
+        """Whether the store was read, even if the copy is not confirmed yet."""
+        return self.revision != NO_REVISION
+
+    def is_settling(self) -> bool:
+        """Return whether a restored store may still lack acknowledged writes."""
+        return self.clock.now_ms() < self.restored_ms + RESTORE_SETTLE_MS
+
     @property
     def content(self) -> CopyContent:
         """Revision, version and digests of the copy."""
@@ -193,7 +209,9 @@
 
         Content that the copy lacks is read from the store by `run`.
         """
-        if content.revision < self.revision or self.confirmed_ms is None:
+        if not self.has_content:
+            return
+        if content.revision < self.revision:
             self._record_dropped(content)
             return
         self.has_dropped_confirmation = False
@@ -206,7 +224,7 @@
         self.is_outdated.set()
 
     def _record_dropped(self, content: CopyContent) -> None:
-        if not self.has_dropped_confirmation and self.confirmed_ms is not None:
+        if not self.has_dropped_confirmation:
             self.has_dropped_confirmation = True
             log_event(
                 Event.CONFIRMATION_DROPPED,
@@ -218,8 +236,15 @@
 
     def _pause_ms(self, requested_ms: float) -> float:
         """Return the time until this node must read the store itself."""
+        now_ms = self.clock.now_ms()
+        settled_ms = self.restored_ms + RESTORE_SETTLE_MS
         if self.reads_for_fleet():
             due_ms = requested_ms + CONFIRM_INTERVAL_MS
+            if requested_ms < settled_ms:
+                due_ms = min(due_ms, max(settled_ms, now_ms + RETRY_INTERVAL_MS))
+        elif requested_ms < settled_ms:
+            # A read does not confirm the copy, so the node would read continually.
+            due_ms = requested_ms + PEER_CONFIRMATION_MS
         else:
             confirmed_ms = (
                 requested_ms if self.confirmed_ms is None else self.confirmed_ms
@@ -227,7 +252,8 @@
             due_ms = min(
                 requested_ms + OWN_READ_INTERVAL_MS, confirmed_ms + PEER_CONFIRMATION_MS
             )
-        return due_ms - self.clock.now_ms()
+            due_ms = max(due_ms, requested_ms + RETRY_INTERVAL_MS)
+        return due_ms - now_ms
 
     async def confirm(
         self, confirmation: tuple[CopyContent, float] | None = None
@@ -280,7 +306,7 @@
 
         The content counts only if it equals the confirmed digests.
         """
-        if self.confirmed_ms is None:
+        if not self.has_content:
             return False
         response = await self.request_content(content)
         if response is None:
@@ -496,8 +522,10 @@
         listing = await self.store.list_fleet()
         if not any(node == self.node for node in listing.nodes):
             await self.store.register_node(self.node)
+        self._observe_era(listing)
+        await self._record_settled(listing)
         if listing.revision == self.revision:
-            self._record_confirmation(requested_ms)
+            self._record_own_read(requested_ms)
             return
         is_catalog_current = is_member_list_current = False
         if peer_content is not None and peer_content.revision == listing.revision:
@@ -517,9 +545,36 @@
         else:
             self._log_read(listing, "configuration")
         if catalog is not None:
-            self._record_confirmation(requested_ms)
+            self._record_own_read(requested_ms)
         self.on_change()
 
+    def _observe_era(self, listing: FleetListing) -> None:
+        """Record that the store was restored, according to a listing.
+
+        A process that starts knows no earlier era, but finds that nobody has recorded
+        this one as settled.
+        """
+        era = get_era(listing.revision)
+        if era > self.era and (self.has_content or listing.settled_era < era):
+            self.restored_ms = self.clock.now_ms()
+
+    async def _record_settled(self, listing: FleetListing) -> None:
+        era = get_era(listing.revision)
+        if (
+            listing.settled_era < era
+            and self.clock.now_ms() >= self.restored_ms + RECORDS_SETTLED_MS
+            and self.reads_for_fleet()
+        ):
+            await self.store.record_settled_era(era)
+
+    def _record_own_read(self, requested_ms: float) -> None:
+        """Count a read of the store as confirmation, unless it may lack writes."""
+        if requested_ms < self.restored_ms + RESTORE_SETTLE_MS:
+            # Announced promotions may be lost as well, so the members' reports count.
+            self.failed_ms = self.clock.now_ms()
+        else:
+            self._record_confirmation(requested_ms)
+
     def _log_read(self, listing: FleetListing, applied: str) -> None:
         log_event(
             Event.COPY_READ,
@@ -552,7 +607,7 @@
 
     def _advance(self, revision: int) -> None:
         """Record that the copy is complete up to a revision."""
-        if get_era(revision) > self.era and self.revision != NO_REVISION:
+        if self.has_content and get_era(revision) > self.era:
             self.restored_ms = self.clock.now_ms()
         self.revision = max(self.revision, revision)
 
--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -181,6 +181,7 @@
             m for m in members.values() if m.role == "replica"
         ]
         store.put("config", "main", make_config())
+        store.put("radishtrack", "era", {"era": store.era})
         for number in range(nodes):
             await simulation.start_node(f"edge-{number + 1}")
         for running in simulation.nodes:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -13,14 +13,22 @@
 import pytest
 
 from radishtrack.clock import ManualTime, make_manual_clock
+from radishtrack.peer.messages import Content
 from radishtrack.platform.control_store import PlatformControlStore
 from radishtrack.platform.object_store import ObjectStoreClient
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.content_codec import encode_catalog, encode_fleet
 from radishtrack.pooler.coordinator_failover import RATES_DUTY
 from radishtrack.pooler.ports import StoreUnavailable
 from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, PromotionDuty
 from radishtrack.pooler.revision import get_era, get_number, make_revision
-from radishtrack.pooler.store_copy import StoreCopy
+from radishtrack.pooler.store_content import CopyContent
+from radishtrack.pooler.store_copy import (
+    PEER_CONFIRMATION_MS,
+    RECORDS_SETTLED_MS,
+    RESTORE_SETTLE_MS,
+    StoreCopy,
+)
 from radishtrack_standins.line_member import LineMember
 from radishtrack_standins.object_store import StandinStore
 from radishtrack_standins.platform_objects import make_member_entry
@@ -63,6 +71,7 @@
     store = StandinStore()
     await store.start()
     store.put("config", "main", make_config(1))
+    store.put("radishtrack", "era", {"era": store.era})
     fixture = CopyFixture(store, ManualTime(1_000.0))
     yield fixture
     for store_copy in fixture.store_copies:
@@ -232,3 +241,87 @@
             )
         )
         assert coordinator.part > 0.9
+
+
+async def test_a_restored_store_confirms_no_keys_before_writes_are_made_again(
+    fixture: CopyFixture,
+) -> None:
+    """A withdrawn key was accepted: its withdrawal was among the lost writes."""
+    store_copy = fixture.add_copy()
+    await store_copy.confirm()
+    backup = fixture.store.back_up()
+    fixture.store.put("config", "main", make_config(2))
+    fixture.store.restore(backup, written_again=())
+    for _ in range(4):
+        await store_copy.confirm()
+        assert store_copy.age_ms() == fixture.time.value_ms - 1_000.0
+        fixture.time.advance(RESTORE_SETTLE_MS / 4)
+    fixture.store.put("config", "main", make_config(2))
+    await store_copy.confirm()
+    assert store_copy.age_ms() == 0.0 and store_copy.catalog.version == 2
+
+
+async def test_a_process_that_starts_after_a_restore_serves_no_lost_state(
+    fixture: CopyFixture,
+) -> None:
+    """A starting node knew only the older copy, and accepted keys that it contains."""
+    running = fixture.add_copy()
+    backup = fixture.store.back_up()
+    fixture.store.put("config", "main", make_config(2))
+    await running.confirm()
+    fixture.store.restore(backup, written_again=())
+    await running.confirm()
+    starting = fixture.add_copy(OTHER)
+    await starting.confirm()
+    assert starting.confirmed_ms is None and starting.catalog.version == 1
+    # A node that has seen the lost version passes it on, with its age.
+    await running.confirm()
+    fixture.time.advance(100.0)
+
+    async def respond(_wanted: CopyContent) -> Content:
+        catalog, fleet = encode_catalog(running.catalog), encode_fleet(running.fleet)
+        return Content(1, catalog, b"", fleet)
+
+    starting.request_content = respond
+    starting.accept_confirmation(running.content, 1_000.0)
+    await starting.confirm(starting.peer_confirmation)
+    assert starting.catalog.version == 2 and starting.age_ms() == 100.0
+
+
+async def test_a_process_relies_on_a_store_that_has_settled(
+    fixture: CopyFixture,
+) -> None:
+    """After a restore, every later start would have waited for lost writes again."""
+    running = fixture.add_copy()
+    await running.confirm()
+    fixture.store.restore(fixture.store.back_up())
+    await running.confirm()
+    fixture.time.advance(RECORDS_SETTLED_MS)
+    await running.confirm()
+    starting = fixture.add_copy(OTHER)
+    await starting.confirm()
+    assert starting.age_ms() == 0.0
+    assert not fixture.add_duty(starting).is_held_by_other()
+
+
+async def test_a_first_read_that_is_not_confirmed_is_no_reason_to_read_continually(
+    fixture: CopyFixture,
+) -> None:
+    """Nodes with an unconfirmed copy read the store without a pause."""
+    store_copy = fixture.add_copy()
+    await store_copy.confirm()
+    fixture.store.restore(fixture.store.back_up())
+    await store_copy.confirm()
+    fixture.time.advance(PEER_CONFIRMATION_MS)
+    fixture.store.calls.clear()
+    for reads_for_fleet in (True, False):
+        store_copy.reads_for_fleet = lambda value=reads_for_fleet: value
+        task = asyncio.create_task(store_copy.run())
+        await asyncio.sleep(0.2)
+        task.cancel()
+    assert len(fixture.store.calls) <= 4
+
+
+def test_a_claim_of_the_lost_seconds_ends_before_the_era_is_settled() -> None:
+    """A process that starts in a settled era may claim the duty at once."""
+    assert DUTY_LEASE_MS <= RECORDS_SETTLED_MS
