Write lost secrets and announced terms again after a restore

Callers: after a restore to before the first start of the fleet, a process that started created another secret, reached no peer and divided rates alone; after one to before an announcement, a node could rely on two reports of a term that a promotion under way was replacing (STALE).

Cause: both records were treated as written once, so written; a copy's announced terms went back with the store; and an announcement could replace one of a later term. A process creates a secret only in a confirmed store; each node compares its secret once after a restore, and takes over the store's if it differs. Announced terms never go back, in the copy or in the store.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import Final
 
 import attrs
@@ -31,7 +30,6 @@
 TERM_PREFIX: Final = "term."
 SECRET_NAME: Final = "secret"
 ERA_NAME: Final = "era"
-SECRET_BYTES: Final = 32
 MAX_REPORTED_ENTRIES: Final = 1_000
 """Limit of the invalid objects that are remembered in order to log each only once."""
 
@@ -123,24 +121,28 @@
 
     async def announce_term(self, group: str, term: int) -> None:
         """Announce that a promotion to a term may be ordered from now on."""
-        await self._write(TERM_PREFIX + group, {"term": term})
+        name = TERM_PREFIX + group
+        stored = await self.client.get(FLEET_KIND, name)
+        if stored is None or _parse_number(stored, "term") < term:
+            await self._write(name, {"term": term})
 
-    async def read_secret(self) -> bytes:
-        """Return the secret of the fleet's peers; create it if there is none."""
-        spec = {"secret": secrets.token_hex(SECRET_BYTES)}
+    async def find_secret(self) -> bytes | None:
+        """Return the secret of the fleet's peers, or None if there is none."""
         stored = await self.client.get(FLEET_KIND, SECRET_NAME)
-        if stored is None:
-            stored = await self.client.create(FLEET_KIND, SECRET_NAME, spec)
-        if stored is None:
-            stored = await self.client.get(FLEET_KIND, SECRET_NAME)
-        try:
-            if stored is None:
-                raise ValueError("the secret was deleted after its creation")
-            return bytes.fromhex(stored.spec["secret"])
-        except (KeyError, TypeError, ValueError) as error:
+        return None if stored is None else _parse_secret(stored)
+
+    async def create_secret(self, secret: bytes) -> bytes:
+        """Store the peers' secret unless there is one; return the stored one."""
+        spec = {"secret": secret.hex()}
+        stored = await self.client.create(FLEET_KIND, SECRET_NAME, spec)
+        if stored is not None:
+            return secret
+        existing = await self.find_secret()
+        if existing is None:
             raise StoreUnavailable(
-                "secret", repr(error), is_effect_unknown=False
-            ) from error
+                "secret", "deleted after its creation", is_effect_unknown=False
+            )
+        return existing
 
     async def record_settled_era(self, era: int) -> None:
         """Record that the writes which an era's restore lost were made again."""
@@ -163,6 +165,15 @@
             log_event(Event.LISTING_INVALID, object=name, reason=error)
 
 
+def _parse_secret(stored: StoredObject) -> bytes:
+    try:
+        return bytes.fromhex(stored.spec["secret"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreUnavailable(
+            "secret", repr(error), is_effect_unknown=False
+        ) from error
+
+
 def _parse_number(stored: StoredObject, field: str) -> int:
     """Return a number in an object's content; 0 if there is none."""
     number = stored.spec.get(field) if isinstance(stored.spec, dict) else None
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import secrets
 from collections.abc import AsyncIterator
 from typing import Final
 
@@ -53,6 +55,7 @@
 )
 from radishtrack.pooler.statements import Refusal
 from radishtrack.pooler.store_copy import StoreCopy
+from radishtrack.pooler.store_recovery import StoreRecovery
 from radishtrack.pooler.tasks import start_task, supervise
 
 UNLISTED_EXPIRY_MS: Final = 5_000.0
@@ -60,6 +63,7 @@
 entries take to return after an outage, and 2 s less than the limit of 7 s."""
 HOUSEKEEPING_MS: Final = 250.0
 """Pause between checks for expired members."""
+SECRET_BYTES: Final = 32
 SECRET_RETRY_MS: Final = 300.0
 """Pause between attempts to read the peers' secret while a node starts."""
 
@@ -101,6 +105,7 @@
     rates: RateExchange
     relay: ReportRelay
     content: ContentExchange
+    recovery: StoreRecovery
     groups: dict[str, GroupAccess] = attrs.field(factory=dict)
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     sessions: set[ClientSession] = attrs.field(factory=set)
@@ -110,6 +115,8 @@
     """Whether peers can reach this node."""
     stop_plan: StopPlan | None = None
     release_task: asyncio.Task[None] | None = None
+    secret_replaced: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set when the store has another secret of the peers than this node."""
 
     async def run(self) -> None:
         """Run all tasks; never returns."""
@@ -258,6 +265,7 @@
                 self.apply_store_copy()
             if self.options.key_age_limit_ms is not None:
                 await self._remove_unresponsive_nodes()
+            await self._restore_records()
             if self.store_copy.age_ms() > UNLISTED_EXPIRY_MS:
                 # The copy of the store may lack entries that have returned.
                 continue
@@ -266,6 +274,14 @@
                 for name in access.expire_members(before_ms):
                     log_event(Event.MEMBER_REMOVED, group=access.name, member=name)
 
+    async def _restore_records(self) -> None:
+        try:
+            await self.recovery.write_missing()
+            if await self.recovery.find_replaced_secret():
+                self.secret_replaced.set()
+        except StoreUnavailable as error:
+            log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
+
     async def _remove_unresponsive_nodes(self) -> None:
         """Remove the records of lost nodes; one that still runs registers again.
 
@@ -282,7 +298,14 @@
                 return
 
     async def _serve_peers(self) -> None:
-        secret = await self._read_secret()
+        while True:
+            await self._serve_peers_with(await self._read_secret())
+            if not self.secret_replaced.is_set():
+                return
+            self.secret_replaced.clear()
+
+    async def _serve_peers_with(self, secret: bytes) -> None:
+        """Accept links of peers until the secret is replaced or the server closes."""
         self.peers.secret = secret
         handlers = PeerHandlers(
             execute=_refuse_execute,
@@ -301,18 +324,36 @@
         for access in self.groups.values():
             access.evidence.invalidate(now_ms)
         self.is_listening = True
+        ends = [
+            asyncio.create_task(server.wait_closed()),
+            asyncio.create_task(self.secret_replaced.wait()),
+        ]
         try:
-            await server.wait_closed()
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         finally:
             # A node that has ended must not respond over open links.
             self.is_listening = False
             server.close()
+            for end in ends:
+                end.cancel()
+        await server.wait_closed()
 
     async def _read_secret(self) -> bytes:
+        """Return the peers' secret; create it if a store that has settled has none."""
         is_reported = False
+        store = self.store_copy.store
         while True:
             try:
-                return await self.store_copy.store.read_secret()
+                secret = await store.find_secret()
+                if secret is None and self.store_copy.has_copy.is_set():
+                    secret = await store.create_secret(
+                        secrets.token_bytes(SECRET_BYTES)
+                    )
+                if secret is not None:
+                    return secret
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(SECRET_RETRY_MS / 1000):
+                        await self.store_copy.has_copy.wait()
             except StoreUnavailable as error:
                 if not is_reported:
                     is_reported = True
@@ -420,6 +461,7 @@
         rates,
         relay,
         content,
+        StoreRecovery(store_copy, peers, groups, rates.is_coordinator),
         groups=groups,
     )
     store_copy.on_change = node.apply_store_copy
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -197,13 +197,19 @@
         """Replace a duty's record if it still equals `duty`; otherwise return None."""
 
     async def announce_term(self, group: str, term: int) -> None:
-        """Announce that a promotion to a term may be ordered from now on."""
+        """Announce that a promotion to a term may be ordered from now on.
+
+        An announcement of a later term stays.
+        """
 
     async def record_settled_era(self, era: int) -> None:
         """Record that the writes which an era's restore lost were made again."""
 
-    async def read_secret(self) -> bytes:
-        """Return the secret of the fleet's peers, creating it if there is none."""
+    async def find_secret(self) -> bytes | None:
+        """Return the secret of the fleet's peers, or None if there is none."""
+
+    async def create_secret(self, secret: bytes) -> bytes:
+        """Store the peers' secret unless there is one; return the stored one."""
 
 
 class PromotionResult(enum.Enum):
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -193,9 +193,9 @@
         """Whether the store was read, even if the copy is not confirmed yet."""
         return self.revision != NO_REVISION
 
-    def is_settling(self) -> bool:
-        """Return whether a restored store may still lack acknowledged writes."""
-        return self.clock.now_ms() < self.restored_ms + RESTORE_SETTLE_MS
+    def has_unsettled_records(self) -> bool:
+        """Return whether a restored store may still lack records of the pooler."""
+        return self.clock.now_ms() < self.restored_ms + RECORDS_SETTLED_MS
 
     @property
     def content(self) -> CopyContent:
@@ -629,7 +629,11 @@
 
     def _update_fleet(self, listing: FleetListing) -> None:
         self._record_nodes(listing.nodes)
-        self.terms = listing.terms
+        # A restored store may lack the announcement of a promotion under way.
+        self.terms = {
+            group: max(self.terms.get(group, 0), listing.terms.get(group, 0))
+            for group in self.terms.keys() | listing.terms.keys()
+        }
         for name, duty in listing.duties.items():
             self.record_duty(name, duty)
         self.fleet = listing
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -95,7 +95,7 @@
     async def announce_term(self, group: str, term: int) -> None:
         raise NotImplementedError
 
-    async def read_secret(self) -> bytes:
+    async def find_secret(self) -> bytes | None:
         raise NotImplementedError
 
 
--- a/tests/test_pooler_store_copy.py
+++ b/tests/test_pooler_store_copy.py
@@ -59,7 +59,7 @@
     async def announce_term(self, group: str, term: int) -> None:
         raise NotImplementedError
 
-    async def read_secret(self) -> bytes:
+    async def find_secret(self) -> bytes | None:
         raise NotImplementedError
 
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -325,3 +325,59 @@
 def test_a_claim_of_the_lost_seconds_ends_before_the_era_is_settled() -> None:
     """A process that starts in a settled era may claim the duty at once."""
     assert DUTY_LEASE_MS <= RECORDS_SETTLED_MS
+
+
+async def test_the_peers_secret_is_written_again() -> None:
+    """A process that started later created another secret, and reached no peer."""
+    async with open_simulation(2) as simulation:
+        key = ("radishtrack", "secret")
+        secret = simulation.store.objects[key]["spec"]
+        backup = simulation.store.back_up()
+        for name in ("secret", "era", "node.edge-1", "node.edge-2"):
+            del backup.objects["radishtrack", name]
+        simulation.store.restore(backup)
+        starting = await simulation.start_node("edge-3")
+        await wait_until(lambda: starting.node.peers.secret != b"")
+        assert simulation.store.objects[key]["spec"] == secret
+        await wait_until(lambda: len(starting.node.store_copy.registered) == 3)
+        await wait_until(lambda: starting.node.rates.epoch != 0)
+        await wait_until(starting.node.is_ready)
+
+
+async def test_nodes_take_over_the_secret_of_a_restored_store() -> None:
+    """Nodes with the earlier secret stayed without peers until they were restarted."""
+    async with open_simulation(2) as simulation:
+        backup = simulation.store.back_up()
+        secret = bytes(range(32))
+        backup.objects["radishtrack", "secret"]["spec"] = {"secret": secret.hex()}
+        simulation.store.restore(backup)
+        nodes = [running.node for running in simulation.nodes]
+        await wait_until(lambda: all(node.peers.secret == secret for node in nodes))
+        await wait_until(lambda: all(node.is_listening for node in nodes))
+        starting = await simulation.start_node("edge-3")
+        await wait_until(lambda: starting.node.rates.epoch != 0)
+
+
+async def test_a_lost_announcement_of_a_promotion_is_made_again() -> None:
+    """A node that starts relied on two reports of a term that was being replaced."""
+    async with open_simulation(1) as simulation:
+        node = simulation.nodes[0].node
+        backup = simulation.store.back_up()
+        await node.store_copy.store.announce_term(GROUP, 3)
+        evidence = node.find_group(GROUP).evidence
+        await wait_until(lambda: evidence.announced_term == 3)
+        simulation.store.restore(backup)
+        key = ("radishtrack", f"term.{GROUP}")
+        await wait_until(lambda: key in simulation.store.objects)
+        assert simulation.store.objects[key]["spec"] == {"term": 3}
+        assert evidence.announced_term == 3
+
+
+async def test_an_announcement_does_not_replace_one_of_a_later_term(
+    fixture: CopyFixture,
+) -> None:
+    """A late announcement hid the one of the promotion that followed."""
+    store = fixture.add_copy().store
+    await store.announce_term(GROUP, 4)
+    await store.announce_term(GROUP, 3)
+    assert (await store.list_fleet()).terms == {GROUP: 4}
