Keep a leaving member leaving when the store lists it as ready again

Callers: their statements went to a member again that had announced its stop before the restore, for up to the 2 s until it wrote its entry again, or to one that had left, until its entry expired.

Cause: the list of the store was taken as later than what the node had read before. Change: a member's process that was seen leaving stays so, also after it was removed, until a process with another start time has the name. Test: failed before, since the member was used as ready again. One existing test reads the renamed attribute.

--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -29,6 +29,8 @@
 """Time for which a member is used after this node learned that it is leaving or
 unlisted. It may get no new work 7 s after the store's entry changes, and this node
 learns of the change up to 1.6 s later."""
+MAX_LEFT_MEMBERS: Final = 1_000
+"""Number of members that have left and are remembered."""
 DEFAULT_CONNECTION_LIMIT: Final = 4
 """Connections for each member until the group's settings are known."""
 
@@ -49,6 +51,22 @@
     min_position: Position | None
 
 
+@attrs.frozen
+class LeavingMember:
+    """A member's process that has announced its stop.
+
+    Parameters
+    ----------
+    started_ms : int
+        Unix time of its start, by which a later process of the name is told apart.
+    since_ms : float
+        When this node learned that it is leaving.
+    """
+
+    started_ms: int
+    since_ms: float
+
+
 def _assume_announced(_max_age_ms: float) -> bool:
     return True
 
@@ -85,8 +103,8 @@
     pools: dict[str, MemberPool] = attrs.field(factory=dict)
     unlisted_ms: dict[str, float] = attrs.field(factory=dict)
     """When a member disappeared from the store's list, by name."""
-    leaving_ms: dict[str, float] = attrs.field(factory=dict)
-    """When this node learned that members are leaving, by name."""
+    leaving: dict[str, LeavingMember] = attrs.field(factory=dict)
+    """Members that are leaving or have left, by name."""
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set and replaced whenever a report arrives."""
     poll_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -103,14 +121,16 @@
     def set_members(self, members: tuple[Member, ...], now_ms: float) -> None:
         """Apply the store's list of this group's members.
 
-        A member that is no longer listed stays in use until `expire_members`.
+        A member that is no longer listed stays in use until `expire_members`. One that
+        is leaving stays so until its process is replaced: a store that comes back from
+        a backup lists it as it was before.
         """
         listed = {member.name: member for member in members}
         for member in members:
             self.unlisted_ms.pop(member.name, None)
-            self._set_member(member)
-            if member.is_leaving:
-                self.leaving_ms.setdefault(member.name, now_ms)
+            self._record_leaving(member, now_ms)
+            is_leaving = member.name in self.leaving
+            self._set_member(attrs.evolve(member, is_leaving=is_leaving))
         for name in self.pools.keys() - listed.keys():
             self.unlisted_ms.setdefault(name, now_ms)
         self.evidence.set_members(frozenset(self.pools))
@@ -127,7 +147,6 @@
     def remove_member(self, name: str) -> None:
         """Close a member's connections and remove it."""
         del self.unlisted_ms[name]
-        self.leaving_ms.pop(name, None)
         self.pools.pop(name).drop_all()
         self.evidence.set_members(frozenset(self.pools))
 
@@ -145,10 +164,10 @@
 
     def may_use(self, name: str) -> bool:
         """Return whether a member may still be used, even if leaving or unlisted."""
-        since_ms = min(
-            self.leaving_ms.get(name, float("inf")),
-            self.unlisted_ms.get(name, float("inf")),
-        )
+        since_ms = self.unlisted_ms.get(name, float("inf"))
+        leaving = self.leaving.get(name)
+        if leaving is not None:
+            since_ms = min(since_ms, leaving.since_ms)
         return self.clock.now_ms() - since_ms < LEAVING_USE_MS
 
     def may_send_commit(self) -> bool:
@@ -332,8 +351,17 @@
             pool.drop_all()
             self.evidence.discard_member(member.name)
         pool.member = member
-        if not member.is_leaving:
-            self.leaving_ms.pop(member.name, None)
+
+    def _record_leaving(self, member: Member, now_ms: float) -> None:
+        known = self.leaving.get(member.name)
+        if known is not None and known.started_ms != member.started_ms:
+            del self.leaving[member.name]
+            known = None
+        if member.is_leaving and known is None:
+            self.leaving[member.name] = LeavingMember(member.started_ms, now_ms)
+            left = [name for name in self.leaving if name not in self.pools]
+            for name in left[:-MAX_LEFT_MEMBERS]:
+                del self.leaving[name]
 
     def _connection_limit(self) -> int:
         if self.settings is None:
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -260,9 +260,12 @@
         for name in ("i-2", "i-3"):
             await simulation.members[name].stop()
         simulation.register(simulation.members["i-1"], state="draining")
-        await wait_until(lambda: "i-1" in access.leaving_ms)
+        await wait_until(lambda: "i-1" in access.leaving)
         assert access.may_use("i-1")
-        access.leaving_ms["i-1"] -= 4_600.0
+        leaving = access.leaving["i-1"]
+        access.leaving["i-1"] = attrs.evolve(
+            leaving, since_ms=leaving.since_ms - 4_600.0
+        )
         client = await simulation.connect(simulation.nodes[0], "orders")
         assert (await client.execute("WRITE 1 x"))[0].startswith("ERROR BUSY")
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -13,13 +13,15 @@
 import pytest
 
 from radishtrack.clock import ManualTime, make_manual_clock
+from radishtrack.group.status import Role
 from radishtrack.peer.messages import Content
 from radishtrack.platform.control_store import PlatformControlStore
 from radishtrack.platform.object_store import ObjectStoreClient
-from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.catalog import Member, NodeRecord
 from radishtrack.pooler.content_codec import encode_catalog, encode_fleet
 from radishtrack.pooler.coordinator_failover import RATES_DUTY
-from radishtrack.pooler.ports import StoreUnavailable
+from radishtrack.pooler.group_access import LEAVING_USE_MS, make_group_access
+from radishtrack.pooler.ports import LinkRefused, StoreUnavailable
 from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, PromotionDuty
 from radishtrack.pooler.revision import get_era, get_number, make_revision
 from radishtrack.pooler.store_content import CopyContent
@@ -381,3 +383,25 @@
     await store.announce_term(GROUP, 4)
     await store.announce_term(GROUP, 3)
     assert (await store.list_fleet()).terms == {GROUP: 4}
+
+
+async def test_a_member_that_was_leaving_is_not_used_as_ready_again() -> None:
+    """The store listed a member that had left as it was before, and it got work."""
+    time = ManualTime(1_000.0)
+    access = make_group_access(GROUP, "oslo-a", make_manual_clock(time), refuse_link)
+    ready = Member("i-1", GROUP, "10.0.0.9", 7_000, "oslo-a", 2, False, Role.REPLICA, 5)
+    access.set_members((attrs.evolve(ready, is_leaving=True),), time.value_ms)
+    access.set_members((ready,), time.value_ms)
+    assert access.pools["i-1"].member.is_leaving
+    time.advance(LEAVING_USE_MS)
+    assert not access.may_use("i-1")
+    access.set_members((), time.value_ms)
+    access.expire_members(time.value_ms)
+    access.set_members((ready,), time.value_ms)
+    assert not access.may_use("i-1")
+    access.set_members((attrs.evolve(ready, started_ms=6),), time.value_ms)
+    assert access.may_use("i-1") and not access.pools["i-1"].member.is_leaving
+
+
+async def refuse_link(_member: Member, _organisation: str, _timeout_ms: float) -> None:
+    raise LinkRefused("not listening")
