Compare the coordinator's epoch with its record in the store's era

test_killed_coordinator_is_replaced_after_a_short_pause compared epochs with the store's own revision, so it ran into its time limit since, where tokens are ordered by the era. It waits for the same revision in the stand-in's era, which is as strict. The file's tests pass.

--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -12,6 +12,7 @@
 from radishtrack.pooler.node import Node
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import StoreUnavailable
+from radishtrack.pooler.revision import make_revision
 from tests.pooler_simulation import (
     WAIT_LIMIT_S,
     Simulation,
@@ -78,8 +79,7 @@
 def read_epoch(simulation: Simulation) -> int:
     """Return the revision of the duty's record, which each successful claim changes."""
     stored = simulation.store.objects["radishtrack", "duty.rates"]
-    revision: int = stored["meta"]["revision"]
-    return revision
+    return make_revision(simulation.store.era, stored["meta"]["revision"])
 
 
 def find_coordinator(simulation: Simulation) -> int:
