Keep accepting keys a second longer while a restored store settles

Callers: since a store that was away for 0.7 s and came back from a backup interrupted all sessions with keys: the copy is confirmed 2 s after the return, and reached its limit of 0.6 of revokeMs before. A withdrawn key is still refused within its bound, counted from the last confirmation. Test: the client's connection was closed before.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -63,6 +63,10 @@
 entries take to return after an outage, and 2 s less than the limit of 7 s."""
 HOUSEKEEPING_MS: Final = 250.0
 """Pause between checks for expired members."""
+UNSETTLED_KEY_AGE: Final = 4 / 3
+"""Factor of the copy's age limit while a restored store settles. The copy is not
+confirmed then although the store responds; a withdrawn key is still refused within 0.8
+of its bound."""
 SECRET_BYTES: Final = 32
 SECRET_RETRY_MS: Final = 300.0
 """Pause between attempts to read the peers' secret while a node starts."""
@@ -222,7 +226,11 @@
 
     def _has_recent_keys(self) -> bool:
         limit_ms = self.options.key_age_limit_ms
-        return limit_ms is None or self.store_copy.age_ms() < limit_ms
+        if limit_ms is None:
+            return True
+        if self.store_copy.has_unsettled_records():
+            limit_ms *= UNSETTLED_KEY_AGE
+        return self.store_copy.age_ms() < limit_ms
 
     def _authorise(
         self, database: str, key_digest: bytes | None
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -21,6 +21,7 @@
 from radishtrack.pooler.content_codec import encode_catalog, encode_fleet
 from radishtrack.pooler.coordinator_failover import RATES_DUTY
 from radishtrack.pooler.group_access import LEAVING_USE_MS, make_group_access
+from radishtrack.pooler.node import UNSETTLED_KEY_AGE
 from radishtrack.pooler.ports import LinkRefused, StoreUnavailable
 from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, PromotionDuty
 from radishtrack.pooler.revision import get_era, get_number, make_revision
@@ -405,3 +406,24 @@
 
 async def refuse_link(_member: Member, _organisation: str, _timeout_ms: float) -> None:
     raise LinkRefused("not listening")
+
+
+async def test_keys_stay_usable_while_a_restored_store_settles() -> None:
+    """Every short restore interrupted all sessions until the copy was confirmed."""
+    async with open_simulation(1) as simulation:
+        node = simulation.nodes[0].node
+        await wait_until(lambda: node.store_copy.age_ms() > 400.0)
+        simulation.store.faults.status = 503
+        await asyncio.sleep(0.7)
+        simulation.store.restore(simulation.store.back_up())
+        simulation.store.faults.status = 0
+        await wait_until(lambda: node.store_copy.era == simulation.store.era)
+        confirmed_ms = node.store_copy.confirmed_ms
+        assert confirmed_ms is not None
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        while node.store_copy.confirmed_ms == confirmed_ms:
+            assert (await client.execute("READ 1"))[-1].startswith("READY I")
+            await asyncio.sleep(0.05)
+        # The limit of a copy that is never confirmed stays below the bound of 5 s.
+        limit_ms = node.options.key_age_limit_ms
+        assert limit_ms is not None and limit_ms * UNSETTLED_KEY_AGE <= 0.8 * 5_000.0
