MySQL side: order the platform's versions by its era

The same cause as on the users' platform, found by asking each place that compares versions: a platform of the product's own object API that comes back from a backup gives versions out again. Nodes ignored an object at a version that they had, a watch went on after a revision that the platform no longer had, and a conditional write could match a version that another write had got.

Change: the API has the header Store-Era (the stand-in sends it and can be restored; without it nothing changes). The client composes versions of era and version, as the pooler does (radishtrack.revision); a conditional write with a version of an earlier era is a conflict; a watch after one returns all objects; for 2 s after a restore the client treats the platform as down, so that operators can write again what is lost, and contacts don't count for the freshness of keys. Responses of an earlier era are not used.

--- a/src/radishtrack/objects/client.py
+++ b/src/radishtrack/objects/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random as random_module
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from typing import Any, Final, TypeVar
@@ -13,6 +14,7 @@
 import attrs
 
 from radishtrack.clock import Clock
+from radishtrack.events import Event, log_event
 from radishtrack.objects.budget import (
     CallBudget,
     Priority,
@@ -33,10 +35,21 @@
     parse_object,
     parse_vm,
 )
+from radishtrack.revision import get_era, get_number, make_revision
 
 DEFAULT_TIMEOUT_MS: Final = 2000.0
 MAX_RESOLVE_FAILURES: Final = 8
+OBJECT_STEPS: Final = frozenset({"get", "list", "put", "delete", "watch"})
+RESTORED: Final = "the store was restored"
 READ_METHODS: Final = frozenset({"GET"})
+ERA_HEADER: Final = "Store-Era"
+"""Header of all responses; rises by one each time the store comes back from a backup. A
+platform without it loses nothing."""
+NO_ERA: Final = 0
+"""Era of a platform that does not send the header."""
+RESTORE_SETTLE_MS: Final = 2000.0
+"""Time after a restore in which the operators write again what the store has lost.
+Objects are neither read nor written then, as if the platform were still down."""
 
 _T = TypeVar("_T")
 
@@ -46,6 +59,8 @@
     status: int
     data: Any
     size: int = 0
+    era: int | None = None
+    """Era that the response names, if any."""
 
 
 ObserveCall = Callable[[str, int], None]
@@ -78,6 +93,10 @@
         self.last_contact_ms: float | None = None
         """Lower bound of the time at which the platform produced its last response;
         None before the first one. Shows how old data from the platform can be."""
+        self.era = NO_ERA
+        """Latest era that a response has named."""
+        self.settled_ms = -math.inf
+        """Time from which a restored store is used again."""
 
     async def get(
         self, kind: str, name: str, *, priority: Priority = Priority.NORMAL
@@ -86,7 +105,7 @@
         response = await self._call("get", "GET", _object_path(kind, name), priority)
         if response.status != 200:
             return None
-        return self._parse("get", parse_object, response.data)
+        return self._parse("get", self._parse_object, response.data)
 
     async def list_objects(
         self, kind: str, *, priority: Priority = Priority.NORMAL
@@ -94,7 +113,7 @@
         """Return all objects of a kind."""
         path = f"/objects/{quote(kind, safe='')}"
         response = await self._call("list", "GET", path, priority)
-        return self._parse("list", _parse_objects, response.data)
+        return self._parse("list", self._parse_objects, response.data)
 
     async def put(
         self,
@@ -115,8 +134,10 @@
         PlatformRefusal
             If the platform rejects the value.
         """
-        body = {"value": value, "expected_version": expected_version}
-        return await self._write("put", "PUT", _object_path(kind, name), body, priority)
+        body = {"value": value}
+        return await self._write(
+            "put", "PUT", kind, name, body, expected_version, priority
+        )
 
     async def delete(
         self,
@@ -127,9 +148,8 @@
         priority: Priority = Priority.NORMAL,
     ) -> WriteResult:
         """Delete an object if it has the expected version; raises like `put`."""
-        body = {"expected_version": expected_version}
         return await self._write(
-            "delete", "DELETE", _object_path(kind, name), body, priority
+            "delete", "DELETE", kind, name, {}, expected_version, priority
         )
 
     async def put_resolving(
@@ -214,16 +234,18 @@
         kinds : iterable of str
             The kinds to watch.
         after : int
-            Revision of the last response; 0 returns all objects.
+            Revision of the last response; 0, and one of an earlier era, return all
+            objects.
         timeout_ms : float
             Time in milliseconds that the platform waits for a change.
         """
+        after = get_number(after) if get_era(after) == self.era else 0
         kind_fields = "".join(f"kind={quote(kind, safe='')}&" for kind in kinds)
         path = f"/watch?{kind_fields}after={after}&timeout_ms={timeout_ms:.0f}"
         # The platform responds to a request for all objects without waiting.
         wait_ms = timeout_ms if after > 0 else 0.0
         response = await self._call("watch", "GET", path, priority, wait_ms=wait_ms)
-        return self._parse("watch", _parse_watch, response.data)
+        return self._parse("watch", self._parse_watch, response.data)
 
     async def vms(
         self, *, priority: Priority = Priority.NORMAL
@@ -250,12 +272,20 @@
         self,
         step: str,
         method: str,
-        path: str,
+        kind: str,
+        name: str,
         body: Mapping[str, object],
+        expected_version: int,
         priority: Priority,
     ) -> WriteResult:
+        if expected_version and get_era(expected_version) != self.era:
+            # A restored store may have given the same version to another write.
+            stored = await self.get(kind, name, priority=priority)
+            return Conflict(0 if stored is None else stored.version)
+        body = {**body, "expected_version": get_number(expected_version)}
+        path = _object_path(kind, name)
         response = await self._call(step, method, path, priority, body)
-        version = self._parse(step, _parse_version, response.data, is_write=True)
+        version = self._parse(step, self._parse_version, response.data, is_write=True)
         return Conflict(version) if response.status == 409 else Written(version)
 
     async def _call(
@@ -272,8 +302,11 @@
         ) > 0:
             await asyncio.sleep(pause_ms / 1000)
         sent_ms = self.clock.now_ms()
+        if step in OBJECT_STEPS and sent_ms < self.settled_ms:
+            raise PlatformUnavailable(step, self.url, False, RESTORED)
         try:
             response = await self._send(step, method, path, body, wait_ms)
+            self._check_era(step, response, is_write=method not in READ_METHODS)
         except PlatformUnavailable:
             self.observe("unavailable", 0)
             raise
@@ -306,8 +339,12 @@
                         step, self.url, is_write, f"status {response.status}"
                     )
                 body_bytes = await response.read()
+                era = response.headers.get(ERA_HEADER)
                 return _Response(
-                    response.status, _decode(body_bytes.decode()), len(body_bytes)
+                    response.status,
+                    _decode(body_bytes.decode()),
+                    len(body_bytes),
+                    None if era is None else int(era),
                 )
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailable(step, self.url, False, str(error)) from error
@@ -315,6 +352,42 @@
             reason = str(error) or type(error).__name__
             raise PlatformUnavailable(step, self.url, is_write, reason) from error
 
+    def _check_era(self, step: str, response: _Response, *, is_write: bool) -> None:
+        """Record the era of a response.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store was restored since the last response, or before it: what either
+            of the two reports may be lost.
+        """
+        era = self.era if response.era is None else response.era
+        if era == self.era or self.era == NO_ERA:
+            self.era = era
+            return
+        if era > self.era:
+            log_event(Event.STORE_RESTORED, era=era, earlier_era=self.era)
+            self.era = era
+            self.settled_ms = self.clock.now_ms() + RESTORE_SETTLE_MS
+        raise PlatformUnavailable(step, self.url, is_write, RESTORED)
+
+    def _parse_object(self, data: Any) -> PlatformObject:
+        item = parse_object(data)
+        return attrs.evolve(item, version=self._make_version(item.version))
+
+    def _parse_objects(self, data: Any) -> tuple[PlatformObject, ...]:
+        return tuple(self._parse_object(item) for item in data["objects"])
+
+    def _parse_watch(self, data: Any) -> WatchResponse:
+        revision = self._make_version(int(data["revision"]))
+        return WatchResponse(revision, self._parse_objects(data))
+
+    def _parse_version(self, data: Any) -> int:
+        return self._make_version(int(data["version"]))
+
+    def _make_version(self, number: int) -> int:
+        return make_revision(self.era, number) if number else 0
+
     def _parse(
         self,
         step: str,
@@ -365,22 +438,10 @@
         return text
 
 
-def _parse_objects(data: Any) -> tuple[PlatformObject, ...]:
-    return tuple(parse_object(item) for item in data["objects"])
-
-
-def _parse_watch(data: Any) -> WatchResponse:
-    return WatchResponse(int(data["revision"]), _parse_objects(data))
-
-
 def _parse_vms(data: Any) -> tuple[VmRecord, ...]:
     return tuple(parse_vm(item) for item in data["vms"])
 
 
-def _parse_version(data: Any) -> int:
-    return int(data["version"])
-
-
 def _is_unchanged(data: Any) -> bool:
     return isinstance(data, dict) and data.get("objects") == []
 
--- a/src/radishtrack/objects/records.py
+++ b/src/radishtrack/objects/records.py
@@ -20,7 +20,8 @@
     kind, name : str
         Identify the object.
     version : int
-        Changes with every write; 0 if the object does not exist.
+        Rises with every write, and when the store is restored; see
+        `radishtrack.revision`. 0 if the object does not exist.
     value : mapping or None
         The object's value; None if the object was deleted.
     """
--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -18,7 +18,7 @@
 from radishtrack.platform.object_store import ObjectStoreClient, StoredObject
 from radishtrack.pooler.catalog import Catalog, Member, NodeRecord
 from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
-from radishtrack.pooler.revision import get_era, get_number, make_revision
+from radishtrack.revision import get_era, get_number, make_revision
 
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
--- a/src/radishtrack/platform/object_store.py
+++ b/src/radishtrack/platform/object_store.py
@@ -12,7 +12,7 @@
 from radishtrack.events import Event, log_event
 from radishtrack.platform.http_client import HttpClient, HttpError, HttpResponse
 from radishtrack.pooler.ports import StoreUnavailable
-from radishtrack.pooler.revision import get_era, make_revision
+from radishtrack.revision import get_era, make_revision
 
 CALL_TIMEOUT_MS: Final = 1_200.0
 """The store responds in milliseconds, or in a few hundred when it is slow. A call on an
@@ -58,7 +58,7 @@
     objects : tuple of StoredObject
         The objects.
     revision : int
-        Revision as in `radishtrack.pooler.revision`; those of objects are the store's.
+        Revision as in `radishtrack.revision`; those of objects are the store's.
     """
 
     objects: tuple[StoredObject, ...]
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -135,7 +135,7 @@
         Node that holds the duty; empty if it was released or never claimed.
     revision : int
         Revision of the record's last change in the era that it names, 0 if there is no
-        record; see `radishtrack.pooler.revision`. It is unique and grows with each
+        record; see `radishtrack.revision`. It is unique and grows with each
         claim, also if the store has lost claims.
     claim : str
         Identifies the claim, so that a lost response can be resolved.
@@ -159,7 +159,7 @@
     terms : mapping
         Newest term for which a promotion was announced, by group.
     revision : int
-        Store revision, see `radishtrack.pooler.revision`; grows with each change of any
+        Store revision, see `radishtrack.revision`; grows with each change of any
         object and when the store comes back from a backup.
     settled_era : int
         Latest era in which the lost writes are known to have been made again, 0 if
--- a/src/radishtrack/pooler/promotion_duty.py
+++ b/src/radishtrack/pooler/promotion_duty.py
@@ -8,8 +8,8 @@
 
 from radishtrack.clock import Clock
 from radishtrack.pooler.ports import Duty
-from radishtrack.pooler.revision import get_era
 from radishtrack.pooler.store_copy import NO_HOLDER, StoreCopy
+from radishtrack.revision import get_era
 
 PROMOTION_DUTY: Final = "promotion"
 """Name of the duty's record in the store."""
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -33,13 +33,13 @@
     FleetListing,
     StoreUnavailable,
 )
-from radishtrack.pooler.revision import NO_REVISION, get_era, get_number
 from radishtrack.pooler.store_content import (
     CopyContent,
     digest_fleet,
     digest_members,
 )
 from radishtrack.pooler.unknown_names import UnknownNames
+from radishtrack.revision import NO_REVISION, get_era, get_number
 
 CONFIRM_INTERVAL_MS: Final = 700.0
 """Pause between calls. A change of the configuration must be in force within 3 s, even
--- a/src/radishtrack/pooler/store_metrics.py
+++ b/src/radishtrack/pooler/store_metrics.py
@@ -4,8 +4,8 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from radishtrack.pooler.revision import get_number
 from radishtrack.pooler.store_copy import StoreCopy
+from radishtrack.revision import get_number
 
 
 def register_store_metrics(registry: CollectorRegistry, store_copy: StoreCopy) -> None:
--- a/src/radishtrack/pooler/revision.py
+++ b/src/radishtrack/revision.py
@@ -2,7 +2,7 @@
 
 The store then gives out revisions again, so one of them neither identifies a state of
 the store nor tells which of two states is later. Its era rises with each restore. The
-pooler's revisions are numbers that are ordered by the era first, and then by the
+Revisions in this program are numbers that are ordered by the era first, and then by the
 store's own revision.
 """
 
--- a/src/radishtrack_standins/platform.py
+++ b/src/radishtrack_standins/platform.py
@@ -21,6 +21,7 @@
 HOST: Final = "127.0.0.1"
 MAX_VALUE_BYTES: Final = 1_000_000
 MAX_BODY_BYTES: Final = 4_000_000
+ERA_HEADER: Final = "Store-Era"
 
 
 def make_platform(store: ObjectStore, vms: VmList) -> web.Application:
@@ -78,8 +79,12 @@
         vms.set(request.match_info["id"], {**body, "id": request.match_info["id"]})
         return web.json_response({})
 
+    async def name_era(_request: web.Request, response: web.StreamResponse) -> None:
+        response.headers[ERA_HEADER] = str(store.era)
+
     application = web.Application(client_max_size=MAX_BODY_BYTES)
     application.add_routes(routes)
+    application.on_response_prepare.append(name_era)
     return application
 
 
--- a/src/radishtrack_standins/platform_store.py
+++ b/src/radishtrack_standins/platform_store.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Set
+from collections.abc import Collection, Set
 from typing import Any
 
 import attrs
@@ -24,6 +24,14 @@
         return attrs.asdict(self, recurse=False)
 
 
+@attrs.frozen
+class StoreBackup:
+    """Objects and revision of the store at some time."""
+
+    objects: dict[tuple[str, str], StoredObject]
+    revision: int
+
+
 class ObjectStore:
     """Objects with versions.
 
@@ -35,6 +43,8 @@
         self.objects: dict[tuple[str, str], StoredObject] = {}
         self.revision = 1
         """Starts at 1, since a watch after revision 0 returns at once."""
+        self.era = 1
+        """Rises by one with each restore."""
         self.changed = asyncio.Event()
         """Replaced after every write."""
 
@@ -60,6 +70,33 @@
         self.changed = asyncio.Event()
         return True, self.revision
 
+    def back_up(self) -> StoreBackup:
+        """Return a copy of the objects, to which the store can be restored."""
+        return StoreBackup(dict(self.objects), self.revision)
+
+    def restore(self, backup: StoreBackup, written_again: Collection[str] = ()) -> None:
+        """Lose what was written since a backup; revisions are given out again.
+
+        Parameters
+        ----------
+        backup : StoreBackup
+            The state that the store comes back with.
+        written_again : collection of str
+            Kinds of which lost writes are made again at once, with new versions.
+        """
+        lost = self.objects
+        self.objects = dict(backup.objects)
+        self.revision = backup.revision
+        self.era += 1
+        for (kind, name), stored in sorted(lost.items()):
+            present = self.get(kind, name)
+            value = present.value if present is not None else None
+            if kind in written_again and stored.value != value:
+                version = present.version if present and value is not None else 0
+                self.write(kind, name, stored.value, version)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def list_changes(self, kinds: Set[str], after: int) -> list[StoredObject]:
         """Return the objects changed after a revision; after 0, all that exist."""
         changed = [
--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -19,7 +19,7 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.node import Node, NodeOptions, make_node
 from radishtrack.pooler.request_log import make_request_log
-from radishtrack.pooler.revision import make_revision
+from radishtrack.revision import make_revision
 from radishtrack_standins import platform_objects
 from radishtrack_standins.cluster import find_free_ports
 from radishtrack_standins.line_member import LineMember
--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -12,7 +12,7 @@
 from radishtrack.pooler.node import Node
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import StoreUnavailable
-from radishtrack.pooler.revision import make_revision
+from radishtrack.revision import make_revision
 from tests.pooler_simulation import (
     WAIT_LIMIT_S,
     Simulation,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -24,7 +24,6 @@
 from radishtrack.pooler.node import UNSETTLED_KEY_AGE
 from radishtrack.pooler.ports import LinkRefused, StoreUnavailable
 from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, PromotionDuty
-from radishtrack.pooler.revision import get_era, get_number, make_revision
 from radishtrack.pooler.store_content import CopyContent
 from radishtrack.pooler.store_copy import (
     PEER_CONFIRMATION_MS,
@@ -32,6 +31,7 @@
     RESTORE_SETTLE_MS,
     StoreCopy,
 )
+from radishtrack.revision import get_era, get_number, make_revision
 from radishtrack_standins.line_member import LineMember
 from radishtrack_standins.object_store import StandinStore
 from radishtrack_standins.platform_objects import make_member_entry
