--- a/src/radishtrack/keys/keyring.py
+++ b/src/radishtrack/keys/keyring.py
@@ -48,12 +48,15 @@
     """The active keys of all organisations.
 
     An object is replaced only by a higher version, so a delayed response cannot make a
-    revoked key valid again.
+    revoked key valid again. A platform that was restored from a backup may list a key
+    as active that this node has seen as revoked; it stays revoked.
     """
 
     organisations: dict[str, OrganisationKeys] = attrs.field(factory=dict)
     by_id: dict[str, tuple[Verifier, ...]] = attrs.field(factory=dict)
     """Active keys of all organisations by key identifier."""
+    revoked: set[tuple[str, str]] = attrs.field(factory=set)
+    """Organisation and identifier of keys that were listed as revoked."""
 
     def find_verifiers(self, organisation: str) -> tuple[Verifier, ...]:
         """Return the verifiers of an organisation's active keys."""
@@ -92,7 +95,12 @@
         current = self.organisations.get(organisation)
         if current is not None and version <= current.version:
             return ()
-        verifiers = _parse_verifiers(organisation, value)
+        self.revoked |= _find_revoked(organisation, value)
+        verifiers = {
+            key_id: verifier
+            for key_id, verifier in _parse_verifiers(organisation, value).items()
+            if (organisation, key_id) not in self.revoked
+        }
         self._update_index(current.verifiers if current else {}, verifiers)
         self.organisations[organisation] = OrganisationKeys(version, verifiers)
         previous = current.verifiers if current else {}
@@ -148,6 +156,19 @@
     return verifiers
 
 
+def _find_revoked(
+    organisation: str, value: Mapping[str, Any] | None
+) -> set[tuple[str, str]]:
+    entries = (value or {}).get("keys")
+    return {
+        (organisation, entry["id"])
+        for entry in (entries if isinstance(entries, list) else ())
+        if isinstance(entry, dict)
+        and entry.get("revoked")
+        and isinstance(entry.get("id"), str)
+    }
+
+
 def _parse_verifier(organisation: str, entry: object) -> Verifier | None:
     if not isinstance(entry, dict) or entry.get("revoked"):
         return None
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -23,6 +23,7 @@
 )
 from radishtrack.keys.keyring import Keyring, RevokedKey, make_keyring
 from radishtrack.keys.store import KeyNotFound, add_key, fetch_keys, revoke_key
+from radishtrack.revision import make_revision
 
 SECRET = "a peer secret of the fleet"
 NONCE = bytes(range(1, 21))
@@ -209,3 +210,15 @@
     platform.is_down = True
     with pytest.raises(StoreUnavailable):
         await add_key(store, ISSUED, "then")
+
+
+def test_a_revoked_key_stays_revoked_when_the_platform_is_restored() -> None:
+    """The platform listed it as active again, as it was before its revocation."""
+    keyring = make_keyring()
+    active = make_value("k1", "k2")
+    revoked = make_value("k1", "k2")
+    revoked["keys"][0]["revoked"] = "2026-12-04T18:00:00Z"
+    keyring.apply_object("a", make_revision(1, 5), active)
+    keyring.apply_object("a", make_revision(1, 6), revoked)
+    keyring.apply_object("a", make_revision(2, 5), active)
+    assert not keyring.is_active("a", "k1") and keyring.is_active("a", "k2")
