--- a/src/radishtrack/config/state.py
+++ b/src/radishtrack/config/state.py
@@ -1,4 +1,4 @@
-"""The configuration in force at a node, replaced only by higher valid revisions."""
+"""The configuration in force at a node, replaced only by later valid revisions."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 @attrs.define(frozen=True)
 class Stale:
-    """The revision is not higher than the one in force, which stays."""
+    """The revision is not later than the one in force, which stays."""
 
     revision: int
 
@@ -60,6 +60,8 @@
     """Chunks of the revision in force, by digest."""
     parts: dict[str, Parts] = attrs.field(factory=dict)
     """The same chunks, parsed; a change then requires parsing only new chunks."""
+    version: int = 0
+    """Version of the platform object that contained the manifest; 0 if unknown."""
     rejected: int = 0
     """The last rejected revision, so that it is logged only once."""
 
@@ -72,8 +74,10 @@
         """Return the digests of the chunks that must be fetched for a manifest."""
         return tuple(digest for digest in manifest.chunks if digest not in self.texts)
 
-    def accept(self, manifest: Manifest, chunks: Mapping[str, str]) -> AcceptResult:
-        """Bring a revision into force if it is higher and valid.
+    def accept(
+        self, manifest: Manifest, chunks: Mapping[str, str], version: int = 0
+    ) -> AcceptResult:
+        """Bring a revision into force if it is later and valid.
 
         Parameters
         ----------
@@ -81,8 +85,12 @@
             The revision.
         chunks : mapping
             Texts by digest, at least those that `find_missing` returned.
+        version : int
+            Version of the platform object that contains the manifest; 0 if unknown.
         """
-        if manifest.revision <= self.revision:
+        if not self._is_later(manifest, version):
+            if manifest.apply_id == self.manifest.apply_id:
+                self.version = max(self.version, version)
             return Stale(manifest.revision)
         texts = {
             digest: self.texts.get(digest) or chunks.get(digest, "")
@@ -98,6 +106,7 @@
             return self._reject(manifest.revision, str(error))
         self.manifest, self.document = manifest, document
         self.texts, self.parts = texts, parts
+        self.version = version
         log_event(
             Event.CONFIGURATION_ACCEPTED,
             revision=manifest.revision,
@@ -108,7 +117,11 @@
 
     def seal_copy(self, secret: str) -> bytes:
         """Return an authenticated copy for a peer that starts without the platform."""
-        value = {"manifest": encode_manifest(self.manifest), "chunks": self.texts}
+        value = {
+            "manifest": encode_manifest(self.manifest),
+            "chunks": self.texts,
+            "version": self.version,
+        }
         return seal_copy(COPY_KIND, value, secret)
 
     def accept_copies(self, copies: Iterable[bytes], secret: str) -> AcceptResult:
@@ -119,7 +132,9 @@
             log_event(
                 Event.COPY_REJECTED, kind=COPY_KIND, copies=len(opened) - len(authentic)
             )
-        authentic.sort(key=lambda value: _get_revision(value), reverse=True)
+        authentic.sort(
+            key=lambda value: (_get_version(value), _get_revision(value)), reverse=True
+        )
         result: AcceptResult = Stale(self.revision)
         for value in authentic:
             try:
@@ -128,13 +143,40 @@
                 result = self._reject(_get_revision(value), str(error))
                 continue
             chunks = value.get("chunks")
-            result = self.accept(manifest, chunks if isinstance(chunks, dict) else {})
+            result = self.accept(
+                manifest,
+                chunks if isinstance(chunks, dict) else {},
+                _get_version(value),
+            )
             if isinstance(result, Accepted):
                 log_event(Event.CONFIGURATION_COPIED, revision=result.revision)
             if not isinstance(result, Rejected):
                 return result
         return result
 
+    def _is_later(self, manifest: Manifest, version: int) -> bool:
+        """Return whether a manifest was stored after the one in force.
+
+        A platform that was restored from a backup gives revision numbers out again, so
+        versions decide where both are known. It may also list an earlier revision with
+        a later version; that one does not come back into force.
+        """
+        if not version or not self.version:
+            return manifest.revision > self.revision
+        return version > self.version and not self._is_known(manifest)
+
+    def _is_known(self, manifest: Manifest) -> bool:
+        """Return whether a manifest is in the history of the one in force."""
+        if manifest.revision > self.revision:
+            return False
+        history = self.manifest.history
+        oldest = history[0].revision if history else self.revision
+        return (
+            manifest.revision < oldest
+            or manifest.chunks == self.manifest.chunks
+            or self.manifest.find_attempt(manifest.apply_id) is not None
+        )
+
     def _reject(self, revision: int, reason: str) -> Rejected:
         if revision != self.rejected:
             self.rejected = revision
@@ -197,6 +239,11 @@
         )
 
 
+def _get_version(value: Mapping[str, Any]) -> int:
+    version = value.get("version")
+    return version if isinstance(version, int) else 0
+
+
 def _get_revision(value: Mapping[str, Any]) -> int:
     manifest = value.get("manifest")
     revision = manifest.get("revision") if isinstance(manifest, dict) else None
--- a/src/radishtrack/proxy/configuration_feed.py
+++ b/src/radishtrack/proxy/configuration_feed.py
@@ -37,10 +37,11 @@
     on_processed: Callable[[], None]
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     manifest_value: object = None
+    manifest_version: int = 0
 
-    def update_manifest(self, value: object) -> None:
-        """Set the latest value of the manifest object, which `run` then processes."""
-        self.manifest_value = value
+    def update_manifest(self, value: object, version: int) -> None:
+        """Set the latest manifest object, which `run` then processes."""
+        self.manifest_value, self.manifest_version = value, version
         self.changed.set()
 
     async def run(self) -> None:
@@ -49,13 +50,13 @@
             await self.changed.wait()
             self.changed.clear()
             try:
-                await self._process(self.manifest_value)
+                await self._process(self.manifest_value, self.manifest_version)
             except (PlatformUnavailable, PlatformRefusal):
                 # A revision can't come into force without its chunks.
                 await asyncio.sleep(CHUNK_RETRY_S)
                 self.changed.set()
 
-    async def _process(self, value: object) -> None:
+    async def _process(self, value: object, version: int) -> None:
         try:
             manifest = decode_manifest(value)
         except ChunkError as error:
@@ -66,5 +67,5 @@
             stored = await self.platform.get(CHUNK_KIND, digest)
             if stored is not None and stored.value is not None:
                 chunks[digest] = decode_chunk(stored.value)
-        self.configuration.accept(manifest, chunks)
+        self.configuration.accept(manifest, chunks, version)
         self.on_processed()
--- a/src/radishtrack/proxy/copies.py
+++ b/src/radishtrack/proxy/copies.py
@@ -219,7 +219,7 @@
         if old_revision == 0 and len(response.objects) > 1:
             self._apply_fleet(response.objects[-1])
         self.configuration.accept_copies(response.objects[1:2], self.secret)
-        if self.configuration.revision > old_revision:
+        if self.configuration.revision != old_revision:
             self.on_configured()
 
     def _apply_fleet(self, data: bytes) -> None:
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -312,7 +312,7 @@
                 members = leaving if isinstance(leaving, list) else []
                 self.slots.set_leaving_members(item.name, frozenset(map(str, members)))
             elif item.name == MANIFEST_NAME and item.value is not None:
-                self.feed.update_manifest(item.value)
+                self.feed.update_manifest(item.value, item.version)
         if revoked:
             announcement = self.copies.announce_revoked(frozenset(revoked))
             task = asyncio.create_task(announcement)
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -21,6 +21,7 @@
     Stale,
     make_configuration_state,
 )
+from radishtrack.revision import make_revision
 from test_config_store import make_fleet
 
 SECRET = "a peer secret of the fleet"
@@ -150,3 +151,41 @@
     copy = state.seal_copy(SECRET)
     other = make_configuration_state()
     assert other.accept_copies([copy], SECRET) == Accepted(1)
+
+
+def make_branch(base: Step, number: int) -> Step:
+    """Return the revision after `base` that another operator made after a restore."""
+    chunks = split_document(make_fleet(rate=number))
+    manifest = make_next_manifest(
+        base.manifest, chunks, apply_id=f"branch-{number}", author="ola", changes=()
+    )
+    return Step(manifest, chunks)
+
+
+def test_a_revision_number_that_was_given_out_before_is_accepted() -> None:
+    """After a restore, operators made a lower revision, and no node applied it."""
+    state = make_configuration_state()
+    for number, step in enumerate(STEPS[:5]):
+        state.accept(step.manifest, step.chunks, make_revision(1, 10 + number))
+    branch = make_branch(STEPS[2], 70)
+    version = make_revision(2, 13)
+    assert state.accept(branch.manifest, branch.chunks, version) == Accepted(4)
+    assert get_rate(state) == 70
+    # A peer that still has the lost revision does not bring it back.
+    lost = make_configuration_state()
+    lost.accept(STEPS[4].manifest, STEPS[4].chunks, make_revision(1, 14))
+    copies = [lost.seal_copy(SECRET)]
+    assert state.accept_copies(copies, SECRET) == Stale(5)
+    assert lost.accept_copies([state.seal_copy(SECRET)], SECRET) == Accepted(4)
+
+
+def test_an_earlier_revision_of_a_restored_platform_is_not_accepted() -> None:
+    """The backup's revision replaced the one in force, until operators wrote again."""
+    state = make_configuration_state()
+    for number, step in enumerate(STEPS[:4]):
+        state.accept(step.manifest, step.chunks, make_revision(1, 10 + number))
+    for step in STEPS[:4]:
+        result = state.accept(step.manifest, step.chunks, make_revision(2, 11))
+        assert isinstance(result, Stale) and state.revision == 4
+    step = STEPS[4]
+    assert state.accept(step.manifest, step.chunks, make_revision(2, 12)) == Accepted(5)
