--- a/src/radishtrack/objects/client.py
+++ b/src/radishtrack/objects/client.py
@@ -385,6 +385,13 @@
     def _parse_version(self, data: Any) -> int:
         return self._make_version(int(data["version"]))
 
+    def missing_version(self) -> int:
+        """Return the version of an object that does not exist in the present era.
+
+        It is later than all versions of earlier eras, and writes expect it like 0.
+        """
+        return make_revision(self.era, 0)
+
     def _make_version(self, number: int) -> int:
         return make_revision(self.era, number) if number else 0
 
--- a/src/radishtrack/proxy/allocators.py
+++ b/src/radishtrack/proxy/allocators.py
@@ -201,12 +201,14 @@
     async def fetch(self, name: str) -> tuple[LeaseRecord | None, int]:
         """Read a lease record and its version from the platform.
 
-        The record is None if there is none or it is invalid; the version is 0 if the
-        object does not exist.
+        The record is None if there is none or it is invalid. The version of an object
+        that does not exist is that of `PlatformClient.missing_version`.
         """
         stored = await self.platform.get(ALLOCATORS_KIND, name)
-        if stored is None or stored.value is None:
-            return None, 0 if stored is None else stored.version
+        if stored is None:
+            return None, self.platform.missing_version()
+        if stored.value is None:
+            return None, stored.version
         try:
             return decode_lease(stored.value), stored.version
         except LeaseRecordError as error:
--- a/src/radishtrack/rates/lease.py
+++ b/src/radishtrack/rates/lease.py
@@ -17,6 +17,7 @@
     MAX_GRANT_VALIDITY_MS,
     LeaseRecord,
 )
+from radishtrack.revision import get_era, make_revision
 
 LEASE_MS: Final = 15_000.0
 RENEW_AFTER_MS: Final = 6_000.0
@@ -67,6 +68,10 @@
     """When this node first read that version, or its write of it was confirmed."""
     pending: dict[int, PendingWrite] = attrs.field(factory=dict)
     """Writes with an unknown outcome, by revision."""
+    is_uncertain: bool = False
+    """Whether a restored platform may have lost a later record than `record`."""
+    was_own: bool = False
+    """Whether this node held the lease until the platform was restored."""
     is_own: bool = False
     expires_ms: float = -math.inf
     """End of this node's lease."""
@@ -80,6 +85,12 @@
         """Apply a version that this node did not write."""
         if version <= self.version:
             return
+        is_restored = self.version >= 0 and get_era(version) > get_era(self.version)
+        self.was_own = is_restored and self.is_held(now_ms)
+        if record is None:
+            self.is_uncertain = is_restored
+        else:
+            self.is_uncertain = get_era(record.epoch) < get_era(version)
         self.version = version
         self.record = record
         self.first_seen_ms = now_ms
@@ -101,6 +112,7 @@
             return
         self.version = version
         self.record = pending.write.record
+        self.is_uncertain = self.was_own = False
         self.first_seen_ms = now_ms
         # The other pending writes expected an older version and can't succeed.
         self.pending.clear()
@@ -116,10 +128,15 @@
             return False
         if now_ms - self.last_sent_ms < WRITE_RETRY_MS:
             return False
-        if self.record is None or self.record.released is not None:
+        if self.was_own:
+            # Any later record would be this node's.
             return True
+        is_free = self.record is None or self.record.released is not None
+        if is_free and not self.is_uncertain:
+            return True
+        lease_ms = LEASE_MS if self.record is None else self.record.expires_after_ms
         # Grants of the old allocator may outlive its lease by their full validity.
-        wait_ms = self.record.expires_after_ms + MAX_GRANT_VALIDITY_MS
+        wait_ms = lease_ms + MAX_GRANT_VALIDITY_MS
         return now_ms - self.first_seen_ms >= wait_ms * DRIFT_MARGIN
 
     def should_renew(self, now_ms: float) -> bool:
@@ -129,10 +146,15 @@
         return now_ms >= self.expires_ms - LEASE_MS + RENEW_AFTER_MS
 
     def next_epoch(self) -> int:
-        """Return the epoch of this node's next record."""
-        if self.record is None:
-            return 1
-        return self.record.epoch if self.is_own else self.record.epoch + 1
+        """Return the epoch of this node's next record.
+
+        It rises over all holders, those included whose records are lost: it starts
+        above all epochs of earlier eras of the platform.
+        """
+        if self.is_own and self.record is not None:
+            return self.record.epoch
+        latest = 0 if self.record is None else self.record.epoch
+        return max(latest, make_revision(max(0, get_era(self.version)), 0)) + 1
 
     def next_revision(self) -> int:
         """Return a revision above those of the record and of all pending writes."""
@@ -142,7 +164,9 @@
     def begin_write(self, record: LeaseRecord, now_ms: float) -> LeaseWrite:
         """Register `record` as a pending write and return the write to send."""
         write = LeaseWrite(record, self.version)
-        self.pending[record.revision] = PendingWrite(write, now_ms, self.record)
+        # A lost record may have used the tokens that an uncertain one hands over.
+        replaced = None if self.is_uncertain else self.record
+        self.pending[record.revision] = PendingWrite(write, now_ms, replaced)
         self.last_sent_ms = now_ms
         return write
 
--- a/tests/test_rate_allocator.py
+++ b/tests/test_rate_allocator.py
@@ -10,12 +10,15 @@
 from radishtrack.rates.allocator import Allocator, make_allocator
 from radishtrack.rates.bucket import UNITS_PER_TOKEN, make_empty_bucket
 from radishtrack.rates.fair_division import divide_fairly
-from radishtrack.rates.lease import LEASE_MS
+from radishtrack.rates.lease import LEASE_MS, make_lease_state
 from radishtrack.rates.messages import (
     DELEGATION_MS,
+    DRIFT_MARGIN,
+    MAX_GRANT_VALIDITY_MS,
     STANDING_VALIDITY_MS,
     LeaseRecord,
     NotAllocator,
+    ReleasedLevel,
     Settlement,
     Stamp,
     StandingShare,
@@ -31,6 +34,7 @@
     make_share_state,
 )
 from radishtrack.rates.standing_plan import plan_shares, sum_held
+from radishtrack.revision import make_revision
 
 LIMIT = make_rate_limit(100, 100)
 HOLDER_SHARE = StandingShare("h", 50_000_000, 50, 1, 50_000_000, 50)
@@ -375,3 +379,58 @@
     assert received["c"] >= 190
     assert 0.8 <= received["a"] / received["b"] <= 1.25
     assert sum(received.values()) >= 0.97 * 2_000
+
+
+LOST_LEASE_MS = (LEASE_MS + MAX_GRANT_VALIDITY_MS) * DRIFT_MARGIN
+
+
+def make_released(era: int) -> LeaseRecord:
+    return attrs.evolve(
+        FOREIGN, epoch=make_revision(era, 1), released=ReleasedLevel(50_000_000, 0)
+    )
+
+
+def test_a_lease_that_was_released_before_a_restore_is_not_acquired_at_once() -> None:
+    """The next holder's record was lost, and both granted the released tokens."""
+    allocator = make_allocator("org", "me", LIMIT)
+    allocator.observe(make_released(1), make_revision(1, 7), 0.0)
+    assert allocator.should_acquire(2_000.0)
+    allocator.observe(make_released(1), make_revision(2, 7), 2_000.0)
+    assert not allocator.should_acquire(2_000.0 + LOST_LEASE_MS - 1.0)
+    now_ms = 2_000.0 + LOST_LEASE_MS
+    assert allocator.should_acquire(now_ms)
+    write = allocator.prepare_write(now_ms)
+    allocator.on_lease_written(write.record.revision, make_revision(2, 8), now_ms)
+    assert allocator.bucket is not None and allocator.bucket.level_units == 0
+
+
+def test_a_lost_lease_record_is_not_taken_for_a_lease_that_nobody_had() -> None:
+    """Its holder goes on granting until its lease ends."""
+    allocator = make_allocator("org", "me", LIMIT)
+    allocator.observe(FOREIGN, make_revision(1, 7), 0.0)
+    allocator.observe(None, make_revision(2, 0), 1_000.0)
+    assert not allocator.should_acquire(1_000.0 + LOST_LEASE_MS - 1.0)
+    assert allocator.should_acquire(1_000.0 + LOST_LEASE_MS)
+
+
+def test_the_holder_of_a_lost_lease_may_acquire_it_again_at_once() -> None:
+    """The organisation lost its allocator for as long as the lease lasts."""
+    allocator = make_allocator("org", "me", LIMIT)
+    allocator.observe(None, make_revision(1, 0), 0.0)
+    write = allocator.prepare_write(0.0)
+    allocator.on_lease_written(write.record.revision, make_revision(1, 8), 0.0)
+    epoch = allocator.epoch
+    allocator.observe(None, make_revision(2, 0), 2_000.0)
+    assert allocator.should_acquire(2_000.0)
+    write = allocator.prepare_write(2_000.0)
+    allocator.on_lease_written(write.record.revision, make_revision(2, 3), 2_000.0)
+    assert allocator.epoch > epoch and allocator.lease.is_held(2_000.0)
+
+
+def test_an_epoch_rises_over_the_lost_ones() -> None:
+    """Holders dropped grants of the next allocator as those of an earlier one."""
+    lost = make_lease_state("other")
+    lost.observe(FOREIGN, make_revision(1, 7), 0.0)
+    lease = make_lease_state("me")
+    lease.observe(FOREIGN, make_revision(2, 7), 0.0)
+    assert lease.next_epoch() > lost.next_epoch() > FOREIGN.epoch
