MySQL side: write a lost record of a promotion again

Callers: a node that started after a restore used the replaced primary of the backup's record; holders replaced the record of their term by the earlier one, and their conditional writes named a version that was gone. Cause: a newer version was taken as a later record. Change: a record of an earlier term does not replace the known one; holders' promoters write the known one again, under the condition of the version that the restored platform lists.

--- a/src/radishtrack/proxy/promoter.py
+++ b/src/radishtrack/proxy/promoter.py
@@ -127,6 +127,30 @@
         self.record = record
         self.monitor.update_group(record.group, record.endpoints)
 
+    def restore_record(self, version: int) -> None:
+        """Write the record of the known term again, which the platform has lost.
+
+        Parameters
+        ----------
+        version : int
+            Version of the object that contains the earlier term.
+        """
+        self._spawn(self._write_lost_record(version))
+
+    async def _write_lost_record(self, version: int) -> None:
+        group = self.record.group
+        try:
+            async with asyncio.timeout(PLATFORM_TIMEOUT_MS / 1000):
+                written = await self.store.write(self.record, version)
+        except (StoreConflictError, StoreUnavailableError, TimeoutError):
+            # Another holder has written it, or the next read of the record repeats it.
+            return
+        log_event(
+            Event.RECORD_RESTORED, object=f"groups/{group.database}", term=group.term
+        )
+        restored = attrs.evolve(group, version=written)
+        self.update_record(attrs.evolve(self.record, group=restored))
+
     async def _run(self) -> None:
         while True:
             trigger = self._find_trigger(self.monitor.clock.now_ms())
@@ -270,6 +294,11 @@
         except (StoreUnavailableError, TimeoutError):
             messages.put_nowait(PlatformDidNotRespond())
             return
+        current = self.record.group
+        is_later = record.group.version > current.version
+        if is_later and record.group.term < current.term:
+            # The platform has lost the record of the known term.
+            self.restore_record(record.group.version)
         self.update_record(record)
         messages.put_nowait(GroupRead(record.group))
 
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -68,17 +68,26 @@
     closing: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     def update_record(self, record: GroupRecord) -> None:
-        """Set a database's group record; only a newer version replaces it."""
+        """Set a database's group record; only a newer version replaces it.
+
+        A platform that was restored from a backup may list an earlier term with a newer
+        version. The known term stays, and a promoter writes it again.
+        """
         name = record.group.database
         current = self.records.get(name)
-        if current is not None and record.group.version <= current.group.version:
-            return
+        promoter = self.promoters.get(name)
+        if current is not None:
+            if record.group.version <= current.group.version:
+                return
+            if record.group.term < current.group.term:
+                if promoter is not None:
+                    promoter.restore_record(record.group.version)
+                return
         self.records[name] = record
         backend = self.holder.databases.get(name)
         if backend is not None:
             backend.monitor.update_group(record.group, record.endpoints)
             backend.pool.replace_endpoints(record.endpoints)
-        promoter = self.promoters.get(name)
         if promoter is not None:
             promoter.update_record(record)
 
--- a/tests/test_group_failover.py
+++ b/tests/test_group_failover.py
@@ -32,7 +32,11 @@
 from radishtrack.group.record import GroupRecord, format_record
 from radishtrack.group.status import Group, MemberStatus, Role
 from radishtrack.objects.client import PlatformClient, make_platform_client
-from radishtrack.proxy.group_store import GroupStore, make_group_store
+from radishtrack.proxy.group_store import (
+    GroupStore,
+    StoreUnavailableError,
+    make_group_store,
+)
 from radishtrack.proxy.promoter import Promoter, make_promoter
 from radishtrack.proxy.promoter_context import PromoterContext
 from radishtrack.session.position import TermStart
@@ -308,3 +312,33 @@
         fleet.platform.faults.outage = ""
         fleet.platform.faults.release()
         assert (await fleet.wait_for_term(2)).group.term == 2
+
+
+async def test_a_lost_record_of_a_promotion_is_written_again(tmp_path: Path) -> None:
+    """Starting nodes took the replaced primary of the restored record for current."""
+    async with run_fleet(tmp_path) as fleet:
+        backup = fleet.platform.store.back_up()
+        fleet.members["a"].member.faults.set(freeze=True)
+        record = await fleet.wait_for_term(2)
+        for promoter in fleet.promoters.values():
+            promoter.update_record(record)
+        fleet.platform.store.restore(backup)
+        stored = await read_settled(fleet)
+        assert stored.group.term == 1
+        for promoter in fleet.promoters.values():
+            promoter.update_record(stored)
+            assert promoter.record.group.term == 2
+            promoter.restore_record(stored.group.version)
+        restored = await fleet.wait_for_term(2)
+        assert restored.group.primary == record.group.primary
+        assert restored.group.version > stored.group.version > record.group.version
+
+
+async def read_settled(fleet: Fleet) -> GroupRecord:
+    """Return the record as soon as the restored platform is used again."""
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                return await fleet.read()
+            except StoreUnavailableError:
+                await asyncio.sleep(0.05)
