--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 	$(PYTHON) -m radishtrack_standins.faults --seed $(or $(SEED),7)
 
 soak: setup
-	$(PYTHON) -m radishtrack_standins.soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --logs out/soak
+	$(PYTHON) -m radishtrack_standins.soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) \
+		--restores $(or $(RESTORES),0) --logs out/soak
 
 capacity: setup
 	@for program in decisions placement node watch lists peer rates clients statements; do \
--- a/src/radishtrack_standins/soak/run.py
+++ b/src/radishtrack_standins/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -14,7 +15,7 @@
 
 from radishtrack.clock import make_boot_clock
 from radishtrack.platform.lines import ConnectionEnded
-from radishtrack_standins.object_store import StandinStore
+from radishtrack_standins.object_store import StandinStore, StoreBackup
 from radishtrack_standins.platform_objects import (
     STRICT_DATABASE,
     make_config,
@@ -25,7 +26,12 @@
 from radishtrack_standins.soak.fleet import NodeProcess, make_nodes
 from radishtrack_standins.soak.group import GROUP, MEMBERS, Group, start_group
 from radishtrack_standins.soak.ledger import Ledger
-from radishtrack_standins.soak.schedule import Fault, draw_faults
+from radishtrack_standins.soak.schedule import (
+    RESTORED,
+    Fault,
+    draw_faults,
+    draw_restores,
+)
 
 NODE_NAMES: Final = ("edge-1", "edge-2", "edge-3")
 ORGANISATIONS: Final = {"verksted": "key-1", "storgata": "key-2"}
@@ -38,6 +44,11 @@
 RECOVERY_TIMEOUT_S: Final = 15.0
 """Time within which every node serves a write after the last fault (`recoverS`)."""
 MAX_LOST_RESPONSES: Final = 12
+KEPT_BACKUPS: Final = 24
+"""Backups of the store, one for each update of the members' entries."""
+REVOKED_ORGANISATION: Final = "storgata"
+MAX_REWRITE_DELAY_S: Final = 1.0
+"""Longest time after a restore until the operator writes the configuration again."""
 STALE_PRIMARY_S: Final = 1.0
 """Time for which a resumed node reaches the replaced primary."""
 
@@ -57,6 +68,10 @@
     version: int = 0
     rate_per_s: float = RATE_PER_S
     highest_rate_per_s: float = RATE_PER_S
+    backups: deque[StoreBackup] = attrs.field(
+        factory=lambda: deque(maxlen=KEPT_BACKUPS)
+    )
+    """Recent backups of the store, oldest first."""
 
     def configure(self) -> None:
         """Write the next version of the configuration."""
@@ -79,6 +94,13 @@
 
     def handle_promotion_order(self, group: str, member: str) -> int:
         """Carry out a promotion, unless its fencing token is below an earlier one."""
+        holders = {
+            holder
+            for *_, holder, token in self.store.orders
+            if token == self.store.orders[-1][-1]
+        }
+        if len(holders) > 1:
+            self.ledger.violations.append(f"{sorted(holders)} used the same token")
         tokens = [token for *_, token in self.store.orders]
         if tokens[-1] < max(tokens):
             return 409
@@ -99,6 +121,7 @@
         """Write changed entries of members at an interval; never returns."""
         while True:
             self.register_members()
+            self.backups.append(self.store.back_up())
             await asyncio.sleep(MEMBER_UPDATE_INTERVAL_S)
 
     async def heal(self) -> None:
@@ -237,10 +260,33 @@
                     lambda: set_relay(delay_ms=delay_ms),
                     lambda: set_relay(delay_ms=0.0),
                 )
+            case kind if kind == RESTORED:
+                return self._make_restore(fault.strength)
             case "reset":
                 return lambda: set_relay(refuse=True), lambda: set_relay(refuse=False)
         raise ValueError(f"unknown fault {fault.kind}")
 
+    def _make_restore(self, strength: float) -> FaultActions:
+        """Return a fault after which the store lacks the last seconds.
+
+        A key is revoked in the lost seconds, and the operator writes its configuration
+        again only some time after the restore.
+        """
+
+        async def begin() -> None:
+            if REVOKED_ORGANISATION not in self.ledger.revoked_ms:
+                self.revoke(REVOKED_ORGANISATION)
+            self.store.faults.status = 503
+
+        async def end() -> None:
+            backup = self.backups[int(strength * (len(self.backups) - 1))]
+            self.store.restore(backup, ("servers",))
+            self.store.faults.status = 0
+            await asyncio.sleep((1.0 - strength) * MAX_REWRITE_DELAY_S)
+            self.store.put("config", "main", self._make_config())
+
+        return begin, end
+
     def _make_primary_crash(self) -> FaultActions:
         crashed: list[str] = []
 
@@ -325,8 +371,22 @@
         await store.stop()
 
 
-async def run_soak(seed: int, length_s: float, directory: Path) -> Ledger:
-    """Run the faults of a seed and return the ledger with its violations."""
+async def run_soak(
+    seed: int, length_s: float, directory: Path, restores: int = 0
+) -> Ledger:
+    """Run the faults of a seed and return the ledger with its violations.
+
+    Parameters
+    ----------
+    seed : int
+        Determines the faults.
+    length_s : float
+        Time in which faults begin.
+    directory : Path
+        For the settings and logs of the nodes.
+    restores : int
+        Number of times that the store comes back from a backup, besides.
+    """
     async with open_soak(directory) as soak:
         ledger = soak.ledger
         if unavailable := await soak.list_unavailable_nodes(START_TIMEOUT_S):
@@ -341,10 +401,14 @@
             )
             for number, name in enumerate(names)
         ]
-        faults = draw_faults(seed, length_s, NODE_NAMES, MEMBERS)
+        faults = [
+            *draw_faults(seed, length_s, NODE_NAMES, MEMBERS),
+            *draw_restores(seed, length_s, restores, NODE_NAMES),
+        ]
         await asyncio.gather(*(soak.inject(fault) for fault in faults))
         await soak.heal()
-        soak.revoke("storgata")
+        if REVOKED_ORGANISATION not in ledger.revoked_ms:
+            soak.revoke(REVOKED_ORGANISATION)
         if unavailable := await soak.list_unavailable_nodes(RECOVERY_TIMEOUT_S):
             ledger.violations.append(
                 f"{unavailable} did not recover after the last fault"
--- a/src/radishtrack_standins/soak/schedule.py
+++ b/src/radishtrack_standins/soak/schedule.py
@@ -35,6 +35,9 @@
 PROMOTION_ALLOWANCE_S: Final = 4.0
 """Added to faults of a primary, so that they outlast a change of primary."""
 PRIMARY_FAULTS: Final = frozenset({"crash_primary", "isolate_primary"})
+RESTORED: Final = "store_restored"
+"""Kind of the faults that `draw_restores` returns."""
+MAX_AWAY_S: Final = 2.0
 LINK_FAULTS: Final = frozenset({"cut", "cut_one_way", "delay", "reset"})
 
 
@@ -49,7 +52,7 @@
     duration_s : float
         Duration.
     kind : str
-        A key of `WEIGHTS`.
+        A key of `WEIGHTS`, or `RESTORED`.
     node, target : str
         The node, and the member or the other end of the node's link.
     strength : float
@@ -73,6 +76,25 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_restores(
+    seed: int, length_s: float, count: int, nodes: Sequence[str]
+) -> list[Fault]:
+    """Return restores of the store; they change no other fault of the seed."""
+    random = Random(f"{seed}/restores")
+    faults = [
+        Fault(
+            at_s=random.uniform(0.2, 1.0) * length_s,
+            duration_s=random.uniform(MIN_DURATION_S, MAX_AWAY_S),
+            kind=RESTORED,
+            node=nodes[0],
+            target="store",
+            strength=random.random(),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def _generate_faults(
     random: Random, length_s: float, nodes: Sequence[str], members: Sequence[str]
 ) -> Iterator[Fault]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,8 +14,10 @@
 from radishtrack_standins.soak.schedule import (
     MAX_DURATION_S,
     PROMOTION_ALLOWANCE_S,
+    RESTORED,
     WEIGHTS,
     draw_faults,
+    draw_restores,
 )
 
 NODES = ("edge-1", "edge-2", "edge-3")
@@ -109,3 +111,18 @@
     ledger = await run_soak(CI_SEED, CI_LENGTH_S, tmp_path)
     assert ledger.violations == []
     assert len(ledger.acknowledged) > 50
+
+
+async def test_a_short_run_with_restores_violates_no_guarantee(tmp_path: Path) -> None:
+    """The store comes back from a backup twice, and lacks a revoked key and duties."""
+    ledger = await run_soak(CI_SEED, CI_LENGTH_S, tmp_path, restores=2)
+    assert ledger.violations == []
+    assert len(ledger.acknowledged) > 50
+
+
+def test_restores_change_no_other_fault_of_a_seed() -> None:
+    """Seeds that failed before restores were added must still reproduce."""
+    restores = draw_restores(7, 12.0, 3, NODES)
+    assert restores == draw_restores(7, 12.0, 3, NODES) and len(restores) == 3
+    assert {fault.kind for fault in restores} == {RESTORED}
+    assert RESTORED not in WEIGHTS
