Move duties and settling out of the copy of the store

The records of duties and a node's claims are now pooler/duties.py, and the time in which a restored store settles is pooler/settling.py; behaviour is unchanged.

--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -13,14 +13,11 @@
 from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import DutyChanged, HolderAsked, HolderHeard
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.duties import NO_HOLDER
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import Duty, StoreUnavailable
 from radishtrack.pooler.rank import rank_node
-from radishtrack.pooler.store_copy import (
-    NO_HOLDER,
-    RESTORE_SETTLE_MS,
-    StoreCopy,
-)
+from radishtrack.pooler.store_copy import StoreCopy
 from radishtrack.pooler.tasks import start_task
 
 RATES_DUTY: Final = "rates"
@@ -91,7 +88,7 @@
     @property
     def coordinator_name(self) -> str:
         """Name of the coordinator in the duty's record."""
-        return self.store_copy.find_duty(RATES_DUTY).duty.holder
+        return self.store_copy.duties.find(RATES_DUTY).duty.holder
 
     def record_response(self, requested_ms: float, copy_age_ms: float) -> None:
         """Record a response of the coordinator to a request sent at `requested_ms`."""
@@ -104,7 +101,7 @@
         No process listens there, so the one that was the coordinator has ended and
         counts no more delegations.
         """
-        duty = self.store_copy.find_duty(RATES_DUTY).duty
+        duty = self.store_copy.duties.find(RATES_DUTY).duty
         if duty != self.ended_duty:
             self.ended_duty, self.ended_ms = duty, self.clock.now_ms()
 
@@ -128,8 +125,10 @@
         """Become the coordinator if there is none, or if it does not respond."""
         if not self.can_serve():
             return False
-        recorded = self.store_copy.find_duty(RATES_DUTY).duty
-        if recorded.holder == self.name and not self.store_copy.is_own_claim(recorded):
+        recorded = self.store_copy.duties.find(RATES_DUTY).duty
+        if recorded.holder == self.name and not self.store_copy.duties.is_own_claim(
+            recorded
+        ):
             # An earlier process of this node was the coordinator. Nodes may confirm its
             # responses until there is a new epoch.
             return await self._claim(recorded)
@@ -137,7 +136,7 @@
             # The duty may just have been released or claimed.
             self.checked_duty = recorded
             await self.store_copy.confirm()
-        observed = self.store_copy.find_duty(RATES_DUTY)
+        observed = self.store_copy.duties.find(RATES_DUTY)
         if observed.duty.holder == self.name:
             return False
         has_ended = observed.duty.holder == NO_HOLDER
@@ -155,11 +154,11 @@
 
     async def renew_claim(self) -> bool:
         """Claim this node's duty again, after the store has come back from a backup."""
-        return await self._claim(self.store_copy.find_duty(RATES_DUTY).duty)
+        return await self._claim(self.store_copy.duties.find(RATES_DUTY).duty)
 
     async def replace_stale(self) -> bool:
         """Become the coordinator if the current one does not reach the store."""
-        observed = self.store_copy.find_duty(RATES_DUTY).duty
+        observed = self.store_copy.duties.find(RATES_DUTY).duty
         if observed.holder in (self.name, NO_HOLDER) or not self.can_serve():
             return False
         age_ms = self.clock.now_ms() - self.copy_confirmed_ms
@@ -168,7 +167,7 @@
         if self.store_copy.age_ms() >= RECENT_COPY_MS:
             return False
         # After a restore no copy is confirmed for a while, whoever reads the store.
-        settled_ms = self.store_copy.restored_ms + RESTORE_SETTLE_MS
+        settled_ms = self.store_copy.settling.settled_ms
         if self.clock.now_ms() < settled_ms + STALE_COPY_MS:
             return False
         return await self._claim(observed)
@@ -212,15 +211,15 @@
     async def release(self) -> None:
         """Release the duty, so that another node can claim it without a wait."""
         try:
-            await self.store_copy.release_duty(RATES_DUTY)
+            await self.store_copy.duties.release(RATES_DUTY)
         except StoreUnavailable as error:
             log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
             return
-        await self._announce(self.store_copy.find_duty(RATES_DUTY).duty)
+        await self._announce(self.store_copy.duties.find(RATES_DUTY).duty)
 
     async def _claim(self, earlier: Duty) -> bool:
         try:
-            duty = await self.store_copy.claim_duty(RATES_DUTY)
+            duty = await self.store_copy.duties.claim(RATES_DUTY)
         except StoreUnavailable as error:
             # The next confirmation of the copy shows whether the claim took effect.
             log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -228,7 +228,7 @@
         limit_ms = self.options.key_age_limit_ms
         if limit_ms is None:
             return True
-        if self.store_copy.has_unsettled_records():
+        if self.store_copy.settling.has_unsettled_records():
             limit_ms *= UNSETTLED_KEY_AGE
         return self.store_copy.age_ms() < limit_ms
 
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -159,7 +159,7 @@
     def _rank(self, group: str) -> int:
         """Return this node's rank in the order in which nodes promote in the group."""
         # The node that polls for the fleet detects a failure first.
-        poller = self.store_copy.find_duty(RATES_DUTY).duty.holder
+        poller = self.store_copy.duties.find(RATES_DUTY).duty.holder
         return rank_node(self.name, group, self.store_copy.nodes, poller)
 
     async def _attempt(
--- a/src/radishtrack/pooler/promotion_duty.py
+++ b/src/radishtrack/pooler/promotion_duty.py
@@ -7,8 +7,9 @@
 import attrs
 
 from radishtrack.clock import Clock
+from radishtrack.pooler.duties import NO_HOLDER
 from radishtrack.pooler.ports import Duty
-from radishtrack.pooler.store_copy import NO_HOLDER, StoreCopy
+from radishtrack.pooler.store_copy import StoreCopy
 from radishtrack.revision import get_era
 
 PROMOTION_DUTY: Final = "promotion"
@@ -53,9 +54,9 @@
         A restored store may have lost the record of the holder.
         """
         now_ms = self.clock.now_ms()
-        if now_ms - self.store_copy.restored_ms < DUTY_LEASE_MS:
+        if now_ms - self.store_copy.settling.restored_ms < DUTY_LEASE_MS:
             return True
-        observed = self.store_copy.find_duty(PROMOTION_DUTY)
+        observed = self.store_copy.duties.find(PROMOTION_DUTY)
         age_ms = now_ms - observed.observed_ms
         return (
             observed.duty.holder not in (NO_HOLDER, self.name)
@@ -73,7 +74,7 @@
         if self.is_held_by_other():
             return None
         requested_ms = self.clock.now_ms()
-        duty = await self.store_copy.claim_duty(PROMOTION_DUTY)
+        duty = await self.store_copy.duties.claim(PROMOTION_DUTY)
         if duty is None or get_era(duty.revision) != self.store_copy.era:
             return None
         return Claim(duty, requested_ms)
@@ -86,13 +87,13 @@
         StoreUnavailable
             If it is unknown whether the claim has succeeded.
         """
-        observed = self.store_copy.find_duty(PROMOTION_DUTY).duty
+        observed = self.store_copy.duties.find(PROMOTION_DUTY).duty
         if observed.revision != claim.duty.revision or self.is_outdated(claim):
             return False
         requested_ms = self.clock.now_ms()
         if requested_ms - claim.requested_ms < RENEW_AFTER_MS:
             return True
-        duty = await self.store_copy.claim_duty(PROMOTION_DUTY)
+        duty = await self.store_copy.duties.claim(PROMOTION_DUTY)
         if duty is None:
             return False
         claim.duty, claim.requested_ms = duty, requested_ms
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -148,7 +148,7 @@
     def record_duty(self, message: DutyChanged) -> DutyNoted:
         """Record that another node claimed the duty, or that the coordinator stops."""
         duty = Duty(message.holder, message.revision, message.claim)
-        self.store_copy.record_duty(message.name, duty)
+        self.store_copy.duties.record(message.name, duty)
         self.follow_duty()
         self.duty_announced.set()
         self.exchange_requested.set()
@@ -195,7 +195,7 @@
     def _retry_pause_ms(self) -> float:
         """Return the pause after an exchange without a response."""
         ended_duty = self.failover.ended_duty
-        if ended_duty == self.store_copy.find_duty(RATES_DUTY).duty:
+        if ended_duty == self.store_copy.duties.find(RATES_DUTY).duty:
             # This node's turn to replace the coordinator comes soon.
             return RANK_DELAY_MS / 2
         return EXCHANGE_INTERVAL_MS
@@ -259,7 +259,7 @@
     async def _take_over(self, has_response: bool) -> bool:
         """Replace a lost or stale coordinator; return whether this node did."""
         failover = self.failover
-        if self.store_copy.has_outdated_claim(RATES_DUTY):
+        if self.store_copy.duties.has_outdated_claim(RATES_DUTY):
             replace = failover.renew_claim
         else:
             replace = failover.replace_stale if has_response else failover.replace_lost
@@ -329,12 +329,12 @@
 
     def follow_duty(self) -> None:
         """Become coordinator or stop being it, according to the duty's record."""
-        duty = self.store_copy.find_duty(RATES_DUTY).duty
-        if not self.store_copy.is_own_claim(duty):
+        duty = self.store_copy.duties.find(RATES_DUTY).duty
+        if not self.store_copy.duties.is_own_claim(duty):
             self.has_restarted_as_coordinator = duty.holder == self.name
             self.coordinator = None
         elif self.coordinator is None:
-            if self.store_copy.has_outdated_claim(RATES_DUTY):
+            if self.store_copy.duties.has_outdated_claim(RATES_DUTY):
                 # Another node may have claimed the duty after this claim.
                 return
             restarted_ms = None
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -27,12 +27,13 @@
     decode_fleet,
     decode_members,
 )
+from radishtrack.pooler.duties import DutyRecords
 from radishtrack.pooler.ports import (
     ControlStore,
-    Duty,
     FleetListing,
     StoreUnavailable,
 )
+from radishtrack.pooler.settling import Settling
 from radishtrack.pooler.store_content import (
     CopyContent,
     digest_fleet,
@@ -56,13 +57,6 @@
 loss of its own path to the store."""
 RETRY_INTERVAL_MS: Final = 250.0
 """Pause after a call without a response."""
-RESTORE_SETTLE_MS: Final = 2_000.0
-"""Time after a restore of the store in which the operator and the members write again
-what it has lost. A read of this time may lack a configuration that was acknowledged,
-so it does not confirm the copy."""
-RECORDS_SETTLED_MS: Final = 3_000.0
-"""Time after a restore from which a process that starts may rely on all records. A
-holder of a lost claim may use it for as long."""
 DEPARTURE_MS: Final = 4_500.0
 """Time for which a removed node still counts. It either sees within 1.3 s that its
 record is missing, or refuses all keys once its copy is 3 s old; the rest is margin."""
@@ -91,18 +85,7 @@
     at_ms: float
 
 
-@attrs.frozen
-class ObservedDuty:
-    """A duty's record and when this node first observed it."""
-
-    duty: Duty
-    observed_ms: float
-
-
-NO_HOLDER: Final = ""
-"""Holder of a duty that was released or never claimed."""
 EMPTY_FLEET: Final = FleetListing((), {}, {}, 0)
-NO_DUTY: Final = ObservedDuty(Duty(NO_HOLDER, 0, ""), 0.0)
 
 
 @attrs.define(eq=False)
@@ -137,7 +120,8 @@
     registered: tuple[NodeRecord, ...] = ()
     departed: dict[str, Departure] = attrs.field(factory=dict)
     """Nodes whose records were removed recently, by name."""
-    duties: dict[str, ObservedDuty] = attrs.field(factory=dict)
+    duties: DutyRecords = attrs.field(init=False)
+    settling: Settling = attrs.field(init=False)
     terms: Mapping[str, int] = attrs.field(factory=dict)
     failed_ms: float | None = None
     """When a call last failed or was late."""
@@ -146,9 +130,6 @@
     confirmed_ms: float | None = None
     """Latest time at which the copy is known to have equalled the store; None before
     the first confirmation."""
-    restored_ms: float = -math.inf
-    """When this node learned that the store has come back from a backup."""
-    claim_count: int = 0
     is_available: bool = True
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the store has a later revision than the copy."""
@@ -168,6 +149,16 @@
     fleet_digest: int = 0
     members_digest: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.settling = Settling(self.clock)
+        self.duties = DutyRecords(
+            self.store,
+            self.clock,
+            self.node,
+            lambda: self.fleet.duties,
+            lambda: self.era,
+        )
+
     async def run(self) -> None:
         """Confirm the copy periodically; never returns."""
         while True:
@@ -193,10 +184,6 @@
         """Whether the store was read, even if the copy is not confirmed yet."""
         return self.revision != NO_REVISION
 
-    def has_unsettled_records(self) -> bool:
-        """Return whether a restored store may still lack records of the pooler."""
-        return self.clock.now_ms() < self.restored_ms + RECORDS_SETTLED_MS
-
     @property
     def content(self) -> CopyContent:
         """Revision, version and digests of the copy."""
@@ -237,7 +224,7 @@
     def _pause_ms(self, requested_ms: float) -> float:
         """Return the time until this node must read the store itself."""
         now_ms = self.clock.now_ms()
-        settled_ms = self.restored_ms + RESTORE_SETTLE_MS
+        settled_ms = self.settling.settled_ms
         if self.reads_for_fleet():
             due_ms = requested_ms + CONFIRM_INTERVAL_MS
             if requested_ms < settled_ms:
@@ -438,77 +425,6 @@
             del self.departed[name]
         self.registered = registered
 
-    def find_duty(self, name: str) -> ObservedDuty:
-        """Return a duty's last observed record."""
-        return self.duties.get(name, NO_DUTY)
-
-    async def claim_duty(self, name: str) -> Duty | None:
-        """Become the holder of a duty unless its record has changed in the store.
-
-        Returns
-        -------
-        Duty or None
-            The record; its revision is greater than that of every earlier holder. None
-            if the record has changed.
-
-        Raises
-        ------
-        StoreUnavailable
-            If it is unknown whether the claim has succeeded.
-        """
-        return await self._write_duty(name, self.node.name)
-
-    async def release_duty(self, name: str) -> None:
-        """Release a duty, so that another node can claim it without a wait.
-
-        Raises
-        ------
-        StoreUnavailable
-            If it is unknown whether the record was written.
-        """
-        if self.find_duty(name).duty.holder == self.node.name:
-            await self._write_duty(name, NO_HOLDER)
-
-    def is_own_claim(self, duty: Duty) -> bool:
-        """Return whether this process, not an earlier one here, claimed a duty."""
-        return duty.holder == self.node.name and duty.claim.startswith(self._claim_mark)
-
-    @property
-    def _claim_mark(self) -> str:
-        return f"{self.node.name}/{self.node.started_ms}/"
-
-    def has_outdated_claim(self, name: str) -> bool:
-        """Return whether this process claimed a duty before the store was restored.
-
-        The record may be lost, so the duty has to be claimed again.
-        """
-        duty = self.find_duty(name).duty
-        return self.is_own_claim(duty) and get_era(duty.revision) < self.era
-
-    def _find_stored_duty(self, name: str) -> Duty:
-        """Return a duty's record in the store, as far as known.
-
-        It is older than the last observed one if a restored store has lost that.
-        """
-        observed = self.find_duty(name).duty
-        if get_era(observed.revision) >= self.era:
-            return observed
-        return self.fleet.duties.get(name, NO_DUTY.duty)
-
-    async def _write_duty(self, name: str, holder: str) -> Duty | None:
-        self.claim_count += 1
-        claim = f"{self._claim_mark}{self.claim_count}"
-        stored = self._find_stored_duty(name)
-        claimed = await self.store.claim_duty(name, stored, holder, claim)
-        if claimed is not None:
-            self.record_duty(name, claimed)
-        return claimed
-
-    def record_duty(self, name: str, duty: Duty) -> None:
-        """Record a duty as read from the store or announced by another node."""
-        if duty.revision > self.find_duty(name).duty.revision:
-            self.duties[name] = ObservedDuty(duty, self.clock.now_ms())
-
     def age_ms(self) -> float:
         """Return an upper bound of the copy's age; infinite before the first read."""
         if self.confirmed_ms is None:
@@ -556,20 +472,20 @@
         """
         era = get_era(listing.revision)
         if era > self.era and (self.has_content or listing.settled_era < era):
-            self.restored_ms = self.clock.now_ms()
+            self.settling.record_restore()
 
     async def _record_settled(self, listing: FleetListing) -> None:
         era = get_era(listing.revision)
         if (
             listing.settled_era < era
-            and self.clock.now_ms() >= self.restored_ms + RECORDS_SETTLED_MS
+            and not self.settling.has_unsettled_records()
             and self.reads_for_fleet()
         ):
             await self.store.record_settled_era(era)
 
     def _record_own_read(self, requested_ms: float) -> None:
         """Count a read of the store as confirmation, unless it may lack writes."""
-        if requested_ms < self.restored_ms + RESTORE_SETTLE_MS:
+        if requested_ms < self.settling.settled_ms:
             # Announced promotions may be lost as well, so the members' reports count.
             self.failed_ms = self.clock.now_ms()
         else:
@@ -608,7 +524,7 @@
     def _advance(self, revision: int) -> None:
         """Record that the copy is complete up to a revision."""
         if self.has_content and get_era(revision) > self.era:
-            self.restored_ms = self.clock.now_ms()
+            self.settling.record_restore()
         self.revision = max(self.revision, revision)
 
     def _update_catalog(self, catalog: Catalog | None, revision: int) -> None:
@@ -635,7 +551,7 @@
             for group in self.terms.keys() | listing.terms.keys()
         }
         for name, duty in listing.duties.items():
-            self.record_duty(name, duty)
+            self.duties.record(name, duty)
         self.fleet = listing
         self.fleet_digest = digest_fleet(listing)
 
--- a/src/radishtrack/pooler/store_recovery.py
+++ b/src/radishtrack/pooler/store_recovery.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Mapping
 from typing import Final
 
@@ -54,7 +53,10 @@
         StoreUnavailable
             If a call failed; the next one goes on.
         """
-        if not self.store_copy.has_unsettled_records() or not self.is_coordinator():
+        if (
+            not self.store_copy.settling.has_unsettled_records()
+            or not self.is_coordinator()
+        ):
             return
         era = self.store_copy.era
         if self.written_era < era and self.peers.secret:
@@ -75,10 +77,10 @@
             If the store did not respond.
         """
         era = self.store_copy.era
-        has_seen_restore = self.store_copy.restored_ms > -math.inf
-        if not has_seen_restore or self.checked_era >= era:
+        settling = self.store_copy.settling
+        if not settling.has_seen_restore() or settling.has_unsettled_records():
             return False
-        if self.store_copy.has_unsettled_records():
+        if self.checked_era >= era:
             return False
         secret = await self.store_copy.store.find_secret()
         self.checked_era = era
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -88,7 +88,7 @@
         await store_copy.confirm()
         claim.requested_ms -= 1_500.0
         assert not await duty.renew(claim)
-        assert store_copy.find_duty(PROMOTION_DUTY).duty.holder == "edge-2"
+        assert store_copy.duties.find(PROMOTION_DUTY).duty.holder == "edge-2"
 
 
 async def _read_without_responding(
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -24,11 +24,10 @@
 from radishtrack.pooler.node import UNSETTLED_KEY_AGE
 from radishtrack.pooler.ports import LinkRefused, StoreUnavailable
 from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, PromotionDuty
+from radishtrack.pooler.settling import RECORDS_SETTLED_MS, RESTORE_SETTLE_MS
 from radishtrack.pooler.store_content import CopyContent
 from radishtrack.pooler.store_copy import (
     PEER_CONFIRMATION_MS,
-    RECORDS_SETTLED_MS,
-    RESTORE_SETTLE_MS,
     StoreCopy,
 )
 from radishtrack.revision import get_era, get_number, make_revision
@@ -182,12 +181,12 @@
     """Claims named a record that the store no longer had, and were refused."""
     store_copy = fixture.add_copy()
     await store_copy.confirm()
-    assert await store_copy.claim_duty(RATES_DUTY)
+    assert await store_copy.duties.claim(RATES_DUTY)
     backup = fixture.store.back_up()
-    assert await store_copy.claim_duty(RATES_DUTY)
+    assert await store_copy.duties.claim(RATES_DUTY)
     fixture.store.restore(backup)
     await store_copy.confirm()
-    assert await store_copy.claim_duty(RATES_DUTY)
+    assert await store_copy.duties.claim(RATES_DUTY)
 
 
 async def test_no_promotion_starts_while_a_lost_claim_may_be_used(
@@ -218,7 +217,7 @@
     fixture.store.restore(fixture.store.back_up())
     duty = fixture.add_duty(store_copy)
     assert await duty.claim() is None
-    observed = store_copy.find_duty("promotion").duty
+    observed = store_copy.duties.find("promotion").duty
     assert get_era(observed.revision) == fixture.store.era
     assert fixture.store.objects["radishtrack", "duty.promotion"]["spec"]["era"] == 2
 
