MySQL side: let a process that starts after a restore wait as well

Callers: a node that started within 2 s of a restore accepted the keys of the backup, of which some had been withdrawn; running nodes treat the platform as down in that time. Cause: a process that starts knows no earlier era. Change: nodes record the era in fleet/era once the platform has settled; the first response of a watch with a record of an earlier era begins the same wait. Without a record, a node starts at once, so a first start is not delayed.

--- a/src/radishtrack/objects/client.py
+++ b/src/radishtrack/objects/client.py
@@ -368,7 +368,7 @@
         if era > self.era:
             log_event(Event.STORE_RESTORED, era=era, earlier_era=self.era)
             self.era = era
-            self.settled_ms = self.clock.now_ms() + RESTORE_SETTLE_MS
+            self.begin_settling()
         raise PlatformUnavailable(step, self.url, is_write, RESTORED)
 
     def _parse_object(self, data: Any) -> PlatformObject:
@@ -385,6 +385,10 @@
     def _parse_version(self, data: Any) -> int:
         return self._make_version(int(data["version"]))
 
+    def begin_settling(self) -> None:
+        """Treat the platform as down until lost writes can have been made again."""
+        self.settled_ms = self.clock.now_ms() + RESTORE_SETTLE_MS
+
     def missing_version(self) -> int:
         """Return the version of an object that does not exist in the present era.
 
--- a/src/radishtrack/objects/watch.py
+++ b/src/radishtrack/objects/watch.py
@@ -9,6 +9,7 @@
 from radishtrack.events import Event, log_event
 from radishtrack.objects.budget import backoff_ms
 from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.era import find_recorded_era
 from radishtrack.objects.records import (
     PlatformRefusal,
     PlatformUnavailable,
@@ -35,6 +36,9 @@
 ) -> None:
     """Report all objects of some kinds and then their changes, forever.
 
+    If the kinds contain `ERA_KIND`, a process that starts after a restore of the
+    platform waits until that has settled.
+
     Parameters
     ----------
     client : PlatformClient
@@ -50,7 +54,7 @@
         does not update `last_contact_ms`, so this bounds its age.
     """
     revision = failures = 0
-    is_first = True
+    is_first = is_unchecked = True
     while True:
         try:
             response = await client.watch(kinds, revision, timeout_ms)
@@ -64,6 +68,13 @@
         if failures:
             log_event(Event.PLATFORM_AVAILABLE, failures=failures)
         failures = 0
+        recorded_era = find_recorded_era(response.objects) if is_unchecked else None
+        is_unchecked = False
+        if recorded_era is not None and recorded_era < client.era:
+            # The platform was restored shortly before this process started.
+            log_event(Event.STORE_RESTORED, era=client.era, earlier_era=recorded_era)
+            client.begin_settling()
+            continue
         revision = response.revision
         if response.objects or is_first:
             on_change(response)
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -27,7 +27,8 @@
 from radishtrack.membership.nodes import Membership, Node
 from radishtrack.membership.placement import Placement
 from radishtrack.metrics import Metrics
-from radishtrack.objects.client import PlatformClient
+from radishtrack.objects.client import NO_ERA, PlatformClient
+from radishtrack.objects.era import ERA_KIND, record_era
 from radishtrack.objects.records import (
     PlatformRefusal,
     PlatformUnavailable,
@@ -61,7 +62,13 @@
 
 GROUPS_KIND: Final = "groups"
 MEMBERS_KIND: Final = "members"
-WATCHED_KINDS: Final = (MANIFEST_KIND, KEYS_KIND, GROUPS_KIND, MEMBERS_KIND)
+WATCHED_KINDS: Final = (
+    MANIFEST_KIND,
+    KEYS_KIND,
+    GROUPS_KIND,
+    MEMBERS_KIND,
+    ERA_KIND,
+)
 VM_LIST_INTERVAL_S: Final = 2.0
 VM_LIST_S_PER_NODE: Final = 0.1
 """Limits reading the list to about 1.1 KB/s at any size of the fleet, with about 114
@@ -116,6 +123,8 @@
     admin: AdminServer | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     is_listed: bool = False
+    recorded_era: int = NO_ERA
+    """Era of the platform that this node has recorded as settled."""
     started_ms: float = 0.0
     stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -287,9 +296,20 @@
         )
 
     def _record_contact(self, has_responded: bool) -> None:
-        if has_responded:
-            contact_ms = self.platform.last_contact_ms or 0.0
-            self.copies.contacts.record_platform_contact(contact_ms)
+        if not has_responded:
+            return
+        contact_ms = self.platform.last_contact_ms or 0.0
+        self.copies.contacts.record_platform_contact(contact_ms)
+        if self.recorded_era < self.platform.era:
+            self.recorded_era = self.platform.era
+            self._spawn(self._record_era())
+
+    async def _record_era(self) -> None:
+        try:
+            await record_era(self.platform)
+        except (PlatformUnavailable, PlatformRefusal):
+            # The next contact tries again.
+            self.recorded_era = NO_ERA
 
     def _apply_objects(self, response: WatchResponse) -> None:
         revoked: set[str] = set()
--- a/tests/test_platform_restored.py
+++ b/tests/test_platform_restored.py
@@ -19,6 +19,7 @@
     PlatformClient,
     make_platform_client,
 )
+from radishtrack.objects.era import ERA_KIND, record_era
 from radishtrack.objects.records import Conflict, PlatformUnavailable, Written
 from radishtrack.objects.watch import follow_objects
 from radishtrack_standins.platform import RunningPlatform, start_platform
@@ -149,3 +150,33 @@
     async with asyncio.timeout(8.0):
         while name not in names:
             await asyncio.sleep(0.01)
+
+
+async def test_a_process_that_starts_after_a_restore_waits_until_it_has_settled(
+    platform: RunningPlatform, client: PlatformClient, time: ManualTime
+) -> None:
+    """It accepted the keys of the backup, of which some had been withdrawn."""
+    await client.get("groups", "a")
+    await record_era(client)
+    await client.put("keys", "verksted", {"keys": []}, 0)
+    platform.store.restore(platform.store.back_up())
+    starting = make_platform_client(platform.url, make_manual_clock(time))
+    names: list[str] = []
+    task = asyncio.create_task(
+        follow_objects(
+            starting,
+            ["keys", ERA_KIND],
+            lambda response: names.extend(item.name for item in response.objects),
+            timeout_ms=50,
+        )
+    )
+    await asyncio.sleep(0.3)
+    assert names == [] and starting.era == platform.store.era
+    time.advance(RESTORE_SETTLE_MS)
+    await wait_until_in("verksted", names)
+    task.cancel()
+    # Once a node has recorded the era, later processes start at once.
+    await record_era(starting)
+    stored = await starting.get(ERA_KIND, "era")
+    assert stored is not None and stored.value == {"era": platform.store.era}
+    await starting.close()
