Count a transaction once for a rate in the soak

The users' answer: a tenant's rate and burst count operations, and an operation is one statement or a transaction (PROTOCOL.md, section on clients), as the pooler's tokens do. The check counted commits besides. Bound, window and margins are unchanged, and every other statement still counts; the MySQL side has no such check. A test shows that one operation more than allowed is still a violation.

--- a/src/radishtrack_standins/soak/clients.py
+++ b/src/radishtrack_standins/soak/clients.py
@@ -88,9 +88,23 @@
             raise ConnectionEnded(line)
         return connection
 
-    async def execute(self, connection: LineConnection, text: str) -> tuple[str, str]:
-        """Run a statement; return its identifier and the first line of the response."""
+    async def execute(
+        self, connection: LineConnection, text: str, *, is_continuation: bool = False
+    ) -> tuple[str, str]:
+        """Run a statement; return its identifier and the first line of the response.
+
+        Parameters
+        ----------
+        connection : LineConnection
+            An open session.
+        text : str
+            The statement.
+        is_continuation : bool
+            Whether it belongs to a transaction and is not the first statement of it.
+        """
         statement_id = f"{self.name}-{next(self.statement_numbers)}"
+        if is_continuation:
+            self.ledger.continuations.add(statement_id)
         self.ledger.sent_ms[statement_id] = self.now_ms()
         connection.write(encode_line(f"QUERY {statement_id} {text}"))
         first_line = ""
@@ -118,7 +132,8 @@
         if response.startswith("ERROR"):
             return
         await self.execute(connection, "WRITE q1 x")
-        self._record_write(*await self.execute(connection, "COMMIT"))
+        commit = await self.execute(connection, "COMMIT", is_continuation=True)
+        self._record_write(*commit)
 
     async def _read(self, connection: LineConnection, database: str) -> None:
         required = self._list_required_writes(database)
--- a/src/radishtrack_standins/soak/ledger.py
+++ b/src/radishtrack_standins/soak/ledger.py
@@ -27,6 +27,8 @@
     """Times in milliseconds at which statements ran, by organisation."""
     revoked_ms: dict[str, float] = attrs.field(factory=dict)
     """Times at which keys were revoked, by organisation."""
+    continuations: set[str] = attrs.field(factory=set)
+    """Statements of a transaction after its first one; rates count operations."""
     sent_ms: dict[str, float] = attrs.field(factory=dict)
     """When clients sent their statements, by identifier."""
     outcomes: Counter[str] = attrs.field(factory=Counter)
@@ -40,7 +42,8 @@
         It is a violation if the client sent it more than `REVOKE_MS` after the key was
         revoked. A cut link delivers a statement late that was sent in time.
         """
-        self.runs[organisation].append(now_ms)
+        if statement_id not in self.continuations:
+            self.runs[organisation].append(now_ms)
         sent_ms = self.sent_ms.get(statement_id, now_ms)
         revoked_ms = self.revoked_ms.get(organisation)
         if revoked_ms is not None and sent_ms > revoked_ms + REVOKE_MS:
@@ -105,7 +108,7 @@
                 start += 1
             if index - start + 1 > limit:
                 self.violations.append(
-                    f"{organisation} ran {index - start + 1} statements in "
+                    f"{organisation} ran {index - start + 1} operations in "
                     f"{RATE_WINDOW_MS:.0f} ms, allowed are {limit:.0f}"
                 )
                 return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -63,6 +63,21 @@
     assert len(ledger.violations) == 1
 
 
+def test_a_transaction_counts_once_for_a_rate() -> None:
+    """Seed 1206: commits counted as operations of their own."""
+    ledger = Ledger()
+    allowed = int((10 * 5 + 10) * 1.1 + RATE_MARGIN_STATEMENTS)
+    for number in range(allowed):
+        ledger.continuations.add(f"commit {number}")
+        ledger.record_run("verksted", 3_000.0 + number, f"write {number}")
+        ledger.record_run("verksted", 3_000.0 + number, f"commit {number}")
+    ledger.check_rate("verksted", 10, 10)
+    assert not ledger.violations
+    ledger.record_run("verksted", 3_000.0 + allowed, "one more")
+    ledger.check_rate("verksted", 10, 10)
+    assert len(ledger.violations) == 1
+
+
 def test_a_statement_long_after_revocation_is_a_violation() -> None:
     """A node that cannot reach the store could continue to accept the key."""
     ledger = Ledger()
