Unfence members when a promotion meets a restore of the store

Found by reading the change: an attempt that learns of a restore gives up like one whose duty another node has taken over, and leaves the members fenced. It now unfences them and says why it ends. Test: before, the members were still fenced when the next promotion was ordered.

--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -27,7 +27,7 @@
     find_promotion_reason,
     is_promotion_unfinished,
 )
-from radishtrack.pooler.promotion_duty import PromotionDuty
+from radishtrack.pooler.promotion_duty import Claim, PromotionDuty
 from radishtrack.pooler.rank import rank_node
 from radishtrack.pooler.statements import Fence, GetStatus, MemberStatement, Unfence
 from radishtrack.pooler.store_copy import DEPARTURE_MS, StoreCopy
@@ -218,13 +218,11 @@
         if fenced_ms is None:
             await self._unfence(access, old_primary)
             return "too few members could be fenced"
-        # A node that has taken over the duty fences members itself, so they are not
-        # unfenced here.
         if not await self.duty.renew(claim):
-            return "another node has taken the duty over"
+            return await self._give_up(access, claim, old_primary)
         acknowledged_term = await self._await_invalidation(access, fenced_ms)
         if not await self.duty.renew(claim):
-            return "another node has taken the duty over"
+            return await self._give_up(access, claim, old_primary)
         fenced = await self._read_fenced(access, term, old_primary)
         leaving = frozenset(
             name for name, pool in access.pools.items() if pool.member.is_leaving
@@ -263,6 +261,18 @@
         await self._unfence(access, successor.member)
         return ""
 
+    async def _give_up(
+        self, access: GroupAccess, claim: Claim, old_primary: str
+    ) -> str:
+        """End an attempt whose claim was lost; return why."""
+        if self.duty.is_outdated(claim):
+            # No node takes over before the lease of a lost claim has ended.
+            await self._unfence(access, old_primary)
+            return "the store was restored after the claim"
+        # A node that has taken over the duty fences members itself, so they are not
+        # unfenced here.
+        return "another node has taken the duty over"
+
     async def _is_confirmed_by_peers(self, access: GroupAccess, primary: str) -> bool:
         responses = await self.peers.request_all(
             lambda request: VoteRequest(request, access.name, primary), VOTE_TIMEOUT_MS
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -9,6 +9,7 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY
 from radishtrack.pooler.store_copy import DEPARTURE_MS
+from radishtrack.revision import get_era
 from radishtrack_standins.cluster import find_free_ports
 from tests.pooler_simulation import (
     GROUP,
@@ -73,6 +74,32 @@
         assert len(tokens) == 1
 
 
+async def test_a_promotion_that_meets_a_restore_leaves_no_member_fenced() -> None:
+    """The fenced replicas could acknowledge nothing until the lost lease had ended."""
+    async with open_simulation() as simulation:
+        unresponsive = await asyncio.start_server(
+            _read_without_responding, "127.0.0.1", 0
+        )
+        async with unresponsive:
+            port = unresponsive.sockets[0].getsockname()[1]
+            store_copy = simulation.nodes[0].node.store_copy
+            record = NodeRecord("edge-9", "127.0.0.1", port, "oslo-a", 1)
+            await store_copy.store.register_node(record)
+            await store_copy.confirm()
+            client = await simulation.connect(simulation.nodes[0], "orders")
+            members = list(simulation.members.values())
+            await simulation.members["i-1"].stop()
+            await wait_until(lambda: any(member.fenced_term for member in members))
+            simulation.store.restore(simulation.store.back_up())
+            await store_copy.confirm()
+            assert not simulation.store.orders
+            await wait_until(lambda: not any(member.fenced_term for member in members))
+            assert not simulation.store.orders
+            await write_until_served(simulation, client)
+        tokens = [token for _, _, _, token in simulation.store.orders]
+        assert len(tokens) == 1 and get_era(tokens[0]) == simulation.store.era
+
+
 async def test_a_claim_that_another_node_replaced_is_not_renewed() -> None:
     """Renewing it would take the duty from a node that has started a promotion."""
     async with open_simulation() as simulation:
