Read a restored store as soon as it has settled

Found by reading: the coordinator's pause was counted from the present time, so at the end of the settling it waited 250 ms more, up to its usual interval.

--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -223,12 +223,12 @@
 
     def _pause_ms(self, requested_ms: float) -> float:
         """Return the time until this node must read the store itself."""
-        now_ms = self.clock.now_ms()
         settled_ms = self.settling.settled_ms
         if self.reads_for_fleet():
             due_ms = requested_ms + CONFIRM_INTERVAL_MS
             if requested_ms < settled_ms:
-                due_ms = min(due_ms, max(settled_ms, now_ms + RETRY_INTERVAL_MS))
+                earliest_ms = requested_ms + RETRY_INTERVAL_MS
+                due_ms = min(due_ms, max(settled_ms, earliest_ms))
         elif requested_ms < settled_ms:
             # A read does not confirm the copy, so the node would read continually.
             due_ms = requested_ms + PEER_CONFIRMATION_MS
@@ -240,7 +240,7 @@
                 requested_ms + OWN_READ_INTERVAL_MS, confirmed_ms + PEER_CONFIRMATION_MS
             )
             due_ms = max(due_ms, requested_ms + RETRY_INTERVAL_MS)
-        return due_ms - now_ms
+        return due_ms - self.clock.now_ms()
 
     async def confirm(
         self, confirmation: tuple[CopyContent, float] | None = None
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -324,6 +324,21 @@
     assert len(fixture.store.calls) <= 4
 
 
+async def test_the_coordinator_reads_the_store_as_soon_as_it_has_settled(
+    fixture: CopyFixture,
+) -> None:
+    """The fleet's copies were confirmed up to 0.7 s later than they could be."""
+    store_copy = fixture.add_copy()
+    await store_copy.confirm()
+    fixture.store.restore(fixture.store.back_up())
+    await store_copy.confirm()
+    fixture.time.advance(RESTORE_SETTLE_MS - 300.0)
+    requested_ms = store_copy.clock.now_ms()
+    assert store_copy._pause_ms(requested_ms) == 300.0
+    fixture.time.advance(300.0)
+    assert store_copy._pause_ms(requested_ms) <= 0.0
+
+
 def test_a_claim_of_the_lost_seconds_ends_before_the_era_is_settled() -> None:
     """A process that starts in a settled era may claim the duty at once."""
     assert DUTY_LEASE_MS <= RECORDS_SETTLED_MS
