Show that a promotion's claim is renewed across a restore

Found by reading the change once more: a claim of the duty that is answered in a later era is refused, a renewal is not, so a promotion under way can go on after the store has lost the announcement of its term.

--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -23,7 +23,11 @@
 from radishtrack.pooler.group_access import LEAVING_USE_MS, make_group_access
 from radishtrack.pooler.node import UNSETTLED_KEY_AGE
 from radishtrack.pooler.ports import LinkRefused, StoreUnavailable
-from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, PromotionDuty
+from radishtrack.pooler.promotion_duty import (
+    DUTY_LEASE_MS,
+    RENEW_AFTER_MS,
+    PromotionDuty,
+)
 from radishtrack.pooler.settling import RECORDS_SETTLED_MS, RESTORE_SETTLE_MS
 from radishtrack.pooler.store_content import CopyContent
 from radishtrack.pooler.store_copy import (
@@ -222,6 +226,20 @@
     assert fixture.store.objects["radishtrack", "duty.promotion"]["spec"]["era"] == 2
 
 
+async def test_a_claim_is_not_renewed_into_the_era_after_a_restore(
+    fixture: CopyFixture,
+) -> None:
+    """The announcement of the term may be lost, and the renewed claim looks current."""
+    store_copy = fixture.add_copy()
+    await store_copy.confirm()
+    duty = fixture.add_duty(store_copy)
+    claim = await duty.claim()
+    assert claim is not None
+    fixture.store.restore(fixture.store.back_up())
+    fixture.time.advance(RENEW_AFTER_MS)
+    assert not await duty.renew(claim)
+
+
 async def test_the_coordinator_claims_its_lost_duty_again() -> None:
     """Without a record, each node that starts took another one for the coordinator."""
     async with open_simulation(2) as simulation:
