Report members' load to all nodes and mark scarce groups

Cause: nodes know only their own statements at a member, so that many nodes choose the same idle member, and each divides the members' connections evenly although most are unused.

Change: a member's report carries how many statements it runs or holds and how many connections are open; the relay passes both on.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -459,7 +459,9 @@
     newer_than: int
 
 
-PackedReport = tuple[str, str, bool, int, int, int, int, int, int, float, float]
+PackedReport = tuple[
+    str, str, bool, int, int, int, int, int, int, float, float, int, int
+]
 """A member's report in `Reports`."""
 
 
--- a/src/radishtrack/platform/wire.py
+++ b/src/radishtrack/platform/wire.py
@@ -58,7 +58,9 @@
 _STATES_BY_LETTER: Final = {letter: state for state, letter in _STATE_LETTERS.items()}
 _ROLES: Final = {"primary": Role.PRIMARY, "replica": Role.REPLICA}
 STATUS_FIELD_COUNT: Final = 5
-"""Number of used fields of a status row: role, term, position, fenced term, lag."""
+"""Number of required fields of a status row: role, term, position, fenced term, lag."""
+LOAD_FIELD_COUNT: Final = 2
+"""Number of optional fields that follow: busy and connections."""
 
 
 class WireError(ValueError):
@@ -251,6 +253,8 @@
     try:
         role, term, received, held, lag_ms = words[:STATUS_FIELD_COUNT]
         position = parse_position(received)
+        load = [int(word) for word in words[STATUS_FIELD_COUNT:][:LOAD_FIELD_COUNT]]
+        busy, connections = load if len(load) == LOAD_FIELD_COUNT else (None, None)
         return MemberReport(
             member="",
             role=_ROLES[role],
@@ -260,6 +264,8 @@
             # "Held" is the term for which the member stopped receiving; 0 if none.
             fenced_term=int(held),
             lag_ms=float(lag_ms),
+            busy=busy,
+            connections=connections,
         )
     except (KeyError, ValueError) as error:
         raise WireError(f"not a status row: {row[:60]!r}") from error
--- a/src/radishtrack/pooler/catalog.py
+++ b/src/radishtrack/pooler/catalog.py
@@ -191,9 +191,15 @@
     ----------
     lag_ms : float
         Delay in milliseconds with which it applies its log.
+    busy : int or None
+        Statements that run or wait at the member, from all nodes; None if unknown.
+    connections : int or None
+        Open connections of all nodes; None if unknown.
     """
 
     lag_ms: float
+    busy: int | None = None
+    connections: int | None = None
 
 
 def digest_key(key: str) -> bytes:
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -19,6 +19,9 @@
 
 MIN_CONNECTIONS: Final = 1
 """Connections to a member that a node may use even if its share is smaller."""
+MIN_EVEN_CONNECTIONS: Final = 2
+"""A group is scarce if a node's even part of a member's connections is smaller. With a
+single connection, one open transaction keeps all other work from the member."""
 MAX_USEFUL_LAG_MS: Final = 250.0
 """Lag above which a replica is tried last for positions that it is not known to have
 applied; the usual lag is some tens of milliseconds."""
@@ -103,6 +106,9 @@
     settings: GroupSettings | None = None
     nodes: int = 1
     """Number of nodes that share the members' connections."""
+    is_scarce: bool = False
+    """Whether members' connections are too few for each node to have some of its own;
+    see `MIN_EVEN_CONNECTIONS`."""
     pools: dict[str, MemberPool] = attrs.field(factory=dict)
     unlisted_ms: dict[str, float] = attrs.field(factory=dict)
     """When a member disappeared from the store's list, by name."""
@@ -117,6 +123,9 @@
         """Apply the group's settings and the number of nodes."""
         self.settings = settings
         self.nodes = max(1, nodes)
+        self.is_scarce = self._usable_connections(settings) < (
+            MIN_EVEN_CONNECTIONS * self.nodes
+        )
         self.evidence.synchronous_replicas = settings.synchronous_replicas
         for pool in self.pools.values():
             pool.set_limit(self._connection_limit())
@@ -376,9 +385,13 @@
     def _connection_limit(self) -> int:
         if self.settings is None:
             return DEFAULT_CONNECTION_LIMIT
-        usable = int(self.settings.max_connections * (1.0 - RESERVED_FRACTION))
+        usable = self._usable_connections(self.settings)
         return max(MIN_CONNECTIONS, usable // self.nodes)
 
+    @staticmethod
+    def _usable_connections(settings: GroupSettings) -> int:
+        return int(settings.max_connections * (1.0 - RESERVED_FRACTION))
+
 
 def make_group_access(
     name: str,
--- a/src/radishtrack/pooler/report_relay.py
+++ b/src/radishtrack/pooler/report_relay.py
@@ -37,6 +37,9 @@
 RELAY_TIMEOUT_MS: Final = 300.0
 """Time limit of a request, which takes one round trip."""
 
+UNKNOWN_COUNT: Final = -1
+"""Stands for a count that the member did not report."""
+
 
 @attrs.define
 class Receiver:
@@ -128,6 +131,8 @@
                     report.fenced_term,
                     report.lag_ms,
                     now_ms - observation.requested_ms,
+                    _pack_count(report.busy),
+                    _pack_count(report.connections),
                 )
 
     async def _poll_relay(self, relay: NodeRecord) -> bool:
@@ -156,7 +161,9 @@
 
     def _apply_report(self, packed: PackedReport, requested_ms: float) -> None:
         group, name, is_primary, term, term_received, received, *rest = packed
-        term_applied, applied, fenced_term, lag_ms, age_ms = rest
+        term_applied, applied, fenced_term, lag_ms, age_ms, *counts = rest
+        # Earlier versions of this program send no counts.
+        busy, connections = counts or (UNKNOWN_COUNT, UNKNOWN_COUNT)
         access = self.groups.get(group)
         if access is None or name not in access.pools:
             return
@@ -167,6 +174,8 @@
             position=Position(term_received, received),
             fenced_term=int(fenced_term),
             lag_ms=float(lag_ms),
+            busy=_unpack_count(busy),
+            connections=_unpack_count(connections),
         )
         report_requested_ms = requested_ms - float(age_ms)
         changed = access.evidence.observe_report(
@@ -185,3 +194,11 @@
                 relayed_by=self.relay_name,
             )
         access.notify()
+
+
+def _pack_count(count: int | None) -> int:
+    return UNKNOWN_COUNT if count is None else count
+
+
+def _unpack_count(count: float) -> int | None:
+    return None if count == UNKNOWN_COUNT else int(count)
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -57,6 +57,7 @@
             st.booleans(),
             *(st.integers(0, 2**40) for _ in range(6)),
             *(st.floats(allow_nan=False) for _ in range(2)),
+            *(st.integers(-1, 2**40) for _ in range(2)),
         ),
         max_size=3,
     ).map(tuple),
--- a/tests/test_pooler_wire.py
+++ b/tests/test_pooler_wire.py
@@ -116,7 +116,15 @@
     report = parse_report("replica 3 3.1209 4 12.5 2 17")
     assert report.role is Role.REPLICA and report.position == Position(3, 1209)
     assert report.is_fenced and report.lag_ms == 12.5
-    for row in ("replica 3", "boss 3 3.1 0 0", "replica x 3.1 0 0"):
+    assert (report.busy, report.connections) == (2, 17)
+    assert parse_report("replica 3 3.1209 4 12.5").connections is None
+    malformed = (
+        "replica 3",
+        "boss 3 3.1 0 0",
+        "replica x 3.1 0 0",
+        "replica 3 3.1 0 0 x 1",
+    )
+    for row in malformed:
         with pytest.raises(WireError):
             parse_report(row)
 
