--- a/src/radishtrack/platform/documents.py
+++ b/src/radishtrack/platform/documents.py
@@ -136,6 +136,7 @@
         "port": node.port,
         "zone": node.zone,
         "startedMs": node.started_ms,
+        "cores": node.cores,
     }
 
 
@@ -155,6 +156,8 @@
             port=_integer(spec, "port"),
             zone=_text(spec, "zone"),
             started_ms=_integer(spec, "startedMs"),
+            # Records of earlier versions of this program don't name it.
+            cores=_number(spec, "cores") if "cores" in spec else 0.0,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise DocumentError(f"node record: {error!r}") from error
--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -96,6 +96,7 @@
         port=settings.peer_port,
         zone=settings.zone,
         started_ms=time.time_ns() // 1_000_000,
+        cores=settings.cores,
     )
     log = make_request_log(clock)
     node = make_node(
--- a/src/radishtrack/platform/settings.py
+++ b/src/radishtrack/platform/settings.py
@@ -46,6 +46,8 @@
         Time between SIGTERM and SIGKILL.
     key_age_limit_ms : float or None
         Age of the configuration from which on keys are refused; None without a bound.
+    cores : float
+        Processor cores that the process may use; 0 if the settings don't say.
     """
 
     node: str
@@ -58,6 +60,7 @@
     orders: str
     grace_ms: float
     key_age_limit_ms: float | None
+    cores: float = 0.0
 
 
 def parse_settings(text: str) -> PlatformSettings:
@@ -72,7 +75,7 @@
         data: Any = json.loads(text)
         bounds = data["bounds"]
         is_strict = bool(bounds.get("revokeStrict", False))
-        revoke_ms = _duration(bounds.get("revokeMs", 0))
+        revoke_ms = _quantity(bounds.get("revokeMs", 0))
         return PlatformSettings(
             node=_text(data["nodeName"]),
             ip=_text(data["ip"]),
@@ -83,8 +86,9 @@
             peer_port=int(data["internalPorts"][0]),
             store=_address(data["platform"]["address"]),
             orders=_address(data["cloudApi"]["address"]),
-            grace_ms=_duration(bounds["graceS"]) * MS_PER_S,
+            grace_ms=_quantity(bounds["graceS"]) * MS_PER_S,
             key_age_limit_ms=KEY_AGE_LIMIT_FRACTION * revoke_ms if is_strict else None,
+            cores=_cores(data.get("limits", {})),
         )
     except (
         KeyError,
@@ -119,11 +123,16 @@
     return value
 
 
-def _duration(value: Any) -> float:
-    duration = float(value)
-    if not 0 <= duration < math.inf:
-        raise ValueError(f"not a duration: {value!r}")
-    return duration
+def _quantity(value: Any) -> float:
+    quantity = float(value)
+    if not 0 <= quantity < math.inf:
+        raise ValueError(f"not a finite, non-negative number: {value!r}")
+    return quantity
+
+
+def _cores(limits: Any) -> float:
+    """Return the share of one core, times its speed in cores of the platform."""
+    return _quantity(limits.get("cpuQuota", 0.0)) * _quantity(limits.get("cpuCores", 0))
 
 
 def _address(value: Any) -> str:
--- a/src/radishtrack/pooler/catalog.py
+++ b/src/radishtrack/pooler/catalog.py
@@ -174,6 +174,8 @@
         Unix time of the start of the process that registered it. Records that differ
         in it alone are equal, so a restart at the same address changes no record: each
         change is read by all zones.
+    cores : float
+        Processor cores that the node may use; 0 if unknown.
     """
 
     name: str
@@ -181,6 +183,7 @@
     port: int
     zone: str
     started_ms: int = attrs.field(eq=False)
+    cores: float = 0.0
 
 
 @attrs.frozen
