Give up a promotion whose claim meets a restored store

Cause: a claim of the promotion duty that is answered in a later era is refused, but a renewal was not, so a promotion could go on after the store had lost the announcement of its term. A renewal that fails because the store has lost the record looked like a claim by another node, so the members stayed fenced.

Change: renew returns False for a record of a later era. is_outdated also uses the era of a later claim of this process, because the copy of the store may not have read the restored store yet; this covers a claim for another group at the same node. After a refused write the copy is read, which tells a lost record from one that was replaced. The promoter then unfences the members, unless the record names another holder, whose fences they may be.

--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -265,7 +265,7 @@
         self, access: GroupAccess, claim: Claim, old_primary: str
     ) -> str:
         """End an attempt whose claim was lost; return why."""
-        if self.duty.is_outdated(claim):
+        if self.duty.is_outdated(claim) and not self.duty.is_taken_over():
             # No node takes over before the lease of a lost claim has ended.
             await self._unfence(access, old_primary)
             return "the store was restored after the claim"
--- a/src/radishtrack/pooler/promotion_duty.py
+++ b/src/radishtrack/pooler/promotion_duty.py
@@ -58,10 +58,7 @@
             return True
         observed = self.store_copy.duties.find(PROMOTION_DUTY)
         age_ms = now_ms - observed.observed_ms
-        return (
-            observed.duty.holder not in (NO_HOLDER, self.name)
-            and age_ms < DUTY_LEASE_MS
-        )
+        return self.is_taken_over() and age_ms < DUTY_LEASE_MS
 
     async def claim(self) -> Claim | None:
         """Claim the duty; return None if another node holds it.
@@ -80,7 +77,11 @@
         return Claim(duty, requested_ms)
 
     async def renew(self, claim: Claim) -> bool:
-        """Renew a claim that is old; return whether this node still holds the duty.
+        """Renew a claim that is old; return whether the promotion may go on.
+
+        It may not if another node holds the duty, or if the store was restored after
+        the claim: the renewal is then a record of the next era, but the announcement of
+        the promotion's term may be lost.
 
         Raises
         ------
@@ -95,6 +96,10 @@
             return True
         duty = await self.store_copy.duties.claim(PROMOTION_DUTY)
         if duty is None:
+            # The record was replaced by another node or lost by a restored store.
+            await self.store_copy.confirm()
+            return False
+        if get_era(duty.revision) > get_era(claim.duty.revision):
             return False
         claim.duty, claim.requested_ms = duty, requested_ms
         return True
@@ -105,9 +110,19 @@
         is_recent = age_ms <= DUTY_LEASE_MS - ORDER_MARGIN_MS
         return is_recent and not self.is_outdated(claim)
 
+    def is_taken_over(self) -> bool:
+        """Return whether the last observed record names another holder."""
+        observed = self.store_copy.duties.find(PROMOTION_DUTY).duty
+        return observed.holder not in (NO_HOLDER, self.name)
+
     def is_outdated(self, claim: Claim) -> bool:
         """Return whether the store was restored after a claim.
 
-        It may have lost the claim and the announcement of the term.
+        It may have lost the claim and the announcement of the term. A response to a
+        later claim of this process can show the restore before the copy has read it.
         """
-        return get_era(claim.duty.revision) < self.store_copy.era
+        era = self.store_copy.era
+        observed = self.store_copy.duties.find(PROMOTION_DUTY).duty
+        if self.store_copy.duties.is_own_claim(observed):
+            era = max(era, get_era(observed.revision))
+        return get_era(claim.duty.revision) < era
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -7,7 +7,7 @@
 import attrs
 
 from radishtrack.pooler.catalog import NodeRecord
-from radishtrack.pooler.promotion_duty import PROMOTION_DUTY
+from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, RENEW_AFTER_MS
 from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.revision import get_era
 from radishtrack_standins.cluster import find_free_ports
@@ -100,6 +100,24 @@
         assert len(tokens) == 1 and get_era(tokens[0]) == simulation.store.era
 
 
+async def test_members_are_unfenced_if_a_renewal_shows_a_restore() -> None:
+    """They stayed fenced for a node that could not have claimed the duty yet."""
+    async with open_simulation() as simulation:
+        promoter = simulation.nodes[0].node.promoter
+        access = simulation.nodes[0].node.find_group(GROUP)
+        claim = await promoter.duty.claim()
+        assert claim is not None
+        await promoter._fence(access, access.evidence.term + 1, "i-1")
+        fenced = [simulation.members[name] for name in ("i-2", "i-3")]
+        assert all(member.fenced_term for member in fenced)
+        simulation.store.restore(simulation.store.back_up())
+        claim.requested_ms -= RENEW_AFTER_MS
+        assert not await promoter.duty.renew(claim)
+        assert "restored" in await promoter._give_up(access, claim, "i-1")
+        assert not any(member.fenced_term for member in fenced)
+        assert simulation.store.orders == []
+
+
 async def test_a_claim_that_another_node_replaced_is_not_renewed() -> None:
     """Renewing it would take the duty from a node that has started a promotion."""
     async with open_simulation() as simulation:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -238,6 +238,34 @@
     fixture.store.restore(fixture.store.back_up())
     fixture.time.advance(RENEW_AFTER_MS)
     assert not await duty.renew(claim)
+    # The copy has not read the restored store, but the members have to be unfenced.
+    assert store_copy.era == 1 and duty.is_outdated(claim)
+    assert not await duty.renew(claim) and not duty.may_order(claim)
+
+
+async def test_a_claim_that_cannot_be_renewed_shows_whether_the_store_lost_it(
+    fixture: CopyFixture,
+) -> None:
+    """A lost record looked like one that another node had replaced.
+
+    The promoter then left the members fenced, although no node had taken over.
+    """
+    store_copy = fixture.add_copy()
+    await store_copy.confirm()
+    duty = fixture.add_duty(store_copy)
+    backup = fixture.store.back_up()
+    claim = await duty.claim()
+    assert claim is not None
+    fixture.store.restore(backup)
+    fixture.time.advance(RENEW_AFTER_MS)
+    assert not await duty.renew(claim)
+    assert duty.is_outdated(claim) and not duty.is_taken_over()
+    # The members belong to a node that claims the duty in the next era.
+    other = fixture.add_copy(OTHER)
+    await other.confirm()
+    assert await other.duties.claim("promotion")
+    await store_copy.confirm()
+    assert duty.is_outdated(claim) and duty.is_taken_over()
 
 
 async def test_the_coordinator_claims_its_lost_duty_again() -> None:
