Close the accepted connections of an unresponsive peer in tests

Cause: the handler of the unresponsive peer in tests/test_pooler_failover.py did not close its writer. The writer was garbage-collected after its event loop had closed, which showed as an unraisable RuntimeError in a later test. If the collection fell into ast.parse, the formatting of the traceback called ast.parse again, and pytest ended with "SystemError: AST constructor recursion depth mismatch".

Change: the handler closes its writer when it ends or is cancelled.

--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -137,10 +137,13 @@
 
 
 async def _read_without_responding(
-    reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    while await reader.read(1_000):
-        pass
+    try:
+        while await reader.read(1_000):
+            pass
+    finally:
+        writer.close()
 
 
 async def test_fencing_tokens_grow_with_each_promotion() -> None:
