Share a member's connections among nodes by demand

With one connection per node and member, an open transaction or a lost response blocked all other work of the node at that member, although most connections of the member were unused.

In scarce groups, the limit of a node now follows its demand and the free connections of the last report: see docs/design/connections.md. Other groups decide as before.

--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -11,14 +11,13 @@
 from radishtrack.clock import Clock
 from radishtrack.group.status import Role
 from radishtrack.pooler.catalog import GroupSettings, Member, ReadClass, Route
+from radishtrack.pooler.connections.allowance import MIN_CONNECTIONS, MemberCapacity
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS, GroupEvidence
 from radishtrack.pooler.member_pool import MemberPool, make_member_pool
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
 from radishtrack.pooler.ports import OpenLink
 from radishtrack.session.position import Position
 
-MIN_CONNECTIONS: Final = 1
-"""Connections to a member that a node may use even if its share is smaller."""
 MIN_EVEN_CONNECTIONS: Final = 2
 """A group is scarce if a node's even part of a member's connections is smaller. With a
 single connection, one open transaction keeps all other work from the member."""
@@ -103,6 +102,8 @@
     has_all_announcements: Callable[[float], bool] = _assume_announced
     """Returns whether no promotion announced longer ago than an age can be unknown to
     this node; see `StoreCopy.has_all_announcements`."""
+    node: str = ""
+    """Name of this node."""
     settings: GroupSettings | None = None
     nodes: int = 1
     """Number of nodes that share the members' connections."""
@@ -128,7 +129,7 @@
         )
         self.evidence.synchronous_replicas = settings.synchronous_replicas
         for pool in self.pools.values():
-            pool.set_limit(self._connection_limit())
+            self._limit_connections(pool)
 
     def set_members(self, members: tuple[Member, ...], now_ms: float) -> None:
         """Apply the store's list of this group's members.
@@ -312,6 +313,8 @@
         """Wake all tasks that wait for a report."""
         self.changed.set()
         self.changed = asyncio.Event()
+        for name, pool in self.pools.items():
+            pool.sharing.adjust(pool, self.evidence.observations.get(name))
 
     def _plan_at_primary(self, now_ms: float) -> ReadPlan | None:
         """Return a plan at the primary; None without evidence that it is current."""
@@ -363,6 +366,7 @@
             # A crash ends the member's connections long before the next poll.
             pool.on_link_end = self.request_poll
             self.pools[member.name] = pool
+            self._limit_connections(pool)
             return
         if pool.member.started_ms != member.started_ms or (
             (pool.member.host, pool.member.port) != (member.host, member.port)
@@ -382,6 +386,15 @@
             for name in left[:-MAX_LEFT_MEMBERS]:
                 del self.leaving[name]
 
+    def _limit_connections(self, pool: MemberPool) -> None:
+        capacity = None
+        if self.is_scarce and self.settings is not None:
+            usable = self._usable_connections(self.settings)
+            capacity = MemberCapacity(self.settings.max_connections, usable, self.nodes)
+        pool.sharing.configure(pool, self.node, capacity)
+        if capacity is None:
+            pool.set_limit(self._connection_limit())
+
     def _connection_limit(self) -> int:
         if self.settings is None:
             return DEFAULT_CONNECTION_LIMIT
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -11,6 +11,7 @@
 from radishtrack.admission.gate import Gate, make_gate
 from radishtrack.clock import Clock
 from radishtrack.pooler.catalog import Member
+from radishtrack.pooler.connections.sharing import ConnectionSharing
 from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
 from radishtrack.pooler.statements import (
     Discard,
@@ -44,6 +45,7 @@
     values: dict[str, str] = attrs.field(factory=dict)
     prepared: set[str] = attrs.field(factory=set)
     is_in_transaction: bool = False
+    idle_since_ms: float = 0.0
 
     async def run(
         self,
@@ -125,6 +127,8 @@
     """Called when the member ends a connection."""
     opening: int = 0
     """Connections that are being opened."""
+    sharing: ConnectionSharing = attrs.field(factory=ConnectionSharing)
+    """Changes the limit with demand if the group is scarce."""
 
     @asynccontextmanager
     async def lease(
@@ -148,6 +152,14 @@
         LinkRefused
             If a new connection was needed and the member refused it.
         """
+        self.sharing.request(self, organisation)
+        async with self._lease(organisation, values, deadline_ms) as pooled:
+            yield pooled
+
+    @asynccontextmanager
+    async def _lease(
+        self, organisation: str, values: dict[str, str], deadline_ms: float
+    ) -> AsyncIterator[PooledLink]:
         async with self.gate.connection(organisation, deadline_ms):
             pooled = self._find_idle(organisation, values)
             if pooled is None:
@@ -177,7 +189,7 @@
         """
         idle = next((pooled for pooled in reversed(self.idle)), None)
         link_organisation = idle.organisation if idle is not None else organisation
-        async with self.lease(link_organisation, {}, deadline_ms) as pooled:
+        async with self._lease(link_organisation, {}, deadline_ms) as pooled:
             yield pooled
 
     @property
@@ -201,8 +213,8 @@
         """Set how many connections this node may have."""
         if connections != self.gate.queue.connections:
             self.gate.set_connections(connections)
-            while self.idle and self._total > connections:
-                self.idle.pop(0).link.close()
+            while self.idle and self.open_count > connections:
+                self._close_one_idle()
 
     def drop_idle(self) -> None:
         """Close the idle connections."""
@@ -217,18 +229,20 @@
             pooled.link.close()
 
     @property
-    def _total(self) -> int:
+    def open_count(self) -> int:
+        """Number of connections that are open or being opened."""
         return len(self.idle) + len(self.busy) + self.opening
 
     async def _open(self, organisation: str) -> PooledLink:
-        if self._total >= self.gate.queue.connections and self.idle:
-            self.idle.pop(0).link.close()
+        is_at_limit = self.open_count >= self.gate.queue.connections
+        if is_at_limit and self.idle and not self.sharing.keep_idle(self):
+            self._close_one_idle()
         self.opening += 1
         try:
             link = await self.open_link(self.member, organisation, CONNECT_TIMEOUT_MS)
         except LinkRefused as error:
             if error.is_full:
-                self.drop_idle()
+                self.sharing.record_refusal(self)
             raise
         finally:
             self.opening -= 1
@@ -236,6 +250,9 @@
         self.last_response_ms = self.clock.now_ms()
         return PooledLink(link, organisation)
 
+    def _close_one_idle(self) -> None:
+        self.idle.pop(self.sharing.choose_idle(self)).link.close()
+
     def _find_idle(
         self, organisation: str, values: dict[str, str]
     ) -> PooledLink | None:
@@ -256,9 +273,10 @@
             pooled.link.close()
         if pooled.link.is_closed:
             return
-        if self._total >= self.gate.queue.connections:
+        if self.open_count >= self.gate.queue.connections:
             pooled.link.close()
             return
+        pooled.idle_since_ms = self.clock.now_ms()
         self.idle.append(pooled)
 
 
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -182,6 +182,7 @@
                 self.open_link,
                 self._has_all_announcements,
             )
+            access.node = self.options.node.name
             self.groups[name] = access
         return access
 
