Place reads of scarce groups by learned capacity

Cause: each node ranks members by its own statements in flight, and a failed statement's short time makes a member look fast.

Change: a node learns each member's slowness, limit and failure rate from its own outcomes, and takes the load from the members' reports. Reads and read-only transactions of scarce groups go to the member with the least expected cost. Failures don't count as speed. Other groups decide as before, and a test compares them.

--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -11,6 +11,7 @@
 from radishtrack.pooler.catalog import Route
 from radishtrack.pooler.group_access import GroupAccess, ReadPlan
 from radishtrack.pooler.member_pool import MemberPool, PooledLink
+from radishtrack.pooler.placement.recording import start_recording
 from radishtrack.pooler.ports import LinkLost, LinkRefused
 from radishtrack.pooler.retry import RETRY_PAUSE_MS, AttemptPlan
 from radishtrack.pooler.statements import (
@@ -101,11 +102,20 @@
     pooled: PooledLink,
     statement: Executable | Commit | Begin,
     *,
+    context: StatementContext,
     min_position: Position | None,
     timeout_ms: float,
 ) -> MemberResponse:
     """Run a statement on a connection and record the evidence in its response."""
     sent_ms = access.clock.now_ms()
+    record = start_recording(
+        access,
+        pool,
+        statement,
+        context.prepare,
+        context.route.read_class,
+        timeout_ms,
+    )
     loop = asyncio.get_running_loop()
     late_timer = loop.call_later(LATE_RESPONSE_MS / 1000, access.request_poll)
     try:
@@ -113,6 +123,7 @@
             statement, min_position=min_position, timeout_ms=timeout_ms
         )
     except LinkLost:
+        record(None)
         # The connection may be unresponsive permanently, and the idle ones with it.
         pool.drop_idle()
         access.request_poll()
@@ -120,6 +131,7 @@
     finally:
         late_timer.cancel()
     pool.record_response(sent_ms, access.clock.now_ms())
+    record(response)
     if response.position is not None:
         access.evidence.observe_position(pool.member.name, response.position, sent_ms)
     if response.refusal is Refusal.READ_ONLY:
@@ -215,6 +227,7 @@
                 pool,
                 pooled,
                 statement,
+                context=context,
                 min_position=min_position,
                 timeout_ms=min(attempt_timeout_ms, remaining_ms),
             )
@@ -252,6 +265,7 @@
                 pool,
                 pooled,
                 statement,
+                context=context,
                 min_position=None,
                 timeout_ms=plan.remaining_ms(access.clock.now_ms()),
             )
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -14,6 +14,7 @@
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS, GroupEvidence
 from radishtrack.pooler.member_pool import MemberPool, make_member_pool
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
+from radishtrack.pooler.placement.choice import Placement
 from radishtrack.pooler.ports import OpenLink
 from radishtrack.session.position import Position
 
@@ -109,6 +110,8 @@
     is_scarce: bool = False
     """Whether members' connections are too few for each node to have some of its own;
     see `MIN_EVEN_CONNECTIONS`."""
+    placement: Placement = attrs.field(factory=Placement)
+    """Chooses the members for reads if the group is scarce."""
     pools: dict[str, MemberPool] = attrs.field(factory=dict)
     unlisted_ms: dict[str, float] = attrs.field(factory=dict)
     """When a member disappeared from the store's list, by name."""
@@ -245,7 +248,13 @@
         min_position = self._find_min_position(route, session_position, now_ms)
         if min_position is None:
             return None
-        members = rank_candidates(self._candidates(organisation, min_position))
+        candidates = self._candidates(organisation, min_position)
+        if self.is_scarce:
+            members = self.placement.order(
+                candidates, self.pools, self.evidence, route.read_class, now_ms
+            )
+        else:
+            members = rank_candidates(candidates)
         return ReadPlan(members, min_position)
 
     def plan_primary(
@@ -362,6 +371,7 @@
             )
             # A crash ends the member's connections long before the next poll.
             pool.on_link_end = self.request_poll
+            pool.capacity = self.placement.make_capacity(member.slots)
             self.pools[member.name] = pool
             return
         if pool.member.started_ms != member.started_ms or (
@@ -369,6 +379,7 @@
         ):
             pool.drop_all()
             self.evidence.discard_member(member.name)
+            pool.capacity = self.placement.make_capacity(member.slots)
         pool.member = member
 
     def _record_leaving(self, member: Member, now_ms: float) -> None:
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -11,6 +11,7 @@
 from radishtrack.admission.gate import Gate, make_gate
 from radishtrack.clock import Clock
 from radishtrack.pooler.catalog import Member
+from radishtrack.pooler.placement.capacity import MemberCapacity, make_member_capacity
 from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
 from radishtrack.pooler.statements import (
     Discard,
@@ -125,6 +126,12 @@
     """Called when the member ends a connection."""
     opening: int = 0
     """Connections that are being opened."""
+    capacity: MemberCapacity = attrs.field(
+        default=attrs.Factory(
+            lambda pool: make_member_capacity(pool.member.slots), takes_self=True
+        )
+    )
+    """What this node has learned about the member in a scarce group."""
 
     @asynccontextmanager
     async def lease(
--- a/src/radishtrack/pooler/monitor.py
+++ b/src/radishtrack/pooler/monitor.py
@@ -225,6 +225,7 @@
     pool.failures = 0
     if not pool.is_reachable:
         pool.is_reachable = True
+        pool.capacity.forget()
         log_event(Event.MEMBER_REACHABLE, group=access.name, member=pool.member.name)
 
 
--- /dev/null
+++ b/src/radishtrack/pooler/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Learned capacity of members, and the choice of a member by it."""
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -108,6 +108,7 @@
                 self.pool,
                 self.pooled,
                 statement,
+                context=context,
                 min_position=None,
                 timeout_ms=context.plan.remaining_ms(self.access.clock.now_ms()),
             )
@@ -156,6 +157,7 @@
                     self.pool,
                     self.pooled,
                     statement,
+                    context=context,
                     min_position=None,
                     timeout_ms=plan.remaining_ms(self.access.clock.now_ms()),
                 )
@@ -225,6 +227,7 @@
                 pool,
                 pooled,
                 Begin(self.is_read_only),
+                context=context,
                 min_position=min_position,
                 timeout_ms=context.plan.remaining_ms(self.access.clock.now_ms()),
             )
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,170 @@
+"""Learned capacity and placement; each test names the load that it answers."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishtrack.clock import ManualTime, make_manual_clock
+from radishtrack.group.status import Role
+from radishtrack.pooler.catalog import (
+    GroupSettings,
+    Member,
+    MemberReport,
+    ReadClass,
+    Route,
+)
+from radishtrack.pooler.group_access import GroupAccess, make_group_access
+from radishtrack.pooler.member_ranking import Candidate, rank_candidates
+from radishtrack.pooler.placement.capacity import (
+    MAX_LIMIT_SLOTS,
+    StatementKind,
+    make_member_capacity,
+)
+from radishtrack.pooler.placement.choice import estimate_cost, order_estimates
+from radishtrack.pooler.ports import LinkRefused
+from radishtrack.session.position import Position
+
+READ = (StatementKind.READ, ReadClass.SESSION)
+ROUTE = Route("db", "g", ReadClass.SESSION, 2_500, 800, 200, 1, False)
+SLOTS = 6
+
+
+def make_access(time: ManualTime, nodes: int) -> GroupAccess:
+    async def refuse_link(*_: object) -> object:
+        raise LinkRefused("no network")
+
+    access = make_group_access("g", "a", make_manual_clock(time), refuse_link)  # type: ignore[arg-type]
+    access.configure(GroupSettings("g", 119, 1), nodes)
+    members = [
+        Member(f"m{z}", "g", "10.0.0.1", 80, z, SLOTS, False, Role.REPLICA, 1)
+        for z in "abc"
+    ]
+    access.set_members(tuple(members), time.value_ms)
+    access.placement.draw = random.Random(1).random
+    report(access, time, dict.fromkeys(("ma", "mb", "mc"), 0))
+    return access
+
+
+def report(access: GroupAccess, time: ManualTime, busy: dict[str, int]) -> None:
+    for name, count in busy.items():
+        role = Role.PRIMARY if name == "mc" else Role.REPLICA
+        status = MemberReport(name, 1, 0, role, Position(1, 5), 10.0, count)
+        access.evidence.observe_report(status, time.value_ms, time.value_ms)
+        access.evidence.observe_position(name, Position(1, 5), time.value_ms)
+
+
+def count_first(access: GroupAccess, reads: int = 400) -> dict[str, int]:
+    """Return how many of some reads each member gets."""
+    counts = dict.fromkeys(access.pools, 0)
+    for _ in range(reads):
+        plan = access.plan_read(ROUTE, None, "o")
+        assert plan is not None
+        counts[plan.members[0]] += 1
+    return counts
+
+
+def test_groups_that_are_not_scarce_decide_as_before() -> None:
+    time = ManualTime(1_000.0)
+    access = make_access(time, nodes=4)
+    assert not access.is_scarce
+    for step in range(20):
+        pool = access.pools[f"m{'abc'[step % 3]}"]
+        pool.service_ms = 5.0 + 7.0 * step
+        report(access, time, {"ma": step % 7, "mb": 2, "mc": 0})
+        expected = rank_candidates(access._candidates("o", Position(1, 5)))
+        plan = access.plan_read(ROUTE, None, "o")
+        assert plan is not None and plan.members == expected
+
+
+def test_reads_stay_in_the_zone_while_its_member_is_not_clearly_slower() -> None:
+    time = ManualTime(1_000.0)
+    access = make_access(time, nodes=98)
+    assert access.is_scarce
+    assert count_first(access)["ma"] > 380
+
+
+def test_a_member_that_fails_quickly_does_not_look_fast() -> None:
+    """The earlier decision averaged the time of failures into the service time."""
+    capacity = make_member_capacity(SLOTS)
+    for second in range(30):
+        capacity.record_response(READ, 28.0, 1, second * 1_000.0)
+    before = capacity.slowness(30_000.0)
+    for second in range(30, 40):
+        capacity.record_failure(READ, second * 1_000.0)
+    assert capacity.slowness(40_000.0) == pytest.approx(before, rel=0.01)
+    assert capacity.failure_rate(40_000.0) > 0.4
+
+
+def test_a_restarted_or_promoted_member_is_unknown() -> None:
+    """State of another process or role would send work that the member can't take."""
+    time = ManualTime(1_000.0)
+    access = make_access(time, nodes=98)
+    for name in ("ma", "mb"):
+        access.pools[name].capacity.record_response(READ, 28.0, 0, time.value_ms)
+    access.plan_read(ROUTE, None, "o")
+    assert not access.pools["ma"].capacity.is_unknown(time.value_ms)
+    members = tuple(
+        attrs.evolve(pool.member, started_ms=2) if name == "ma" else pool.member
+        for name, pool in access.pools.items()
+    )
+    access.set_members(members, time.value_ms)
+    assert access.pools["ma"].capacity.is_unknown(time.value_ms)
+    capacity = access.pools["mb"].capacity
+    capacity.observe_role(True)
+    assert capacity.is_unknown(time.value_ms)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.0, 1e5),
+            st.floats(0.0, 1e5),
+            st.integers(0, 200),
+            st.sampled_from(["response", "failure", "silent"]),
+        ),
+        max_size=60,
+    ),
+    st.integers(0, 8),
+)
+def test_state_stays_within_its_bounds(
+    steps: list[tuple[float, float, int, str]], slots: int
+) -> None:
+    """Whatever responses arrive, decisions stay finite and the limit in its range."""
+    capacity = make_member_capacity(slots)
+    now_ms = 0.0
+    for pause_ms, elapsed_ms, busy, outcome in steps:
+        now_ms += pause_ms
+        capacity.observe_load(busy, now_ms)
+        if outcome == "response":
+            capacity.record_response(READ, elapsed_ms, 1, now_ms)
+        else:
+            silent_ms = elapsed_ms if outcome == "silent" else None
+            capacity.record_failure(READ, now_ms, silent_ms=silent_ms)
+        largest = MAX_LIMIT_SLOTS * max(1, slots)
+        assert 1.0 - 1e-9 <= capacity.limit(now_ms) <= largest + 1e-9
+        assert 0.0 < capacity.failure_rate(now_ms) < 1.0
+        assert 0.0 < capacity.slowness(now_ms) < math.inf
+        assert capacity.expected_ms(StatementKind.READ, now_ms) > 0.0
+
+
+@given(st.lists(st.booleans(), min_size=1, max_size=5), st.integers(0, 2**32))
+def test_an_order_names_each_member_once(is_local: list[bool], seed: int) -> None:
+    estimates = [
+        estimate_cost(
+            Candidate(f"m{n}", local, n == 0, False, n, SLOTS, 10.0),
+            make_member_capacity(SLOTS),
+            connections=1,
+            usual_ms=20.0,
+            fastest=1.0,
+            now_ms=0.0,
+        )
+        for n, local in enumerate(is_local)
+    ]
+    ordered = order_estimates(estimates, 2_000.0, random.Random(seed).random)
+    assert sorted(ordered) == sorted(estimate.member for estimate in estimates)
