--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -12,6 +12,7 @@
 from radishtrack.clock import Clock
 from radishtrack.pooler.catalog import Member
 from radishtrack.pooler.connections.sharing import ConnectionSharing
+from radishtrack.pooler.placement.capacity import MemberCapacity, make_member_capacity
 from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
 from radishtrack.pooler.statements import (
     Discard,
@@ -129,6 +130,12 @@
     """Connections that are being opened."""
     sharing: ConnectionSharing = attrs.field(factory=ConnectionSharing)
     """Changes the limit with demand if the group is scarce."""
+    capacity: MemberCapacity = attrs.field(
+        default=attrs.Factory(
+            lambda pool: make_member_capacity(pool.member.slots), takes_self=True
+        )
+    )
+    """What this node has learned about the member in a scarce group."""
 
     @asynccontextmanager
     async def lease(
