Describe waiting work to the member pool

Cause: the order of work that waits for a connection can't use the priority and the latency objective of a route, because the pool only gets a deadline.

Change: MemberPool.lease takes a Work (priority, end of the objective, kind) from reads, writes and begins. The node's own statements pass none. Nothing uses it yet.

Result: test_pooler_path, test_monitor and test_fair_queue pass unchanged.

--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -13,6 +13,7 @@
 from radishtrack.pooler.member_pool import MemberPool, PooledLink
 from radishtrack.pooler.ports import LinkLost, LinkRefused
 from radishtrack.pooler.retry import RETRY_PAUSE_MS, AttemptPlan
+from radishtrack.pooler.scheduling.work import Work, WorkKind, make_work
 from radishtrack.pooler.statements import (
     NOT_RUN,
     Begin,
@@ -63,6 +64,10 @@
     prepare: Prepare | None
     plan: AttemptPlan
 
+    def make_work(self, kind: WorkKind) -> Work:
+        """Return what the order of waiting work depends on."""
+        return make_work(self.route, kind, self.plan.started_ms)
+
 
 @attrs.frozen
 class Result:
@@ -206,7 +211,10 @@
     )
     try:
         async with pool.lease(
-            context.organisation, context.values, plan.wait_until_ms
+            context.organisation,
+            context.values,
+            plan.wait_until_ms,
+            context.make_work(WorkKind.READ),
         ) as pooled:
             await prepare_link(pooled, context)
             remaining_ms = plan.remaining_ms(access.clock.now_ms())
@@ -243,7 +251,10 @@
     is_sent = False
     try:
         async with pool.lease(
-            context.organisation, context.values, plan.wait_until_ms
+            context.organisation,
+            context.values,
+            plan.wait_until_ms,
+            context.make_work(WorkKind.WRITE),
         ) as pooled:
             await prepare_link(pooled, context)
             is_sent = True
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -12,6 +12,7 @@
 from radishtrack.clock import Clock
 from radishtrack.pooler.catalog import Member
 from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
+from radishtrack.pooler.scheduling.work import Work
 from radishtrack.pooler.statements import (
     Discard,
     MemberResponse,
@@ -128,7 +129,11 @@
 
     @asynccontextmanager
     async def lease(
-        self, organisation: str, values: dict[str, str], deadline_ms: float
+        self,
+        organisation: str,
+        values: dict[str, str],
+        deadline_ms: float,
+        work: Work | None = None,
     ) -> AsyncIterator[PooledLink]:
         """Lease a connection of an organisation.
 
@@ -140,6 +145,8 @@
             Session values; an idle connection that has them is preferred.
         deadline_ms : float
             When the wait for a connection ends.
+        work : Work or None
+            What the connection is needed for; None for the node's own statements.
 
         Raises
         ------
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -23,6 +23,7 @@
 from radishtrack.pooler.member_pool import MemberPool, PooledLink
 from radishtrack.pooler.ports import LinkLost, LinkRefused
 from radishtrack.pooler.retry import RETRY_PAUSE_MS
+from radishtrack.pooler.scheduling.work import WorkKind
 from radishtrack.pooler.statements import (
     NOT_RUN,
     Begin,
@@ -216,7 +217,10 @@
         try:
             pooled = await stack.enter_async_context(
                 pool.lease(
-                    context.organisation, context.values, context.plan.wait_until_ms
+                    context.organisation,
+                    context.values,
+                    context.plan.wait_until_ms,
+                    context.make_work(WorkKind.BEGIN),
                 )
             )
             await prepare_link(pooled, context)
