Order work that waits for a scarce member's connections

Cause: work that waits for a connection starts in an order that ignores the route's priority and objective, and is refused only at its deadline. On a node with one or two connections, the most urgent class is served worst.

Change: WorkQueue replaces FairQueue in scarce groups, behind the interface PermitQueue of the gate. Order: the node's own statements, work that has aged, priority, work that can still meet its objective, weighted deficit round robin, arrival. Waiting work is refused at once when more urgent work or a blocked connection leaves it no chance to start by its deadline. FairQueue decides as before; Gate.replace_queue moves the requests of a group that becomes scarce.

--- a/src/radishtrack/admission/fair_queue.py
+++ b/src/radishtrack/admission/fair_queue.py
@@ -41,7 +41,15 @@
 
 @attrs.define(frozen=True)
 class Started:
-    """The request got a free connection and starts now."""
+    """The request got a free connection and starts now.
+
+    Parameters
+    ----------
+    ticket : int
+        Number of the request in queues that need it in `finish`.
+    """
+
+    ticket: int = 0
 
 
 @attrs.define(frozen=True)
@@ -61,10 +69,13 @@
         Reason that the client gets.
     estimated_wait_ms : float
         Estimated wait for a connection.
+    retry_after_ms : int or None
+        When a retry is likely to be served; None if unknown.
     """
 
     reason: str
     estimated_wait_ms: float
+    retry_after_ms: int | None = None
 
 
 QueueDecision = Started | Queued | QueueRefused
@@ -108,11 +119,7 @@
 
     def set_weights(self, weights: dict[str, float]) -> None:
         """Set each quantum from the configured rate, relative to the smallest rate."""
-        smallest = min((weight for weight in weights.values() if weight > 0), default=1)
-        self.quanta = {
-            organisation: max(1, min(MAX_QUANTUM, int(weight / smallest)))
-            for organisation, weight in weights.items()
-        }
+        self.quanta = make_quanta(weights)
         for organisation, queue in self.queues.items():
             queue.quantum = self.quanta.get(organisation, 1)
         self.waiting_quanta = sum(
@@ -142,10 +149,19 @@
             return QueueRefused("wait would exceed the deadline", estimated_ms)
         return None
 
+    @property
+    def check_interval_ms(self) -> float | None:
+        """None: only timers end a wait, so nothing has to be checked."""
+        return None
+
     def offer(
-        self, organisation: str, now_ms: float, deadline_ms: float
+        self,
+        organisation: str,
+        now_ms: float,
+        deadline_ms: float,
+        work: object = None,
     ) -> QueueDecision:
-        """Start, queue or refuse a request."""
+        """Start, queue or refuse a request; `work` does not change the order."""
         refused = self.check(organisation, now_ms, deadline_ms)
         if refused is not None:
             return refused
@@ -165,6 +181,16 @@
         self._update_ring(organisation, queue)
         return Queued(waiter)
 
+    def resume(self, organisation: str, now_ms: float, work: object) -> int:
+        """Count a request that another queue has started; return its ticket."""
+        queue = self.queues.get(organisation)
+        if queue is None:
+            queue = OrganisationQueue(self.quanta.get(organisation, 1))
+            self.queues[organisation] = queue
+        self._start(queue)
+        self._update_ring(organisation, queue)
+        return 0
+
     def next_waiter(self, now_ms: float) -> Waiter | None:
         """Start the next waiting request if a connection is free, and return it.
 
@@ -199,7 +225,9 @@
         self._update_ring(waiter.organisation, queue)
         return True
 
-    def finish(self, organisation: str, service_ms: float | None) -> None:
+    def finish(
+        self, organisation: str, service_ms: float | None, ticket: int = 0
+    ) -> None:
         """Release the connection of a started request.
 
         Parameters
@@ -208,6 +236,8 @@
             Organisation of the request.
         service_ms : float or None
             How long the connection was held; None if it was not used.
+        ticket : int
+            Not needed by this queue.
         """
         queue = self.queues[organisation]
         queue.running -= 1
@@ -221,6 +251,14 @@
             self.service_ms += SERVICE_TIME_SMOOTHING * (service_ms - self.service_ms)
         self._update_ring(organisation, queue)
 
+    def refuse_waiting(self, waiter: Waiter, now_ms: float) -> QueueRefused:
+        """Return the refusal of a request that has waited until its deadline."""
+        return QueueRefused("no connection by the deadline", 0.0)
+
+    def remove_hopeless(self, now_ms: float) -> tuple[()]:
+        """Return nothing: a queued request stays until its deadline."""
+        return ()
+
     def limit_per_organisation(self) -> int:
         """Return the most connections that one organisation may hold."""
         if self.connections >= RESERVE_FROM_CONNECTIONS:
@@ -271,6 +309,15 @@
         )
 
 
+def make_quanta(weights: dict[str, float]) -> dict[str, int]:
+    """Return the requests that each organisation may start in one round."""
+    smallest = min((weight for weight in weights.values() if weight > 0), default=1)
+    return {
+        organisation: max(1, min(MAX_QUANTUM, int(weight / smallest)))
+        for organisation, weight in weights.items()
+    }
+
+
 def make_fair_queue(
     connections: int, *, max_queue_length: int = DEFAULT_QUEUE_LENGTH
 ) -> FairQueue:
--- a/src/radishtrack/backend/database.py
+++ b/src/radishtrack/backend/database.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from radishtrack.admission.fair_queue import FairQueue
 from radishtrack.admission.gate import Gate
 from radishtrack.admission.retry_budget import RetryBudget
 from radishtrack.backend.connection import MemberConnection
@@ -56,7 +57,7 @@
     zone: str
     monitor: Monitor
     pool: ConnectionPool
-    gate: Gate
+    gate: Gate[FairQueue]
     retries: RetryBudget
     clock: Clock
     list_leaving_members: Callable[[], frozenset[str]]
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -128,6 +128,7 @@
         )
         self.evidence.synchronous_replicas = settings.synchronous_replicas
         for pool in self.pools.values():
+            pool.set_scarce(self.is_scarce)
             pool.set_limit(self._connection_limit())
 
     def set_members(self, members: tuple[Member, ...], now_ms: float) -> None:
@@ -360,6 +361,7 @@
             pool = make_member_pool(
                 member, self.open_link, self.clock, self._connection_limit()
             )
+            pool.set_scarce(self.is_scarce)
             # A crash ends the member's connections long before the next poll.
             pool.on_link_end = self.request_poll
             self.pools[member.name] = pool
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -8,11 +8,14 @@
 
 import attrs
 
-from radishtrack.admission.gate import Gate, make_gate
+from radishtrack.admission.fair_queue import make_fair_queue
+from radishtrack.admission.gate import Gate
+from radishtrack.admission.permit_queue import PermitQueue
 from radishtrack.clock import Clock
 from radishtrack.pooler.catalog import Member
 from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
 from radishtrack.pooler.scheduling.work import Work
+from radishtrack.pooler.scheduling.work_queue import WorkQueue, make_work_queue
 from radishtrack.pooler.statements import (
     Discard,
     MemberResponse,
@@ -111,7 +114,7 @@
     member: Member
     open_link: OpenLink
     clock: Clock
-    gate: Gate
+    gate: Gate[PermitQueue]
     idle: list[PooledLink] = attrs.field(factory=list)
     busy: set[PooledLink] = attrs.field(factory=set)
     service_ms: float = 10.0
@@ -155,7 +158,7 @@
         LinkRefused
             If a new connection was needed and the member refused it.
         """
-        async with self.gate.connection(organisation, deadline_ms):
+        async with self.gate.connection(organisation, deadline_ms, work):
             pooled = self._find_idle(organisation, values)
             if pooled is None:
                 pooled = await self._open(organisation)
@@ -211,6 +214,16 @@
             while self.idle and self._total > connections:
                 self.idle.pop(0).link.close()
 
+    def set_scarce(self, is_scarce: bool) -> None:
+        """Choose the order of waiting work; see `GroupAccess.is_scarce`."""
+        if isinstance(self.gate.queue, WorkQueue) != is_scarce:
+            connections = self.gate.queue.connections
+            self.gate.replace_queue(
+                make_work_queue(connections)
+                if is_scarce
+                else make_fair_queue(connections)
+            )
+
     def drop_idle(self) -> None:
         """Close the idle connections."""
         for pooled in self.idle:
@@ -273,6 +286,7 @@
     member: Member, open_link: OpenLink, clock: Clock, connections: int
 ) -> MemberPool:
     """Return a pool without connections."""
-    pool = MemberPool(member, open_link, clock, make_gate(clock, connections))
+    gate = Gate[PermitQueue](clock, make_fair_queue(connections))
+    pool = MemberPool(member, open_link, clock, gate)
     pool.last_response_ms = clock.now_ms()
     return pool
