--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -15,6 +15,7 @@
 from radishtrack.pooler.placement.recording import start_recording
 from radishtrack.pooler.ports import LinkLost, LinkRefused
 from radishtrack.pooler.retry import RETRY_PAUSE_MS, AttemptPlan
+from radishtrack.pooler.scheduling.work import Work, WorkKind, make_work
 from radishtrack.pooler.statements import (
     NOT_RUN,
     Begin,
@@ -66,6 +67,10 @@
     prepare: Prepare | None
     plan: AttemptPlan
 
+    def make_work(self, kind: WorkKind) -> Work:
+        """Return what the order of waiting work depends on."""
+        return make_work(self.route, kind, self.plan.started_ms)
+
 
 @attrs.frozen
 class Result:
@@ -217,7 +222,10 @@
     plan = context.plan
     try:
         async with pool.lease(
-            context.organisation, context.values, plan.wait_until_ms
+            context.organisation,
+            context.values,
+            plan.wait_until_ms,
+            context.make_work(WorkKind.READ),
         ) as pooled:
             await prepare_link(pooled, context)
             remaining_ms = plan.remaining_ms(access.clock.now_ms())
@@ -271,7 +279,10 @@
     is_sent = False
     try:
         async with pool.lease(
-            context.organisation, context.values, plan.wait_until_ms
+            context.organisation,
+            context.values,
+            plan.wait_until_ms,
+            context.make_work(WorkKind.WRITE),
         ) as pooled:
             await prepare_link(pooled, context)
             is_sent = True
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -132,6 +132,7 @@
         )
         self.evidence.synchronous_replicas = settings.synchronous_replicas
         for pool in self.pools.values():
+            pool.set_scarce(self.is_scarce)
             self._limit_connections(pool)
 
     def set_members(self, members: tuple[Member, ...], now_ms: float) -> None:
@@ -372,6 +373,7 @@
             pool = make_member_pool(
                 member, self.open_link, self.clock, self._connection_limit()
             )
+            pool.set_scarce(self.is_scarce)
             # A crash ends the member's connections long before the next poll.
             pool.on_link_end = self.request_poll
             pool.capacity = self.placement.make_capacity(member.slots)
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -8,12 +8,16 @@
 
 import attrs
 
-from radishtrack.admission.gate import Gate, make_gate
+from radishtrack.admission.fair_queue import make_fair_queue
+from radishtrack.admission.gate import Gate
+from radishtrack.admission.permit_queue import PermitQueue
 from radishtrack.clock import Clock
 from radishtrack.pooler.catalog import Member
 from radishtrack.pooler.connections.sharing import ConnectionSharing
 from radishtrack.pooler.placement.capacity import MemberCapacity, make_member_capacity
 from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
+from radishtrack.pooler.scheduling.work import Work
+from radishtrack.pooler.scheduling.work_queue import WorkQueue, make_work_queue
 from radishtrack.pooler.statements import (
     Discard,
     MemberResponse,
@@ -113,7 +117,7 @@
     member: Member
     open_link: OpenLink
     clock: Clock
-    gate: Gate
+    gate: Gate[PermitQueue]
     idle: list[PooledLink] = attrs.field(factory=list)
     busy: set[PooledLink] = attrs.field(factory=set)
     service_ms: float = 10.0
@@ -139,7 +143,11 @@
 
     @asynccontextmanager
     async def lease(
-        self, organisation: str, values: dict[str, str], deadline_ms: float
+        self,
+        organisation: str,
+        values: dict[str, str],
+        deadline_ms: float,
+        work: Work | None = None,
     ) -> AsyncIterator[PooledLink]:
         """Lease a connection of an organisation.
 
@@ -151,6 +159,8 @@
             Session values; an idle connection that has them is preferred.
         deadline_ms : float
             When the wait for a connection ends.
+        work : Work or None
+            What the connection is needed for; None for the node's own statements.
 
         Raises
         ------
@@ -160,14 +170,18 @@
             If a new connection was needed and the member refused it.
         """
         self.sharing.request(self, organisation)
-        async with self._lease(organisation, values, deadline_ms) as pooled:
+        async with self._lease(organisation, values, deadline_ms, work) as pooled:
             yield pooled
 
     @asynccontextmanager
     async def _lease(
-        self, organisation: str, values: dict[str, str], deadline_ms: float
+        self,
+        organisation: str,
+        values: dict[str, str],
+        deadline_ms: float,
+        work: Work | None = None,
     ) -> AsyncIterator[PooledLink]:
-        async with self.gate.connection(organisation, deadline_ms):
+        async with self.gate.connection(organisation, deadline_ms, work):
             pooled = self._find_idle(organisation, values)
             if pooled is None:
                 pooled = await self._open(organisation)
@@ -223,6 +237,16 @@
             while self.idle and self.open_count > connections:
                 self._close_one_idle()
 
+    def set_scarce(self, is_scarce: bool) -> None:
+        """Choose the order of waiting work; see `GroupAccess.is_scarce`."""
+        if isinstance(self.gate.queue, WorkQueue) != is_scarce:
+            connections = self.gate.queue.connections
+            self.gate.replace_queue(
+                make_work_queue(connections)
+                if is_scarce
+                else make_fair_queue(connections)
+            )
+
     def drop_idle(self) -> None:
         """Close the idle connections."""
         for pooled in self.idle:
@@ -291,6 +315,7 @@
     member: Member, open_link: OpenLink, clock: Clock, connections: int
 ) -> MemberPool:
     """Return a pool without connections."""
-    pool = MemberPool(member, open_link, clock, make_gate(clock, connections))
+    gate = Gate[PermitQueue](clock, make_fair_queue(connections))
+    pool = MemberPool(member, open_link, clock, gate)
     pool.last_response_ms = clock.now_ms()
     return pool
