Give members of evacuated zones no new work

Cause: nothing read the objects evacuations/ZONE, so operators could not take the work of an availability zone away.

Change: the adapter reads the kind with the members where the settings state bounds.evacuationMs, and makes no call otherwise. A restored store that lost an evacuation does not end it until the copy has settled. Members of the zones get no read, write or begin; status polls go on, because evidence of a primary needs them. Statements of transactions that are open there may be sent until the bound. It counts from the last copy known to lack the object, so it holds for a node that learns late.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -23,6 +23,7 @@
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
 MEMBERS_KIND: Final = "servers"
+EVACUATIONS_KIND: Final = "evacuations"
 FLEET_KIND: Final = "radishtrack"
 """Kind of all objects of the pooler itself, so that one call lists them."""
 NODE_PREFIX: Final = "node."
@@ -36,9 +37,18 @@
 
 @attrs.define(eq=False)
 class PlatformControlStore:
-    """Implements `ControlStore`."""
+    """Implements `ControlStore`.
+
+    Parameters
+    ----------
+    client : ObjectStoreClient
+        Client of the platform's object store.
+    has_evacuations : bool
+        Whether operators of this platform can evacuate availability zones.
+    """
 
     client: ObjectStoreClient
+    has_evacuations: bool = False
     reported: set[tuple[str, str]] = attrs.field(factory=set)
 
     async def list_fleet(self) -> FleetListing:
@@ -92,6 +102,13 @@
         listing = await self.client.list_objects(MEMBERS_KIND)
         return tuple(parse_valid(iter(listing.objects), parse_member, self._report))
 
+    async def list_evacuations(self) -> frozenset[str]:
+        """Return the evacuated zones; their objects have no content."""
+        if not self.has_evacuations:
+            return frozenset()
+        listing = await self.client.list_objects(EVACUATIONS_KIND)
+        return frozenset(item.name for item in listing.objects)
+
     async def claim_duty(
         self, name: str, duty: Duty, holder: str, claim: str
     ) -> Duty | None:
--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -30,6 +30,7 @@
     read_settings,
 )
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.evacuation.reports import register_evacuation_metrics
 from radishtrack.pooler.node import Node, NodeOptions, make_node
 from radishtrack.pooler.request_log import make_request_log
 from radishtrack.pooler.store_metrics import register_store_metrics
@@ -101,13 +102,19 @@
     node = make_node(
         _make_options(settings, record, process_started_ms),
         clock,
-        PlatformControlStore(ObjectStoreClient(settings.store)),
+        PlatformControlStore(
+            ObjectStoreClient(settings.store),
+            has_evacuations=settings.evacuation_ms is not None,
+        ),
         open_wire_link,
         make_promote_member(settings.orders),
         log,
     )
+    if settings.evacuation_ms is not None:
+        node.store_copy.evacuated.bound_ms = settings.evacuation_ms
     await start_ready_endpoint(*settings.ready, node.is_ready)
     register_store_metrics(log.registry, node.store_copy)
+    register_evacuation_metrics(log.registry, node.evacuations)
     await start_metrics_endpoint(settings.ip, log.registry)
     frontend = await start_frontend(node, *settings.frontend)
     log_event(
--- a/src/radishtrack/platform/settings.py
+++ b/src/radishtrack/platform/settings.py
@@ -46,6 +46,9 @@
         Time between SIGTERM and SIGKILL.
     key_age_limit_ms : float or None
         Age of the configuration from which on keys are refused; None without a bound.
+    evacuation_ms : float or None
+        Time from the store's acknowledgement of an evacuation to the last request that
+        reaches a member of the zone; None if zones can't be evacuated.
     """
 
     node: str
@@ -58,6 +61,7 @@
     orders: str
     grace_ms: float
     key_age_limit_ms: float | None
+    evacuation_ms: float | None = None
 
 
 def parse_settings(text: str) -> PlatformSettings:
@@ -73,6 +77,7 @@
         bounds = data["bounds"]
         is_strict = bool(bounds.get("revokeStrict", False))
         revoke_ms = _duration(bounds.get("revokeMs", 0))
+        evacuation_ms = bounds.get("evacuationMs")
         return PlatformSettings(
             node=_text(data["nodeName"]),
             ip=_text(data["ip"]),
@@ -85,6 +90,7 @@
             orders=_address(data["cloudApi"]["address"]),
             grace_ms=_duration(bounds["graceS"]) * MS_PER_S,
             key_age_limit_ms=KEY_AGE_LIMIT_FRACTION * revoke_ms if is_strict else None,
+            evacuation_ms=None if evacuation_ms is None else _duration(evacuation_ms),
         )
     except (
         KeyError,
--- a/src/radishtrack/pooler/content_codec.py
+++ b/src/radishtrack/pooler/content_codec.py
@@ -23,6 +23,9 @@
 """Position of the read class in the fields of a route."""
 MEMBER_ROLE: Final = 7
 """Position of the role in the fields of a member."""
+MEMBERS_KEY: Final = "members"
+EVACUATED_KEY: Final = "evacuated"
+"""Keys of the members' part of a copy if zones are evacuated."""
 
 _MALFORMED: Final = (
     cbor2.CBORDecodeError,
@@ -84,21 +87,38 @@
         raise ContentError(f"configuration: {error!r}") from error
 
 
-def encode_members(members: tuple[Member, ...]) -> bytes:
-    """Return the bytes of a list of members."""
+def encode_members(
+    members: tuple[Member, ...], evacuated: frozenset[str] = frozenset()
+) -> bytes:
+    """Return the bytes of a list of members and of the evacuated zones.
+
+    Without evacuated zones they are those of earlier versions of this program.
+    """
     rows = [list(attrs.astuple(member)) for member in members]
     for fields in rows:
         fields[MEMBER_ROLE] = fields[MEMBER_ROLE].value
+    if evacuated:
+        return cbor2.dumps({MEMBERS_KEY: rows, EVACUATED_KEY: sorted(evacuated)})
     return cbor2.dumps(rows)
 
 
-def decode_members(data: bytes) -> tuple[Member, ...]:
-    """Return the members in `data`; raises `ContentError` if it is malformed."""
+def decode_members(data: bytes) -> tuple[tuple[Member, ...], frozenset[str]]:
+    """Return the members and the evacuated zones in `data`.
+
+    Raises
+    ------
+    ContentError
+        If it is malformed.
+    """
     try:
         rows = cbor2.loads(data)
+        zones: list[str] = []
+        if isinstance(rows, dict):
+            rows, zones = rows[MEMBERS_KEY], rows[EVACUATED_KEY]
         for fields in rows:
             fields[MEMBER_ROLE] = Role(fields[MEMBER_ROLE])
-        return tuple(Member(*fields) for fields in rows)
+        members = tuple(Member(*fields) for fields in rows)
+        return members, frozenset(str(zone) for zone in zones)
     except _MALFORMED as error:
         raise ContentError(f"members: {error!r}") from error
 
--- a/src/radishtrack/pooler/content_exchange.py
+++ b/src/radishtrack/pooler/content_exchange.py
@@ -114,7 +114,7 @@
         if content.catalog != message.present_catalog:
             catalog = encode_catalog(store_copy.catalog)
         if content.members != message.present_members:
-            members = encode_members(store_copy.members)
+            members = encode_members(store_copy.members, store_copy.evacuated.names)
         if content.fleet != message.present_fleet:
             fleet = encode_fleet(store_copy.fleet)
         return Content(message.request, catalog, members, fleet)
--- /dev/null
+++ b/src/radishtrack/pooler/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of availability zones: their members get no more work."""
--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -104,7 +104,17 @@
     min_position: Position | None,
     timeout_ms: float,
 ) -> MemberResponse:
-    """Run a statement on a connection and record the evidence in its response."""
+    """Run a statement on a connection and record the evidence in its response.
+
+    Raises
+    ------
+    LinkLost
+        If the connection ended, or the member's availability zone is evacuated. Nothing
+        was sent then, and the closed connection rolls back its transaction.
+    """
+    if not access.may_send(pool.member, is_in_transaction=pooled.is_in_transaction):
+        pooled.link.close()
+        raise LinkLost("the availability zone is evacuated", is_sent=False)
     sent_ms = access.clock.now_ms()
     loop = asyncio.get_running_loop()
     late_timer = loop.call_later(LATE_RESPONSE_MS / 1000, access.request_poll)
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -11,6 +11,7 @@
 from radishtrack.clock import Clock
 from radishtrack.group.status import Role
 from radishtrack.pooler.catalog import GroupSettings, Member, ReadClass, Route
+from radishtrack.pooler.evacuation.zones import EvacuatedZones
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS, GroupEvidence
 from radishtrack.pooler.member_pool import MemberPool, make_member_pool
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
@@ -103,6 +104,9 @@
     has_all_announcements: Callable[[float], bool] = _assume_announced
     """Returns whether no promotion announced longer ago than an age can be unknown to
     this node; see `StoreCopy.has_all_announcements`."""
+    evacuated: EvacuatedZones = attrs.field(factory=EvacuatedZones)
+    """Availability zones whose members get no work; shared with the node's copy of the
+    store."""
     settings: GroupSettings | None = None
     nodes: int = 1
     """Number of nodes that share the members' connections."""
@@ -182,13 +186,33 @@
         return pool if self.may_use(pool.member.name) else None
 
     def may_use(self, name: str) -> bool:
-        """Return whether a member may still be used, even if leaving or unlisted."""
+        """Return whether a member may get new work, even if leaving or unlisted."""
+        pool = self.pools.get(name)
+        if pool is not None and self.evacuated.includes(pool.member.zone):
+            return False
         since_ms = self.unlisted_ms.get(name, float("inf"))
         leaving = self.leaving.get(name)
         if leaving is not None:
             since_ms = min(since_ms, leaving.since_ms)
         return self.clock.now_ms() - since_ms < LEAVING_USE_MS
 
+    def may_send(self, member: Member, *, is_in_transaction: bool) -> bool:
+        """Return whether the evacuation of a member's zone permits a request now.
+
+        Parameters
+        ----------
+        member : Member
+            The member; it may have been removed from the group.
+        is_in_transaction : bool
+            Whether the request belongs to a transaction that is open there.
+        """
+        zone = member.zone
+        if not self.evacuated.includes(zone):
+            return True
+        return is_in_transaction and self.evacuated.may_finish(
+            zone, self.clock.now_ms()
+        )
+
     def may_send_commit(self) -> bool:
         """Return whether a commit may be sent to the primary.
 
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -30,6 +30,7 @@
 from radishtrack.peer.server import PeerHandlers, start_peer_server
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.content_exchange import ContentExchange
+from radishtrack.pooler.evacuation.reports import EvacuationReporter
 from radishtrack.pooler.group_access import GroupAccess, make_group_access
 from radishtrack.pooler.monitor import MemberMonitor
 from radishtrack.pooler.peers import Peers
@@ -119,6 +120,7 @@
     """Whether peers can reach this node."""
     stop_plan: StopPlan | None = None
     release_task: asyncio.Task[None] | None = None
+    evacuations: EvacuationReporter = attrs.field(factory=EvacuationReporter)
     secret_replaced: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the store has another secret of the peers than this node."""
 
@@ -182,6 +184,7 @@
                 self.open_link,
                 self._has_all_announcements,
             )
+            access.evacuated = self.store_copy.evacuated
             self.groups[name] = access
         return access
 
@@ -192,6 +195,7 @@
         self.applied_node_count = len(self.store_copy.nodes)
         nodes = max(1, self.applied_node_count)
         self.rates.configure()
+        self.evacuations.report(self.store_copy.evacuated, self.store_copy.members)
         for name, settings in catalog.groups.items():
             self.find_group(name).configure(settings, nodes)
         weights = {
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -191,6 +191,12 @@
     async def list_members(self) -> tuple[Member, ...]:
         """Return the registered members whose entries are valid."""
 
+    async def list_evacuations(self) -> frozenset[str]:
+        """Return the availability zones that operators evacuate.
+
+        Makes no call where the settings state no bound for evacuations.
+        """
+
     async def claim_duty(
         self, name: str, duty: Duty, holder: str, claim: str
     ) -> Duty | None:
--- a/src/radishtrack/pooler/store_content.py
+++ b/src/radishtrack/pooler/store_content.py
@@ -25,7 +25,7 @@
     catalog : int
         Version of the configuration.
     members : int
-        Digest of the list of members.
+        Digest of the list of members and of the evacuated zones.
     fleet : int
         Digest of nodes, duties and announced terms.
     """
@@ -36,9 +36,16 @@
     fleet: int
 
 
-def digest_members(members: tuple[Member, ...]) -> int:
-    """Return a digest of members; equal members have the same digest at all nodes."""
-    return _digest(sorted(members, key=repr))
+def digest_members(
+    members: tuple[Member, ...], evacuated: frozenset[str] = frozenset()
+) -> int:
+    """Return a digest of members and evacuated zones, the same at all nodes.
+
+    Without evacuated zones it is that of earlier versions of this program, so that
+    nodes of both versions confirm each other's copies.
+    """
+    ordered = sorted(members, key=repr)
+    return _digest((ordered, sorted(evacuated)) if evacuated else ordered)
 
 
 def digest_fleet(listing: FleetListing) -> int:
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -28,6 +28,7 @@
     decode_members,
 )
 from radishtrack.pooler.duties import DutyRecords
+from radishtrack.pooler.evacuation.zones import EvacuatedZones
 from radishtrack.pooler.ports import (
     ControlStore,
     FleetListing,
@@ -117,6 +118,7 @@
     """Requests changed content from another node; None if the store must be read."""
     catalog: Catalog = EMPTY_CATALOG
     members: tuple[Member, ...] = ()
+    evacuated: EvacuatedZones = attrs.field(factory=EvacuatedZones)
     registered: tuple[NodeRecord, ...] = ()
     departed: dict[str, Departure] = attrs.field(factory=dict)
     """Nodes whose records were removed recently, by name."""
@@ -305,9 +307,9 @@
             if response.catalog:
                 self._update_catalog(decode_catalog(response.catalog), content.revision)
             if response.members:
-                members = decode_members(response.members)
-                if digest_members(members) == content.members:
-                    self._update_members(members)
+                members, zones = decode_members(response.members)
+                if digest_members(members, zones) == content.members:
+                    self._update_members(members, zones, content.revision)
             if response.fleet:
                 listing = decode_fleet(response.fleet)
                 if digest_fleet(listing) == content.fleet and any(
@@ -448,14 +450,14 @@
             is_catalog_current = peer_content.catalog == self.catalog.version
             is_member_list_current = peer_content.members == self.members_digest
         # Both reads start after the listing, so the copy is at least as new as it.
-        catalog, members = await asyncio.gather(
+        catalog, (members, zones) = await asyncio.gather(
             self._read_catalog(is_catalog_current),
             self._read_members(is_member_list_current),
         )
         self._update_catalog(catalog, listing.revision)
         if listing.revision > self.revision:
             self._log_read(listing, "all")
-            self._update_members(members)
+            self._update_members(members, zones, listing.revision)
             self._update_fleet(listing)
             self._advance(listing.revision)
         else:
@@ -509,7 +511,8 @@
         if peer_content.catalog != self.catalog.version:
             self._update_catalog(await self.store.read_catalog(), peer_content.revision)
         if peer_content.members != self.members_digest:
-            self._update_members(await self.store.list_members())
+            members, zones = await self._read_members(is_unchanged=False)
+            self._update_members(members, zones, peer_content.revision)
         if self.catalog.version >= peer_content.catalog:
             self._advance(peer_content.revision)
             self._record_confirmation(confirmed_ms)
@@ -518,8 +521,16 @@
     async def _read_catalog(self, is_unchanged: bool) -> Catalog | None:
         return self.catalog if is_unchanged else await self.store.read_catalog()
 
-    async def _read_members(self, is_unchanged: bool) -> tuple[Member, ...]:
-        return self.members if is_unchanged else await self.store.list_members()
+    async def _read_members(
+        self, is_unchanged: bool
+    ) -> tuple[tuple[Member, ...], frozenset[str]]:
+        """Return the members and the evacuated zones."""
+        if is_unchanged:
+            return self.members, self.evacuated.names
+        members, zones = await asyncio.gather(
+            self.store.list_members(), self.store.list_evacuations()
+        )
+        return members, zones
 
     def _advance(self, revision: int) -> None:
         """Record that the copy is complete up to a revision."""
@@ -539,9 +550,14 @@
         self.unknown.apply(self.catalog, catalog)
         self.catalog = catalog
 
-    def _update_members(self, members: tuple[Member, ...]) -> None:
+    def _update_members(
+        self, members: tuple[Member, ...], zones: frozenset[str], revision: int
+    ) -> None:
         self.members = members
-        self.members_digest = digest_members(members)
+        self.evacuated.replace(
+            zones, era=get_era(revision), absent_ms=self.confirmed_ms
+        )
+        self.members_digest = digest_members(members, zones)
 
     def _update_fleet(self, listing: FleetListing) -> None:
         self._record_nodes(listing.nodes)
@@ -559,6 +575,8 @@
         if self.confirmed_ms is None or requested_ms > self.confirmed_ms:
             self.confirmed_ms = requested_ms
             self.has_copy.set()
+            if requested_ms >= self.settling.settled_ms and self.evacuated.release():
+                self.on_change()
 
     def _record_late(self) -> None:
         self.failed_ms = self.clock.now_ms()
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -80,6 +80,9 @@
     async def list_members(self) -> tuple[Member, ...]:
         return ()
 
+    async def list_evacuations(self) -> frozenset[str]:
+        return frozenset()
+
     async def claim_duty(
         self, name: str, duty: Duty, holder: str, claim: str
     ) -> Duty | None:
--- a/tests/test_content_exchange.py
+++ b/tests/test_content_exchange.py
@@ -68,8 +68,12 @@
 
 def test_content_is_unchanged_by_a_transfer() -> None:
     assert decode_catalog(encode_catalog(CATALOG)) == CATALOG
-    members = decode_members(encode_members((MEMBER,)))
-    assert members == (MEMBER,)
+    members, zones = decode_members(encode_members((MEMBER,)))
+    assert members == (MEMBER,) and zones == frozenset()
+    evacuated = frozenset({"a", "b"})
+    part = encode_members((MEMBER,), evacuated)
+    assert decode_members(part) == ((MEMBER,), evacuated)
+    assert digest_members(members, evacuated) != digest_members(members)
     assert digest_members(members) == digest_members((MEMBER,))
     listing = decode_fleet(encode_fleet(LISTING))
     assert digest_fleet(listing) == digest_fleet(LISTING)
--- a/tests/test_pooler_store_copy.py
+++ b/tests/test_pooler_store_copy.py
@@ -25,6 +25,7 @@
     revision: int = 1
     is_down: bool = False
     catalog_reads: int = 0
+    zones: frozenset[str] = frozenset()
     list_gate: asyncio.Event | None = None
     list_calls: int = 0
 
@@ -51,6 +52,9 @@
     async def list_members(self) -> tuple[Member, ...]:
         return ()
 
+    async def list_evacuations(self) -> frozenset[str]:
+        return self.zones
+
     async def claim_duty(
         self, name: str, duty: Duty, holder: str, claim: str
     ) -> Duty | None:
