--- a/src/radishtrack/platform/settings.py
+++ b/src/radishtrack/platform/settings.py
@@ -48,6 +48,9 @@
         Age of the configuration from which on keys are refused; None without a bound.
     cores : float
         Processor cores that the process may use; 0 if the settings don't say.
+    evacuation_ms : float or None
+        Time from the store's acknowledgement of an evacuation to the last request that
+        reaches a member of the zone; None if zones can't be evacuated.
     """
 
     node: str
@@ -61,6 +64,7 @@
     grace_ms: float
     key_age_limit_ms: float | None
     cores: float = 0.0
+    evacuation_ms: float | None = None
 
 
 def parse_settings(text: str) -> PlatformSettings:
@@ -76,6 +80,7 @@
         bounds = data["bounds"]
         is_strict = bool(bounds.get("revokeStrict", False))
         revoke_ms = _quantity(bounds.get("revokeMs", 0))
+        evacuation_ms = bounds.get("evacuationMs")
         return PlatformSettings(
             node=_text(data["nodeName"]),
             ip=_text(data["ip"]),
@@ -89,6 +94,7 @@
             grace_ms=_quantity(bounds["graceS"]) * MS_PER_S,
             key_age_limit_ms=KEY_AGE_LIMIT_FRACTION * revoke_ms if is_strict else None,
             cores=_cores(data.get("limits", {})),
+            evacuation_ms=None if evacuation_ms is None else _quantity(evacuation_ms),
         )
     except (
         KeyError,
