Let peers confirm the copies of nodes that the store rejects

Cause: a node without a response repeated its call four times a second, also while its zone's reader confirmed its copy.

Change: after a failed call the node reads again when its copy is 1.3 s old, as it does otherwise, unless it reads for the fleet.

--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -169,7 +169,8 @@
             confirmation, self.peer_confirmation = self.peer_confirmation, None
             if not await self.confirm(confirmation):
                 await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
-                continue
+                if self._must_retry():
+                    continue
             while (pause_ms := self._pause_ms(requested_ms)) > 0:
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(pause_ms / 1000):
@@ -223,6 +224,14 @@
                 peer_revision=get_number(content.revision),
             )
 
+    def _must_retry(self) -> bool:
+        """Return whether to read the store again after a call without a response.
+
+        While the store rejects some nodes, the others confirm their copies. Each call
+        costs, also a rejected one, so these nodes do not repeat theirs continually.
+        """
+        return self.reads_for_fleet() or self.age_ms() >= PEER_CONFIRMATION_MS
+
     def _pause_ms(self, requested_ms: float) -> float:
         """Return the time until this node must read the store itself."""
         settled_ms = self.settling.settled_ms
--- a/tests/test_pooler_store_copy.py
+++ b/tests/test_pooler_store_copy.py
@@ -278,3 +278,24 @@
     store.list_gate.set()
     assert await later and await earlier
     assert OTHER in store_copy.registered
+
+
+@pytest.mark.parametrize("is_confirmed_by_peers", [False, True])
+async def test_a_rejected_node_does_not_repeat_its_calls_while_peers_confirm(
+    store: FakeStore, time: ManualTime, is_confirmed_by_peers: bool
+) -> None:
+    """A third of 98 nodes repeated rejected calls four times a second for 9 s."""
+    store_copy = StoreCopy(store, make_manual_clock(time), NODE, lambda: None)
+    store_copy.reads_for_fleet = lambda: False
+    await store_copy.confirm()
+    store.is_down = True
+    time.advance(5_000.0)
+    calls = store.list_calls
+    run = asyncio.create_task(store_copy.run())
+    for _ in range(10):
+        await asyncio.sleep(0.1)
+        if is_confirmed_by_peers:
+            store_copy.accept_confirmation(store_copy.content, time.value_ms)
+    run.cancel()
+    repeated = store.list_calls - calls
+    assert repeated == 1 if is_confirmed_by_peers else repeated > 2
