--- a/src/radishtrack/pooler/connections/allowance.py
+++ b/src/radishtrack/pooler/connections/allowance.py
@@ -1,12 +1,11 @@
 """Decides how many connections to a member one node may have.
 
 All nodes see the same count of a member's open connections, up to about 2 s late. Each
-report gives every node an equal part of the free connections as rights, each of which
-permits one more connection. Rights that a node does not use at once are kept for a
-burst. In expectation, all nodes together keep at most `overcommitment` times the free
-connections, so that only a burst at a larger fraction of the nodes than its inverse
-within one report can take more than is free. The factor falls to half with each report
-that shows more than the usable connections, and grows slowly otherwise.
+report gives every node rights, each of which permits one more connection until the next
+report. In expectation, all nodes together have at most `overcommitment` times the free
+connections as rights, so that only a burst at a larger fraction of the nodes than its
+inverse within one report can take more than is free. The factor falls to half with each
+report that shows more than the usable connections, and grows slowly otherwise.
 """
 
 from __future__ import annotations
@@ -23,15 +22,15 @@
 REPORT_VALID_MS: Final = 3_000.0
 """Age up to which a report permits growth. Reports are usually less than 2 s old."""
 MAX_OVERCOMMITMENT: Final = 8.0
-"""Rights that all nodes together may keep, as a multiple of the free connections. With
+"""Rights that all nodes together may have, as a multiple of the free connections. With
 a factor of 1, most rights are at nodes without waiting work: simulated bursts at 8% of
 the nodes then leave a fifth of the usable connections unused while work waits."""
 MIN_OVERCOMMITMENT: Final = 1.0
 """Lower bound, and the value at the start, when all nodes may have restarted."""
-OVERCOMMITMENT_GROWTH: Final = 1.1
-"""Factor by which it grows with each report: from 1 to 8 in 22 reports or 20 s."""
-MAX_RIGHTS: Final = 3.0
-"""Rights that one node may keep for a burst."""
+OVERCOMMITMENT_GROWTH: Final = 1.25
+"""Factor by which it grows with each report: from 1 to 8 in 10 reports or 9 s."""
+MAX_RIGHTS: Final = 3
+"""Rights of one node for one report."""
 MAX_NODE_FRACTION: Final = 0.25
 """Fraction of the usable connections that one node may have. Without this bound, one
 node whose statements get no response would take all free connections in time."""
@@ -99,25 +98,22 @@
 
 
 def decide_rights(
-    rights: float,
     capacity: MemberCapacity,
     connections: int,
     overcommitment: float,
     opened_since: int,
     draw: float,
-) -> float:
+) -> int:
     """Return a node's rights after a report.
 
     Parameters
     ----------
-    rights : float
-        Rights that the node has kept.
     capacity : MemberCapacity
         The member's connections.
     connections : int
         Open connections of all nodes, as reported.
     overcommitment : float
-        Rights that all nodes may keep, as a multiple of the free connections.
+        Rights that all nodes may have, as a multiple of the free connections.
     opened_since : int
         Connections that this node added after the report was requested; the report
         lacks them.
@@ -126,8 +122,8 @@
     """
     part = capacity.count_free(connections) / capacity.nodes
     # Rounding at random keeps the sum over all nodes where a part is below one.
-    kept = math.floor(min(MAX_RIGHTS, overcommitment * part) + draw)
-    return max(0.0, min(rights + part, kept - opened_since))
+    rights = math.floor(min(MAX_RIGHTS, overcommitment * part) + draw)
+    return max(0, rights - opened_since)
 
 
 def draw_number(seed: str, number: int) -> float:
@@ -152,7 +148,7 @@
     capacity: MemberCapacity
     limit: int = attrs.field(init=False)
     """Connections that the node may have."""
-    rights: float = 0.0
+    rights: int = 0
     """Connections that the node may add to its limit."""
     overcommitment: float = MIN_OVERCOMMITMENT
     report: ConnectionReport = NO_REPORT
@@ -181,14 +177,13 @@
             return
         if report.connections > self.capacity.usable:
             self._set_limit(self.limit - 1)
-            self.rights = 0.0
+            self.rights = 0
             self._set_overcommitment(self.overcommitment / 2)
             return
         self._set_overcommitment(self.overcommitment * OVERCOMMITMENT_GROWTH)
         while self.added_ms and self.added_ms[0] < now_ms - REPORT_VALID_MS:
             self.added_ms.popleft()
         self.rights = decide_rights(
-            self.rights,
             self.capacity,
             report.connections,
             self.overcommitment,
@@ -207,7 +202,7 @@
         """Raise the limit by up to `wanted` connections, as far as rights permit."""
         if now_ms < self.paused_until_ms or not self.has_valid_report(now_ms):
             return
-        added = min(wanted, int(self.rights), self.capacity.max_limit - self.limit)
+        added = min(wanted, self.rights, self.capacity.max_limit - self.limit)
         if added > 0:
             self.rights -= added
             self.limit += added
@@ -227,7 +222,7 @@
     def record_refusal(self, now_ms: float) -> None:
         """Halve the extra connections and pause growth after a refusal."""
         self.refusals += 1
-        self.rights = 0.0
+        self.rights = 0
         extra = self.limit - self.capacity.equal_share
         self._set_limit(self.capacity.equal_share + extra // 2)
         spread = draw_number(self.seed, -self.refusals)
--- a/src/radishtrack/pooler/connections/sharing.py
+++ b/src/radishtrack/pooler/connections/sharing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 
@@ -24,6 +24,10 @@
     from radishtrack.pooler.evidence import Observation
     from radishtrack.pooler.member_pool import MemberPool
 
+POLL_DUE_MS: Final = 800.0
+"""Age of the last report from which a status poll may take a right; the interval of
+polls is 900 ms. Polls that statements request earlier do not add connections."""
+
 
 @attrs.define(eq=False)
 class ConnectionSharing:
@@ -60,10 +64,16 @@
             return
         now_ms = pool.clock.now_ms()
         self.use.record(organisation, now_ms)
-        queue = pool.gate.queue
-        if queue.running + queue.waiting >= queue.connections:
-            self.allowance.grow(1, now_ms)
-            pool.set_limit(self.allowance.limit)
+        self._grow_if_all_used(pool, self.allowance, now_ms)
+
+    def request_poll(self, pool: MemberPool) -> None:
+        """Add a connection, if permitted, for a poll that is due and would wait."""
+        allowance = self.allowance
+        now_ms = pool.clock.now_ms()
+        if allowance is not None and (
+            now_ms - allowance.report.requested_ms >= POLL_DUE_MS
+        ):
+            self._grow_if_all_used(pool, allowance, now_ms)
 
     def adjust(self, pool: MemberPool, observation: Observation | None) -> None:
         """Apply the last report: close idle connections and change the limit."""
@@ -80,8 +90,12 @@
                 now_ms,
             )
         connections = allowance.report.connections
-        if connections is not None and allowance.has_valid_report(now_ms):
-            self._close_expired(pool, allowance.capacity, connections, now_ms)
+        if connections is not None:
+            # Without a recent report, the member may be nearly full.
+            idle_ms = SHORT_IDLE_MS
+            if allowance.has_valid_report(now_ms):
+                idle_ms = decide_idle_time_ms(allowance.capacity, connections)
+            self._close_expired(pool, allowance.capacity, idle_ms, now_ms)
         queue = pool.gate.queue
         allowance.shrink(max(pool.open_count, queue.running))
         allowance.grow(queue.waiting, now_ms)
@@ -94,7 +108,7 @@
             return False
         now_ms = pool.clock.now_ms()
         connections = allowance.report.connections
-        if connections is not None:
+        if connections is not None and allowance.has_valid_report(now_ms):
             idle_ms = decide_idle_time_ms(allowance.capacity, connections)
             rarest = pool.idle[self.choose_idle(pool)].organisation
             if idle_ms > SHORT_IDLE_MS and self.use.is_worth_keeping(
@@ -122,17 +136,26 @@
         # A member that counts its connections is running, so it is not unreachable.
         pool.last_response_ms = now_ms
 
+    @staticmethod
+    def _grow_if_all_used(
+        pool: MemberPool, allowance: Allowance, now_ms: float
+    ) -> None:
+        queue = pool.gate.queue
+        if queue.running + queue.waiting >= queue.connections:
+            allowance.grow(1, now_ms)
+            pool.set_limit(allowance.limit)
+
     def _close_expired(
         self,
         pool: MemberPool,
         capacity: MemberCapacity,
-        connections: int,
+        idle_ms: float,
         now_ms: float,
     ) -> None:
         expired = find_expired(
             _list_idle(pool),
             self.use,
-            idle_ms=decide_idle_time_ms(capacity, connections),
+            idle_ms=idle_ms,
             kept=max(0, capacity.kept_idle - len(pool.busy) - pool.opening),
             now_ms=now_ms,
         )
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -187,6 +187,7 @@
         deadline_ms : float
             When the wait for a connection ends.
         """
+        self.sharing.request_poll(self)
         idle = next((pooled for pooled in reversed(self.idle)), None)
         link_organisation = idle.organisation if idle is not None else organisation
         async with self._lease(link_organisation, {}, deadline_ms) as pooled:
--- a/src/radishtrack/pooler/monitor.py
+++ b/src/radishtrack/pooler/monitor.py
@@ -170,6 +170,9 @@
         # All connections are in use, so the member's state remains unknown.
         return None
     except LinkRefused as error:
+        if error.is_full and access.is_scarce:
+            # The member runs; a repeated poll would try to open another connection.
+            return None
         _record_failure(
             access, pool, error.reason, clock.now_ms(), error.has_no_listener
         )
--- a/tests/connection_fleet.py
+++ b/tests/connection_fleet.py
@@ -78,6 +78,8 @@
     service_s: float
     seed: int
     is_shared: bool = True
+    is_limited: bool = True
+    """Whether the member refuses connections beyond the accepted number."""
     open: int = 0
     most_open: int = 0
     opened: int = 0
@@ -160,7 +162,7 @@
             await asyncio.sleep(step_s)
 
     async def _open(self, *_: object) -> FakeLink:
-        if self.open >= self.accepted:
+        if self.is_limited and self.open >= self.accepted:
             self.refused += 1
             raise LinkRefused("full", is_full=True)
         self.open += 1
@@ -176,9 +178,8 @@
     async def _report(self) -> None:
         while True:
             await asyncio.sleep(REPORT_S)
-            if self.reports and self.is_shared:
-                for node in range(self.nodes):
-                    self.spawn(self._deliver(node, self.open))
+            for node in range(self.nodes):
+                self.spawn(self._deliver(node, self.open))
 
     async def _deliver(self, node: int, connections: int) -> None:
         requested_ms = self.pools[node].clock.now_ms()
@@ -188,9 +189,10 @@
             "m", 1, 0, Role.PRIMARY, position, 0.0, connections=connections
         )
         # Reports of the group's other two members also cause an adjustment.
+        observation = Observation(report, requested_ms) if self.reports else None
         for _ in range(3):
             pool = self.pools[node]
-            pool.sharing.adjust(pool, Observation(report, requested_ms))
+            pool.sharing.adjust(pool, observation)
             await asyncio.sleep(REPORT_S / 3)
 
 
