Return the rate token of an operation that was never sent

Cause: a rate token is consumed before a member has capacity, so a statement that never ran is charged again when it is retried.

Change: AttemptPlan.is_sent records whether a connection to a member was used for the statement. Otherwise its granted token is refunded and can be used until the end of its validity, as if it had not been used yet. A token of the node's own share is not refunded, since the share was refilled meanwhile up to its burst. A read whose response was lost was sent, so it is charged.

--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -216,6 +216,7 @@
             plan.wait_until_ms,
             context.make_work(WorkKind.READ),
         ) as pooled:
+            plan.is_sent = True
             await prepare_link(pooled, context)
             remaining_ms = plan.remaining_ms(access.clock.now_ms())
             response = await run_on_link(
@@ -256,6 +257,7 @@
             plan.wait_until_ms,
             context.make_work(WorkKind.WRITE),
         ) as pooled:
+            plan.is_sent = True
             await prepare_link(pooled, context)
             is_sent = True
             response = await run_on_link(
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -260,6 +260,7 @@
             authorise=self._authorise,
             refresh=self.store_copy.refresh,
             admit=self.rates.admit,
+            refund=self.rates.refund,
             find_group=self.find_group,
             observe=self.log.observe,
             observe_denied=self.log.observe_denied,
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -23,7 +23,7 @@
 )
 from radishtrack.pooler.peers import NotRunning, Peers
 from radishtrack.pooler.ports import Duty
-from radishtrack.pooler.rate_limit import RateLimiter
+from radishtrack.pooler.rate_limit import RateLimiter, RateToken
 from radishtrack.pooler.shares import (
     NO_DELEGATION,
     RateCoordinator,
@@ -92,25 +92,29 @@
                 organisations, (node.name for node in self.store_copy.nodes), now_ms
             )
 
-    async def admit(self, organisation: str, wait_ms: float) -> bool:
+    async def admit(self, organisation: str, wait_ms: float) -> RateToken | None:
         """Acquire one token of an organisation, waiting up to `wait_ms`."""
         now_ms = self.clock.now_ms()
-        if self.limiter.acquire(organisation, now_ms):
-            return True
+        if (token := self.limiter.acquire(organisation, now_ms)) is not None:
+            return token
         until_ms = now_ms + wait_ms
         self.limiter.add_waiting(organisation, 1)
         try:
             while (request_ms := self.limiter.next_request_ms(organisation)) < until_ms:
                 await self._await_exchange(request_ms, until_ms)
                 now_ms = self.clock.now_ms()
-                if self.limiter.acquire(organisation, now_ms):
-                    return True
+                if (token := self.limiter.acquire(organisation, now_ms)) is not None:
+                    return token
                 if now_ms >= until_ms:
-                    return False
-            return False
+                    return None
+            return None
         finally:
             self.limiter.add_waiting(organisation, -1)
 
+    def refund(self, token: RateToken) -> None:
+        """Return the token of an operation of which nothing was sent to a member."""
+        self.limiter.refund(token, self.clock.now_ms())
+
     def grant(self, node: str, message: SharesWanted) -> SharesGranted:
         """Respond to a node's request as coordinator."""
         now_ms = self.clock.now_ms()
--- a/src/radishtrack/pooler/rate_limit.py
+++ b/src/radishtrack/pooler/rate_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -17,6 +18,24 @@
 rate."""
 PREFETCH_FRACTION: Final = 0.5
 """Fraction of these tokens that is requested in advance."""
+MAX_REFUNDED: Final = 64
+"""Refunded tokens of one organisation that are kept; bounds the memory."""
+
+
+@attrs.frozen
+class RateToken:
+    """A token that admitted one operation.
+
+    Parameters
+    ----------
+    organisation : str
+        Organisation whose rate it belongs to.
+    expires_ms : float or None
+        End of its validity if it was granted; None if it is from the node's own share.
+    """
+
+    organisation: str
+    expires_ms: float | None
 
 
 @attrs.define
@@ -59,6 +78,8 @@
     tokens: int = 0
     """Granted tokens that are not used yet."""
     expires_ms: float = 0.0
+    refunded: list[float] = attrs.field(factory=list)
+    """Ends of the validity of refunded tokens, in order."""
     used_tokens: int = 0
     """Granted tokens that were used since the last exchange."""
     waiting: int = 0
@@ -66,6 +87,12 @@
     refused_until_ms: float = 0.0
     """The coordinator has no token before this time."""
 
+    def count_refunded(self, now_ms: float) -> int:
+        """Remove refunded tokens that have expired; return the number of others."""
+        while self.refunded and self.refunded[0] <= now_ms:
+            self.refunded.pop(0)
+        return len(self.refunded)
+
 
 @attrs.define
 class RateLimiter:
@@ -100,24 +127,48 @@
             demand.share.rate_per_s, demand.share.burst = rate, burst
             demand.share.tokens = min(demand.share.tokens, burst)
 
-    def acquire(self, organisation: str, now_ms: float) -> bool:
-        """Acquire a token of an organisation; return whether there was one."""
+    def acquire(self, organisation: str, now_ms: float) -> RateToken | None:
+        """Acquire a token of an organisation; return None if there is none."""
         demand = self.demands.get(organisation)
         if demand is None:
-            return False
+            return None
+        if demand.count_refunded(now_ms):
+            demand.used_tokens += 1
+            return RateToken(organisation, demand.refunded.pop(0))
         if demand.tokens > 0 and now_ms < demand.expires_ms:
             demand.tokens -= 1
             demand.used_tokens += 1
-            return True
+            return RateToken(organisation, demand.expires_ms)
         if now_ms < self.own_from_ms:
-            return False
+            return None
         if self.is_delegating:
             self._reset_own_shares()
         demand.share.refill(now_ms)
         if demand.share.tokens < 1.0:
-            return False
+            return None
         demand.share.tokens -= 1.0
         self.unused_since_ms = None
+        return RateToken(organisation, None)
+
+    def refund(self, token: RateToken, now_ms: float) -> bool:
+        """Return the token of an operation of which nothing was sent to a member.
+
+        The coordinator assumes that a granted token is used at any time within its
+        validity, so using it later in that time exceeds no rate. A token of the node's
+        own share is not returned: the share has been refilled meanwhile, up to its
+        burst, which a token that was never taken would have prevented.
+
+        Returns
+        -------
+        bool
+            Whether the token can be used again.
+        """
+        demand = self.demands.get(token.organisation)
+        if demand is None or token.expires_ms is None or token.expires_ms <= now_ms:
+            return False
+        bisect.insort(demand.refunded, token.expires_ms)
+        del demand.refunded[MAX_REFUNDED:]
+        demand.used_tokens = max(0, demand.used_tokens - 1)
         return True
 
     def next_request_ms(self, organisation: str) -> float:
@@ -183,6 +234,7 @@
             if demand.used_tokens >= PREFETCH_MIN_USED:
                 prefetch = int(demand.used_tokens * PREFETCH_FRACTION)
             unused_tokens = demand.tokens if now_ms < demand.expires_ms else 0
+            unused_tokens += demand.count_refunded(now_ms)
             requested = demand.waiting + max(0, prefetch - unused_tokens)
             demand.used_tokens = 0
             if requested and now_ms >= demand.refused_until_ms:
--- a/src/radishtrack/pooler/retry.py
+++ b/src/radishtrack/pooler/retry.py
@@ -29,6 +29,8 @@
     evidence_until_ms: float
     deadline_ms: float
     attempts: int = 0
+    is_sent: bool = False
+    """Whether anything of the statement may have been sent to a member."""
 
     def may_retry(self, now_ms: float) -> bool:
         """Return whether another attempt may start."""
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -18,6 +18,7 @@
     run_write,
 )
 from radishtrack.pooler.group_access import GroupAccess
+from radishtrack.pooler.rate_limit import RateToken
 from radishtrack.pooler.retry import make_attempt_plan
 from radishtrack.pooler.statements import (
     Begin,
@@ -78,8 +79,10 @@
     refresh : callable
         Reads the configuration from the store; takes what the local copy lacks.
     admit : callable
-        Takes an organisation and the longest wait in milliseconds; returns whether its
-        rate admits one more operation.
+        Takes an organisation and the longest wait in milliseconds; returns a token of
+        its rate, or None if the rate admits no more operation.
+    refund : callable
+        Takes back the token of an operation of which nothing was sent to a member.
     find_group : callable
         Returns the access to a group.
     observe : callable
@@ -95,7 +98,8 @@
     clock: Clock
     authorise: Callable[[str, bytes | None], SessionAccess | Denied]
     refresh: Callable[[str, bytes | None], Awaitable[None]]
-    admit: Callable[[str, float], Awaitable[bool]]
+    admit: Callable[[str, float], Awaitable[RateToken | None]]
+    refund: Callable[[RateToken], None]
     find_group: Callable[[str], GroupAccess]
     observe: Callable[[ClientSession, str, str, Result, float], None]
     observe_denied: Callable[[str, Denied, float], None]
@@ -188,10 +192,11 @@
         if self.transaction is not None:
             return self._refuse(Refusal.MALFORMED, "a transaction is open already")
         access = self._require_access()
-        if not await self._acquire_token(access):
+        token = await self._acquire_token(access)
+        if token is None and access.is_limited:
             return self._refuse_over_rate("-", "begin")
         group = self.context.find_group(access.route.group)
-        self.transaction = Transaction(group, statement.is_read_only)
+        self.transaction = Transaction(group, statement.is_read_only, token)
         return self._complete()
 
     async def _commit(self, statement: Commit) -> ClientResponse:
@@ -200,12 +205,14 @@
             return self._refuse(Refusal.MALFORMED, "no transaction is open")
         access = self._require_access()
         arrived_ms = self.context.clock.now_ms()
+        statement_context = self._make_statement_context(access, None, arrived_ms)
         result = await transaction.commit(
-            self._make_statement_context(access, None, arrived_ms),
+            statement_context,
             statement,
             self.positions.get(access.route.group),
         )
         self.transaction = None
+        self._refund(transaction.take_refund(statement_context))
         if result.response.refusal is None and transaction.has_written:
             self._record_commit(access.route.group, result)
         return self._respond(statement.statement_id, "commit", result, arrived_ms)
@@ -226,11 +233,13 @@
         statement_context = self._make_statement_context(access, prepare, arrived_ms)
         group = self.context.find_group(access.route.group)
         position = self.positions.get(group.name)
+        token: RateToken | None = None
         if self.transaction is not None:
             result = await self.transaction.run(
                 statement_context, executable, position, is_write=is_write
             )
-        elif not await self._acquire_token(access):
+            token = self.transaction.take_refund(statement_context)
+        elif (token := await self._acquire_token(access)) is None and access.is_limited:
             return self._refuse_over_rate(statement.statement_id, "admit")
         elif is_write:
             result = await run_write(group, statement_context, executable)
@@ -238,6 +247,8 @@
                 self._record_commit(group.name, result)
         else:
             result = await run_read(group, statement_context, executable, position)
+        if not statement_context.plan.is_sent:
+            self._refund(token)
         result = attrs.evolve(result, attempts=statement_context.plan.attempts)
         step = "write" if is_write else "read"
         return self._respond(statement.statement_id, step, result, arrived_ms)
@@ -271,12 +282,17 @@
         assert self.access is not None
         return self.access
 
-    async def _acquire_token(self, access: SessionAccess) -> bool:
+    async def _acquire_token(self, access: SessionAccess) -> RateToken | None:
         if not access.is_limited:
-            return True
+            return None
         wait_ms = ADMISSION_OBJECTIVES * access.route.objective_ms
         return await self.context.admit(access.organisation, wait_ms)
 
+    def _refund(self, token: RateToken | None) -> None:
+        """Return the token of an operation of which nothing was sent to a member."""
+        if token is not None:
+            self.context.refund(token)
+
     def _refuse_over_rate(self, statement_id: str, step: str) -> ClientResponse:
         result = make_refusal(Refusal.BUSY, "the organisation is over its rate")
         arrived_ms = self.context.clock.now_ms()
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -22,6 +22,7 @@
 from radishtrack.pooler.group_access import GroupAccess, ReadPlan
 from radishtrack.pooler.member_pool import MemberPool, PooledLink
 from radishtrack.pooler.ports import LinkLost, LinkRefused
+from radishtrack.pooler.rate_limit import RateToken
 from radishtrack.pooler.retry import RETRY_PAUSE_MS
 from radishtrack.pooler.scheduling.work import WorkKind
 from radishtrack.pooler.statements import (
@@ -56,6 +57,8 @@
 
     access: GroupAccess
     is_read_only: bool
+    token: RateToken | None = None
+    """Token that admitted it; None if its rate is not limited or it was returned."""
     has_failed: bool = False
     has_written: bool = False
     member: str = ""
@@ -84,6 +87,13 @@
             await self.abandon()
         return result
 
+    def take_refund(self, context: StatementContext) -> RateToken | None:
+        """Return the token if the transaction failed before anything was sent."""
+        if self.member or context.plan.is_sent or not self.has_failed:
+            return None
+        token, self.token = self.token, None
+        return token
+
     async def commit(
         self,
         context: StatementContext,
@@ -223,6 +233,7 @@
                     context.make_work(WorkKind.BEGIN),
                 )
             )
+            context.plan.is_sent = True
             await prepare_link(pooled, context)
             response = await run_on_link(
                 self.access,
--- a/tests/test_pooler_shares.py
+++ b/tests/test_pooler_shares.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from radishtrack.pooler.catalog import Organisation
-from radishtrack.pooler.rate_limit import RateLimiter
+from radishtrack.pooler.rate_limit import RateLimiter, RateToken
 from radishtrack.pooler.shares import DELEGATION_MS, GRANT_MS, make_rate_coordinator
 from radishtrack.rates.bucket import make_empty_bucket
 from radishtrack.rates.messages import MICRO
@@ -38,11 +38,15 @@
     loss=st.sampled_from([0.0, 0.2, 0.7]),
     demand=st.sampled_from([0.1, 0.5, 1.0]),
     delay_ms=st.sampled_from([0, 40, 200]),
+    refunds=st.sampled_from([0.0, 0.5, 0.9]),
 )
 def test_all_nodes_together_stay_within_rate_and_burst(
-    seed: int, loss: float, demand: float, delay_ms: int
+    seed: int, loss: float, demand: float, delay_ms: int, refunds: float
 ) -> None:
-    """Requests and responses are lost or late, and one node restarts."""
+    """Requests and responses are lost or late, and one node restarts.
+
+    A fraction of the operations is refused within 600 ms, before anything was sent.
+    """
     random = Random(seed).random
     coordinator = make_rate_coordinator(1, 0.0)
     coordinator.configure(CONFIGURED, NODES, 0.0)
@@ -52,7 +56,11 @@
         limiter.configure(CONFIGURED, len(NODES), 0.0)
     responses: list[tuple[int, str, int, int, object]] = []
     admitted: list[int] = []
+    refused: list[tuple[int, RateLimiter, RateToken]] = []
     for now in range(0, RUN_MS, STEP_MS):
+        for ended in [r for r in refused if r[0] <= now]:
+            refused.remove(ended)
+            ended[1].refund(ended[2], now)
         if now == RUN_MS // 2:
             limiters["edge-1"] = RateLimiter()
             limiters["edge-1"].configure(CONFIGURED, len(NODES), now)
@@ -64,8 +72,11 @@
             replies[name] = max(replies[name], reply)
             limiters[name].record_grants(granted, requested_ms, now)  # type: ignore[arg-type]
         for name, limiter in limiters.items():
-            while random() < demand and limiter.acquire("verksted", now):
-                admitted.append(now)
+            while random() < demand and (token := limiter.acquire("verksted", now)):
+                if random() < refunds:
+                    refused.append((now + int(600 * random()), limiter, token))
+                else:
+                    admitted.append(now)
             if now % 100 == 0:
                 limiter.add_waiting("verksted", 5)
                 requested = limiter.collect_requests(now)
@@ -123,6 +134,21 @@
     assert not limiter.acquire("verksted", GRANT_MS)
 
 
+def test_a_refunded_token_is_used_once_within_its_validity() -> None:
+    """A statement that never ran must not be charged again when it is retried."""
+    limiter = RateLimiter()
+    limiter.configure(CONFIGURED, len(NODES), 0.0)
+    limiter.record_grants((("verksted", 2, 0.0),), 0.0, 10.0)
+    token = limiter.acquire("verksted", 20.0)
+    assert token is not None and limiter.acquire("verksted", 20.0)
+    assert token.expires_ms is not None
+    assert limiter.refund(token, 30.0)
+    assert limiter.acquire("verksted", 40.0) and not limiter.acquire("verksted", 40.0)
+    assert not limiter.refund(token, token.expires_ms)
+    own = limiter.acquire("verksted", 10.0 + DELEGATION_MS + 150.0)
+    assert own is not None and not limiter.refund(own, 10.0 + DELEGATION_MS + 151.0)
+
+
 def test_released_duty_ends_the_delegation() -> None:
     """Otherwise each planned stop of a coordinator would pause the rates."""
     limiter = RateLimiter()
