Wait for an absent primary only if it is expected in time

Cause: while a primary is away, strict work and writes wait 0.2 objectives and are refused, also if the promotion ends well before their deadline; writes that get no connection are retried up to six times although the queue has refused them.

Change: in scarce groups, PrimaryWait compares the expected end of the absence (start, learned duration, 1.5 s at first) with the work's deadline less its service time. Work waits until then or is refused at once, with a hint when to retry. Woken work enters the queue, which orders it. A refusal by the queue of a scarce group ends the retries at that member.

--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import attrs
 
 from radishtrack.errors import RequestError
-from radishtrack.pooler.catalog import Route
+from radishtrack.pooler.catalog import ReadClass, Route
 from radishtrack.pooler.group_access import GroupAccess, ReadPlan
 from radishtrack.pooler.member_pool import MemberPool, PooledLink
 from radishtrack.pooler.ports import LinkLost, LinkRefused
 from radishtrack.pooler.retry import RETRY_PAUSE_MS, AttemptPlan
+from radishtrack.pooler.scheduling.retry_hint import add_hint, retry_after_ms
 from radishtrack.pooler.scheduling.work import Work, WorkKind, make_work
 from radishtrack.pooler.statements import (
     NOT_RUN,
@@ -81,11 +83,14 @@
         Member of the response or of the failed attempt; empty if none was tried.
     attempts : int
         Attempts at members; 0 if the statement was refused before the first.
+    is_final : bool
+        Whether this node refused it because a retry at the member would be refused too.
     """
 
     response: MemberResponse
     member: str = ""
     attempts: int = 0
+    is_final: bool = False
 
 
 def make_refusal(refusal: Refusal, detail: str, member: str = "") -> Result:
@@ -93,6 +98,68 @@
     return Result(MemberResponse(refusal=refusal, detail=detail), member)
 
 
+def make_queue_refusal(access: GroupAccess, member: str, error: RequestError) -> Result:
+    """Return the result of a statement that got no connection to a member."""
+    result = make_refusal(Refusal.BUSY, error.failure.message, member)
+    # The queue of a scarce group has estimated that a retry would be refused as well.
+    return attrs.evolve(result, is_final=access.is_scarce)
+
+
+async def await_primary(
+    access: GroupAccess, context: StatementContext, is_ready: Callable[[], bool]
+) -> bool:
+    """Wait for the primary if it is expected in time; return whether it is there."""
+    plan = context.plan
+    if not access.is_scarce:
+        return await access.wait_for(is_ready, plan.evidence_until_ms)
+
+    def observe() -> bool:
+        is_present = is_ready()
+        access.primary_wait.observe(is_present, access.clock.now_ms())
+        return is_present
+
+    if observe():
+        return True
+    pool = access.primary_pool
+    service_ms = pool.service_ms if pool is not None else 0.0
+    until_ms = access.primary_wait.wait_until_ms(
+        access.clock.now_ms(), plan.evidence_until_ms, plan.wait_until_ms - service_ms
+    )
+    return await access.wait_for(observe, until_ms)
+
+
+async def await_primary_plan(
+    access: GroupAccess,
+    context: StatementContext,
+    find_plan: Callable[[], ReadPlan | None],
+    *,
+    needs_primary: bool,
+) -> ReadPlan | None:
+    """Return a plan as soon as there is one; None if no wait for it is useful."""
+    if not (access.is_scarce and needs_primary):
+        return await access.await_plan(find_plan, context.plan.evidence_until_ms)
+
+    def is_ready() -> bool:
+        plan = find_plan()
+        return plan is not None and bool(plan.members)
+
+    await await_primary(access, context, is_ready)
+    return find_plan()
+
+
+def make_absence_refusal(access: GroupAccess, context: StatementContext) -> Result:
+    """Return the refusal of a statement that only an absent primary could run."""
+    detail = "the group has no reachable primary"
+    if access.is_scarce:
+        now_ms = access.clock.now_ms()
+        excess_ms = access.primary_wait.expected_end_ms(now_ms) - now_ms
+        # The arrival time spreads the retries.
+        number = int(context.plan.started_ms)
+        hint_ms = retry_after_ms(excess_ms, context.route.priority, number)
+        detail = add_hint(detail, hint_ms)
+    return attrs.evolve(make_refusal(Refusal.BUSY, detail), is_final=access.is_scarce)
+
+
 async def prepare_link(pooled: PooledLink, context: StatementContext) -> None:
     """Apply the session's values and prepare the statement on a connection."""
     await pooled.apply_values(context.values)
@@ -145,6 +212,7 @@
     A read has no effects, so it may be repeated even if its outcome is unknown.
     """
     plan = context.plan
+    is_strict = context.route.read_class is ReadClass.STRICT
     attempted: set[str] = set()
     last_result = make_refusal(Refusal.BUSY, "no member can serve the read")
 
@@ -152,12 +220,17 @@
         return access.plan_read(context.route, session_position, context.organisation)
 
     while True:
-        read_plan = await access.await_plan(find_plan, plan.evidence_until_ms)
+        read_plan = await await_primary_plan(
+            access, context, find_plan, needs_primary=is_strict
+        )
+        if access.is_scarce and is_strict and not (read_plan and read_plan.members):
+            return make_absence_refusal(access, context)
         if read_plan is None:
             return make_refusal(Refusal.BUSY, "no recent evidence of the group's log")
         untried = [name for name in read_plan.members if name not in attempted]
         if not untried:
-            if not read_plan.members or not plan.may_retry(access.clock.now_ms()):
+            may_retry = plan.may_retry(access.clock.now_ms())
+            if not read_plan.members or last_result.is_final or not may_retry:
                 return last_result
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
             attempted.clear()
@@ -192,6 +265,8 @@
         result = await _write_once(access, context, statement)
         if result.response.refusal not in NOT_RUN:
             return result
+        if result.is_final:
+            return result
         if not plan.may_retry(access.clock.now_ms()) or not _has_primary(access):
             return result
         await asyncio.sleep(RETRY_PAUSE_MS / 1000)
@@ -229,7 +304,7 @@
             )
             return Result(response, member)
     except RequestError as error:
-        return make_refusal(Refusal.BUSY, error.failure.message, member)
+        return make_queue_refusal(access, member, error)
     except LinkRefused as error:
         access.request_poll()
         return make_refusal(_classify_refused_link(error), error.reason, member)
@@ -243,11 +318,11 @@
     access: GroupAccess, context: StatementContext, statement: Executable
 ) -> Result:
     plan = context.plan
-    if not _has_primary(access):
-        await access.wait_for(lambda: _has_primary(access), plan.evidence_until_ms)
+    if access.is_scarce or not _has_primary(access):
+        await await_primary(access, context, lambda: _has_primary(access))
     pool = access.usable_primary()
     if pool is None or not access.may_send_commit():
-        return make_refusal(Refusal.BUSY, "the group has no reachable primary")
+        return make_absence_refusal(access, context)
     member, term = pool.member.name, access.evidence.term
     is_sent = False
     try:
@@ -270,7 +345,7 @@
             )
         return await confirm_commit(access, Result(response, member), term)
     except RequestError as error:
-        return make_refusal(Refusal.BUSY, error.failure.message, member)
+        return make_queue_refusal(access, member, error)
     except LinkRefused as error:
         access.request_poll()
         return make_refusal(_classify_refused_link(error), error.reason, member)
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -15,6 +15,7 @@
 from radishtrack.pooler.member_pool import MemberPool, make_member_pool
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
 from radishtrack.pooler.ports import OpenLink
+from radishtrack.pooler.scheduling.primary_wait import PrimaryWait
 from radishtrack.session.position import Position
 
 MIN_CONNECTIONS: Final = 1
@@ -109,6 +110,8 @@
     is_scarce: bool = False
     """Whether members' connections are too few for each node to have some of its own;
     see `MIN_EVEN_CONNECTIONS`."""
+    primary_wait: PrimaryWait = attrs.field(factory=PrimaryWait)
+    """How long the primary has been absent; used in scarce groups."""
     pools: dict[str, MemberPool] = attrs.field(factory=dict)
     unlisted_ms: dict[str, float] = attrs.field(factory=dict)
     """When a member disappeared from the store's list, by name."""
--- a/src/radishtrack/pooler/scheduling/fair_ring.py
+++ b/src/radishtrack/pooler/scheduling/fair_ring.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -45,7 +44,7 @@
     @property
     def rounds(self) -> int:
         """Number of rounds in which all entries start."""
-        return math.ceil(len(self.entries) / self.quantum)
+        return -(-len(self.entries) // self.quantum)
 
 
 @attrs.define
@@ -149,7 +148,7 @@
         lane = self.lanes.get(organisation)
         own = len(lane.entries) if lane is not None else 0
         other_quanta = self.quanta - (lane.quantum if lane is not None else 0)
-        rounds = math.ceil((own + 1) / quantum)
+        rounds = -(-(own + 1) // quantum)
         others = min(self.waiting - own, rounds * other_quanta)
         return (own + others) * self.hold_ms / self.waiting
 
--- a/src/radishtrack/pooler/scheduling/work_queue.py
+++ b/src/radishtrack/pooler/scheduling/work_queue.py
@@ -32,6 +32,9 @@
 CHECK_INTERVAL_MS: Final = 20.0
 """Pause between checks for work that can't start in time; small against the shortest
 objectives of about 150 ms, so that a refusal leaves time for a retry."""
+REST_VALID_MS: Final = 1.0
+"""Time for which an estimate of the running work is used again; small against the
+shortest statements of 6 ms."""
 MAX_REMOVED: Final = 8
 """Most work that one check removes, which bounds its duration."""
 
@@ -63,6 +66,8 @@
     """All waiting work by ticket."""
     running_of: dict[str, int] = attrs.field(factory=dict)
     """Running work of each organisation."""
+    rest: tuple[float, float, int] | None = None
+    """Time and result of the last estimate of the running work; None if outdated."""
     starts_since_aged: int = STARTS_PER_AGED
     aged_starts: int = 0
     next_ticket: int = 1
@@ -85,6 +90,7 @@
     def set_connections(self, connections: int) -> None:
         """Change the number of connections."""
         self.connections = connections
+        self.rest = None
 
     def offer(
         self,
@@ -159,6 +165,7 @@
     ) -> None:
         """Release the connection of started work."""
         running = self.started.pop(ticket)
+        self.rest = None
         if running.priority == OWN_PRIORITY:
             return
         count = self.running_of[organisation] - 1
@@ -234,6 +241,7 @@
             self.running_of[organisation] = self.running_of.get(organisation, 0) + 1
             self.starts_since_aged += 1
         self.started[ticket] = running
+        self.rest = None
 
     def _find_class(self, priority: int) -> PriorityClass:
         if priority not in self.classes:
@@ -309,27 +317,30 @@
         capacity remains, at least that of aged work.
         """
         rest_ms, usable = self._estimate_rest(now_ms)
-        more_urgent = sum(
-            waiting.load(now_ms)
-            for other, waiting in self.classes.items()
-            if other < priority
-        )
+        more_urgent = 0.0
+        for other, waiting in self.classes.items():
+            if other >= priority:
+                break
+            more_urgent += waiting.load(now_ms)
         left = max(1.0 / STARTS_PER_AGED, 1.0 - more_urgent / usable)
         return (rest_ms + ahead_ms / usable) / left
 
     def _hold_ahead_ms(self, priority: int) -> float:
         """Return the expected hold times of all waiting work that is more urgent."""
-        more_urgent = sum(
-            waiting.hold_ms
-            for other, waiting in self.classes.items()
-            if other < priority
-        )
-        return len(self.own) * OWN_HOLD_MS + more_urgent
+        ahead_ms = len(self.own) * OWN_HOLD_MS
+        for other, waiting in self.classes.items():
+            if other >= priority:
+                break
+            ahead_ms += waiting.hold_ms
+        return ahead_ms
 
     def _estimate_rest(self, now_ms: float) -> tuple[float, int]:
-        return self.holds.estimate_rest(
-            self.started.values(), max(1, self.connections), now_ms
-        )
+        if self.rest is None or now_ms - self.rest[0] >= REST_VALID_MS:
+            rest_ms, usable = self.holds.estimate_rest(
+                self.started.values(), max(1, self.connections), now_ms
+            )
+            self.rest = now_ms, rest_ms, usable
+        return self.rest[1], self.rest[2]
 
     def _refuse(
         self, detail: str, excess_ms: float, work: QueuedWork | None
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -9,12 +9,16 @@
 import attrs
 
 from radishtrack.errors import RequestError
+from radishtrack.pooler.catalog import ReadClass
 from radishtrack.pooler.execution import (
     Executable,
     Result,
     StatementContext,
+    await_primary_plan,
     confirm_commit,
     is_transaction_open,
+    make_absence_refusal,
+    make_queue_refusal,
     make_refusal,
     prepare_link,
     run_on_link,
@@ -187,10 +191,17 @@
         plan = context.plan
         while True:
             plan.attempts += 1
-            read_plan = await self.access.await_plan(
+            is_strict = context.route.read_class is ReadClass.STRICT
+            needs_primary = is_strict or not self.is_read_only
+            read_plan = await await_primary_plan(
+                self.access,
+                context,
                 lambda: self._find_plan(context, session_position),
-                plan.evidence_until_ms,
+                needs_primary=needs_primary,
             )
+            is_absent = read_plan is None or not read_plan.members
+            if self.access.is_scarce and needs_primary and is_absent:
+                return make_absence_refusal(self.access, context)
             if read_plan is None:
                 return make_refusal(
                     Refusal.BUSY, "no recent evidence of the group's log"
@@ -204,6 +215,8 @@
                     return None
                 if not plan.may_retry(self.access.clock.now_ms()):
                     return refused
+            if refused is not None and refused.is_final:
+                return refused
             if not read_plan.members or not plan.may_retry(self.access.clock.now_ms()):
                 return refused
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
@@ -245,7 +258,7 @@
             )
         except RequestError as error:
             await stack.aclose()
-            return make_refusal(Refusal.BUSY, error.failure.message, member)
+            return make_queue_refusal(self.access, member, error)
         except LinkRefused as error:
             await stack.aclose()
             return make_refusal(Refusal.BUSY, error.reason, member)
