--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -18,6 +18,7 @@
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
 from radishtrack.pooler.placement.choice import Placement
 from radishtrack.pooler.ports import OpenLink
+from radishtrack.pooler.scheduling.primary_wait import PrimaryWait
 from radishtrack.session.position import Position
 
 MIN_EVEN_CONNECTIONS: Final = 2
@@ -117,6 +118,8 @@
     see `MIN_EVEN_CONNECTIONS`."""
     placement: Placement = attrs.field(factory=Placement)
     """Chooses the members for reads if the group is scarce."""
+    primary_wait: PrimaryWait = attrs.field(factory=PrimaryWait)
+    """How long the primary has been absent; used in scarce groups."""
     pools: dict[str, MemberPool] = attrs.field(factory=dict)
     unlisted_ms: dict[str, float] = attrs.field(factory=dict)
     """When a member disappeared from the store's list, by name."""
