Report learned capacity in metrics and event 3015

Cause: operators can't see how a node judges a member, and the learned state followed old reports so closely that load oscillated between members.

Slowness averages five samples instead of eight, and the mean load takes a fifth of a new report. The classes of statements have a module of their own.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -12,7 +12,7 @@
 
 from radishtrack.clock import ManualTime
 from radishtrack.pooler.catalog import GroupSettings, ReadClass, Route
-from radishtrack.pooler.placement.capacity import StatementKind
+from radishtrack.pooler.placement.service_times import StatementKind
 from radishtrack.session.position import Position
 
 ROUNDS = 20_000
--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -31,6 +31,7 @@
 )
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.node import Node, NodeOptions, make_node
+from radishtrack.pooler.placement.metrics import register_capacity_metrics
 from radishtrack.pooler.request_log import make_request_log
 from radishtrack.pooler.store_metrics import register_store_metrics
 
@@ -108,6 +109,7 @@
     )
     await start_ready_endpoint(*settings.ready, node.is_ready)
     register_store_metrics(log.registry, node.store_copy)
+    register_capacity_metrics(log.registry, lambda: tuple(node.groups.values()))
     await start_metrics_endpoint(settings.ip, log.registry)
     frontend = await start_frontend(node, *settings.frontend)
     log_event(
--- a/src/radishtrack/pooler/placement/attempt_limit.py
+++ b/src/radishtrack/pooler/placement/attempt_limit.py
@@ -11,10 +11,8 @@
 from typing import Final
 
 from radishtrack.pooler.catalog import ReadClass
-from radishtrack.pooler.placement.capacity import (
-    MemberCapacity,
-    StatementKind,
-)
+from radishtrack.pooler.placement.capacity import MemberCapacity
+from radishtrack.pooler.placement.service_times import StatementKind
 
 MIN_ATTEMPT_MS: Final = 120.0
 """Smallest limit; below it, a pause of the node or network looks like a loss."""
--- a/src/radishtrack/pooler/placement/capacity.py
+++ b/src/radishtrack/pooler/placement/capacity.py
@@ -7,34 +7,30 @@
 
 from __future__ import annotations
 
-import enum
 import math
 from typing import Final
 
 import attrs
 
 from radishtrack.pooler.catalog import ReadClass
-from radishtrack.pooler.statements import (
-    Begin,
-    Commit,
-    Prepare,
-    Refusal,
-    Run,
-    RunPrepared,
+from radishtrack.pooler.placement.service_times import (
+    MAX_SURPRISE,
+    SPEED_KINDS,
+    ServiceTimes,
+    StatementClass,
+    StatementKind,
 )
+from radishtrack.pooler.statements import Refusal
 
-MAX_WEIGHT: Final = 8.0
+MAX_WEIGHT: Final = 5.0
 """Samples that a member's slowness averages. With a spread of 0.7 in the logarithm, its
-standard error is 0.25; a node gets this many samples in about 8 s."""
+standard error is 0.31; a node gets this many samples in about 5 s. With 8 samples, a
+member that slows suddenly is noticed later and more reads miss the objective."""
 PRIOR_WEIGHT: Final = 1.0
 """Samples for which the assumption counts that a member is as fast as the others."""
 SAMPLE_AGE_MS: Final = 20_000.0
 """Age at which a sample's weight has fallen to 1/e. A member that was slow and gets no
 work is assumed to be like the others again after about twice this time."""
-MAX_CLASS_WEIGHT: Final = 40.0
-"""Samples that the usual response time of a class of statements averages."""
-MAX_SURPRISE: Final = 1.5
-"""Largest difference of a logarithm from its expected value that counts."""
 LIMIT_GAIN: Final = 0.1
 """Part of a difference by which the limit changes. The limit then fluctuates by 16% at
 a spread of 0.7, and follows a change within about ten samples under load."""
@@ -52,9 +48,10 @@
 PRIOR_FAILURES: Final = 0.06
 """Outcomes and failures that are assumed of a member without any."""
 MAX_FAILURE_RATE: Final = 0.95
-LOAD_GAIN: Final = 0.3
+LOAD_GAIN: Final = 0.2
 """Weight of the newest report in the mean load. A report shows one moment of a load
-that changes within tens of milliseconds, so one report alone predicts little."""
+that changes within tens of milliseconds, so one report alone predicts little. With 0.5,
+all nodes follow the same old reports and the load oscillates between members."""
 FRESH_REPORT_MS: Final = 300.0
 """Age at which a report counts 1/e against the mean of earlier ones."""
 UNSEEN_MS: Final = 4_000.0
@@ -63,49 +60,22 @@
 """Weight of samples below which a member is unknown: one sample 24 s ago."""
 STRICT_AGE_MS: Final = 10_000.0
 """Age at which a statement's weight in the strict work has fallen to 1/e."""
-MEAN_PER_MEDIAN: Final = 1.28
-"""Mean of a lognormal distribution with spread 0.7, in medians."""
-DEFAULT_RESPONSE_MS: Final = 15.0
-"""Response time of a class of statements without samples."""
+CHANGE_FACTOR: Final = 1.6
+"""Factor by which slowness or limit must have changed to be reported as an event; about
+one and a half standard errors of the slowness."""
+CHANGE_WEIGHT: Final = 4.0
+"""Recent samples below which a change isn't reported."""
+CHANGE_SPACING_MS: Final = 1_000.0
+"""Smallest interval between two reported changes of a member."""
 MIN_RESPONSE_MS: Final = 0.1
 """Shortest response time that counts; bounds the logarithm."""
 
 
-class StatementKind(enum.Enum):
-    """Kind of a statement by what the member does for it."""
-
-    READ = "read"
-    BEGIN = "begin"
-    WRITE = "write"
-    COMMIT = "commit"
-
-
-StatementClass = tuple[StatementKind, ReadClass | None]
-"""Statements with similar service time; without a read class, all of a kind."""
-SPEED_KINDS: Final = frozenset({StatementKind.READ, StatementKind.WRITE})
-"""Kinds whose time shows the member's speed. A begin takes little but the network, and
-a commit waits for replicas."""
 FAILURES: Final = frozenset({Refusal.BUSY, Refusal.EXECUTION_FAILED, Refusal.TIMED_OUT})
 """Refusals that count as a member's failure. Others depend on the statement's position,
 on the connection or on the member's role."""
 
 
-def find_kind(
-    statement: Run | RunPrepared | Commit | Begin, prepare: Prepare | None
-) -> StatementKind:
-    """Return the kind of a statement; `prepare` defines a prepared one."""
-    match statement:
-        case Begin():
-            return StatementKind.BEGIN
-        case Commit():
-            return StatementKind.COMMIT
-        case Run(is_write=is_write):
-            pass
-        case _:
-            is_write = prepare is not None and prepare.is_write
-    return StatementKind.WRITE if is_write else StatementKind.READ
-
-
 def queue_factor(load: float, limit: float) -> float:
     """Return the expected wait at a member, in service times.
 
@@ -116,34 +86,6 @@
     return used * used / 2 if used <= 1.0 else used - 0.5
 
 
-@attrs.define
-class LogMean:
-    """Mean of logarithms of durations, with the number of samples it stands for."""
-
-    log_ms: float = math.log(DEFAULT_RESPONSE_MS)
-    weight: float = 0.0
-
-    def add(self, difference: float) -> None:
-        """Add a sample by its difference from the mean."""
-        self.weight = min(MAX_CLASS_WEIGHT, self.weight + 1.0)
-        self.log_ms += difference / self.weight
-
-
-@attrs.define(eq=False)
-class ServiceTimes:
-    """Usual response times of a group's members without a queue, by class."""
-
-    means: dict[StatementClass, LogMean] = attrs.field(factory=dict)
-
-    def find(self, statement_class: StatementClass) -> LogMean:
-        """Return the mean of a class; a class without samples starts at a default."""
-        return self.means.setdefault(statement_class, LogMean())
-
-    def usual_ms(self, statement_class: StatementClass) -> float:
-        """Return the mean response time in milliseconds of a member without a queue."""
-        return MEAN_PER_MEDIAN * math.exp(self.find(statement_class).log_ms)
-
-
 @attrs.define(eq=False)
 class MemberCapacity:
     """State learned about one member; construct it with `make_member_capacity`.
@@ -179,6 +121,12 @@
     strict: float = 0.0
     strict_ms: float = 0.0
     is_primary: bool = False
+    reported_slowness: float = 0.0
+    """Logarithm of the slowness that was last reported as an event."""
+    reported_limit: float = 0.0
+    """Logarithm of the limit that was last reported as an event."""
+    change_ms: float = -math.inf
+    """When a change was last reported."""
 
     def record_response(
         self,
@@ -206,9 +154,9 @@
         is_speed = statement_class[0] in SPEED_KINDS
         expected = self._expected_log(in_flight, now_ms) if is_speed else 0.0
         whole_kind = self.times.find((statement_class[0], None))
-        whole_kind.add(_bound(whole_kind, log_ms - expected - whole_kind.log_ms))
+        whole_kind.add(whole_kind.bound(log_ms - expected - whole_kind.log_ms))
         mean = self.times.find(statement_class)
-        surprise = _bound(mean, log_ms - expected - mean.log_ms)
+        surprise = mean.bound(log_ms - expected - mean.log_ms)
         is_first = mean.weight == 0.0
         mean.add(surprise)
         if is_speed:
@@ -282,6 +230,21 @@
         self.log_limit = math.log(max(1, self.slots))
         self.abandoned = 0
 
+    def take_change(self, now_ms: float) -> bool:
+        """Return whether a change is to be reported, and note it as reported."""
+        is_early = now_ms - self.change_ms < CHANGE_SPACING_MS
+        if is_early or self.known_weight(now_ms) < CHANGE_WEIGHT:
+            return False
+        slowness, limit = self._log_slowness(now_ms), self._log_limit(now_ms)
+        changed = max(
+            abs(slowness - self.reported_slowness), abs(limit - self.reported_limit)
+        )
+        if changed < math.log(CHANGE_FACTOR):
+            return False
+        self.reported_slowness, self.reported_limit = slowness, limit
+        self.change_ms = now_ms
+        return True
+
     def known_weight(self, now_ms: float) -> float:
         """Return the number of samples that the slowness still stands for."""
         return self.weight * _decay(now_ms - self.sampled_ms, SAMPLE_AGE_MS)
@@ -374,13 +337,6 @@
         self.outcome_ms = now_ms
 
 
-def _bound(mean: LogMean, difference: float) -> float:
-    """Bound a difference from a mean; the first sample sets the mean."""
-    if mean.weight == 0.0:
-        return difference
-    return min(MAX_SURPRISE, max(-MAX_SURPRISE, difference))
-
-
 def _decay(age_ms: float, time_ms: float) -> float:
     return math.exp(-age_ms / time_ms) if age_ms > 0.0 else 1.0
 
@@ -391,4 +347,5 @@
     """Return the state of a member of which nothing is known."""
     capacity = MemberCapacity(slots, times or ServiceTimes())
     capacity.forget()
+    capacity.reported_limit = capacity.log_limit
     return capacity
--- a/src/radishtrack/pooler/placement/choice.py
+++ b/src/radishtrack/pooler/placement/choice.py
@@ -21,11 +21,10 @@
 )
 from radishtrack.pooler.placement.capacity import (
     MemberCapacity,
-    ServiceTimes,
-    StatementKind,
     make_member_capacity,
     queue_factor,
 )
+from radishtrack.pooler.placement.service_times import ServiceTimes, StatementKind
 
 CONNECT_MS: Final = 14.0
 """Time to open a connection: 12 ms of a slot and the round trips."""
--- a/src/radishtrack/pooler/placement/recording.py
+++ b/src/radishtrack/pooler/placement/recording.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 from typing import Final
 
+from radishtrack.events import Event, log_event
 from radishtrack.pooler.catalog import ReadClass
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.member_pool import MemberPool
-from radishtrack.pooler.placement.capacity import FAILURES, StatementKind, find_kind
+from radishtrack.pooler.placement.capacity import FAILURES
+from radishtrack.pooler.placement.service_times import StatementKind, find_kind
 from radishtrack.pooler.statements import (
     Begin,
     Commit,
@@ -64,6 +66,17 @@
             capacity.record_response(
                 statement_class, elapsed_ms, pool.in_flight, now_ms
             )
+        if capacity.take_change(now_ms):
+            log_event(
+                Event.MEMBER_CAPACITY_CHANGED,
+                group=access.name,
+                member=pool.member.name,
+                slowness=round(capacity.slowness(now_ms), 2),
+                limit=round(capacity.limit(now_ms), 1),
+                slots=pool.member.slots,
+                load=round(capacity.load(pool.in_flight, now_ms), 1),
+                failure_rate=round(capacity.failure_rate(now_ms), 2),
+            )
 
     return record
 
--- a/tests/placement_model.py
+++ b/tests/placement_model.py
@@ -13,13 +13,9 @@
 
 from radishtrack.pooler.catalog import ReadClass
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
-from radishtrack.pooler.placement.capacity import (
-    MemberCapacity,
-    ServiceTimes,
-    StatementKind,
-    make_member_capacity,
-)
+from radishtrack.pooler.placement.capacity import MemberCapacity, make_member_capacity
 from radishtrack.pooler.placement.choice import estimate_cost, order_estimates
+from radishtrack.pooler.placement.service_times import ServiceTimes, StatementKind
 
 READ = (StatementKind.READ, ReadClass.SESSION)
 CONNECT_MS = 12.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from prometheus_client import CollectorRegistry
 
 from radishtrack.clock import ManualTime, make_manual_clock
 from radishtrack.group.status import Role
@@ -25,10 +26,11 @@
 from radishtrack.pooler.placement.capacity import (
     MAX_LIMIT_SLOTS,
     MemberCapacity,
-    StatementKind,
     make_member_capacity,
 )
 from radishtrack.pooler.placement.choice import estimate_cost, order_estimates
+from radishtrack.pooler.placement.metrics import register_capacity_metrics
+from radishtrack.pooler.placement.service_times import StatementKind
 from radishtrack.pooler.ports import LinkRefused
 from radishtrack.session.position import Position
 
@@ -122,6 +124,29 @@
     assert capacity.is_unknown(time.value_ms)
 
 
+def test_a_change_is_reported_once_per_second_and_only_if_large() -> None:
+    """A flapping member must not fill the log."""
+    capacity = make_member_capacity(SLOTS)
+    changes = 0
+    for step in range(200):
+        elapsed_ms = 20.0 if step < 50 or step // 10 % 2 else 200.0
+        capacity.record_response(READ, elapsed_ms, 0, step * 100.0)
+        changes += capacity.take_change(step * 100.0)
+        assert step >= 50 or changes == 0
+    assert 1 <= changes <= 15
+
+
+def test_the_gauges_show_members_of_scarce_groups_only() -> None:
+    registry = CollectorRegistry()
+    groups = [make_access(ManualTime(1_000.0), nodes=98)]
+    register_capacity_metrics(registry, lambda: tuple(groups))
+    labels = {"group": "g", "member": "ma"}
+    name = "radishtrack_pooler_member_capacity_limit"
+    assert registry.get_sample_value(name, labels) == pytest.approx(SLOTS)
+    groups[0] = make_access(ManualTime(1_000.0), nodes=4)
+    assert registry.get_sample_value(name, labels) is None
+
+
 def find_limit(capacity: MemberCapacity, now_ms: float) -> float:
     return find_attempt_limit(
         capacity, ReadClass.SESSION, in_flight=1, largest_ms=1_000.0, now_ms=now_ms
