--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -36,6 +36,7 @@
     MEMBER_REMOVED = (3013, "info", "member that is no longer listed was removed")
     EVACUATION_STARTED = (3016, "warning", "availability zone is being evacuated")
     EVACUATION_ENDED = (3017, "info", "evacuation of an availability zone ended")
+    MEMBER_CAPACITY_CHANGED = (3015, "info", "learned capacity of a member changed")
     MEMBER_FOLLOWS = (3008, "info", "member told to follow the primary")
     RATES_HELD = (4004, "info", "node holds the organisations' rates")
     LISTING_INVALID = (4003, "warning", "entry in the platform's store is not usable")
