Close the connection of a member stand-in's replica when it ends

Cause: a replica of the member stand-in that was cancelled between two pulls left its aiomysql connection open. It was garbage-collected after its event loop had closed: a warning in tests/test_group_failover.py, and "SystemError: AST constructor recursion depth mismatch" at the end of pytest if the collection fell into ast.parse.

Change: Replica.run disconnects when it ends or is cancelled.

--- a/src/radishtrack_standins/member_replica.py
+++ b/src/radishtrack_standins/member_replica.py
@@ -68,6 +68,9 @@
                 tasks.create_task(self._apply_forever())
         except* sqlite3.Error:
             logging.exception("%s: replication stopped", self.member.name)
+        finally:
+            # Between two pulls, cancellation does not close the connection by itself.
+            self._disconnect()
 
     async def _pull_forever(self) -> None:
         while True:
--- a/tests/test_member_standin_faults.py
+++ b/tests/test_member_standin_faults.py
@@ -121,6 +121,29 @@
     await replica.close()
 
 
+async def test_a_replica_that_is_closed_between_two_pulls_closes_its_connection(
+    member: RunningMember, tmp_path: Path
+) -> None:
+    """Its connection was garbage-collected after the event loop had closed."""
+    settings = MemberSettings(
+        "M2", tmp_path / "M2", connect_cost_ms=0, source=f"{HOST}:{member.port}"
+    )
+    replica = await start_member(settings)
+    async with open_connection(member.port) as connection:
+        await query(connection, "CREATE TABLE orders (id INT)")
+    (main_port,) = (server for server in member.servers if server.number == member.port)
+    async with asyncio.timeout(5):
+        while replica.member.log.sequence < 1:
+            await asyncio.sleep(0.01)
+        # The pull under way gets its response; the next one waits.
+        replica.member.faults.set(cut_replication=True)
+        await asyncio.sleep(0.6)
+        assert main_port.tasks
+        await replica.close()
+        while main_port.tasks:
+            await asyncio.sleep(0.01)
+
+
 async def test_responses_are_delayed(member: RunningMember) -> None:
     async with open_connection(member.port) as connection:
         await set_switches(member.control_port, delay_ms=80)
