Move primaries out of evacuated zones and end transactions there

Cause: a primary in an evacuated zone, and transactions that are open at its members, kept the zone in use.

Change: a planned promotion (EVACUATED, no votes) replaces such a primary, one group at a time, by the most advanced fenced member outside all evacuated zones. Replicas in those zones are fenced first. Without a possible successor there is no attempt, or one in 5 s over all nodes, and work for the primary is refused at once. A member of an evacuated zone is promoted only if the group has no primary otherwise. A waiting planned promotion is no vote against the primary. Until its promotion, and within the bound, the primary takes what only it can run, with current evidence: without that rule, writes that met the fence had unknown outcomes. At the bound, connections with open transactions are closed, which rolls back; a statement in progress is left to finish. Cold members are not built.

--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -9,6 +9,7 @@
 
 from radishtrack.errors import RequestError
 from radishtrack.pooler.catalog import Route
+from radishtrack.pooler.evacuation.succession import is_primary_stranded
 from radishtrack.pooler.group_access import GroupAccess, ReadPlan
 from radishtrack.pooler.member_pool import MemberPool, PooledLink
 from radishtrack.pooler.ports import LinkLost, LinkRefused
@@ -244,7 +245,7 @@
     access: GroupAccess, context: StatementContext, statement: Executable
 ) -> Result:
     plan = context.plan
-    if not _has_primary(access):
+    if not _has_primary(access) and not is_primary_stranded(access):
         await access.wait_for(lambda: _has_primary(access), plan.evidence_until_ms)
     pool = access.usable_primary()
     if pool is None or not access.may_send_commit():
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -183,13 +183,29 @@
         pool = self.primary_pool
         if pool is None or not pool.is_reachable:
             return None
-        return pool if self.may_use(pool.member.name) else None
+        return pool if self.may_use(pool.member.name, for_primary=True) else None
 
-    def may_use(self, name: str) -> bool:
-        """Return whether a member may get new work, even if leaving or unlisted."""
+    def may_use(self, name: str, *, for_primary: bool = False) -> bool:
+        """Return whether a member may get new work, even if leaving or unlisted.
+
+        Parameters
+        ----------
+        name : str
+            The member.
+        for_primary : bool
+            Whether only the group's primary can run the work. In an evacuated zone it
+            may do so until its successor is promoted, within the bound.
+        """
         pool = self.pools.get(name)
         if pool is not None and self.evacuated.includes(pool.member.zone):
-            return False
+            if not for_primary or name != self.evidence.primary:
+                return False
+            # Commits that a planned promotion meets would have unknown outcomes.
+            may_finish = self.evacuated.may_finish(
+                pool.member.zone, self.clock.now_ms()
+            )
+            if not may_finish or not self.is_current():
+                return False
         since_ms = self.unlisted_ms.get(name, float("inf"))
         leaving = self.leaving.get(name)
         if leaving is not None:
@@ -209,9 +225,9 @@
         zone = member.zone
         if not self.evacuated.includes(zone):
             return True
-        return is_in_transaction and self.evacuated.may_finish(
-            zone, self.clock.now_ms()
-        )
+        if not is_in_transaction and member.name != self.evidence.primary:
+            return False
+        return self.evacuated.may_finish(zone, self.clock.now_ms())
 
     def may_send_commit(self) -> bool:
         """Return whether a commit may be sent to the primary.
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -44,6 +44,8 @@
     values: dict[str, str] = attrs.field(factory=dict)
     prepared: set[str] = attrs.field(factory=set)
     is_in_transaction: bool = False
+    is_running: bool = False
+    """Whether the response to a statement is outstanding."""
 
     async def run(
         self,
@@ -53,9 +55,13 @@
         timeout_ms: float,
     ) -> MemberResponse:
         """Run a statement and record whether a transaction is open."""
-        response = await self.link.run(
-            statement, min_position=min_position, timeout_ms=timeout_ms
-        )
+        self.is_running = True
+        try:
+            response = await self.link.run(
+                statement, min_position=min_position, timeout_ms=timeout_ms
+            )
+        finally:
+            self.is_running = False
         self.is_in_transaction = response.state is not TransactionState.IDLE
         return response
 
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -31,6 +31,7 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.content_exchange import ContentExchange
 from radishtrack.pooler.evacuation.reports import EvacuationReporter
+from radishtrack.pooler.evacuation.transactions import end_transactions
 from radishtrack.pooler.group_access import GroupAccess, make_group_access
 from radishtrack.pooler.monitor import MemberMonitor
 from radishtrack.pooler.peers import Peers
@@ -275,6 +276,8 @@
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
             if len(self.store_copy.nodes) != self.applied_node_count:
                 self.apply_store_copy()
+            for access in self.groups.values():
+                end_transactions(access)
             if self.options.key_age_limit_ms is not None:
                 await self._remove_unresponsive_nodes()
             await self._restore_records()
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -14,6 +14,11 @@
 from radishtrack.peer.messages import BeliefWithdrawn, Vote, VoteRequest, WithdrawBelief
 from radishtrack.pooler.catalog import MemberReport
 from radishtrack.pooler.coordinator_failover import RATES_DUTY
+from radishtrack.pooler.evacuation.succession import (
+    list_evacuated_members,
+    may_start_evacuation,
+    order_fences,
+)
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import request_report
@@ -26,8 +31,9 @@
     count_required_fences,
     find_promotion_reason,
     is_promotion_unfinished,
+    needs_outside_successor,
 )
-from radishtrack.pooler.promotion_duty import Claim, PromotionDuty
+from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, Claim, PromotionDuty
 from radishtrack.pooler.rank import rank_node
 from radishtrack.pooler.statements import Fence, GetStatus, MemberStatement, Unfence
 from radishtrack.pooler.store_copy import DEPARTURE_MS, StoreCopy
@@ -69,8 +75,13 @@
 
     progress: ReplicationProgress = attrs.field(factory=ReplicationProgress)
     unfinished_since_ms: float | None = None
+    reason: PromotionReason | None = None
     reason_since_ms: float | None = None
     not_before_ms: float = 0.0
+    announced_term: int = 0
+    """Term of the last promotion of the group that this node announced."""
+    announced_ms: float = 0.0
+    """When this node announced it."""
     task: asyncio.Task[None] | None = None
 
 
@@ -111,6 +122,11 @@
         reason = find_promotion_reason(
             access, state.progress, state.unfinished_since_ms, now_ms
         )
+        was_planned = state.reason is PromotionReason.EVACUATED
+        if was_planned and reason is not state.reason:
+            # Nodes may have waited for long, and must not all attempt the next at once.
+            state.reason_since_ms = None
+        state.reason = reason
         if reason is None:
             state.reason_since_ms = None
             return
@@ -121,10 +137,31 @@
             return
         if not self.store_copy.is_available:
             return
+        if reason is PromotionReason.EVACUATED and not self._may_evacuate(
+            access, state, now_ms
+        ):
+            return
         state.task = start_task(
             self._attempt(access, state, reason), f"promotion in {access.name}"
         )
 
+    def _may_evacuate(
+        self, access: GroupAccess, state: PromotionState, now_ms: float
+    ) -> bool:
+        """Return whether a promotion out of an evacuated zone may start now."""
+        observed_ms = self.store_copy.duties.find(PROMOTION_DUTY).observed_ms
+        return may_start_evacuation(
+            is_other_under_way=any(
+                other.task is not None and not other.task.done()
+                for other in self.states.values()
+            ),
+            has_failed_attempt=access.evidence.term
+            < max(state.announced_term, access.evidence.announced_term),
+            last_claim_ms=max(observed_ms, state.announced_ms),
+            rank_delay_ms=self._rank(access.name) * RANK_DELAY_MS,
+            now_ms=now_ms,
+        )
+
     async def vote(self, group: str, member: str) -> bool:
         """Return whether this node, too, finds that a primary can't serve.
 
@@ -142,7 +179,9 @@
         pool = access.pools.get(member)
         if pool is None or not pool.is_reachable or access.evidence.primary != member:
             return True
-        if state is not None and state.reason_since_ms is not None:
+        # A planned promotion says nothing about what the primary can do.
+        reason = None if state is None else state.reason
+        if reason is not None and reason is not PromotionReason.EVACUATED:
             return True
         if self.clock.now_ms() - pool.last_response_ms <= VOTE_RECENT_RESPONSE_MS:
             return False
@@ -175,7 +214,7 @@
             reason=reason.value,
         )
         try:
-            outcome = await self._replace_primary(access, reason)
+            outcome = await self._replace_primary(access, state, reason)
         except StoreUnavailable as error:
             outcome = f"store: {error}"
         finally:
@@ -191,7 +230,7 @@
         )
 
     async def _replace_primary(
-        self, access: GroupAccess, reason: PromotionReason
+        self, access: GroupAccess, state: PromotionState, reason: PromotionReason
     ) -> str:
         """Run one promotion; return why it failed, or an empty string."""
         old_primary = access.presumed_primary()
@@ -207,6 +246,7 @@
             return "another node holds the duty"
         term = access.evidence.term + 1
         await self.store_copy.store.announce_term(access.name, term)
+        state.announced_term, state.announced_ms = term, self.clock.now_ms()
         log_event(
             Event.PROMOTION_STARTED,
             group=access.name,
@@ -228,7 +268,13 @@
             name for name, pool in access.pools.items() if pool.member.is_leaving
         )
         successor = choose_successor(
-            fenced, access.evidence, old_primary, leaving, acknowledged_term
+            fenced,
+            access.evidence,
+            old_primary,
+            leaving,
+            acknowledged_term,
+            list_evacuated_members(access),
+            needs_outside=needs_outside_successor(access, reason),
         )
         if access.evidence.term >= term:
             return "another promotion was faster"
@@ -288,7 +334,8 @@
         """Fence enough members; return the time of completion, or None on failure."""
         for _ in range(FENCE_ROUNDS):
             names = [name for name in access.pools if name != old_primary]
-            await self._request_reports(access, names, Fence(term))
+            for group in order_fences(access, names):
+                await self._request_reports(access, group, Fence(term))
             needed = count_required_fences(access.evidence, old_primary)
             if self._count_fenced(access, term, old_primary) >= needed:
                 return self.clock.now_ms()
--- a/src/radishtrack/pooler/promotion.py
+++ b/src/radishtrack/pooler/promotion.py
@@ -10,6 +10,10 @@
 
 from radishtrack.group.status import Role
 from radishtrack.pooler.catalog import MemberReport
+from radishtrack.pooler.evacuation.succession import (
+    can_move_primary,
+    is_in_evacuated_zone,
+)
 from radishtrack.pooler.evidence import GroupEvidence
 from radishtrack.pooler.group_access import GroupAccess
 
@@ -33,6 +37,7 @@
     LEAVING = "primary is leaving"
     UNLISTED = "primary is no longer listed"
     STALLED = "no replica follows the primary"
+    EVACUATED = "primary's zone is evacuated"
     ABANDONED = "an earlier promotion was not completed"
 
     @property
@@ -142,9 +147,22 @@
     is_stalled = progress.stalled_ms(now_ms) >= STALLED_MS
     if needs_replicas and is_stalled and progress.is_stall_confirmed(evidence):
         return PromotionReason.STALLED
+    if is_in_evacuated_zone(access, pool.member.name) and can_move_primary(access):
+        return PromotionReason.EVACUATED
     return None
 
 
+def needs_outside_successor(access: GroupAccess, reason: PromotionReason) -> bool:
+    """Return whether a member of an evacuated zone must not be promoted.
+
+    It may be if the group has no primary otherwise.
+    """
+    pool = access.primary_pool
+    if pool is None or not pool.is_reachable:
+        return False
+    return reason in (PromotionReason.EVACUATED, PromotionReason.ABANDONED)
+
+
 def is_promotion_unfinished(evidence: GroupEvidence) -> bool:
     """Return whether the group has no primary or has members fenced for a promotion."""
     return evidence.term > 0 and (
@@ -169,6 +187,9 @@
     old_primary: str,
     leaving: frozenset[str],
     acknowledged_term: int = 0,
+    evacuated: frozenset[str] = frozenset(),
+    *,
+    needs_outside: bool = False,
 ) -> MemberReport | None:
     """Return the member to promote.
 
@@ -186,6 +207,11 @@
         is as advanced.
     acknowledged_term : int
         Newest term in which nodes are known to have acknowledged a commit.
+    evacuated : frozenset of str
+        Members in evacuated zones; one of them is promoted only if no other member is
+        as advanced.
+    needs_outside : bool
+        Whether none of them may be promoted.
 
     Returns
     -------
@@ -193,6 +219,7 @@
         None if too few members are fenced to contain every acknowledged commit, or if
         none of them has a commit of `acknowledged_term`. The replica that received
         these commits has left with its log, so that only the old primary has them.
+        With `needs_outside` also if no member outside is as advanced as the others.
     """
     complete = {
         name: report
@@ -212,4 +239,10 @@
     if most_advanced.term < acknowledged_term:
         return None
     successors = [r for r in candidates.values() if r.position == most_advanced]
-    return min(successors, key=lambda report: (report.member in leaving, report.member))
+    if needs_outside:
+        successors = [r for r in successors if r.member not in evacuated]
+    return min(
+        successors,
+        key=lambda r: (r.member in evacuated, r.member in leaving, r.member),
+        default=None,
+    )
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -135,6 +135,11 @@
     async def _roll_back(self, pooled: PooledLink) -> None:
         if pooled.link.is_closed:
             return
+        assert self.pool is not None
+        if not self.access.may_send(self.pool.member, is_in_transaction=True):
+            # The closed connection rolls back without another request.
+            pooled.link.close()
+            return
         try:
             await pooled.run(
                 Rollback(), min_position=None, timeout_ms=ROLLBACK_TIMEOUT_MS
@@ -210,7 +215,10 @@
         self, member: str, context: StatementContext, min_position: Position | None
     ) -> Result | None:
         pool = self.access.pools.get(member)
-        if pool is None or not pool.is_reachable or not self.access.may_use(member):
+        # Plans name an evacuated primary only for what no other member can run.
+        is_primary = member == self.access.evidence.primary
+        may_use = self.access.may_use(member, for_primary=is_primary)
+        if pool is None or not pool.is_reachable or not may_use:
             return make_refusal(Refusal.BUSY, f"{member} is not reachable", member)
         stack = AsyncExitStack()
         try:
--- a/tests/test_content_exchange.py
+++ b/tests/test_content_exchange.py
@@ -100,12 +100,20 @@
 
 
 async def test_confirmed_content_of_a_peer_needs_no_call_of_the_store() -> None:
-    copy, store = make_store_copy(Content(1, encode_catalog(CATALOG), b"", b""))
+    zones = frozenset({"a"})
+    part = encode_members((), zones)
+    copy, store = make_store_copy(Content(1, encode_catalog(CATALOG), part, b""))
     await copy.confirm()
     calls = store.list_calls + store.catalog_reads
-    wanted = attrs.evolve(copy.content, revision=5, catalog=CATALOG.version)
+    wanted = attrs.evolve(
+        copy.content,
+        revision=5,
+        catalog=CATALOG.version,
+        members=digest_members((), zones),
+    )
     assert await copy.confirm((wanted, 10_500.0))
     assert copy.catalog == CATALOG
+    assert copy.evacuated.in_effect == zones
     assert copy.confirmed_ms == 10_500.0
     assert store.list_calls + store.catalog_reads == calls
 
