--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -10,6 +10,7 @@
 
 from radishtrack.errors import RequestError
 from radishtrack.pooler.catalog import ReadClass, Route
+from radishtrack.pooler.evacuation.succession import is_primary_stranded
 from radishtrack.pooler.group_access import GroupAccess, ReadPlan
 from radishtrack.pooler.member_pool import MemberPool, PooledLink
 from radishtrack.pooler.placement.attempt_limit import find_attempt_limit
@@ -113,6 +114,8 @@
 ) -> bool:
     """Wait for the primary if it is expected in time; return whether it is there."""
     plan = context.plan
+    if is_primary_stranded(access):
+        return is_ready()
     if not access.is_scarce:
         return await access.wait_for(is_ready, plan.evidence_until_ms)
 
