--- a/src/radishtrack/pooler/connections/allowance.py
+++ b/src/radishtrack/pooler/connections/allowance.py
@@ -33,7 +33,8 @@
 """Rights of one node for one report."""
 MAX_NODE_FRACTION: Final = 0.25
 """Fraction of the usable connections that one node may have. Without this bound, one
-node whose statements get no response would take all free connections in time."""
+node whose statements get no response would take all free connections in time. Where
+the fraction is small, `MAX_RIGHTS` beyond the equal share are permitted."""
 REFUSAL_PAUSE_MS: Final = 1_000.0
 """Shortest time without growth after a refusal: one interval between reports."""
 REFUSAL_SPREAD_MS: Final = 1_000.0
@@ -71,7 +72,8 @@
     @property
     def max_limit(self) -> int:
         """Most connections of one node."""
-        return max(self.equal_share, int(self.usable * MAX_NODE_FRACTION))
+        fraction = int(self.usable * MAX_NODE_FRACTION)
+        return max(self.equal_share + MAX_RIGHTS, fraction)
 
     def count_free(self, connections: int) -> int:
         """Return how many connections may be added to `connections` open ones."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -24,6 +24,13 @@
 )
 from radishtrack.pooler.group_access import make_group_access
 from tests.connection_fleet import Fleet, run_virtual
+from tests.pooler_simulation import (
+    GROUP,
+    OTHER_KEY,
+    make_config,
+    open_simulation,
+    wait_until,
+)
 
 FLEETS = pytest.mark.parametrize(
     ("nodes", "accepted", "slots", "service_s"),
@@ -187,3 +194,23 @@
         access.notify()
     assert pool.sharing.allowance is None
     assert pool.gate.queue.connections == max(1, int(accepted * 0.75) // nodes)
+
+
+async def test_work_is_served_while_a_transaction_holds_a_connection() -> None:
+    """With one connection, other work waited until its deadline and was refused."""
+    async with open_simulation(3) as simulation:
+        config = make_config(2)
+        config["services"][0]["maxConns"] = 7
+        simulation.store.put("config", "main", config)
+        running = simulation.nodes[0]
+        pool = running.node.find_group(GROUP).pools["i-1"]
+        await wait_until(
+            lambda: pool.sharing.allowance is not None and pool.sharing.allowance.rights
+        )
+        assert pool.gate.queue.connections == 1
+        holder = await simulation.connect(running, "orders")
+        other = await simulation.connect(running, "orders", OTHER_KEY)
+        await holder.execute("BEGIN")
+        await holder.execute("WRITE 1a4 boots")
+        assert (await other.execute("READ 1a4"))[-2].startswith("COMPLETE i-1")
+        assert (await holder.execute("COMMIT"))[0].startswith("COMPLETE i-1")
