Limit retries for each node and group, and count waits and refusals

Cause: each statement may be sent six times, so that an overload or a failing member gets up to six times the load.

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -22,6 +22,7 @@
     STATEMENT_FINISHED = (2005, "info", "statement finished")
     LINES_SUPPRESSED = (2006, "warning", "log lines suppressed to bound the volume")
     CLIENT_MALFORMED = (2007, "warning", "client broke the protocol")
+    WORK_DISPLACED = (2008, "info", "waiting work displaced by more urgent work")
     MEMBER_UNREACHABLE = (3001, "warning", "member does not answer status polls")
     MEMBER_REACHABLE = (3002, "info", "member answers status polls again")
     PRIMARY_SUSPECTED = (3003, "warning", "primary suspected; votes requested")
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -16,6 +16,8 @@
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
 from radishtrack.pooler.ports import OpenLink
 from radishtrack.pooler.scheduling.primary_wait import PrimaryWait
+from radishtrack.pooler.scheduling.retry_limit import RetryLimit
+from radishtrack.pooler.scheduling.scheduling_log import SchedulingLog
 from radishtrack.session.position import Position
 
 MIN_CONNECTIONS: Final = 1
@@ -112,6 +114,9 @@
     see `MIN_EVEN_CONNECTIONS`."""
     primary_wait: PrimaryWait = attrs.field(factory=PrimaryWait)
     """How long the primary has been absent; used in scarce groups."""
+    retry_limit: RetryLimit = attrs.field(factory=RetryLimit)
+    """Limit of this node's retries; used in scarce groups."""
+    scheduling_log: SchedulingLog | None = None
     pools: dict[str, MemberPool] = attrs.field(factory=dict)
     unlisted_ms: dict[str, float] = attrs.field(factory=dict)
     """When a member disappeared from the store's list, by name."""
@@ -365,6 +370,7 @@
                 member, self.open_link, self.clock, self._connection_limit()
             )
             pool.set_scarce(self.is_scarce)
+            pool.scheduling_log = self.scheduling_log
             # A crash ends the member's connections long before the next poll.
             pool.on_link_end = self.request_poll
             self.pools[member.name] = pool
--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -12,8 +12,10 @@
 from radishtrack.admission.gate import Gate
 from radishtrack.admission.permit_queue import PermitQueue
 from radishtrack.clock import Clock
+from radishtrack.errors import RequestError
 from radishtrack.pooler.catalog import Member
 from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, OpenLink
+from radishtrack.pooler.scheduling.scheduling_log import SchedulingLog
 from radishtrack.pooler.scheduling.work import Work
 from radishtrack.pooler.scheduling.work_queue import WorkQueue, make_work_queue
 from radishtrack.pooler.statements import (
@@ -129,6 +131,7 @@
     """Called when the member ends a connection."""
     opening: int = 0
     """Connections that are being opened."""
+    scheduling_log: SchedulingLog | None = None
 
     @asynccontextmanager
     async def lease(
@@ -158,7 +161,7 @@
         LinkRefused
             If a new connection was needed and the member refused it.
         """
-        async with self.gate.connection(organisation, deadline_ms, work):
+        async with self._permit(organisation, deadline_ms, work):
             pooled = self._find_idle(organisation, values)
             if pooled is None:
                 pooled = await self._open(organisation)
@@ -172,6 +175,25 @@
             finally:
                 self._return_link(pooled)
 
+    @asynccontextmanager
+    async def _permit(
+        self, organisation: str, deadline_ms: float, work: Work | None
+    ) -> AsyncIterator[None]:
+        """Hold a permit of the gate, and record the wait in a scarce group."""
+        log = self.scheduling_log if isinstance(self.gate.queue, WorkQueue) else None
+        offered_ms = self.clock.now_ms()
+        is_granted = False
+        try:
+            async with self.gate.connection(organisation, deadline_ms, work):
+                is_granted = True
+                if log is not None and work is not None:
+                    log.observe_wait(work, self.clock.now_ms() - offered_ms)
+                yield
+        except RequestError as error:
+            if log is not None and work is not None and not is_granted:
+                log.observe_refusal(self.member.name, work, error.failure.message)
+            raise
+
     @asynccontextmanager
     async def lease_any(
         self, organisation: str, deadline_ms: float
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -45,6 +45,10 @@
 from radishtrack.pooler.readiness import StopPlan, make_stop_plan
 from radishtrack.pooler.report_relay import ReportRelay
 from radishtrack.pooler.request_log import RequestLog
+from radishtrack.pooler.scheduling.scheduling_log import (
+    SchedulingLog,
+    make_scheduling_log,
+)
 from radishtrack.pooler.session import (
     OPEN_ORGANISATION,
     ClientSession,
@@ -110,6 +114,7 @@
     relay: ReportRelay
     content: ContentExchange
     recovery: StoreRecovery
+    scheduling_log: SchedulingLog
     groups: dict[str, GroupAccess] = attrs.field(factory=dict)
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     sessions: set[ClientSession] = attrs.field(factory=set)
@@ -182,6 +187,7 @@
                 self.open_link,
                 self._has_all_announcements,
             )
+            access.scheduling_log = self.scheduling_log
             self.groups[name] = access
         return access
 
@@ -471,6 +477,7 @@
         relay,
         content,
         StoreRecovery(store_copy, peers, groups, rates.is_coordinator),
+        make_scheduling_log(clock, log.registry),
         groups=groups,
     )
     store_copy.on_change = node.apply_store_copy
--- a/src/radishtrack/pooler/retry.py
+++ b/src/radishtrack/pooler/retry.py
@@ -7,6 +7,7 @@
 import attrs
 
 from radishtrack.pooler.catalog import Route
+from radishtrack.pooler.scheduling.retry_limit import RetryLimit
 
 WAIT_OBJECTIVES: Final = 3.0
 """Longest wait for a connection or a primary, in latency objectives. Clients' deadlines
@@ -31,10 +32,23 @@
     attempts: int = 0
     is_sent: bool = False
     """Whether anything of the statement may have been sent to a member."""
+    limit: RetryLimit | None = None
+    """Limit of the node's retries at a scarce group."""
+    counted_attempt: int = 0
+    """Last attempt whose repetition the limit has allowed."""
 
     def may_retry(self, now_ms: float) -> bool:
         """Return whether another attempt may start."""
-        return self.attempts < MAX_ATTEMPTS and now_ms < self.wait_until_ms
+        if self.attempts >= MAX_ATTEMPTS or now_ms >= self.wait_until_ms:
+            return False
+        # A statement that was never sent has not loaded a member.
+        if self.limit is None or not self.is_sent:
+            return True
+        if self.counted_attempt < self.attempts:
+            if not self.limit.try_retry(now_ms):
+                return False
+            self.counted_attempt = self.attempts
+        return True
 
     def remaining_ms(self, now_ms: float) -> float:
         """Return the time that is left for running the statement."""
--- a/src/radishtrack/pooler/scheduling/work_queue.py
+++ b/src/radishtrack/pooler/scheduling/work_queue.py
@@ -24,6 +24,8 @@
 from radishtrack.pooler.scheduling.priority_class import PriorityClass
 from radishtrack.pooler.scheduling.retry_hint import retry_after_ms
 
+DISPLACED: Final = "displaced by more urgent work"
+"""Reason of a refusal."""
 OWN_PRIORITY: Final = -1
 """Priority of the node's own statements, ahead of all work."""
 STARTS_PER_AGED: Final = 8
@@ -303,7 +305,7 @@
             excess_ms = now_ms + estimate_ms - entry.waiter.deadline_ms
             if excess_ms <= 0:
                 return None
-            return entry, "displaced by more urgent work", excess_ms
+            return entry, DISPLACED, excess_ms
         return None
 
     def _estimate_from_class(self, priority: int, now_ms: float) -> float:
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -274,6 +274,10 @@
         self, access: SessionAccess, prepare: Prepare | None, arrived_ms: float
     ) -> StatementContext:
         plan = make_attempt_plan(access.route, arrived_ms)
+        group = self.context.find_group(access.route.group)
+        if group.is_scarce:
+            group.retry_limit.count_first()
+            plan.limit = group.retry_limit
         return StatementContext(
             access.organisation, access.route, self.values, prepare, plan
         )
