Add a retry hint to each refusal of this node in scarce groups

Cause: refused callers don't know when a retry is likely to be served, and return together.

Retries are spread, the most urgent first.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -267,6 +267,7 @@
             refresh=self.store_copy.refresh,
             admit=self.rates.admit,
             refund=self.rates.refund,
+            token_wait_ms=self.rates.token_wait_ms,
             find_group=self.find_group,
             observe=self.log.observe,
             observe_denied=self.log.observe_denied,
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -115,6 +115,11 @@
         """Return the token of an operation of which nothing was sent to a member."""
         self.limiter.refund(token, self.clock.now_ms())
 
+    def token_wait_ms(self, organisation: str) -> float:
+        """Return the time until the rate of an organisation may have a token."""
+        request_ms = self.limiter.next_request_ms(organisation)
+        return max(0.0, request_ms - self.clock.now_ms())
+
     def grant(self, node: str, message: SharesWanted) -> SharesGranted:
         """Respond to a node's request as coordinator."""
         now_ms = self.clock.now_ms()
--- a/src/radishtrack/pooler/scheduling/retry_hint.py
+++ b/src/radishtrack/pooler/scheduling/retry_hint.py
@@ -35,6 +35,9 @@
     return round(base_ms + offset * spread_ms)
 
 
+HINT: Final = "; retry after "
+
+
 def add_hint(detail: str, hint_ms: int) -> str:
     """Return the text of a refusal with the hint at its end."""
-    return f"{detail}; retry after {hint_ms} ms"
+    return detail if HINT in detail else f"{detail}{HINT}{hint_ms} ms"
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -20,6 +20,7 @@
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.rate_limit import RateToken
 from radishtrack.pooler.retry import make_attempt_plan
+from radishtrack.pooler.scheduling.retry_hint import add_hint, retry_after_ms
 from radishtrack.pooler.statements import (
     Begin,
     ClientResponse,
@@ -91,6 +92,8 @@
     observe_denied : callable
         Records a denied session: database, reason, and age of the configuration in
         milliseconds.
+    token_wait_ms : callable
+        Takes an organisation; returns the time until its rate may have a token.
     catalog_age_ms : callable
         Returns the age of the configuration in milliseconds.
     """
@@ -103,6 +106,7 @@
     find_group: Callable[[str], GroupAccess]
     observe: Callable[[ClientSession, str, str, Result, float], None]
     observe_denied: Callable[[str, Denied, float], None]
+    token_wait_ms: Callable[[str], float]
     catalog_age_ms: Callable[[], float]
 
     def report_denied(self, database: str, denied: Denied) -> None:
@@ -213,6 +217,8 @@
         )
         self.transaction = None
         self._refund(transaction.take_refund(statement_context))
+        if not statement_context.plan.is_sent:
+            result = self._add_hint(result, arrived_ms)
         if result.response.refusal is None and transaction.has_written:
             self._record_commit(access.route.group, result)
         return self._respond(statement.statement_id, "commit", result, arrived_ms)
@@ -249,6 +255,7 @@
             result = await run_read(group, statement_context, executable, position)
         if not statement_context.plan.is_sent:
             self._refund(token)
+            result = self._add_hint(result, arrived_ms)
         result = attrs.evolve(result, attempts=statement_context.plan.attempts)
         step = "write" if is_write else "read"
         return self._respond(statement.statement_id, step, result, arrived_ms)
@@ -298,10 +305,30 @@
             self.context.refund(token)
 
     def _refuse_over_rate(self, statement_id: str, step: str) -> ClientResponse:
-        result = make_refusal(Refusal.BUSY, "the organisation is over its rate")
         arrived_ms = self.context.clock.now_ms()
+        organisation = self._require_access().organisation
+        result = self._add_hint(
+            make_refusal(Refusal.BUSY, "the organisation is over its rate"),
+            arrived_ms,
+            self.context.token_wait_ms(organisation),
+        )
         return self._respond(statement_id, step, result, arrived_ms)
 
+    def _add_hint(
+        self, result: Result, arrived_ms: float, excess_ms: float = 0.0
+    ) -> Result:
+        """Add the retry hint to the text of a refusal of this node."""
+        route = self._require_access().route
+        is_scarce = self.context.find_group(route.group).is_scarce
+        if not is_scarce or result.response.refusal is not Refusal.BUSY:
+            return result
+        # The arrival time spreads the retries.
+        hint_ms = retry_after_ms(excess_ms, route.priority, int(arrived_ms))
+        detail = add_hint(result.response.detail, hint_ms)
+        return attrs.evolve(
+            result, response=attrs.evolve(result.response, detail=detail)
+        )
+
     def _record_commit(self, group: str, result: Result) -> None:
         position = result.response.position
         if position is not None:
