--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -47,6 +47,10 @@
 from radishtrack.pooler.readiness import StopPlan, make_stop_plan
 from radishtrack.pooler.report_relay import ReportRelay
 from radishtrack.pooler.request_log import RequestLog
+from radishtrack.pooler.scheduling.scheduling_log import (
+    SchedulingLog,
+    make_scheduling_log,
+)
 from radishtrack.pooler.session import (
     OPEN_ORGANISATION,
     ClientSession,
@@ -112,6 +116,7 @@
     relay: ReportRelay
     content: ContentExchange
     recovery: StoreRecovery
+    scheduling_log: SchedulingLog
     groups: dict[str, GroupAccess] = attrs.field(factory=dict)
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     sessions: set[ClientSession] = attrs.field(factory=set)
@@ -187,6 +192,7 @@
             )
             access.node = self.options.node.name
             access.evacuated = self.store_copy.evacuated
+            access.scheduling_log = self.scheduling_log
             self.groups[name] = access
         return access
 
@@ -267,6 +273,7 @@
             refresh=self.store_copy.refresh,
             admit=self.rates.admit,
             refund=self.rates.refund,
+            token_wait_ms=self.rates.token_wait_ms,
             find_group=self.find_group,
             observe=self.log.observe,
             observe_denied=self.log.observe_denied,
@@ -479,6 +486,7 @@
         relay,
         content,
         StoreRecovery(store_copy, peers, groups, rates.is_coordinator),
+        make_scheduling_log(clock, log.registry),
         groups=groups,
     )
     store_copy.on_change = node.apply_store_copy
