--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -23,6 +23,7 @@
     Route,
 )
 from radishtrack.pooler.group_access import GroupAccess, make_group_access
+from radishtrack.pooler.member_pool import MemberPool
 from radishtrack.pooler.member_ranking import Candidate, rank_candidates
 from radishtrack.pooler.placement.attempt_limit import find_attempt_limit
 from radishtrack.pooler.placement.capacity import (
@@ -32,8 +33,10 @@
 )
 from radishtrack.pooler.placement.choice import estimate_cost, order_estimates
 from radishtrack.pooler.placement.metrics import register_capacity_metrics
+from radishtrack.pooler.placement.recording import start_recording
 from radishtrack.pooler.placement.service_times import StatementKind
 from radishtrack.pooler.ports import LinkRefused
+from radishtrack.pooler.statements import MemberResponse, Refusal, Run
 from radishtrack.session.position import Position
 from tests.placement_model import Model, ModelMember, Outcome
 
@@ -347,3 +350,35 @@
         report(access, time, {"ma": 30, "mb": 30, "mc": 1})
         access.plan_read(ROUTE, None, "o")
     assert count_first(access)["mc"] > 200
+
+
+def test_outcomes_are_recorded_by_kind_in_scarce_groups_only() -> None:
+    """Lagging and lost responses must not count as failures or speed by mistake."""
+    time = ManualTime(1_000.0)
+    for nodes, is_recorded in ((4, False), (98, True)):
+        access = make_access(time, nodes)
+        pool = access.pools["ma"]
+
+        def send(
+            response: MemberResponse | None,
+            elapsed_ms: float,
+            access: GroupAccess = access,
+            pool: MemberPool = pool,
+        ) -> None:
+            record = start_recording(
+                access, pool, Run("1", "", False), None, ReadClass.SESSION, 300.0
+            )
+            time.value_ms += elapsed_ms
+            record(response)
+
+        send(MemberResponse(), 20.0)
+        send(MemberResponse(refusal=Refusal.LAGGING), 1.0)
+        assert pool.capacity.outcomes == (1.0 if is_recorded else 0.0)
+        send(MemberResponse(refusal=Refusal.EXECUTION_FAILED), 1.0)
+        assert (pool.capacity.failures > 0.0) is is_recorded
+        assert pool.capacity.slowness(time.value_ms) == 1.0
+        send(None, 10.0)
+        assert pool.capacity.abandoned == 0
+        send(None, 300.0)
+        assert pool.capacity.abandoned == int(is_recorded)
+        assert (pool.capacity.slowness(time.value_ms) > 1.0) is is_recorded
