Report only large changes of a member's capacity

Cause: with a factor of 1.6, event 3015 was written 74 times per hour for a steady member, from the spread of service times alone.

Change: the factor is 2.

--- a/src/radishtrack/pooler/placement/capacity.py
+++ b/src/radishtrack/pooler/placement/capacity.py
@@ -60,9 +60,9 @@
 """Weight of samples below which a member is unknown: one sample 24 s ago."""
 STRICT_AGE_MS: Final = 10_000.0
 """Age at which a statement's weight in the strict work has fallen to 1/e."""
-CHANGE_FACTOR: Final = 1.6
-"""Factor by which slowness or limit must have changed to be reported as an event; about
-one and a half standard errors of the slowness."""
+CHANGE_FACTOR: Final = 2.0
+"""Factor by which slowness or limit must have changed to be reported as an event. With
+1.6, chance alone caused 74 events per hour at a steady member; with 2, three."""
 CHANGE_WEIGHT: Final = 4.0
 """Recent samples below which a change isn't reported."""
 CHANGE_SPACING_MS: Final = 1_000.0
