--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -22,7 +22,10 @@
     OrganisationUse,
     find_expired,
 )
+from radishtrack.pooler.connections.metrics import ConnectionMetrics
 from radishtrack.pooler.group_access import make_group_access
+from radishtrack.pooler.monitor import UNREACHABLE_AFTER_MS, request_report
+from radishtrack.pooler.statements import GetStatus
 from tests.connection_fleet import Fleet, run_virtual
 from tests.pooler_simulation import (
     GROUP,
@@ -213,4 +216,27 @@
         await holder.execute("BEGIN")
         await holder.execute("WRITE 1a4 boots")
         assert (await other.execute("READ 1a4"))[-2].startswith("COMPLETE i-1")
+        limits = [
+            sample.value
+            for metric in ConnectionMetrics(running.node.groups).collect()
+            for sample in metric.samples
+            if sample.labels["member"] == "i-1" and "limit" in sample.name
+        ]
+        assert limits == [2]
         assert (await holder.execute("COMMIT"))[0].startswith("COMPLETE i-1")
+
+
+async def test_a_full_member_does_not_become_unreachable() -> None:
+    """A refused poll counted as silence, which would start a promotion."""
+    time = ManualTime()
+    clock = make_manual_clock(time)
+    fleet = Fleet(98, 0, 4, 0.006, 1)
+    pool = fleet.make_pool(0)
+    access = make_group_access("g", "z", clock, pool.open_link)
+    access.set_members((attrs.evolve(pool.member, group="g"),), 0.0)
+    access.configure(GroupSettings("g", 119, 1), fleet.nodes)
+    pool = access.pools["m"]
+    for _ in range(4):
+        time.advance(UNREACHABLE_AFTER_MS)
+        assert await request_report(access, pool, GetStatus(), "org", clock) is None
+    assert pool.is_reachable and pool.failures == 0
