Run one promotion of a node at a time

Cause: all groups share one record of the promotion duty. A claim for a second group replaced that of the first, whose promotion then gave up after its members were fenced and started again 250 ms later. Two primaries that are lost at once, for example with a zone, met this at the node that polls for the fleet; found by reading.

Change: a node starts a promotion only when it runs none; an evacuation relied on the same check, which is now in one place. The case of a test that guarded it moved to the new test.

Measured: test_promotions_of_a_node_follow_one_another fails without the check; tests of failover and evacuation pass.

--- a/src/radishtrack/pooler/evacuation/succession.py
+++ b/src/radishtrack/pooler/evacuation/succession.py
@@ -82,7 +82,6 @@
 
 def may_start_evacuation(
     *,
-    is_other_under_way: bool,
     has_failed_attempt: bool,
     last_claim_ms: float,
     rank_delay_ms: float,
@@ -92,9 +91,6 @@
 
     Parameters
     ----------
-    is_other_under_way : bool
-        Whether this node runs a promotion in another group. Groups follow one another,
-        so that only one at a time has no primary.
     has_failed_attempt : bool
         Whether a promotion to a later term was announced for the group without effect.
     last_claim_ms : float
@@ -104,8 +100,6 @@
     now_ms : float
         Current time in milliseconds.
     """
-    if is_other_under_way:
-        return False
     retry_ms = last_claim_ms + EVACUATION_RETRY_MS + rank_delay_ms
     return not has_failed_attempt or now_ms >= retry_ms
 
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -135,7 +135,7 @@
         start_ms = state.reason_since_ms + self._rank(access.name) * RANK_DELAY_MS
         if now_ms < max(start_ms, state.not_before_ms) or self.duty.is_held_by_other():
             return
-        if not self.store_copy.is_available:
+        if not self.store_copy.is_available or self._is_promoting():
             return
         if reason is PromotionReason.EVACUATED and not self._may_evacuate(
             access, state, now_ms
@@ -145,16 +145,23 @@
             self._attempt(access, state, reason), f"promotion in {access.name}"
         )
 
+    def _is_promoting(self) -> bool:
+        """Return whether this node replaces the primary of some group now.
+
+        All groups share one record of the duty, so a claim for a second group would
+        end the promotion of the first, after its members were fenced.
+        """
+        return any(
+            state.task is not None and not state.task.done()
+            for state in self.states.values()
+        )
+
     def _may_evacuate(
         self, access: GroupAccess, state: PromotionState, now_ms: float
     ) -> bool:
         """Return whether a promotion out of an evacuated zone may start now."""
         observed_ms = self.store_copy.duties.find(PROMOTION_DUTY).observed_ms
         return may_start_evacuation(
-            is_other_under_way=any(
-                other.task is not None and not other.task.done()
-                for other in self.states.values()
-            ),
             has_failed_attempt=access.evidence.term
             < max(state.announced_term, access.evidence.announced_term),
             last_claim_ms=max(observed_ms, state.announced_ms),
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -196,23 +196,21 @@
     assert choose({"a", "b"}, needs_outside=False) == ahead
 
 
-def test_evacuations_of_groups_follow_one_another() -> None:
-    """Guards against groups without a primary at the same time, and against retries."""
+def test_an_evacuation_without_a_successor_is_not_repeated_at_once() -> None:
+    """Each attempt fences replicas, which delays commits."""
 
-    def may_start(*, busy: bool, failed: bool, now_ms: float) -> bool:
+    def may_start(*, failed: bool, now_ms: float) -> bool:
         return may_start_evacuation(
-            is_other_under_way=busy,
             has_failed_attempt=failed,
             last_claim_ms=1_000.0,
             rank_delay_ms=150.0,
             now_ms=now_ms,
         )
 
-    assert may_start(busy=False, failed=False, now_ms=1_100.0)
-    assert not may_start(busy=True, failed=False, now_ms=1_100.0)
+    assert may_start(failed=False, now_ms=1_100.0)
     retry_ms = 1_000.0 + EVACUATION_RETRY_MS + 150.0
-    assert not may_start(busy=False, failed=True, now_ms=retry_ms - 1.0)
-    assert may_start(busy=False, failed=True, now_ms=retry_ms)
+    assert not may_start(failed=True, now_ms=retry_ms - 1.0)
+    assert may_start(failed=True, now_ms=retry_ms)
 
 
 async def test_an_open_transaction_is_ended_at_the_bound() -> None:
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -7,6 +7,7 @@
 import attrs
 
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.promoter import CHECK_INTERVAL_MS, PromotionState
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, RENEW_AFTER_MS
 from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.revision import get_era
@@ -74,6 +75,32 @@
         assert len(tokens) == 1
 
 
+async def test_promotions_of_a_node_follow_one_another() -> None:
+    """The claim for a second group ended the promotion of the first after its fence.
+
+    Evacuated groups would also have no primary at the same time.
+    """
+    async with open_simulation() as simulation:
+        promoter = simulation.nodes[0].node.promoter
+        is_over = asyncio.Event()
+        state = PromotionState(task=asyncio.create_task(_wait_for(is_over)))
+        promoter.states["another group"] = state
+        await simulation.members["i-1"].stop()
+        access = simulation.nodes[0].node.find_group(GROUP)
+        await wait_until(
+            lambda: promoter.states[access.name].reason_since_ms is not None
+        )
+        await asyncio.sleep(3 * CHECK_INTERVAL_MS / 1000)
+        assert promoter.states[access.name].task is None
+        is_over.set()
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        await write_until_served(simulation, client)
+
+
+async def _wait_for(event: asyncio.Event) -> None:
+    await event.wait()
+
+
 async def test_a_promotion_that_meets_a_restore_leaves_no_member_fenced() -> None:
     """The fenced replicas could acknowledge nothing until the lost lease had ended."""
     async with open_simulation() as simulation:
