Request no polls after a refused connection to a full member

Cause: each refusal because of too many connections requested polls of all members, which need connections themselves where they are scarce.

Change: in scarce groups, such a refusal requests no poll.

Measured: no test of its own; the tests of failover and evacuation pass.

--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -333,7 +333,7 @@
     except RequestError as error:
         return make_queue_refusal(access, member, error)
     except LinkRefused as error:
-        access.request_poll()
+        _poll_after_refusal(access, error)
         return make_refusal(_classify_refused_link(error), error.reason, member)
     except LinkLost as error:
         return make_refusal(
@@ -389,7 +389,7 @@
     except RequestError as error:
         return make_queue_refusal(access, member, error)
     except LinkRefused as error:
-        access.request_poll()
+        _poll_after_refusal(access, error)
         return make_refusal(_classify_refused_link(error), error.reason, member)
     except LinkLost as error:
         if is_sent and error.is_sent:
@@ -425,6 +425,16 @@
     return access.usable_primary() is not None and access.may_send_commit()
 
 
+def _poll_after_refusal(access: GroupAccess, error: LinkRefused) -> None:
+    """Request polls after a refused connection, which may show a failure.
+
+    A member without a free connection is not failing, and in a scarce group a poll of
+    it may need a connection itself.
+    """
+    if not (access.is_scarce and error.is_full):
+        access.request_poll()
+
+
 def _classify_refused_link(error: LinkRefused) -> Refusal:
     if error.is_wrong_member:
         return Refusal.WRONG_MEMBER
