Tell the connection budget of a member from its learned capacity

Cause: two classes of the new parts had the name MemberCapacity.

Change: the one that counts connections is ConnectionBudget.

--- a/src/radishtrack/pooler/connections/allowance.py
+++ b/src/radishtrack/pooler/connections/allowance.py
@@ -42,7 +42,7 @@
 
 
 @attrs.frozen
-class MemberCapacity:
+class ConnectionBudget:
     """Connections of a member and the nodes that share them.
 
     Parameters
@@ -100,7 +100,7 @@
 
 
 def decide_rights(
-    capacity: MemberCapacity,
+    capacity: ConnectionBudget,
     connections: int,
     overcommitment: float,
     opened_since: int,
@@ -110,7 +110,7 @@
 
     Parameters
     ----------
-    capacity : MemberCapacity
+    capacity : ConnectionBudget
         The member's connections.
     connections : int
         Open connections of all nodes, as reported.
@@ -142,12 +142,12 @@
     ----------
     seed : str
         Names of the node and of the member, for random numbers.
-    capacity : MemberCapacity
+    capacity : ConnectionBudget
         The member's connections.
     """
 
     seed: str
-    capacity: MemberCapacity
+    capacity: ConnectionBudget
     limit: int = attrs.field(init=False)
     """Connections that the node may have."""
     rights: int = 0
@@ -164,7 +164,7 @@
     def __attrs_post_init__(self) -> None:
         self.limit = self.capacity.equal_share
 
-    def set_capacity(self, capacity: MemberCapacity) -> None:
+    def set_capacity(self, capacity: ConnectionBudget) -> None:
         """Apply new settings or another number of nodes."""
         self.capacity = capacity
         self.limit = min(max(self.limit, capacity.equal_share), capacity.max_limit)
--- a/src/radishtrack/pooler/connections/idle.py
+++ b/src/radishtrack/pooler/connections/idle.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from radishtrack.pooler.connections.allowance import MemberCapacity
+from radishtrack.pooler.connections.allowance import ConnectionBudget
 
 LONG_IDLE_MS: Final = 5_000.0
 """Idle time while connections are plentiful. Of the organisations with a few statements
@@ -74,7 +74,7 @@
         return self.expected_gap_ms(organisation, now_ms) <= idle_ms
 
 
-def decide_idle_time_ms(capacity: MemberCapacity, connections: int) -> float:
+def decide_idle_time_ms(capacity: ConnectionBudget, connections: int) -> float:
     """Return how long a connection beyond the equal share may be idle.
 
     It falls linearly while the member fills up, so that the number of idle connections
--- a/src/radishtrack/pooler/connections/sharing.py
+++ b/src/radishtrack/pooler/connections/sharing.py
@@ -8,8 +8,8 @@
 
 from radishtrack.pooler.connections.allowance import (
     Allowance,
+    ConnectionBudget,
     ConnectionReport,
-    MemberCapacity,
 )
 from radishtrack.pooler.connections.idle import (
     SHORT_IDLE_MS,
@@ -43,7 +43,7 @@
     """Number of connections refused because the member had no free one."""
 
     def configure(
-        self, pool: MemberPool, node: str, capacity: MemberCapacity | None
+        self, pool: MemberPool, node: str, capacity: ConnectionBudget | None
     ) -> None:
         """Apply the group's settings; `capacity` is None if it is not scarce.
 
@@ -148,7 +148,7 @@
     def _close_expired(
         self,
         pool: MemberPool,
-        capacity: MemberCapacity,
+        capacity: ConnectionBudget,
         idle_ms: float,
         now_ms: float,
     ) -> None:
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -11,7 +11,7 @@
 from radishtrack.clock import Clock
 from radishtrack.group.status import Role
 from radishtrack.pooler.catalog import GroupSettings, Member, ReadClass, Route
-from radishtrack.pooler.connections.allowance import MIN_CONNECTIONS, MemberCapacity
+from radishtrack.pooler.connections.allowance import MIN_CONNECTIONS, ConnectionBudget
 from radishtrack.pooler.evacuation.zones import EvacuatedZones
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS, GroupEvidence
 from radishtrack.pooler.member_pool import MemberPool, make_member_pool
@@ -452,7 +452,9 @@
         capacity = None
         if self.is_scarce and self.settings is not None:
             usable = self._usable_connections(self.settings)
-            capacity = MemberCapacity(self.settings.max_connections, usable, self.nodes)
+            capacity = ConnectionBudget(
+                self.settings.max_connections, usable, self.nodes
+            )
         pool.sharing.configure(pool, self.node, capacity)
         if capacity is None:
             pool.set_limit(self._connection_limit())
--- a/tests/connection_fleet.py
+++ b/tests/connection_fleet.py
@@ -14,7 +14,7 @@
 from radishtrack.errors import RequestError
 from radishtrack.group.status import Role
 from radishtrack.pooler.catalog import Member, MemberReport
-from radishtrack.pooler.connections.allowance import MemberCapacity
+from radishtrack.pooler.connections.allowance import ConnectionBudget
 from radishtrack.pooler.evidence import Observation
 from radishtrack.pooler.member_pool import MemberPool, make_member_pool
 from radishtrack.pooler.ports import LinkRefused
@@ -111,7 +111,7 @@
         pool = make_member_pool(member, self._open, clock, 1)  # type: ignore[arg-type]
         if self.is_shared:
             usable = int(self.accepted * 0.75)
-            capacity = MemberCapacity(self.accepted, usable, known or self.nodes)
+            capacity = ConnectionBudget(self.accepted, usable, known or self.nodes)
             pool.sharing.configure(pool, f"{self.seed}/{node}/{loop.time()}", capacity)
         return pool
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -14,8 +14,8 @@
     REFUSAL_SPREAD_MS,
     REPORT_VALID_MS,
     Allowance,
+    ConnectionBudget,
     ConnectionReport,
-    MemberCapacity,
 )
 from radishtrack.pooler.connections.idle import (
     IdleConnection,
@@ -130,7 +130,7 @@
 
 
 def make_allowance(connections: int, nodes: int = 10) -> Allowance:
-    allowance = Allowance("n/m", MemberCapacity(80, 60, nodes))
+    allowance = Allowance("n/m", ConnectionBudget(80, 60, nodes))
     for number in range(30):
         allowance.observe_report(ConnectionReport(connections, number * 10.0), 300.0)
     return allowance
