--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / "common"))
+sys.path.insert(0, str(CASE.parent))
 
 from standins import (  # noqa: E402
     BOUNDS,
@@ -33,8 +33,16 @@
     record, group = deployment.record, deployment.group
     await deployment.start(nodes=1)
     node = deployment.nodes[0]
-    kept, ended = route("fiti832ti23", group.name, "session"), route(
-        "lepu270", group.name, "primary", timeoutMs=1000, objectiveMs=200, priority=1
+    kept, ended = (
+        route("fiti832ti23", group.name, "session"),
+        route(
+            "lepu270",
+            group.name,
+            "primary",
+            timeoutMs=1000,
+            objectiveMs=200,
+            priority=1,
+        ),
     )
     staying, leaving = tenant("nypu920", ["kept0key"]), tenant("lahe77", ["gone0key"])
     before = config(7, group, [kept, ended], [staying, leaving])
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / "common"))
+sys.path.insert(0, str(CASE.parent))
 
 from standins import (  # noqa: E402
     BOUNDS,
@@ -42,9 +42,7 @@
 
 
 async def run() -> int:
-    deployment = Deployment(
-        CASE, work_ms=lambda word: random.uniform(*WORK_MS)
-    )
+    deployment = Deployment(CASE, work_ms=lambda word: random.uniform(*WORK_MS))
     record, group = deployment.record, deployment.group
     await deployment.start(nodes=2)
     node = deployment.nodes[0]
--- a/review/common/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 RUN_WORDS = ["deploy/radishtrack_node.py", "edge"]
 
 HEARTBEAT_MS = 1200
@@ -306,8 +306,10 @@
 
         words = (await line()).split(" ")
         await asyncio.sleep(0.012)
-        if words[0] != "STARTUP" or words[1] != self.group.name or (
-            len(words) > 3 and words[3] != self.name
+        if (
+            words[0] != "STARTUP"
+            or words[1] != self.group.name
+            or (len(words) > 3 and words[3] != self.name)
         ):
             send([f"ERROR WRONGNODE {self.name}"])
             return
@@ -648,8 +650,15 @@
             "entry": "virtual_ip",
             "heartbeatMs": HEARTBEAT_MS,
             "contracts": [
-                "base", "drain", "config", "cost", "recover", "sql", "tenants",
-                "quota", "platform",
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "sql",
+                "tenants",
+                "quota",
+                "platform",
             ],
             "faultTolerance": {"machines": 2, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
