--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -882,6 +883,7 @@
             self.beat.cancel()
         for node in self.nodes:
             await node.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def has_disruption() -> bool:
