Keep the members that may hold acknowledged commits in the store

A replica received nothing, the one that received the commits was lost for good, and the primary crashed. 5 s after the store had stopped listing the lost member, the nodes forgot it, and the replica without the commits was promoted.

Cause: a promotion needs all but s - 1 of the replicas that may hold acknowledged commits of the term. It took the members listed now for them, a fact that lasts 5 s, in the memory of nodes.

Change: the rate coordinator records for each group in the store the processes of members whose logs together contain every acknowledged commit, with the term and its primary. A process that has ended leaves the record once s running replicas have reported a position that the primary had after the end. A promoter reads the record before it fences members and afterwards; a missing holder counts as one that can't be fenced. A process that starts anew under the same name is another holder. A member without an entry stays in use for polls and fences while it responds, and a primary that was removed without a successor is still a reason to promote. Event 3014 and a gauge tell of promotions that are withheld.

Why it works: what was acknowledged with the help of a lost replica is in the primary's log before the loss, so replicas that have reached a later position of the primary have it. Until then nobody is promoted without it.

Stored data: a kind of objects of its own, which earlier nodes do not read; they promote as before, so the guarantee holds once all are replaced.

tests/test_pooler_failover.py: one test changes a node's list of members by hand, and the list is now applied again when the first record is written; the test waits for that before it starts. It checks the same.

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -35,9 +35,15 @@
     PROMOTION_ORDERED = (3011, "warning", "promotion ordered at the platform")
     MEMBER_REPORT_INVALID = (3012, "warning", "member gives no status report")
     MEMBER_REMOVED = (3013, "info", "member that is no longer listed was removed")
+    PROMOTION_WITHHELD = (
+        3014,
+        "warning",
+        "no promotion; members that may alone hold acknowledged commits are missing",
+    )
     MEMBER_CAPACITY_CHANGED = (3015, "info", "learned capacity of a member changed")
     EVACUATION_STARTED = (3016, "warning", "availability zone is being evacuated")
     EVACUATION_ENDED = (3017, "info", "evacuation of an availability zone ended")
+    REPLICA_SET_CHANGED = (3018, "info", "replica set of a group recorded")
     MEMBER_FOLLOWS = (3008, "info", "member told to follow the primary")
     RATES_HELD = (4004, "info", "node holds the organisations' rates")
     LISTING_INVALID = (4003, "warning", "entry in the platform's store is not usable")
--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -12,12 +12,20 @@
     parse_catalog,
     parse_member,
     parse_node,
+    parse_replica_set,
     parse_valid,
     render_node,
+    render_replica_set,
 )
 from radishtrack.platform.object_store import ObjectStoreClient, StoredObject
 from radishtrack.pooler.catalog import Catalog, Member, NodeRecord
-from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
+from radishtrack.pooler.ports import (
+    Duty,
+    FleetListing,
+    ReplicaSet,
+    StoredReplicaSet,
+    StoreUnavailable,
+)
 from radishtrack.revision import get_era, get_number, make_revision
 
 CONFIG_KIND: Final = "config"
@@ -26,6 +34,8 @@
 EVACUATIONS_KIND: Final = "evacuations"
 FLEET_KIND: Final = "radishtrack"
 """Kind of all objects of the pooler itself, so that one call lists them."""
+REPLICA_SETS_KIND: Final = "radishtrack-replicas"
+"""Kind of the groups' replica sets, which only promotions and their writer read."""
 NODE_PREFIX: Final = "node."
 DUTY_PREFIX: Final = "duty."
 TERM_PREFIX: Final = "term."
@@ -161,6 +171,49 @@
             )
         return existing
 
+    async def list_replica_sets(self) -> dict[str, StoredReplicaSet]:
+        """Return the records of all groups' replica sets, by group."""
+        listing = await self.client.list_objects(REPLICA_SETS_KIND)
+        return {
+            item.name: StoredReplicaSet(self._parse_replica_set(item), item.revision)
+            for item in listing.objects
+        }
+
+    async def find_replica_set(self, group: str) -> ReplicaSet | None:
+        """Return a group's replica set, or None if there is no record of it."""
+        stored = await self.client.get(REPLICA_SETS_KIND, group)
+        if stored is None:
+            return None
+        replica_set = self._parse_replica_set(stored)
+        if replica_set is None:
+            raise StoreUnavailable(
+                "replica set", "malformed record", is_effect_unknown=False
+            )
+        return replica_set
+
+    async def write_replica_set(
+        self, group: str, replica_set: ReplicaSet, revision: int
+    ) -> StoredReplicaSet | None:
+        """Replace a group's record if it still has a revision; otherwise return None.
+
+        Revision 0 stands for a group without a record.
+        """
+        spec = render_replica_set(replica_set)
+        if revision:
+            stored = await self.client.replace(REPLICA_SETS_KIND, group, spec, revision)
+        else:
+            stored = await self.client.create(REPLICA_SETS_KIND, group, spec)
+        return (
+            None if stored is None else StoredReplicaSet(replica_set, stored.revision)
+        )
+
+    def _parse_replica_set(self, stored: StoredObject) -> ReplicaSet | None:
+        try:
+            return parse_replica_set(stored)
+        except DocumentError as error:
+            self._report(stored.name, error)
+            return None
+
     async def record_settled_era(self, era: int) -> None:
         """Record that the writes which an era's restore lost were made again."""
         await self._write(ERA_NAME, {"era": era})
--- a/src/radishtrack/platform/documents.py
+++ b/src/radishtrack/platform/documents.py
@@ -11,12 +11,14 @@
     Catalog,
     GroupSettings,
     Member,
+    MemberProcess,
     NodeRecord,
     Organisation,
     ReadClass,
     Route,
     digest_key,
 )
+from radishtrack.pooler.ports import ReplicaSet
 
 READ_CLASSES: Final = {
     "primary": ReadClass.STRICT,
@@ -163,6 +165,53 @@
         raise DocumentError(f"node record: {error!r}") from error
 
 
+def render_replica_set(replica_set: ReplicaSet) -> dict[str, object]:
+    """Return the spec of the object that holds a group's replica set."""
+    return {
+        "term": replica_set.term,
+        "primary": replica_set.primary,
+        "holders": _render_processes(replica_set.holders),
+        "ended": _render_processes(replica_set.ended),
+    }
+
+
+def parse_replica_set(stored: StoredObject) -> ReplicaSet:
+    """Return a group's replica set.
+
+    Raises
+    ------
+    DocumentError
+        If the record is invalid.
+    """
+    spec = stored.spec
+    try:
+        primary = spec["primary"]
+        if not isinstance(primary, str):
+            raise TypeError("primary is not a string")
+        return ReplicaSet(
+            term=_integer(spec, "term"),
+            primary=primary,
+            holders=_parse_processes(spec["holders"]),
+            ended=_parse_processes(spec["ended"]),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f"replica set: {error!r}") from error
+
+
+def _render_processes(processes: frozenset[MemberProcess]) -> list[dict[str, object]]:
+    return [
+        {"name": process.name, "startedMs": process.started_ms}
+        for process in sorted(processes)
+    ]
+
+
+def _parse_processes(items: Any) -> frozenset[MemberProcess]:
+    return frozenset(
+        MemberProcess(_text(item, "name"), _integer(item, "startedMs"))
+        for item in items
+    )
+
+
 def parse_valid(
     stored: Iterator[StoredObject],
     parse: Callable[[StoredObject], _T],
--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -34,6 +34,7 @@
 from radishtrack.pooler.evacuation.reports import register_evacuation_metrics
 from radishtrack.pooler.node import Node, NodeOptions, make_node
 from radishtrack.pooler.placement.metrics import register_capacity_metrics
+from radishtrack.pooler.promotion_metrics import register_promotion_metrics
 from radishtrack.pooler.request_log import make_request_log
 from radishtrack.pooler.store_metrics import register_store_metrics
 
@@ -120,6 +121,7 @@
     register_evacuation_metrics(log.registry, node.evacuations)
     register_connection_metrics(log.registry, node.groups)
     register_capacity_metrics(log.registry, lambda: tuple(node.groups.values()))
+    register_promotion_metrics(log.registry, node.promoter)
     await start_metrics_endpoint(settings.ip, log.registry)
     frontend = await start_frontend(node, *settings.frontend)
     log_event(
--- a/src/radishtrack/pooler/catalog.py
+++ b/src/radishtrack/pooler/catalog.py
@@ -123,6 +123,22 @@
     idle_transaction_ms: float
 
 
+@attrs.frozen(order=True)
+class MemberProcess:
+    """One process of a member; a later one of the same name may lack its log.
+
+    Parameters
+    ----------
+    name : str
+        Name of the member.
+    started_ms : int
+        Unix time of the process's start.
+    """
+
+    name: str
+    started_ms: int
+
+
 @attrs.frozen
 class Member:
     """A member of a database group, as listed by the store.
@@ -157,6 +173,11 @@
     role: Role
     started_ms: int
 
+    @property
+    def process(self) -> MemberProcess:
+        """The member's present process."""
+        return MemberProcess(self.name, self.started_ms)
+
 
 @attrs.frozen
 class NodeRecord:
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -170,14 +170,25 @@
         self.evidence.set_members(frozenset(self.pools))
 
     def expire_members(self, before_ms: float) -> tuple[str, ...]:
-        """Remove the members that have been unlisted since `before_ms`."""
+        """Remove the members that have been unlisted since `before_ms`.
+
+        One that still responds stays, since it may still receive commits.
+        """
         expired = tuple(
-            name for name, at in self.unlisted_ms.items() if at <= before_ms
+            name
+            for name, at in self.unlisted_ms.items()
+            if at <= before_ms and not self._is_responding(name)
         )
         for name in expired:
             self.remove_member(name)
         return expired
 
+    def _is_responding(self, name: str) -> bool:
+        observation = self.evidence.observations.get(name)
+        if observation is None or not self.pools[name].is_reachable:
+            return False
+        return self.clock.now_ms() - observation.requested_ms < EVIDENCE_VALID_MS
+
     def remove_member(self, name: str) -> None:
         """Close a member's connections and remove it."""
         del self.unlisted_ms[name]
@@ -433,6 +444,7 @@
             (pool.member.host, pool.member.port) != (member.host, member.port)
         ):
             pool.drop_all()
+            pool.ended_ms = None
             self.evidence.discard_member(member.name)
             pool.capacity = self.placement.make_capacity(member.slots)
         pool.member = member
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -45,6 +45,7 @@
 from radishtrack.pooler.promotion_duty import PromotionDuty
 from radishtrack.pooler.rate_exchange import RateExchange, make_rate_exchange
 from radishtrack.pooler.readiness import StopPlan, make_stop_plan
+from radishtrack.pooler.replica_set_keeper import ReplicaSetKeeper
 from radishtrack.pooler.report_relay import ReportRelay
 from radishtrack.pooler.request_log import RequestLog
 from radishtrack.pooler.scheduling.scheduling_log import (
@@ -116,6 +117,7 @@
     relay: ReportRelay
     content: ContentExchange
     recovery: StoreRecovery
+    replica_sets: ReplicaSetKeeper
     scheduling_log: SchedulingLog
     groups: dict[str, GroupAccess] = attrs.field(factory=dict)
     monitors: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
@@ -140,6 +142,7 @@
                 (self.promoter.run, "promoter"),
                 (self.rates.run, "rate exchange"),
                 (self.relay.run, "report relay"),
+                (self.replica_sets.run, "replica sets"),
                 (self._run_housekeeping, "housekeeping"),
             ):
                 tasks.create_task(supervise(run, name, self.clock))
@@ -486,6 +489,7 @@
         relay,
         content,
         StoreRecovery(store_copy, peers, groups, rates.is_coordinator),
+        ReplicaSetKeeper(clock, store_copy, groups, rates.is_coordinator),
         make_scheduling_log(clock, log.registry),
         groups=groups,
     )
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from radishtrack.pooler.catalog import Catalog, Member, NodeRecord
+from radishtrack.pooler.catalog import Catalog, Member, MemberProcess, NodeRecord
 from radishtrack.pooler.statements import MemberResponse, MemberStatement
 from radishtrack.session.position import Position
 
@@ -173,6 +173,45 @@
     settled_era: int = 0
 
 
+@attrs.frozen
+class ReplicaSet:
+    """Members of a group whose logs together contain every acknowledged commit.
+
+    Parameters
+    ----------
+    term : int
+        Newest term whose primary was known when it was written.
+    primary : str
+        Primary of that term; empty if it was not known.
+    holders : frozenset of MemberProcess
+        The processes. One that has ended stays until the others are known to have
+        received everything that was acknowledged with its help.
+    ended : frozenset of MemberProcess
+        Processes that the store may still list, but that have ended and are no holders.
+    """
+
+    term: int
+    primary: str
+    holders: frozenset[MemberProcess]
+    ended: frozenset[MemberProcess] = frozenset()
+
+
+@attrs.frozen
+class StoredReplicaSet:
+    """A group's record in the store.
+
+    Parameters
+    ----------
+    replica_set : ReplicaSet or None
+        Its content; None if that is malformed.
+    revision : int
+        Revision of its last change, without the store's era; 0 if there is no record.
+    """
+
+    replica_set: ReplicaSet | None
+    revision: int
+
+
 class ControlStore(Protocol):
     """The platform's durable store. Every call raises `StoreUnavailable`."""
 
@@ -208,6 +247,23 @@
         An announcement of a later term stays.
         """
 
+    async def list_replica_sets(self) -> Mapping[str, StoredReplicaSet]:
+        """Return the records of all groups' replica sets, by group."""
+
+    async def find_replica_set(self, group: str) -> ReplicaSet | None:
+        """Return a group's replica set, or None if there is no record of it.
+
+        A malformed record counts as unavailable.
+        """
+
+    async def write_replica_set(
+        self, group: str, replica_set: ReplicaSet, revision: int
+    ) -> StoredReplicaSet | None:
+        """Replace a group's record if it still has a revision; otherwise return None.
+
+        Revision 0 stands for a group without a record.
+        """
+
     async def record_settled_era(self, era: int) -> None:
         """Record that the writes which an era's restore lost were made again."""
 
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -12,7 +12,7 @@
 from radishtrack.events import Event, log_event
 from radishtrack.group.status import Role
 from radishtrack.peer.messages import BeliefWithdrawn, Vote, VoteRequest, WithdrawBelief
-from radishtrack.pooler.catalog import MemberReport
+from radishtrack.pooler.catalog import MemberProcess, MemberReport
 from radishtrack.pooler.coordinator_failover import RATES_DUTY
 from radishtrack.pooler.evacuation.succession import (
     list_evacuated_members,
@@ -23,7 +23,12 @@
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import request_report
 from radishtrack.pooler.peers import NotRunning, Peers
-from radishtrack.pooler.ports import PromoteMember, PromotionResult, StoreUnavailable
+from radishtrack.pooler.ports import (
+    PromoteMember,
+    PromotionResult,
+    ReplicaSet,
+    StoreUnavailable,
+)
 from radishtrack.pooler.promotion import (
     PromotionReason,
     ReplicationProgress,
@@ -35,6 +40,11 @@
 )
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, Claim, PromotionDuty
 from radishtrack.pooler.rank import rank_node
+from radishtrack.pooler.replica_set import (
+    find_term_primary,
+    list_ended_members,
+    list_missing_holders,
+)
 from radishtrack.pooler.statements import Fence, GetStatus, MemberStatement, Unfence
 from radishtrack.pooler.store_copy import DEPARTURE_MS, StoreCopy
 from radishtrack.pooler.tasks import start_task
@@ -62,6 +72,9 @@
 """Interval of polls whether the promoted member is the primary."""
 RETRY_MS: Final = 250.0
 """Pause after a failed attempt."""
+WITHHELD_RETRY_MS: Final = 3_000.0
+"""Pause while members are missing that may alone hold acknowledged commits, unless one
+of them comes back. Each attempt claims the duty, which is a write."""
 INVALIDATE_TIMEOUT_MS: Final = 200.0
 """Time limit for nodes to confirm; without a confirmation the promoter waits until the
 node's evidence has expired."""
@@ -82,6 +95,8 @@
     """Term of the last promotion of the group that this node announced."""
     announced_ms: float = 0.0
     """When this node announced it."""
+    missing: tuple[MemberProcess, ...] = ()
+    """Members for which the last attempt was withheld."""
     task: asyncio.Task[None] | None = None
 
 
@@ -128,10 +143,13 @@
             state.reason_since_ms = None
         state.reason = reason
         if reason is None:
-            state.reason_since_ms = None
+            state.reason_since_ms, state.missing = None, ()
             return
         if state.reason_since_ms is None:
             state.reason_since_ms = now_ms
+        present = {pool.member.process for pool in access.pools.values()}
+        if not present.isdisjoint(state.missing):
+            state.missing, state.not_before_ms = (), now_ms
         start_ms = state.reason_since_ms + self._rank(access.name) * RANK_DELAY_MS
         if now_ms < max(start_ms, state.not_before_ms) or self.duty.is_held_by_other():
             return
@@ -225,8 +243,11 @@
         except StoreUnavailable as error:
             outcome = f"store: {error}"
         finally:
-            state.not_before_ms = self.clock.now_ms() + RETRY_MS
+            pause_ms = WITHHELD_RETRY_MS if state.missing else RETRY_MS
+            state.not_before_ms = self.clock.now_ms() + pause_ms
         event = Event.PROMOTION_FAILED if outcome else Event.PROMOTION_WON
+        if state.missing:
+            event = Event.PROMOTION_WITHHELD
         log_event(
             event,
             group=access.name,
@@ -240,9 +261,9 @@
         self, access: GroupAccess, state: PromotionState, reason: PromotionReason
     ) -> str:
         """Run one promotion; return why it failed, or an empty string."""
-        old_primary = access.presumed_primary()
+        state.missing = ()
         if reason.needs_votes and not await self._is_confirmed_by_peers(
-            access, old_primary
+            access, access.presumed_primary()
         ):
             return "another node reaches the primary"
         # Members that have just joined may have acknowledged commits.
@@ -251,6 +272,13 @@
         claim = await self.duty.claim()
         if claim is None:
             return "another node holds the duty"
+        replica_set = await self.store_copy.store.find_replica_set(access.name)
+        old_primary = find_term_primary(access, replica_set)
+        missing = list_missing_holders(replica_set, access, old_primary)
+        if len(missing) > max(0, access.evidence.synchronous_replicas - 1):
+            state.missing = missing
+            names = ", ".join(process.name for process in missing)
+            return f"acknowledged commits may exist at {names} alone"
         term = access.evidence.term + 1
         await self.store_copy.store.announce_term(access.name, term)
         state.announced_term, state.announced_ms = term, self.clock.now_ms()
@@ -261,7 +289,7 @@
             token=claim.duty.revision,
             reason=reason.value,
         )
-        fenced_ms = await self._fence(access, term, old_primary)
+        fenced_ms = await self._fence(access, term, old_primary, replica_set)
         if fenced_ms is None:
             await self._unfence(access, old_primary)
             return "too few members could be fenced"
@@ -270,6 +298,12 @@
         acknowledged_term = await self._await_invalidation(access, fenced_ms)
         if not await self.duty.renew(claim):
             return await self._give_up(access, claim, old_primary)
+        try:
+            # A member may have joined before all were fenced.
+            replica_set = await self.store_copy.store.find_replica_set(access.name)
+        except StoreUnavailable:
+            await self._unfence(access, old_primary)
+            raise
         fenced = await self._read_fenced(access, term, old_primary)
         leaving = frozenset(
             name for name, pool in access.pools.items() if pool.member.is_leaving
@@ -282,6 +316,8 @@
             acknowledged_term,
             list_evacuated_members(access),
             needs_outside=needs_outside_successor(access, reason),
+            missing=len(list_missing_holders(replica_set, access, old_primary)),
+            ended=list_ended_members(replica_set, access),
         )
         if access.evidence.term >= term:
             return "another promotion was faster"
@@ -336,15 +372,25 @@
         return all(vote.unreachable for vote in votes)
 
     async def _fence(
-        self, access: GroupAccess, term: int, old_primary: str
+        self,
+        access: GroupAccess,
+        term: int,
+        old_primary: str,
+        replica_set: ReplicaSet | None = None,
     ) -> float | None:
         """Fence enough members; return the time of completion, or None on failure."""
         for _ in range(FENCE_ROUNDS):
             names = [name for name in access.pools if name != old_primary]
             for group in order_fences(access, names):
                 await self._request_reports(access, group, Fence(term))
-            needed = count_required_fences(access.evidence, old_primary)
-            if self._count_fenced(access, term, old_primary) >= needed:
+            fenced = self._list_fenced(access, term, old_primary)
+            needed = count_required_fences(
+                access.evidence,
+                old_primary,
+                missing=len(list_missing_holders(replica_set, access, old_primary)),
+                ended=list_ended_members(replica_set, access) - fenced,
+            )
+            if len(fenced) >= needed:
                 return self.clock.now_ms()
             await asyncio.sleep(FENCE_PAUSE_MS / 1000)
         return None
@@ -430,10 +476,13 @@
             report for report in await asyncio.gather(*requests) if report is not None
         ]
 
-    def _count_fenced(self, access: GroupAccess, term: int, old_primary: str) -> int:
-        return sum(
-            report.fenced_term >= term
+    def _list_fenced(
+        self, access: GroupAccess, term: int, old_primary: str
+    ) -> frozenset[str]:
+        return frozenset(
+            name
             for name in access.pools
             if name != old_primary
             and (report := access.evidence.find_report(name)) is not None
+            and report.fenced_term >= term
         )
--- a/src/radishtrack/pooler/promotion.py
+++ b/src/radishtrack/pooler/promotion.py
@@ -135,7 +135,7 @@
     ):
         return PromotionReason.ABANDONED
     if pool is None:
-        return None
+        return PromotionReason.UNLISTED if evidence.primary else None
     if not pool.is_reachable:
         return PromotionReason.UNREACHABLE
     if pool.member.is_leaving:
@@ -170,15 +170,33 @@
     )
 
 
-def count_required_fences(evidence: GroupEvidence, old_primary: str) -> int:
+def count_required_fences(
+    evidence: GroupEvidence,
+    old_primary: str,
+    *,
+    missing: int = 0,
+    ended: frozenset[str] = frozenset(),
+) -> int:
     """Return how many members besides the old primary must be fenced.
 
     A commit is acknowledged once `s` replicas have it. Any set of all but `s - 1`
     replicas therefore contains every acknowledged commit, and the remaining replicas
     are too few to acknowledge another one.
+
+    Parameters
+    ----------
+    evidence : GroupEvidence
+        Members and number of synchronous replicas.
+    old_primary : str
+        The primary that is replaced.
+    missing : int
+        Number of replicas that are no members any more, but may alone have received
+        acknowledged commits.
+    ended : frozenset of str
+        Members that run no more and are known to be dispensable.
     """
-    replicas = evidence.members - {old_primary}
-    return max(1, len(replicas) - max(0, evidence.synchronous_replicas - 1))
+    replicas = len(evidence.members - ended - {old_primary}) + missing
+    return max(1, replicas - max(0, evidence.synchronous_replicas - 1))
 
 
 def choose_successor(
@@ -190,6 +208,8 @@
     evacuated: frozenset[str] = frozenset(),
     *,
     needs_outside: bool = False,
+    missing: int = 0,
+    ended: frozenset[str] = frozenset(),
 ) -> MemberReport | None:
     """Return the member to promote.
 
@@ -212,6 +232,8 @@
         as advanced.
     needs_outside : bool
         Whether none of them may be promoted.
+    missing, ended : int, frozenset of str
+        As for `count_required_fences`.
 
     Returns
     -------
@@ -229,7 +251,9 @@
     replicas = {
         name: report for name, report in complete.items() if name != old_primary
     }
-    needed = count_required_fences(evidence, old_primary)
+    needed = count_required_fences(
+        evidence, old_primary, missing=missing, ended=ended - replicas.keys()
+    )
     # The old primary may have commits that were never acknowledged, so it counts only
     # if the replicas are too few without it.
     candidates = replicas if len(replicas) >= needed else complete
--- /dev/null
+++ b/src/radishtrack/pooler/replica_set.py
@@ -0,0 +1,226 @@
+"""Decides which members' logs together contain every acknowledged commit of a group.
+
+A commit is acknowledged once `s` replicas have received it. A replica that is lost may
+have been the only one that received some commits, so it counts until `s` others are
+known to have what the primary had after the loss. Nodes have no disks, so the result is
+kept in the store, where it outlives them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from radishtrack.group.status import Role
+from radishtrack.pooler.catalog import MemberProcess, MemberReport
+from radishtrack.pooler.group_access import GroupAccess
+from radishtrack.pooler.ports import ReplicaSet
+from radishtrack.session.position import Position
+
+ABSENCE_MS: Final = 5_000.0
+"""Time without an entry in the store after which a member counts as gone; entries
+return about 2 s after an outage of the store."""
+
+EMPTY_REPLICA_SET: Final = ReplicaSet(0, "", frozenset())
+
+
+@attrs.define
+class Departure:
+    """A process that has ended, and the position that makes it dispensable.
+
+    Parameters
+    ----------
+    since_ms : float
+        When this node learned of its end.
+    term : int
+        Term in which `position` was reported.
+    position : Position or None
+        The primary's position after the end; None until the primary has reported.
+    """
+
+    since_ms: float
+    term: int = 0
+    position: Position | None = None
+
+
+@attrs.define
+class ReplicaSetTracker:
+    """Follows the processes of one group's members; call `update` regularly."""
+
+    departures: dict[MemberProcess, Departure] = attrs.field(factory=dict)
+    absent_ms: dict[MemberProcess, float] = attrs.field(factory=dict)
+    """When a process was first found without an entry in the store."""
+
+    def update(
+        self, recorded: ReplicaSet | None, access: GroupAccess, now_ms: float
+    ) -> ReplicaSet | None:
+        """Return what the record has to be, or None while nothing is known.
+
+        Parameters
+        ----------
+        recorded : ReplicaSet or None
+            The record in the store.
+        access : GroupAccess
+            The group, with a list of members that is newer than the record.
+        now_ms : float
+            Current time in milliseconds.
+        """
+        evidence = access.evidence
+        if recorded is None:
+            if not evidence.term:
+                return None
+            recorded = EMPTY_REPLICA_SET
+        present = {pool.member.process for pool in access.pools.values()}
+        ended = {
+            process
+            for process in recorded.ended & present
+            if not _is_running(access, process)
+        }
+        holders = recorded.holders | (present - ended)
+        self._observe_ends(holders, access, now_ms)
+        followers = tuple(self._list_followers(holders, access))
+        needed = max(1, evidence.synchronous_replicas)
+        dispensable = {
+            process
+            for process, departure in self.departures.items()
+            if _count_received(departure, followers, evidence.term) >= needed
+        }
+        term, primary = recorded.term, recorded.primary
+        if evidence.term >= term and evidence.primary:
+            term, primary = evidence.term, evidence.primary
+        return ReplicaSet(
+            term,
+            primary,
+            holders - dispensable,
+            frozenset(ended | (dispensable & present)),
+        )
+
+    def _observe_ends(
+        self, holders: frozenset[MemberProcess], access: GroupAccess, now_ms: float
+    ) -> None:
+        for known in (self.departures, self.absent_ms):
+            for process in known.keys() - holders:
+                del known[process]
+        evidence = access.evidence
+        primary_report = find_primary_report(access)
+        for process in holders:
+            ended_ms = self._find_end_ms(process, access, now_ms)
+            if ended_ms is None:
+                self.departures.pop(process, None)
+                continue
+            departure = self.departures.setdefault(process, Departure(ended_ms))
+            if departure.position is not None and departure.term == evidence.term:
+                continue
+            departure.position = None
+            observed = evidence.observations.get(evidence.primary)
+            if (
+                primary_report is not None
+                and observed is not None
+                and observed.requested_ms >= departure.since_ms
+            ):
+                departure.term = evidence.term
+                departure.position = primary_report.position
+
+    def _find_end_ms(
+        self, process: MemberProcess, access: GroupAccess, now_ms: float
+    ) -> float | None:
+        """Return a time at which a process had certainly ended; None if it may run."""
+        pool = access.pools.get(process.name)
+        if pool is None:
+            absent_ms = self.absent_ms.setdefault(process, now_ms)
+            return now_ms if now_ms - absent_ms >= ABSENCE_MS else None
+        if pool.member.process != process:
+            # The member runs as another process now.
+            return now_ms
+        if process.name in access.unlisted_ms:
+            self.absent_ms[process] = access.unlisted_ms[process.name]
+        else:
+            self.absent_ms.pop(process, None)
+        return pool.ended_ms
+
+    def _list_followers(
+        self, holders: frozenset[MemberProcess], access: GroupAccess
+    ) -> Iterator[MemberReport]:
+        """Yield the reports of running replicas that follow the present term."""
+        evidence = access.evidence
+        for process in holders - self.departures.keys():
+            report = evidence.find_report(process.name)
+            if (
+                report is not None
+                and process.name != evidence.primary
+                and process.name not in evidence.incomplete
+                and report.role is Role.REPLICA
+                and report.term == evidence.term
+            ):
+                yield report
+
+
+def find_primary_report(access: GroupAccess) -> MemberReport | None:
+    """Return the last report of a group's primary if it leads the present term."""
+    report = access.evidence.find_report(access.evidence.primary)
+    if report is None or report.role is not Role.PRIMARY:
+        return None
+    return report if report.term == access.evidence.term else None
+
+
+def find_term_primary(access: GroupAccess, replica_set: ReplicaSet | None) -> str:
+    """Return the primary of a group's present term, or an empty string.
+
+    What a primary itself has received does not count for its commits, so its log is
+    not needed for a promotion.
+    """
+    if replica_set is None or replica_set.term != access.evidence.term:
+        return access.presumed_primary()
+    return replica_set.primary or access.presumed_primary()
+
+
+def list_missing_holders(
+    replica_set: ReplicaSet | None, access: GroupAccess, primary: str
+) -> tuple[MemberProcess, ...]:
+    """Return the holders, besides the primary, that are no members any more.
+
+    Parameters
+    ----------
+    replica_set : ReplicaSet or None
+        The group's record in the store; None if there is none.
+    access : GroupAccess
+        The group, with a recent list of members.
+    primary : str
+        The primary of the present term.
+    """
+    if replica_set is None:
+        return ()
+    present = {pool.member.process for pool in access.pools.values()}
+    return tuple(sorted(p for p in replica_set.holders - present if p.name != primary))
+
+
+def list_ended_members(
+    replica_set: ReplicaSet | None, access: GroupAccess
+) -> frozenset[str]:
+    """Return the names of listed members that have ended and are no holders."""
+    if replica_set is None:
+        return frozenset()
+    return frozenset(
+        name
+        for name, pool in access.pools.items()
+        if pool.member.process in replica_set.ended
+    )
+
+
+def _is_running(access: GroupAccess, process: MemberProcess) -> bool:
+    """Return whether a member that was found to have ended responds again."""
+    pool = access.pools[process.name]
+    return (
+        pool.ended_ms is None and access.evidence.find_report(process.name) is not None
+    )
+
+
+def _count_received(
+    departure: Departure, followers: tuple[MemberReport, ...], term: int
+) -> int:
+    position = departure.position
+    if position is None or departure.term != term:
+        return 0
+    return sum(report.position >= position for report in followers)
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -194,10 +194,22 @@
         assert len(tokens) >= 2 and tokens == sorted(set(tokens))
 
 
+def _are_current(simulation: Simulation) -> bool:
+    """Return whether the copies of all nodes have the store's revision."""
+    return all(
+        running.node.store_copy.revision == simulation.revision
+        for running in simulation.nodes
+    )
+
+
 async def test_no_promotion_while_another_node_reaches_the_primary() -> None:
     """Guards against replacing a healthy primary because one node can't reach it."""
     async with open_simulation(nodes=2) as simulation:
+        store = simulation.store
         access = simulation.nodes[0].node.find_group(GROUP)
+        # A change of the store makes nodes apply the list of members again.
+        await wait_until(lambda: ("radishtrack-replicas", GROUP) in store.objects)
+        await wait_until(lambda: _are_current(simulation))
         cut_off = attrs.evolve(access.pools["i-1"].member, port=find_free_ports(1)[0])
         access.pools["i-1"].member = cut_off
         access.pools["i-1"].drop_all()
