Answer every statement before a planned stop ends

Cause: the time for open transactions to finish, half of the grace period, was computed and used by no code. Statements were passed on until the process exited, and the exit waited for none of them.

Change: after half of the grace period a statement is not sent to members: ABORTED in a transaction, which is rolled back, BUSY otherwise. Statements that still run at 0.9 of it are cancelled and answered by what is known: INDOUBT for a commit or a single write that was sent, ABORTED or BUSY for what leaves nothing. Connections that send nothing are closed at 0.8, and the process exits at 0.95 at the latest.

Why it works: nothing is accepted that could not be answered before the exit, and what was accepted is answered before it, whatever the member does.

--- a/src/radishtrack/platform/frontend.py
+++ b/src/radishtrack/platform/frontend.py
@@ -19,7 +19,7 @@
 )
 from radishtrack.pooler.node import Node
 from radishtrack.pooler.session import ClientSession, Denied
-from radishtrack.pooler.statements import TransactionState
+from radishtrack.pooler.statements import ClientStatement, TransactionState
 from radishtrack.pooler.tasks import start_task
 
 STARTUP_TIMEOUT_MS: Final = 5_000.0
@@ -35,6 +35,10 @@
     connection: LineConnection
     session: ClientSession | None = None
     is_waiting: bool = False
+    statement: ClientStatement | None = None
+    """Statement that is running."""
+    limit: asyncio.Timeout | None = None
+    """Ends the connection's task when a planned stop ends."""
 
     @property
     def is_closable(self) -> bool:
@@ -71,13 +75,33 @@
             if client.is_closable:
                 client.connection.close()
 
+    def close_waiting(self) -> None:
+        """Close connections without a running statement, even in a transaction."""
+        for client in tuple(self.clients):
+            if client.is_waiting and not client.connection.has_input:
+                client.connection.close()
+
+    def answer_running(self) -> None:
+        """Answer the statements that still run, and close the connections."""
+        now_s = asyncio.get_running_loop().time()
+        for client in tuple(self.clients):
+            if client.limit is not None and client.limit.when() is None:
+                client.limit.reschedule(now_s)
+
     async def _serve(self, connection: LineConnection) -> None:
         client = ClientConnection(connection)
         self.clients.add(client)
         try:
-            await self._start_session(client)
-            while client.session is not None and await self._serve_next(client):
-                pass
+            async with asyncio.timeout(None) as client.limit:
+                await self._start_session(client)
+                while client.session is not None and await self._serve_next(client):
+                    pass
+        except TimeoutError:
+            if client.limit is None or not client.limit.expired():
+                raise
+            if client.session is not None and client.statement is not None:
+                response = client.session.abort(client.statement)
+                connection.write(encode_line(format_client_response(response)))
         except ConnectionEnded:
             pass
         except WireError as error:
@@ -113,7 +137,9 @@
         line = await self._read_request(client)
         if line == "TERMINATE":
             return False
-        response = await session.handle(parse_query(line))
+        client.statement = parse_query(line)
+        response = await session.handle(client.statement)
+        client.statement = None
         connection.write(encode_line(format_client_response(response)))
         return not session.needs_close
 
--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -158,8 +158,12 @@
         if now_ms >= plan.accept_until_ms:
             frontend.stop_accepting()
             frontend.close_idle()
-            if not frontend.clients:
-                return
+        if now_ms >= plan.close_ms:
+            frontend.close_waiting()
+        if now_ms >= plan.answer_ms:
+            frontend.answer_running()
+        if now_ms >= plan.accept_until_ms and not frontend.clients:
+            return
         await asyncio.sleep(STOP_POLL_S)
 
 
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -239,6 +239,10 @@
     def _has_all_announcements(self, max_age_ms: float) -> bool:
         return self.is_listening and self.store_copy.has_all_announcements(max_age_ms)
 
+    def _may_start_statements(self) -> bool:
+        plan = self.stop_plan
+        return plan is None or self.clock.now_ms() < plan.finish_until_ms
+
     def _has_recent_keys(self) -> bool:
         limit_ms = self.options.key_age_limit_ms
         if limit_ms is None:
@@ -281,6 +285,7 @@
             observe=self.log.observe,
             observe_denied=self.log.observe_denied,
             catalog_age_ms=self.store_copy.age_ms,
+            may_start=self._may_start_statements,
         )
 
     async def _run_housekeeping(self) -> None:
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -19,7 +19,7 @@
 )
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.rate_limit import RateToken
-from radishtrack.pooler.retry import make_attempt_plan
+from radishtrack.pooler.retry import AttemptPlan, make_attempt_plan
 from radishtrack.pooler.scheduling.retry_hint import add_hint, retry_after_ms
 from radishtrack.pooler.statements import (
     Begin,
@@ -46,6 +46,8 @@
 ADMISSION_OBJECTIVES: Final = 0.2
 """Longest wait for a token, in latency objectives. A later refusal would leave the
 client too little time for a retry; a token takes one round trip between nodes."""
+STOPPING: Final = "the node is stopping"
+"""Detail of refusals in a planned stop."""
 OPEN_ORGANISATION: Final = "-"
 """Organisation name that is sent to members for open routes, which have none."""
 
@@ -96,6 +98,9 @@
         Takes an organisation; returns the time until its rate may have a token.
     catalog_age_ms : callable
         Returns the age of the configuration in milliseconds.
+    may_start : callable
+        Returns whether statements may still be sent to members; False near the end of
+        the node's planned stop.
     """
 
     clock: Clock
@@ -108,6 +113,7 @@
     observe_denied: Callable[[str, Denied, float], None]
     token_wait_ms: Callable[[str], float]
     catalog_age_ms: Callable[[], float]
+    may_start: Callable[[], bool]
 
     def report_denied(self, database: str, denied: Denied) -> None:
         """Record that a session was denied access."""
@@ -128,6 +134,8 @@
     transaction: Transaction | None = None
     access: SessionAccess | None = None
     """Access of the current operation; it changes only between transactions."""
+    plan: AttemptPlan | None = None
+    """Attempts of the latest statement that needed a member."""
     needs_close: bool = False
     """Whether the frontend has to close the connection after this response."""
 
@@ -149,6 +157,8 @@
             # The client can reconnect, to a node that may serve it.
             self.needs_close = True
             return self._refuse(denied.refusal, denied.detail)
+        if not self.context.may_start():
+            return await self._end(statement)
         match statement:
             case InvalidStatement(reason):
                 return self._refuse(Refusal.MALFORMED, reason)
@@ -171,6 +181,17 @@
             case Run() | RunPrepared():
                 return await self._execute(statement)
 
+    def abort(self, statement: ClientStatement) -> ClientResponse:
+        """Return the final response to a statement whose `handle` was cancelled.
+
+        The connection has to be closed, which rolls back an open transaction.
+        """
+        self.needs_close = True
+        refusal = Refusal.BUSY if self.transaction is None else Refusal.ABORTED
+        if self._may_commit(statement):
+            refusal = Refusal.OUTCOME_UNKNOWN
+        return self._fail(refusal, STOPPING)
+
     async def close(self) -> None:
         """Roll back the open transaction, if any."""
         transaction, self.transaction = self.transaction, None
@@ -182,6 +203,28 @@
         if self.transaction is not None:
             await self.transaction.abandon()
 
+    async def _end(self, statement: ClientStatement) -> ClientResponse:
+        """Roll back and refuse a statement that comes too late in a planned stop."""
+        in_transaction = self.transaction is not None
+        await self.close()
+        self.needs_close = True
+        if in_transaction and isinstance(statement, Rollback):
+            return self._complete()
+        refusal = Refusal.ABORTED if in_transaction else Refusal.BUSY
+        return self._refuse(refusal, STOPPING)
+
+    def _may_commit(self, statement: ClientStatement) -> bool:
+        """Return whether a running statement may have been committed."""
+        transaction = self.transaction
+        if isinstance(statement, Commit):
+            return transaction is not None and transaction.has_written
+        if transaction is not None or self.plan is None or not self.plan.is_sent:
+            return False
+        if isinstance(statement, RunPrepared):
+            prepare = self.prepared.get(statement.name)
+            return prepare is not None and prepare.is_write
+        return isinstance(statement, Run) and statement.is_write
+
     def _check_access(self) -> Denied | None:
         access = self.context.authorise(self.database, self.key_digest)
         if isinstance(access, Denied):
@@ -280,7 +323,7 @@
     def _make_statement_context(
         self, access: SessionAccess, prepare: Prepare | None, arrived_ms: float
     ) -> StatementContext:
-        plan = make_attempt_plan(access.route, arrived_ms)
+        plan = self.plan = make_attempt_plan(access.route, arrived_ms)
         group = self.context.find_group(access.route.group)
         if group.is_scarce:
             group.retry_limit.count_first()
--- a/tests/test_pooler_stop.py
+++ b/tests/test_pooler_stop.py
@@ -7,18 +7,35 @@
 import itertools
 import math
 
+import attrs
+import pytest
+
 from radishtrack.platform.lines import ConnectionEnded, encode_line
 from radishtrack.platform.main import stop_node
 from radishtrack.pooler.readiness import make_stop_plan
-from tests.pooler_simulation import Client, is_closed, open_simulation
+from tests.pooler_simulation import (
+    Client,
+    RunningNode,
+    is_closed,
+    make_config,
+    open_simulation,
+    wait_until,
+)
 
 ACCEPT_MARGIN_MS = 100.0
 """Time before the node stops accepting at which clients stop connecting."""
 
+GRACE_MS = 3_000.0
+
+
+def shorten_grace(running: RunningNode) -> None:
+    running.node.options = attrs.evolve(running.node.options, grace_ms=GRACE_MS)
+
 
 def test_stop_ends_within_the_grace_period() -> None:
     plan = make_stop_plan(1_000.0, 6_000.0)
-    assert plan.accept_until_ms <= plan.finish_until_ms < plan.exit_ms < 7_000.0
+    assert plan.accept_until_ms <= plan.finish_until_ms < plan.close_ms
+    assert plan.close_ms < plan.answer_ms < plan.exit_ms < 7_000.0
 
 
 async def test_idle_sessions_end_and_transactions_finish() -> None:
@@ -86,3 +103,102 @@
         await asyncio.gather(*clients)
         assert len(answered) > 100
         assert unanswered & ran == set()
+
+
+async def test_statements_of_open_transactions_are_answered_during_a_stop() -> None:
+    """The process ended amid statements that it had passed on to members.
+
+    Transactions go on for longer than the grace period.
+    """
+    async with open_simulation() as simulation:
+        running = simulation.nodes[0]
+        shorten_grace(running)
+        ran: set[str] = set()
+        for member in simulation.members.values():
+            member.on_run = lambda _organisation, statement_id: ran.add(statement_id)
+            member.faults.work_ms = 150.0
+        unanswered: set[str] = set()
+        last_responses: list[str] = []
+
+        async def run_transaction(number: int) -> None:
+            client = await simulation.connect(running, "status")
+            await client.execute("BEGIN READ")
+            response = ""
+            for count in itertools.count():
+                statement_id = f"c{number}-{count}"
+                unanswered.add(statement_id)
+                client.connection.write(encode_line(f"QUERY {statement_id} READ 1"))
+                while not (line := await client.connection.read_line()).startswith(
+                    "READY"
+                ):
+                    response = line
+                unanswered.discard(statement_id)
+                if response.startswith("ERROR"):
+                    break
+                await asyncio.sleep(0.03)
+            last_responses.append(response)
+
+        clients = [asyncio.create_task(run_transaction(n)) for n in range(6)]
+        await wait_until(lambda: len(ran) > len(clients))
+        await stop_node(running.node, running.frontend)
+        # The process exits here.
+        await running.stop()
+        await asyncio.gather(*clients, return_exceptions=True)
+        await asyncio.sleep(0.3)
+        assert unanswered & ran == set()
+        assert [line.split(" ")[1] for line in last_responses] == ["ABORTED"] * 6
+
+
+@pytest.mark.parametrize(
+    ("statements", "expected"),
+    [
+        (("WRITE 1 x",), "INDOUBT"),
+        (("READ 1",), "BUSY"),
+        (("BEGIN", "READ 1"), "ABORTED"),
+        (("BEGIN", "WRITE 1 x"), "ABORTED"),
+        (("BEGIN", "WRITE 1 x", "COMMIT"), "INDOUBT"),
+        (("BEGIN", "READ 1", "COMMIT"), "ABORTED"),
+    ],
+    ids=lambda value: value if isinstance(value, str) else " ".join(value),
+)
+async def test_a_statement_that_outlasts_the_stop_gets_a_true_response(
+    statements: tuple[str, ...], expected: str
+) -> None:
+    """Clients repeat what was promised not to be kept, and only that."""
+    async with open_simulation() as simulation:
+        running = simulation.nodes[0]
+        shorten_grace(running)
+        config = make_config(2)
+        for route in config["routes"]:
+            route["timeoutMs"] = route["objectiveMs"] = 20_000
+        simulation.store.put("config", "main", config)
+        await wait_until(lambda: running.node.store_copy.catalog.version == 2)
+        client = await simulation.connect(running, "orders")
+        *first, last = statements
+        for text in first:
+            assert (await client.execute(text))[0].startswith("COMPLETE") or (
+                text == "READ 1"
+            )
+        simulation.primary.faults.work_ms = 10_000.0
+        response = asyncio.create_task(client.execute(last))
+        await asyncio.sleep(0.1)
+        started_ms = running.node.clock.now_ms()
+        await stop_node(running.node, running.frontend)
+        assert running.node.clock.now_ms() - started_ms < GRACE_MS
+        assert (await response)[0].split(" ")[1] == expected
+
+
+async def test_a_statement_after_the_time_to_finish_is_not_passed_on() -> None:
+    """Its response might not arrive before the process has to exit."""
+    async with open_simulation() as simulation:
+        running = simulation.nodes[0]
+        shorten_grace(running)
+        client = await simulation.connect(running, "orders")
+        await client.execute("BEGIN")
+        await client.execute("WRITE 1 x")
+        stopping = asyncio.create_task(stop_node(running.node, running.frontend))
+        await asyncio.sleep(0.55 * GRACE_MS / 1000)
+        assert (await client.execute("COMMIT"))[0].startswith("ERROR ABORTED")
+        assert await is_closed(client.connection)
+        await stopping
+        assert simulation.primary.received == 0
