Check the key of an open transaction whatever became of its route

Cause: a missing route was reported before the age of the configuration and the key were looked at, and a transaction may finish on a missing route.

Change: an open transaction is asked for what it needs alone: a recent configuration, and a key that is still the organisation's for which it runs. The route is looked up only when an operation begins. So a route that was made public and a key that was given to another organisation end it too.

Measured: 9 of the 11 new tests in tests/test_pooler_path.py fail on the code before and pass now; the two others guard that a transaction with a valid key still ends on its removed route, and a kept route.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -74,6 +74,8 @@
 """Factor of the copy's age limit while a restored store settles. The copy is not
 confirmed then although the store responds; a withdrawn key is still refused within 0.8
 of its bound."""
+UNCONFIRMED: Final = "the configuration can't be confirmed now"
+"""Detail of refusals while the copy of the store is too old."""
 SECRET_BYTES: Final = 32
 SECRET_RETRY_MS: Final = 300.0
 """Pause between attempts to read the peers' secret while a node starts."""
@@ -257,26 +259,43 @@
         if self.store_copy.confirmed_ms is None:
             # Without a configuration, the node can't tell that a name is unknown.
             return Denied(Refusal.BUSY, "the configuration has not been read yet")
-        catalog = self.store_copy.catalog
-        route = catalog.routes.get(database)
+        route = self.store_copy.catalog.routes.get(database)
         if route is None:
             return Denied(Refusal.NO_DATABASE, "no such database")
         if not self._has_recent_keys():
-            return Denied(Refusal.BUSY, "the configuration can't be confirmed now")
+            return Denied(Refusal.BUSY, UNCONFIRMED)
         if route.is_open:
             return SessionAccess(route, OPEN_ORGANISATION, False)
         if key_digest is None:
             return Denied(Refusal.NO_ACCESS, "the database needs a key")
-        owner = catalog.key_owners.get(key_digest)
+        owner = self.store_copy.catalog.key_owners.get(key_digest)
         if owner is None:
             return Denied(Refusal.NO_ACCESS, "the key is not accepted")
         return SessionAccess(route, owner.name, True)
 
+    def _check_transaction(
+        self, access: SessionAccess, key_digest: bytes | None
+    ) -> Denied | None:
+        """Return why an open transaction may not go on, whatever became of its route.
+
+        Its statements run as the organisation with which it began, so the key must
+        still be that organisation's.
+        """
+        if not self._has_recent_keys():
+            return Denied(Refusal.BUSY, UNCONFIRMED)
+        if not access.is_limited:
+            return None
+        owner = self.store_copy.catalog.key_owners.get(key_digest or b"")
+        if owner is None or owner.name != access.organisation:
+            return Denied(Refusal.NO_ACCESS, "the key is not accepted any more")
+        return None
+
     @property
     def _context(self) -> SessionContext:
         return SessionContext(
             clock=self.clock,
             authorise=self._authorise,
+            check_transaction=self._check_transaction,
             refresh=self.store_copy.refresh,
             admit=self.rates.admit,
             refund=self.rates.refund,
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -79,6 +79,9 @@
         Time in milliseconds.
     authorise : callable
         Takes database name and key digest; returns the access or why it is denied.
+    check_transaction : callable
+        Takes the access with which a transaction began and the key digest; returns why
+        the transaction may not go on, or None.
     refresh : callable
         Reads the configuration from the store; takes what the local copy lacks.
     admit : callable
@@ -105,6 +108,7 @@
 
     clock: Clock
     authorise: Callable[[str, bytes | None], SessionAccess | Denied]
+    check_transaction: Callable[[SessionAccess, bytes | None], Denied | None]
     refresh: Callable[[str, bytes | None], Awaitable[None]]
     admit: Callable[[str, float], Awaitable[RateToken | None]]
     refund: Callable[[RateToken], None]
@@ -226,13 +230,15 @@
         return isinstance(statement, Run) and statement.is_write
 
     def _check_access(self) -> Denied | None:
+        if self.transaction is not None:
+            # Changes of the route apply from the next transaction, those of keys now.
+            return self.context.check_transaction(
+                self._require_access(), self.key_digest
+            )
         access = self.context.authorise(self.database, self.key_digest)
         if isinstance(access, Denied):
-            # A transaction may finish on a removed route, but not with a revoked key.
-            if self.transaction is None or access.refusal is not Refusal.NO_DATABASE:
-                return access
-        elif self.transaction is None:
-            self.access = access
+            return access
+        self.access = access
         return None
 
     async def _begin(self, statement: Begin) -> ClientResponse:
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 import attrs
+import pytest
 
 from radishtrack.platform.lines import encode_line
 from tests.pooler_simulation import (
@@ -145,6 +149,93 @@
         assert await is_closed(client.connection)
 
 
+def _remove_key(config: dict[str, Any]) -> None:
+    config["tenants"][0]["apiKeys"] = []
+
+
+def _remove_organisation(config: dict[str, Any]) -> None:
+    del config["tenants"][0]
+
+
+def _give_key_to_another(config: dict[str, Any]) -> None:
+    config["tenants"][1]["apiKeys"] += config["tenants"][0]["apiKeys"]
+    config["tenants"][0]["apiKeys"] = []
+
+
+@pytest.mark.parametrize(
+    ("withdraw", "change", "text"),
+    [
+        (_remove_key, "removed", "READ 1"),
+        (_remove_key, "removed", "WRITE 1 x"),
+        (_remove_key, "removed", "EXECUTE s1 1"),
+        (_remove_key, "removed", "COMMIT"),
+        (_remove_key, "open", "COMMIT"),
+        (_remove_key, "kept", "COMMIT"),
+        (_remove_organisation, "removed", "COMMIT"),
+        (_give_key_to_another, "removed", "COMMIT"),
+        (_give_key_to_another, "kept", "WRITE 1 x"),
+    ],
+    ids=lambda value: value if isinstance(value, str) else value.__name__[1:],
+)
+async def test_withdrawn_key_ends_a_transaction_whatever_became_of_its_route(
+    withdraw: Callable[[dict[str, Any]], None], change: str, text: str
+) -> None:
+    """The version that withdrew the key removed its route, and the checks ended there.
+
+    All later statements of the open transaction ran, and it was committed.
+    """
+    async with open_simulation() as simulation:
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        await client.execute("PREPARE s1 READ q1")
+        await client.execute("BEGIN")
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        config = make_config(version=2)
+        withdraw(config)
+        if change == "removed":
+            config["routes"] = config["routes"][1:]
+        config["routes"][0]["public"] = change == "open"
+        simulation.store.put("config", "main", config)
+        store_copy = simulation.nodes[0].node.store_copy
+        await wait_until(lambda: store_copy.catalog.version == 2)
+        assert (await client.execute(text))[0].startswith("ERROR NOAUTH")
+        assert await is_closed(client.connection)
+        assert simulation.primary.received == 0
+
+
+async def test_transaction_on_a_removed_route_ends_without_the_store() -> None:
+    """A node that can't know which keys are withdrawn let it go on."""
+    async with open_simulation() as simulation:
+        node = simulation.nodes[0].node
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        await client.execute("BEGIN")
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        config = make_config(version=2)
+        config["routes"] = config["routes"][1:]
+        simulation.store.put("config", "main", config)
+        await wait_until(lambda: node.store_copy.catalog.version == 2)
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        node.options = attrs.evolve(node.options, key_age_limit_ms=500.0)
+        simulation.store.faults.status = 503
+        await wait_until(lambda: not node.is_ready())
+        assert (await client.execute("COMMIT"))[0].startswith("ERROR BUSY")
+        assert simulation.primary.received == 0
+
+
+async def test_transaction_with_a_valid_key_ends_on_its_removed_route() -> None:
+    """Changes of a route apply from the next transaction on."""
+    async with open_simulation() as simulation:
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        await client.execute("BEGIN")
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        config = make_config(version=2)
+        config["routes"] = config["routes"][1:]
+        simulation.store.put("config", "main", config)
+        store_copy = simulation.nodes[0].node.store_copy
+        await wait_until(lambda: store_copy.catalog.version == 2)
+        assert (await client.execute("COMMIT"))[0].startswith("COMPLETE")
+        assert (await client.execute("READ 1"))[0].startswith("ERROR NODB")
+
+
 async def test_keys_are_refused_when_the_store_is_unreachable() -> None:
     """A node that can't confirm keys for too long must not serve nor be ready."""
     async with open_simulation() as simulation:
