Let an odd object of the store cost that object alone

Callers were refused everything while another writer's entry that can't be decoded lay among those of the members (nested too deeply, too many digits, a byte that is not UTF-8): nodes that started had no configuration, and running ones could not confirm theirs. No process ended.

Cause: lists were decoded as one document, before single entries were checked. Besides, some entries were valid for the parser and unusable later: node records with a port out of range or an impossible host made each request to all nodes fail with an unexpected error, and a member's impossible host each promotion of its group.

Change: if a response can't be decoded as a whole, its two outer levels are decoded field by field, and what can't be read is marked in that object alone. Names, hosts and ports are checked where they enter; a record of a duty or an announced term that is none names no holder and no term.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -8,6 +8,7 @@
 
 from radishtrack.events import Event, log_event
 from radishtrack.platform.documents import (
+    MAX_NAME_LENGTH,
     DocumentError,
     parse_catalog,
     parse_member,
@@ -19,6 +20,7 @@
 )
 from radishtrack.platform.object_store import ObjectStoreClient, StoredObject
 from radishtrack.pooler.catalog import Catalog, Member, NodeRecord
+from radishtrack.pooler.duties import NO_HOLDER
 from radishtrack.pooler.ports import (
     Duty,
     FleetListing,
@@ -45,6 +47,12 @@
 """Limit of the invalid objects that are remembered in order to log each only once."""
 
 
+MAX_REASON_LENGTH: Final = 200
+"""Length at which the reason in a log line is cut; it may quote an object."""
+MAX_TERM: Final = 2**32
+"""Terms rise by one with each promotion; a larger one is no term."""
+
+
 @attrs.define(eq=False)
 class PlatformControlStore:
     """Implements `ControlStore`.
@@ -66,7 +74,7 @@
         listing = await self.client.list_objects(FLEET_KIND)
         nodes = parse_valid(
             (item for item in listing.objects if item.name.startswith(NODE_PREFIX)),
-            parse_node,
+            _parse_own_node,
             self._report,
         )
         era = get_era(listing.revision)
@@ -75,11 +83,13 @@
             for item in listing.objects
             if item.name.startswith(DUTY_PREFIX)
         }
-        terms = {
-            item.name.removeprefix(TERM_PREFIX): _parse_number(item, "term")
-            for item in listing.objects
-            if item.name.startswith(TERM_PREFIX)
-        }
+        terms = dict(
+            parse_valid(
+                (item for item in listing.objects if item.name.startswith(TERM_PREFIX)),
+                _parse_term,
+                self._report,
+            )
+        )
         settled_era = max(
             (_parse_number(o, "era") for o in listing.objects if o.name == ERA_NAME),
             default=0,
@@ -232,7 +242,10 @@
         report = (name, str(error))
         if report not in self.reported and len(self.reported) < MAX_REPORTED_ENTRIES:
             self.reported.add(report)
-            log_event(Event.LISTING_INVALID, object=name, reason=error)
+            reason = str(error)[:MAX_REASON_LENGTH]
+            log_event(
+                Event.LISTING_INVALID, object=name[:MAX_NAME_LENGTH], reason=reason
+            )
 
 
 def _parse_secret(stored: StoredObject) -> bytes:
@@ -244,18 +257,36 @@
         ) from error
 
 
+def _parse_own_node(stored: StoredObject) -> NodeRecord:
+    """Return a node's record, which must have the name of that node."""
+    node = parse_node(stored)
+    if stored.name != NODE_PREFIX + node.name:
+        raise DocumentError("node record: written under another name")
+    return node
+
+
+def _parse_term(stored: StoredObject) -> tuple[str, int]:
+    """Return a group and its announced term."""
+    term = _parse_number(stored, "term")
+    if not 0 < term <= MAX_TERM:
+        raise DocumentError("announced term: missing or out of range")
+    return stored.name.removeprefix(TERM_PREFIX), term
+
+
 def _parse_number(stored: StoredObject, field: str) -> int:
     """Return a number in an object's content; 0 if there is none."""
     number = stored.spec.get(field) if isinstance(stored.spec, dict) else None
-    return number if isinstance(number, int) else 0
+    return number if type(number) is int else 0
 
 
 def _parse_duty(stored: StoredObject, store_era: int) -> Duty:
+    """Return a duty's record; one that can't be read has no holder."""
     spec = stored.spec if isinstance(stored.spec, dict) else {}
     # Records of earlier versions of this program name no era.
     era = min(max(_parse_number(stored, "era"), 0), store_era)
+    holder, claim = spec.get("holder"), spec.get("claim")
     return Duty(
-        str(spec.get("holder", "")),
+        holder if isinstance(holder, str) else NO_HOLDER,
         make_revision(era, stored.revision),
-        str(spec.get("claim", "")),
+        claim if isinstance(claim, str) else "",
     )
--- a/src/radishtrack/platform/documents.py
+++ b/src/radishtrack/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from collections.abc import Callable, Iterator
 from typing import Any, Final, TypeVar
 
@@ -30,7 +32,15 @@
 """Whether a member in this state is leaving."""
 
 MAX_INTEGER: Final = 2**63 - 1
+MAX_NAME_LENGTH: Final = 256
+"""Longest name of a member, node, group or zone; each is passed on many times."""
 MAX_SLOTS: Final = 100_000
+MAX_HOST_LENGTH: Final = 253
+"""Longest host name, by RFC 1035."""
+HOST_PATTERN: Final = re.compile(
+    r"(?:[A-Za-z0-9_](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?\.)*"
+    r"[A-Za-z0-9_](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+)
 
 _T = TypeVar("_T")
 ReportInvalid = Callable[[str, Exception], None]
@@ -115,11 +125,11 @@
     try:
         host, port = parse_address(_text(spec, "address"))
         return Member(
-            name=stored.name,
-            group=_text(spec, "service"),
+            name=_check_name("name", stored.name),
+            group=_name(spec, "service"),
             host=host,
             port=port,
-            zone=_text(spec, "zone"),
+            zone=_name(spec, "zone"),
             slots=_slots(spec),
             is_leaving=IS_LEAVING_BY_STATE[spec["state"]],
             role=ROLES[spec["dbRole"]],
@@ -153,10 +163,10 @@
     spec = stored.spec
     try:
         return NodeRecord(
-            name=_text(spec, "name"),
-            host=_text(spec, "host"),
-            port=_integer(spec, "port"),
-            zone=_text(spec, "zone"),
+            name=_name(spec, "name"),
+            host=_check_host(_text(spec, "host")),
+            port=_check_port(_integer(spec, "port")),
+            zone=_name(spec, "zone"),
             started_ms=_integer(spec, "startedMs"),
             # Records of earlier versions of this program don't name it.
             cores=_number(spec, "cores") if "cores" in spec else 0.0,
@@ -234,9 +244,37 @@
         If the text does not have this form.
     """
     host, colon, port = text.rpartition(":")
-    if not host or not colon or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not colon or not port.isascii() or not port.isdecimal():
         raise ValueError(f"not an address: {text[:60]!r}")
-    return host, int(port)
+    return _check_host(host), _check_port(int(port))
+
+
+def _check_host(host: str) -> str:
+    """Return a host that is an IPv4 address or a valid name."""
+    if not HOST_PATTERN.fullmatch(host) or len(host) > MAX_HOST_LENGTH:
+        raise ValueError(f"not a host: {host[:60]!r}")
+    if host.rpartition(".")[2].isdecimal():
+        return str(ipaddress.IPv4Address(host))
+    return host
+
+
+def _check_port(port: int) -> int:
+    if not 0 < port < 65536:
+        raise ValueError("port is out of range")
+    return port
+
+
+def _name(item: Any, field: str) -> str:
+    return _check_name(field, item[field])
+
+
+def _check_name(field: str, value: Any) -> str:
+    """Return a name that can be a field of the line protocol."""
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
+        raise ValueError(f"{field} is not a name")
+    if not value.isprintable() or " " in value:
+        raise ValueError(f"{field} has blanks or unprintable characters")
+    return value
 
 
 def _text(item: Any, field: str) -> str:
--- a/src/radishtrack/platform/object_store.py
+++ b/src/radishtrack/platform/object_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any, Final
 from urllib.parse import quote
 
@@ -11,6 +11,7 @@
 
 from radishtrack.events import Event, log_event
 from radishtrack.platform.http_client import HttpClient, HttpError, HttpResponse
+from radishtrack.platform.tolerant_json import decode_tolerantly
 from radishtrack.pooler.ports import StoreUnavailable
 from radishtrack.revision import get_era, make_revision
 
@@ -41,7 +42,7 @@
     revision : int
         Revision of its last change.
     spec : object
-        Its content, decoded from JSON.
+        Its content, decoded from JSON; `UNREADABLE` if that failed.
     """
 
     name: str
@@ -99,7 +100,7 @@
                     raise StoreUnavailable(
                         "list", f"status {status}", is_effect_unknown=False
                     )
-                page = [_parse_object(item) for item in data["items"]]
+                page = list(_parse_page(data["items"]))
                 has_more = bool(data["hasMore"])
                 if revision is None:
                     # Later pages may be newer; the list is complete up to this one.
@@ -111,7 +112,11 @@
                 raise StoreUnavailable(
                     "list", "restored between two pages", is_effect_unknown=False
                 )
-            if not has_more or not page:
+            if has_more and not page:
+                raise StoreUnavailable(
+                    "list", "a page without readable objects", is_effect_unknown=False
+                )
+            if not has_more:
                 return ObjectList(tuple(objects), revision)
             after = page[-1].name
         raise StoreUnavailable("list", "too many pages", is_effect_unknown=False)
@@ -212,15 +217,20 @@
 def decode_body(data: bytes) -> Any:
     """Return the content of a response's body; None if it is empty.
 
+    What can't be read of an object is `UNREADABLE`, so that the other objects of a list
+    can be used.
+
     Raises
     ------
     ValueError
-        If it is not valid JSON, or nested too deeply.
+        If it is not valid JSON apart from that.
     """
+    if not data:
+        return None
     try:
-        return json.loads(data) if data else None
-    except RecursionError as error:
-        raise ValueError("body is nested too deeply") from error
+        return json.loads(data)
+    except (ValueError, RecursionError):
+        return decode_tolerantly(data)
 
 
 def _path(kind: str, name: str | None = None) -> str:
@@ -233,6 +243,21 @@
     return StoredObject(str(meta["name"]), int(meta["revision"]), data.get("spec"))
 
 
+def _parse_page(items: Any) -> Iterator[StoredObject]:
+    """Yield the objects of a list, without those whose metadata can't be read."""
+    for item in items:
+        try:
+            yield _parse_object(item)
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            OverflowError,
+            AttributeError,
+        ) as error:
+            log_event(Event.LISTING_INVALID, object="unknown", reason=type(error))
+
+
 def _malformed(step: str, error: Exception) -> StoreUnavailable:
     return StoreUnavailable(
         step, f"malformed response: {error!r}", is_effect_unknown=False
--- a/src/radishtrack_standins/object_store.py
+++ b/src/radishtrack_standins/object_store.py
@@ -54,6 +54,8 @@
     era: int = 1
     """Rises by one with each restore; sent in all responses."""
     page_size: int = 500
+    raw_specs: dict[str, bytes] = attrs.field(factory=dict)
+    """JSON texts of specs that are sent as they were written, by mark."""
     faults: StoreFaults = attrs.field(factory=StoreFaults)
     calls: list[str] = attrs.field(factory=list)
     orders: list[tuple[str, str, str, int]] = attrs.field(factory=list)
@@ -115,6 +117,12 @@
         }
         return self.revision
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> int:
+        """Write an object whose spec is sent byte by byte as given."""
+        mark = f"raw spec {len(self.raw_specs)}"
+        self.raw_specs[mark] = spec
+        return self.put(kind, name, mark)
+
     def remove(self, kind: str, name: str) -> None:
         """Delete an object."""
         self.revision += 1
@@ -171,7 +179,7 @@
             body = await request.json()
             name = body["meta"]["name"]
             if (kind, name) in self.objects:
-                return _make_response(409, self.objects[kind, name])
+                return self._make_response(409, self.objects[kind, name])
             self.put(kind, name, body["spec"])
             return self._respond_to_write(request, self.objects[kind, name])
         after = request.query.get("after", "")
@@ -181,7 +189,7 @@
             show(kind, self.objects[kind, name]) for name in names[: self.page_size]
         ]
         has_more = len(names) > self.page_size
-        return _make_response(
+        return self._make_response(
             200, {"items": page, "hasMore": has_more, "atRev": self.revision}
         )
 
@@ -191,24 +199,24 @@
         kind, name = request.match_info["kind"], request.match_info["name"]
         stored = self.objects.get((kind, name))
         if stored is None:
-            return _make_response(404, None)
+            return self._make_response(404, None)
         if request.method == "PUT":
             body = await request.json()
             if body["meta"].get("revision") not in (None, stored["meta"]["revision"]):
-                return _make_response(409, stored)
+                return self._make_response(409, stored)
             if body["spec"] != stored["spec"]:
                 self.put(kind, name, body["spec"])
             return self._respond_to_write(request, self.objects[kind, name])
         if request.method == "DELETE":
             self.remove(kind, name)
-        return _make_response(200, request.app[SHOW_KEY](kind, stored))
+        return self._make_response(200, request.app[SHOW_KEY](kind, stored))
 
     def _respond_to_write(self, request: web.Request, stored: object) -> web.Response:
         if self.faults.lose_writes:
             self.faults.lose_writes -= 1
             if request.transport is not None:
                 request.transport.abort()
-        return _make_response(200, stored)
+        return self._make_response(200, stored)
 
     async def _serve_order(self, request: web.Request) -> web.StreamResponse:
         if (fault_response := await self._apply_faults(request)) is not None:
@@ -222,12 +230,10 @@
                 int(request.headers["X-Fencing-Token"]),
             )
         )
-        return _make_response(self.on_order(body["service"], body["id"]), {})
-
+        return self._make_response(self.on_order(body["service"], body["id"]), {})
 
-def _make_response(status: int, body: object) -> web.Response:
-    return web.Response(
-        status=status,
-        body=json.dumps(body).encode(),
-        content_type="application/json",
-    )
+    def _make_response(self, status: int, body: object) -> web.Response:
+        data = json.dumps(body).encode()
+        for mark, spec in self.raw_specs.items():
+            data = data.replace(json.dumps(mark).encode(), spec)
+        return web.Response(status=status, body=data, content_type="application/json")
