End a line of the users' protocol at CR LF alone

Cause: the reader took any line feed for the end of a line, and the carriage return before it as optional, while the last field extends to CR LF.

Change: lines are split at CR LF, for clients and members.

--- a/src/radishtrack/platform/lines.py
+++ b/src/radishtrack/platform/lines.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Final, cast
 
+LINE_END: Final = b"\r\n"
+"""End of a line; either byte alone may be part of the last field."""
 MAX_LINE_BYTES: Final = 1_048_576
 """Longest line of the protocol."""
 HIGH_WATER_BYTES: Final = 2 * MAX_LINE_BYTES
@@ -87,10 +89,11 @@
             If the connection ended before the line did, or the line is too long.
         """
         while True:
-            end = self.buffer.find(b"\n", self.scanned_bytes)
+            end = self.buffer.find(LINE_END, self.scanned_bytes)
             if end >= 0:
                 return self._pop_line(end)
-            self.scanned_bytes = len(self.buffer)
+            # The line end may have arrived in part.
+            self.scanned_bytes = max(0, len(self.buffer) - 1)
             if self.scanned_bytes > MAX_LINE_BYTES:
                 raise ConnectionEnded("line is too long")
             if self.is_closed:
@@ -126,11 +129,11 @@
 
     def _pop_line(self, end: int) -> str:
         line = bytes(self.buffer[:end])
-        del self.buffer[: end + 1]
+        del self.buffer[: end + len(LINE_END)]
         self.scanned_bytes = 0
         if len(line) > MAX_LINE_BYTES:
             raise ConnectionEnded("line is too long")
-        return line.removesuffix(b"\r").decode("utf-8", "surrogateescape")
+        return line.decode("utf-8", "surrogateescape")
 
     def _resume(self) -> None:
         if self.is_paused and self.transport is not None:
@@ -144,7 +147,7 @@
 
 def encode_line(text: str) -> bytes:
     """Return an encoded line with its line ending."""
-    return text.encode("utf-8", "surrogateescape") + b"\r\n"
+    return text.encode("utf-8", "surrogateescape") + LINE_END
 
 
 def _set_options(sock: socket.socket) -> None:
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -149,6 +150,26 @@
         assert await is_closed(client.connection)
 
 
+@pytest.mark.parametrize("separator", ["\n", "\r", "\n\n", "\r \n"])
+async def test_line_feed_in_a_field_is_part_of_the_field(separator: str) -> None:
+    """It ended the request: a shortened write was committed and a second one ran."""
+    async with open_simulation() as simulation:
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        text = f"WRITE 1 two{separator}QUERY q9 WRITE 2 lines{separator}"
+        assert (await client.execute(text))[0].startswith("COMPLETE")
+        assert [ran[1:] for ran in simulation.primary.ran] == [("q1", text)]
+        assert (await client.execute("READ 1"))[0].startswith("DATAROW")
+
+
+async def test_line_end_that_arrives_in_parts_ends_the_request() -> None:
+    async with open_simulation() as simulation:
+        connection = await simulation.open_connection(simulation.nodes[0])
+        for byte in encode_line(f"STARTUP orders {KEY}"):
+            connection.write(bytes([byte]))
+            await asyncio.sleep(0.001)
+        assert await connection.read_line() == "READY I -"
+
+
 def _remove_key(config: dict[str, Any]) -> None:
     config["tenants"][0]["apiKeys"] = []
 
