Ask for announcements after evidence was withdrawn

Callers' commits could be acknowledged and lost if a fenced replica restarted between the last check of the fences and the promotion: the primary went on with it, and nodes whose copy of the store was older than the announcement of the promotion took both reports for evidence.

Cause: a node that a promoter has asked to drop its evidence knew of the promotion, and did not keep that.

Change: it accepts evidence of the same term again only with a copy of the store that was confirmed after the request, which has the announcement.

Measured: the new test in tests/test_pooler_failover.py fails on the code before (acknowledged commits that the promoted member lacks) and passes now.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -81,6 +81,10 @@
     """Term of the newest promotion announced in the store by any node."""
     valid_from_ms: float = 0.0
     """Reports requested before this time no longer prove the term."""
+    withdrawn_term: int = 0
+    """Term of the evidence when a promoter last invalidated it."""
+    withdrawn_ms: float = 0.0
+    """When that was. The promotion had been announced in the store before."""
     acknowledged_term: int = 0
     """Newest term in which this node has acknowledged a commit."""
     incomplete: dict[str, Position] = attrs.field(factory=dict)
@@ -173,6 +177,20 @@
         """Invalidate the evidence from all reports requested before now."""
         self.valid_from_ms = max(self.valid_from_ms, now_ms)
 
+    def withdraw(self, now_ms: float) -> None:
+        """Invalidate the evidence for a promotion that was announced in the store."""
+        self.invalidate(now_ms)
+        self.withdrawn_term, self.withdrawn_ms = self.term, now_ms
+
+    @property
+    def needs_announcement(self) -> bool:
+        """Whether the announcement of a promotion must be read first.
+
+        A replica that restarts forgets its fence, so reports could prove the term again
+        although the promotion is under way.
+        """
+        return 0 < self.term <= self.withdrawn_term
+
     def find_min_position(self, max_age_ms: float, now_ms: float) -> Position | None:
         """Return the lowest sampled position with all commits older than an age.
 
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -77,7 +77,7 @@
     has_left: bool = False
 
 
-def _assume_announced(_max_age_ms: float) -> bool:
+def _assume_announced(_ms: float) -> bool:
     return True
 
 
@@ -107,6 +107,8 @@
     has_all_announcements: Callable[[float], bool] = _assume_announced
     """Returns whether no promotion announced longer ago than an age can be unknown to
     this node; see `StoreCopy.has_all_announcements`."""
+    has_copy_since: Callable[[float], bool] = _assume_announced
+    """Returns whether the copy of the store is known to be complete up to a time."""
     node: str = ""
     """Name of this node."""
     evacuated: EvacuatedZones = attrs.field(factory=EvacuatedZones)
@@ -281,8 +283,13 @@
 
     def is_current(self) -> bool:
         """Return whether evidence proves that the primary is still current."""
-        is_current = self.evidence.is_current(self.clock.now_ms())
-        return is_current and self.has_all_announcements(EVIDENCE_VALID_MS)
+        if not self.evidence.is_current(self.clock.now_ms()):
+            return False
+        if self.evidence.needs_announcement and not self.has_copy_since(
+            self.evidence.withdrawn_ms
+        ):
+            return False
+        return self.has_all_announcements(EVIDENCE_VALID_MS)
 
     def presumed_primary(self) -> str:
         """Return the primary by evidence, or else the one that the store lists."""
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -195,6 +195,7 @@
                 self.open_link,
                 self._has_all_announcements,
             )
+            access.has_copy_since = self.store_copy.is_confirmed_since
             access.node = self.options.node.name
             access.evacuated = self.store_copy.evacuated
             access.scheduling_log = self.scheduling_log
@@ -421,7 +422,7 @@
                 access = self.groups.get(database)
                 if access is None:
                     return BeliefWithdrawn(request, 0)
-                access.evidence.invalidate(self.clock.now_ms())
+                access.evidence.withdraw(self.clock.now_ms())
                 return BeliefWithdrawn(request, access.evidence.acknowledged_term)
             case SharesWanted():
                 return self.rates.grant(peer, message)
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -404,7 +404,7 @@
         The list of nodes must be read after the members were fenced: a node that
         registers later can't obtain evidence of the old term.
         """
-        access.evidence.invalidate(self.clock.now_ms())
+        access.evidence.withdraw(self.clock.now_ms())
         is_complete = await self.store_copy.confirm()
         responses = await self.peers.request_all(
             lambda request: WithdrawBelief(request, access.name),
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -415,6 +415,10 @@
             return False
         return self.clock.now_ms() - self.failed_ms < max_age_ms
 
+    def is_confirmed_since(self, at_ms: float) -> bool:
+        """Return whether the copy is known to have equalled the store after a time."""
+        return self.confirmed_ms is not None and self.confirmed_ms >= at_ms
+
     @property
     def nodes(self) -> tuple[NodeRecord, ...]:
         """Nodes that may still use their shares of rates or have evidence of a term.
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -430,3 +430,40 @@
         access = second.find_group(GROUP)
         fenced_ms = second.clock.now_ms()
         assert await second.promoter._await_invalidation(access, fenced_ms) == 1
+
+
+async def test_no_commit_is_acknowledged_after_a_fenced_replica_restarts() -> None:
+    """A replica restarted between the last check and the promotion, without its fence.
+
+    The primary acknowledged commits with it, and nodes that had not read the
+    announcement of the promotion passed them on; the promoted member lacked them.
+    """
+    async with open_simulation(nodes=2) as simulation:
+        promoted, restarted = simulation.members["i-2"], simulation.members["i-3"]
+        client = await simulation.connect(simulation.nodes[1], "orders")
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        is_ordered = asyncio.Event()
+
+        def restart_before_promotion(_group: str, name: str) -> int:
+            assert name in ("i-2", "i-3")
+            nonlocal promoted, restarted
+            promoted = simulation.members[name]
+            restarted = simulation.members["i-3" if name == "i-2" else "i-2"]
+            restarted.fenced_term = 0
+            simulation.primary.replicas = [restarted]
+            is_ordered.set()
+            return 200
+
+        simulation.store.on_order = restart_before_promotion
+        for running in simulation.nodes:
+            # No copy is read after the announcement while the store is slow.
+            running.node.promoter.started_ms -= DEPARTURE_MS
+        simulation.register(simulation.primary, state="draining")
+        await _wait_for(is_ordered)
+        simulation.store.faults.delay_s = 0.5
+        acknowledged = 0
+        for _ in range(20):
+            response = await client.execute("WRITE 1 x")
+            acknowledged += response[0].startswith("COMPLETE")
+        assert simulation.primary.received > promoted.received
+        assert acknowledged == 0
