Tell a member's new process from the one that had its log

Callers could read data older than their route allows, or lose commits while the store had no record of the group, after a replica had started again under its name without its log; a primary that came back empty was neither used nor replaced.

Cause: the last report of a member was discarded with its restart, so nothing showed that its new process had less. Replicas alone counted as proof of what was acknowledged by their number, and a primary that reports an earlier term stayed the primary.

Change: a new process is marked as incomplete until it has what the earlier one had reported; after a restart, replicas alone prove nothing until the primary has proven a position; a primary that reports an earlier term leads no more.

Measured: the three new tests in tests/test_pooler_evidence.py fail on the code before (two lack the interface).

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -89,6 +89,9 @@
     """Newest term in which this node has acknowledged a commit."""
     incomplete: dict[str, Position] = attrs.field(factory=dict)
     """Members that lost their log, with the position at which they count again."""
+    restarted_ms: dict[str, float] = attrs.field(factory=dict)
+    """When members were last found to run as another process; what the earlier one had
+    received may be in no other log."""
 
     def set_members(self, names: frozenset[str]) -> None:
         """Replace the list of members and discard the reports of others."""
@@ -97,6 +100,14 @@
         for name in set(self.observations) - names:
             self.discard_member(name)
 
+    def record_restart(self, member: str, now_ms: float) -> None:
+        """Record that a member runs as another process, which may lack its log."""
+        report = self.find_report(member)
+        if report is not None and report.term == self.term:
+            self._mark_incomplete(report)
+        self.restarted_ms[member] = now_ms
+        self.discard_member(member)
+
     def discard_member(self, member: str) -> None:
         """Discard a member's report and applied position after a restart or removal."""
         self.observations.pop(member, None)
@@ -142,6 +153,12 @@
         if member != self.primary or position.term > self.term:
             return
         if at_ms < self.valid_until_ms():
+            # Samples of replicas contain what the primary had proven since a restart.
+            self.restarted_ms = {
+                name: restarted_ms
+                for name, restarted_ms in self.restarted_ms.items()
+                if restarted_ms >= at_ms
+            }
             self._add_sample(Sample(position, at_ms))
 
     def record_acknowledged(self, term: int) -> None:
@@ -249,16 +266,24 @@
             and report.term == previous.report.term
             and report.position < previous.report.position
         ):
-            latest = self.latest_position() or previous.report.position
-            self.incomplete[report.member] = max(latest, previous.report.position)
-            self.applied.pop(report.member, None)
+            self._mark_incomplete(previous.report)
         target = self.incomplete.get(report.member)
         if target is not None and report.position >= target:
             del self.incomplete[report.member]
 
+    def _mark_incomplete(self, report: MemberReport) -> None:
+        """Record that a member lost the log that it last reported."""
+        latest = self.latest_position() or report.position
+        self.incomplete[report.member] = max(latest, report.position)
+        self.applied.pop(report.member, None)
+
     def _follow_term(self, report: MemberReport, now_ms: float) -> bool:
         if report.term < self.term:
-            return False
+            if self.primary != report.member:
+                return False
+            # It started again without its log, and no longer leads the term.
+            self.primary = ""
+            return True
         is_primary = report.role is Role.PRIMARY
         if report.term == self.term:
             if is_primary and self.primary != report.member:
@@ -274,6 +299,7 @@
         # positions of the earlier term can no longer be required.
         self.samples.clear()
         self.max_members = len(self.members)
+        self.restarted_ms.clear()
         return True
 
     def _sample_replicas(self) -> None:
@@ -286,7 +312,7 @@
         primary must have proven a position in this term, and the position from the
         replicas may not be below the latest sample.
         """
-        needed = self.max_members - self.synchronous_replicas
+        needed = self.max_members + len(self.restarted_ms) - self.synchronous_replicas
         in_term = [
             observation
             for observation in self.observations.values()
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -452,7 +452,10 @@
         ):
             pool.drop_all()
             pool.ended_ms = None
-            self.evidence.discard_member(member.name)
+            if pool.member.process != member.process:
+                self.evidence.record_restart(member.name, self.clock.now_ms())
+            else:
+                self.evidence.discard_member(member.name)
             pool.capacity = self.placement.make_capacity(member.slots)
         pool.member = member
 
--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -111,8 +111,12 @@
         """The store's revision, as nodes read it."""
         return make_revision(self.store.era, self.store.revision)
 
-    def register(self, member: LineMember, state: str = "ready") -> None:
+    def register(
+        self, member: LineMember, state: str = "ready", born: int | None = None
+    ) -> None:
         entry = make_member_entry(member, slots=2, state=state)
+        if born is not None:
+            entry["born"] = born
         self.store.put("servers", member.name, entry)
 
     async def start_node(self, name: str) -> RunningNode:
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -154,6 +154,41 @@
     assert choose_successor(fenced, evidence, "a", frozenset()) is not None
 
 
+def test_a_member_that_runs_as_another_process_may_lack_its_log() -> None:
+    """Its report was forgotten with the restart, so nothing showed that it had less."""
+    evidence = make_evidence(PRIMARY, make_report("b"), make_report("c", sequence=9))
+    evidence.record_restart("b", 150.0)
+    evidence.observe_report(make_report("b", sequence=0), 200.0, 201.0)
+    fenced = {
+        "b": make_report("b", sequence=0, fenced_term=2),
+        "c": make_report("c", sequence=9, fenced_term=2),
+    }
+    assert choose_successor(fenced, evidence, "a", frozenset()) is None
+
+
+def test_replicas_alone_prove_nothing_after_one_has_restarted() -> None:
+    """What the earlier process had acknowledged may be at the primary alone."""
+    evidence = make_evidence(PRIMARY, make_report("b"), make_report("c"))
+    evidence.record_restart("b", 500.0)
+    evidence.observe_report(make_report("b"), 900.0, 901.0)
+    evidence.observe_report(make_report("c"), 900.0, 901.0)
+    assert evidence.find_min_position(200.0, 1_000.0) is None
+    evidence.observe_report(PRIMARY, 910.0, 911.0)
+    assert evidence.find_min_position(200.0, 1_000.0) == Position(1, 10)
+    evidence.observe_report(make_report("b"), 1_900.0, 1_901.0)
+    evidence.observe_report(make_report("c"), 1_900.0, 1_901.0)
+    assert evidence.find_min_position(200.0, 2_000.0) == Position(1, 10)
+
+
+def test_a_primary_that_started_again_without_its_log_does_not_lead() -> None:
+    """It answered polls, so it was neither used nor replaced."""
+    evidence = make_evidence(
+        make_report("a", Role.PRIMARY, term=3), make_report("b", term=3)
+    )
+    assert evidence.observe_report(make_report("a", term=0, sequence=0), 200.0, 201.0)
+    assert evidence.primary == ""
+
+
 @pytest.mark.parametrize(
     ("fenced", "leaving", "expected"),
     [
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -248,6 +248,39 @@
         assert simulation.store.orders == []
 
 
+async def test_a_replica_back_without_its_log_does_not_make_up_for_it() -> None:
+    """The primary and a replica crashed at once, and the replica came back empty."""
+    async with open_simulation(nodes=2) as simulation:
+        await wait_until(lambda: (REPLICAS_KIND, GROUP) in simulation.store.objects)
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        primary, returned = simulation.members["i-1"], simulation.members["i-3"]
+        primary.replicas = [returned]
+        for _ in range(3):
+            assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        await returned.stop()
+        await primary.stop()
+        returned.term = returned.received = returned.applied = 0
+        await returned.start(returned.port)
+        simulation.register(returned, born=1_700_000_000_400)
+        await asyncio.sleep(4.0)
+        assert simulation.store.orders == []
+        # The primary comes back with its log, and both replicas receive it.
+        await primary.start(primary.port)
+        simulation.register(primary, born=1_700_000_009_000)
+        primary.replicas = [returned, simulation.members["i-2"]]
+        returned.term = 1
+        await wait_until(lambda: _is_served(simulation))
+        async with asyncio.timeout(5.0):
+            while not (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE"):
+                await asyncio.sleep(0.05)
+
+
+def _is_served(simulation: Simulation) -> bool:
+    return all(
+        running.node.find_group(GROUP).is_current() for running in simulation.nodes
+    )
+
+
 async def test_a_complete_replica_is_promoted_at_once_after_a_loss() -> None:
     """A promotion that is safe must not wait for a member that is lost."""
     async with open_simulation(nodes=2) as simulation:
