MySQL side: accept no statement that the end of a drain would cut off

Callers with an open transaction at a node that drains could send statements until the drain timeout, when all connections close.

--- a/src/radishtrack/membership/drain.py
+++ b/src/radishtrack/membership/drain.py
@@ -13,7 +13,12 @@
 """Time for peers and the load balancer to learn that the node is leaving, before it
 closes idle connections on which a statement may be in flight."""
 
+FINISH_FRACTION: Final = 0.9
+"""Fraction of the timeout after which open transactions get no further statements, so
+that those that run can still be answered."""
+
 BEGIN: Final = "stop_accepting"
+STOP_STATEMENTS: Final = "stop_statements"
 CLOSE: Final = "close_connections"
 END: Final = "finish"
 
@@ -23,6 +28,8 @@
 
     SERVING = "serving"
     DRAINING = "draining"
+    FINISHING = "finishing"
+    """Running statements end; no others are accepted, not even in transactions."""
     CLOSING = "closing"
     STOPPED = "stopped"
 
@@ -37,7 +44,16 @@
 
 _TRANSITIONS: Final = [
     {"trigger": BEGIN, "source": DrainState.SERVING, "dest": DrainState.DRAINING},
-    {"trigger": CLOSE, "source": DrainState.DRAINING, "dest": DrainState.CLOSING},
+    {
+        "trigger": STOP_STATEMENTS,
+        "source": DrainState.DRAINING,
+        "dest": DrainState.FINISHING,
+    },
+    {
+        "trigger": CLOSE,
+        "source": [DrainState.DRAINING, DrainState.FINISHING],
+        "dest": DrainState.CLOSING,
+    },
     {"trigger": END, "source": DrainState.CLOSING, "dest": DrainState.STOPPED},
 ]
 
@@ -82,14 +98,22 @@
             The current state. In CLOSING, the caller closes all connections, rolls
             back open transactions and then calls `end`.
         """
-        if self.state is DrainState.DRAINING:
+        waited_ms = now_ms - self.started_ms
+        is_late = waited_ms >= FINISH_FRACTION * self.timeout_ms
+        if self.state is DrainState.DRAINING and is_late:
+            self._fire(STOP_STATEMENTS)
+        if self.is_waiting:
             is_idle = statements == 0 and transactions == 0
-            waited_ms = now_ms - self.started_ms
             is_finished = is_idle and waited_ms >= min(MIN_DRAIN_MS, self.timeout_ms)
             if is_finished or waited_ms >= self.timeout_ms:
                 self._fire(CLOSE)
         return self.state
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether work may still run."""
+        return self.state in (DrainState.DRAINING, DrainState.FINISHING)
+
     def end(self) -> bool:
         """Record that all connections are closed."""
         return self._fire(END) if self.state is DrainState.CLOSING else False
--- a/src/radishtrack/proxy/node.py
+++ b/src/radishtrack/proxy/node.py
@@ -194,7 +194,7 @@
         for link in self.router.links.values():
             if not link.closed:
                 await link.send(Leaving(self.node.id, self.incarnation))
-        while self.drain.state is DrainState.DRAINING:
+        while self.drain.is_waiting:
             now_ms = self.clock.now_ms()
             drained_ms = now_ms - self.drain.started_ms
             # Closing an idle connection could race with the client's next request,
