Check replica sets and unreadable values at less cost

Change: a group whose holders all run is compared by their starts alone, and runs of brackets are skipped at once.

--- a/src/radishtrack/platform/tolerant_json.py
+++ b/src/radishtrack/platform/tolerant_json.py
@@ -24,7 +24,8 @@
 
 _DECODER: Final = json.JSONDecoder()
 _BLANK: Final = re.compile(r"[ \t\r\n]*")
-_TOKEN: Final = re.compile(r'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
+_TOKEN: Final = re.compile(r'"(?:[^"\\]|\\.)*+"|[\[{]++|[\]}]++', re.DOTALL)
+"""A string, or a run of brackets: deep nesting must not cost much time."""
 _SCALAR: Final = re.compile(r"[^\s,\]}]+")
 _UNDECODED: Final = re.compile("[\udc80-\udcff]")
 """What stands for bytes that are not UTF-8."""
@@ -107,11 +108,14 @@
         return scalar.end()
     depth = 0
     for token in _TOKEN.finditer(text, at):
-        if token[0] in ("[", "{"):
-            depth += 1
-        elif token[0] in ("]", "}"):
-            depth -= 1
-        if depth == 0:
+        length = token.end() - token.start()
+        if text[token.start()] in "[{":
+            depth += length
+        elif text[token.start()] in "]}":
+            if depth <= length:
+                return token.start() + depth
+            depth -= length
+        elif depth == 0:
             return token.end()
     raise ValueError(f"value at {at} does not end")
 
--- a/src/radishtrack/pooler/replica_set.py
+++ b/src/radishtrack/pooler/replica_set.py
@@ -52,6 +52,10 @@
     departures: dict[MemberProcess, Departure] = attrs.field(factory=dict)
     absent_ms: dict[MemberProcess, float] = attrs.field(factory=dict)
     """When a process was first found without an entry in the store."""
+    indexed: ReplicaSet | None = None
+    """The record that `started_ms` describes."""
+    started_ms: dict[str, int] = attrs.field(factory=dict)
+    """Start of each holder, by name."""
 
     def update(
         self, recorded: ReplicaSet | None, access: GroupAccess, now_ms: float
@@ -67,6 +71,8 @@
         now_ms : float
             Current time in milliseconds.
         """
+        if recorded is not None and self._is_settled(recorded, access):
+            return recorded
         evidence = access.evidence
         if recorded is None:
             if not evidence.term:
@@ -97,6 +103,22 @@
             frozenset(ended | (dispensable & present)),
         )
 
+    def _is_settled(self, recorded: ReplicaSet, access: GroupAccess) -> bool:
+        """Return whether all holders run and nothing else has changed."""
+        evidence = access.evidence
+        if self.departures or self.absent_ms or access.unlisted_ms or recorded.ended:
+            return False
+        if (recorded.term, recorded.primary) != (evidence.term, evidence.primary):
+            return False
+        if self.indexed is not recorded:
+            self.indexed = recorded
+            self.started_ms = {p.name: p.started_ms for p in recorded.holders}
+        return len(recorded.holders) == len(access.pools) and all(
+            pool.ended_ms is None
+            and self.started_ms.get(name) == pool.member.started_ms
+            for name, pool in access.pools.items()
+        )
+
     def _observe_ends(
         self, holders: frozenset[MemberProcess], access: GroupAccess, now_ms: float
     ) -> None:
