Count a restarted member with what it has

Cause: a member that runs as another process was left out of promotions until it had what its earlier process had reported, although the replica set tells whether the earlier one is still needed. With the primary lost it could never catch up, and its group had no primary while another replica had everything.

Change: a new process counts with what it has received, and the replica set decides about the earlier one. Members without an entry are not taken for gone while the copy of the store is older than 3 s. The two constants for the time after which a member without an entry counts as gone are one.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -45,8 +45,6 @@
 ERA_NAME: Final = "era"
 MAX_REPORTED_ENTRIES: Final = 1_000
 """Limit of the invalid objects that are remembered in order to log each only once."""
-
-
 MAX_REASON_LENGTH: Final = 200
 """Length at which the reason in a log line is cut; it may quote an object."""
 MAX_TERM: Final = 2**32
--- a/src/radishtrack/platform/documents.py
+++ b/src/radishtrack/platform/documents.py
@@ -244,7 +244,7 @@
         If the text does not have this form.
     """
     host, colon, port = text.rpartition(":")
-    if not colon or not port.isascii() or not port.isdecimal():
+    if not host or not colon or not (port.isascii() and port.isdecimal()):
         raise ValueError(f"not an address: {text[:60]!r}")
     return _check_host(host), _check_port(int(port))
 
--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -101,10 +101,12 @@
             self.discard_member(name)
 
     def record_restart(self, member: str, now_ms: float) -> None:
-        """Record that a member runs as another process, which may lack its log."""
-        report = self.find_report(member)
-        if report is not None and report.term == self.term:
-            self._mark_incomplete(report)
+        """Record that a member runs as another process, which may lack its log.
+
+        Promotions need the earlier process by the group's replica set, so the new one
+        counts with what it has.
+        """
+        self.incomplete.pop(member, None)
         self.restarted_ms[member] = now_ms
         self.discard_member(member)
 
@@ -266,17 +268,13 @@
             and report.term == previous.report.term
             and report.position < previous.report.position
         ):
-            self._mark_incomplete(previous.report)
+            latest = self.latest_position() or previous.report.position
+            self.incomplete[report.member] = max(latest, previous.report.position)
+            self.applied.pop(report.member, None)
         target = self.incomplete.get(report.member)
         if target is not None and report.position >= target:
             del self.incomplete[report.member]
 
-    def _mark_incomplete(self, report: MemberReport) -> None:
-        """Record that a member lost the log that it last reported."""
-        latest = self.latest_position() or report.position
-        self.incomplete[report.member] = max(latest, report.position)
-        self.applied.pop(report.member, None)
-
     def _follow_term(self, report: MemberReport, now_ms: float) -> bool:
         if report.term < self.term:
             if self.primary != report.member:
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -42,6 +42,9 @@
 UNLISTED_USE_MS: Final = 4_500.0
 """Time for which a member is used after this node found it unlisted. Entries that
 expired in an outage of the store return about 2 s after it."""
+UNLISTED_EXPIRY_MS: Final = 5_000.0
+"""Members that the store has not listed for this long count as gone: 2 s longer than
+entries take to return after an outage, and 2 s less than the limit of 7 s."""
 MAX_LEFT_MEMBERS: Final = 1_000
 """Number of members that have left and are remembered."""
 DEFAULT_CONNECTION_LIMIT: Final = 4
@@ -163,6 +166,10 @@
     ) -> None:
         """Apply the store's list of this group's members.
 
+        A member that is no longer listed stays in use until `expire_members`. One that
+        is leaving or has left stays so until its process is replaced: a store that
+        comes back from a backup lists it as it was before.
+
         Parameters
         ----------
         members : tuple of Member
@@ -172,10 +179,6 @@
         listed_before_ms : float or None
             Latest time at which the list before this one was confirmed; None if this is
             the first.
-
-        A member that is no longer listed stays in use until `expire_members`. One that
-        is leaving or has left stays so until its process is replaced: a store that
-        comes back from a backup lists it as it was before.
         """
         if listed_before_ms is None:
             listed_before_ms = now_ms - LEAVING_USE_MS + STARTED_USE_MS
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -32,7 +32,11 @@
 from radishtrack.pooler.content_exchange import ContentExchange
 from radishtrack.pooler.evacuation.reports import EvacuationReporter
 from radishtrack.pooler.evacuation.transactions import end_transactions
-from radishtrack.pooler.group_access import GroupAccess, make_group_access
+from radishtrack.pooler.group_access import (
+    UNLISTED_EXPIRY_MS,
+    GroupAccess,
+    make_group_access,
+)
 from radishtrack.pooler.monitor import MemberMonitor
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import (
@@ -65,9 +69,6 @@
 from radishtrack.pooler.store_recovery import StoreRecovery
 from radishtrack.pooler.tasks import start_task, supervise
 
-UNLISTED_EXPIRY_MS: Final = 5_000.0
-"""Members that the store has not listed for this long get no more work: 2 s longer than
-entries take to return after an outage, and 2 s less than the limit of 7 s."""
 HOUSEKEEPING_MS: Final = 250.0
 """Pause between checks for expired members."""
 UNSETTLED_KEY_AGE: Final = 4 / 3
--- a/src/radishtrack/pooler/replica_set.py
+++ b/src/radishtrack/pooler/replica_set.py
@@ -15,14 +15,10 @@
 
 from radishtrack.group.status import Role
 from radishtrack.pooler.catalog import MemberProcess, MemberReport
-from radishtrack.pooler.group_access import GroupAccess
+from radishtrack.pooler.group_access import UNLISTED_EXPIRY_MS, GroupAccess
 from radishtrack.pooler.ports import ReplicaSet
 from radishtrack.session.position import Position
 
-ABSENCE_MS: Final = 5_000.0
-"""Time without an entry in the store after which a member counts as gone; entries
-return about 2 s after an outage of the store."""
-
 EMPTY_REPLICA_SET: Final = ReplicaSet(0, "", frozenset())
 
 
@@ -152,7 +148,7 @@
         pool = access.pools.get(process.name)
         if pool is None:
             absent_ms = self.absent_ms.setdefault(process, now_ms)
-            return now_ms if now_ms - absent_ms >= ABSENCE_MS else None
+            return now_ms if now_ms - absent_ms >= UNLISTED_EXPIRY_MS else None
         if pool.member.process != process:
             # The member runs as another process now.
             return now_ms
--- a/src/radishtrack/pooler/replica_set_keeper.py
+++ b/src/radishtrack/pooler/replica_set_keeper.py
@@ -12,11 +12,13 @@
 from radishtrack.events import Event, log_event
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.ports import ReplicaSet, StoredReplicaSet, StoreUnavailable
-from radishtrack.pooler.replica_set import ABSENCE_MS, ReplicaSetTracker
+from radishtrack.pooler.replica_set import ReplicaSetTracker
 from radishtrack.pooler.store_copy import StoreCopy
 
 CHECK_INTERVAL_MS: Final = 250.0
 """Pause between checks of all groups."""
+STALE_COPY_MS: Final = 3_000.0
+"""Age from which on the copy says nothing about members that are not in it."""
 MAX_WRITES: Final = 5
 """Records written in one check. The first start of a fleet writes one for each group;
 later ones are needed only when members or the primary have changed."""
@@ -78,8 +80,10 @@
             self.records = None
             self.trackers.clear()
             return
-        if self.store_copy.age_ms() > ABSENCE_MS:
-            # The copy may lack entries that have returned.
+        if self.store_copy.age_ms() > STALE_COPY_MS:
+            # Entries that expire in an outage of the store return after it.
+            for tracker in self.trackers.values():
+                tracker.absent_ms.clear()
             return
         if self.records is None or self.read_era != self.store_copy.era:
             await self._read()
@@ -94,6 +98,7 @@
                 return
 
     async def _read(self) -> None:
+        """Read all records; those that a restored store has lost are kept."""
         self.read_ms, self.read_era = self.clock.now_ms(), self.store_copy.era
         known = self.records or {}
         stored = dict(await self.store_copy.store.list_replica_sets())
