Log what a read's evidence and minimum position were taken from

Cause: event 2005 could not tell the hypotheses of docs/incidents/stale-reads.md apart: it had neither whose reports prove the term, nor the position asked for, nor whether a sample came from the primary or from the replicas alone.

Change: event 2005 has is_current, announced_term, supporters with the ages of their reports, min_position, position, and position, source and age of the sample. No decision has changed.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import bisect
+import enum
 from collections import deque
 from typing import Final
 
@@ -29,6 +30,13 @@
 """Smallest interval between two samples; it bounds their number."""
 
 
+class SampleSource(enum.Enum):
+    """Whose reports a sample was taken from."""
+
+    PRIMARY = "primary"
+    REPLICAS = "replicas"
+
+
 @attrs.frozen
 class Sample:
     """A position that contains all commits acknowledged before a time.
@@ -39,10 +47,13 @@
         End of the log.
     at_ms : float
         The position contains every commit acknowledged before this time.
+    source : SampleSource
+        Whose reports it was taken from.
     """
 
     position: Position
     at_ms: float
+    source: SampleSource
 
 
 @attrs.frozen
@@ -161,32 +172,37 @@
                 for name, restarted_ms in self.restarted_ms.items()
                 if restarted_ms >= at_ms
             }
-            self._add_sample(Sample(position, at_ms))
+            self._add_sample(Sample(position, at_ms, SampleSource.PRIMARY))
 
     def record_acknowledged(self, term: int) -> None:
         """Record that a commit of a term was acknowledged to a client."""
         self.acknowledged_term = max(self.acknowledged_term, term)
 
-    def valid_until_ms(self) -> float:
-        """Return the time before which no later term acknowledges a commit."""
-        request_times_ms = sorted(
+    def list_supporters(self) -> list[Observation]:
+        """Return the reports that support the present term, the newest first."""
+        return sorted(
             (
-                observation.requested_ms
+                observation
                 for observation in self.observations.values()
                 if self._is_unfenced(observation.report)
                 and observation.requested_ms >= self.valid_from_ms
             ),
+            key=lambda observation: observation.requested_ms,
             reverse=True,
         )
+
+    def valid_until_ms(self) -> float:
+        """Return the time before which no later term acknowledges a commit."""
+        supporters = self.list_supporters()
         # One replica's report is needed even without synchronous replicas: a promotion
         # fences all replicas but may not reach the old primary.
         needed = min(len(self.members), max(1, self.synchronous_replicas) + 1)
         if self.announced_term > self.term:
             # The promotion may have succeeded and its members been unfenced since.
             needed = max(needed, len(self.members))
-        if not self.primary or not needed or len(request_times_ms) < needed:
+        if not self.primary or not needed or len(supporters) < needed:
             return 0.0
-        return request_times_ms[needed - 1] + EVIDENCE_VALID_MS
+        return supporters[needed - 1].requested_ms + EVIDENCE_VALID_MS
 
     def is_current(self, now_ms: float) -> bool:
         """Return whether evidence proves that the term's primary is still current."""
@@ -210,18 +226,23 @@
         """
         return 0 < self.term <= self.withdrawn_term
 
-    def find_min_position(self, max_age_ms: float, now_ms: float) -> Position | None:
-        """Return the lowest sampled position with all commits older than an age.
+    def find_sample(self, max_age_ms: float, now_ms: float) -> Sample | None:
+        """Return the lowest sample that contains all commits older than an age.
 
         Returns
         -------
-        Position or None
+        Sample or None
             None if no sample is recent enough.
         """
         oldest = bisect.bisect_left(
             self.samples, now_ms - max_age_ms, key=lambda sample: sample.at_ms
         )
-        return self.samples[oldest].position if oldest < len(self.samples) else None
+        return self.samples[oldest] if oldest < len(self.samples) else None
+
+    def find_min_position(self, max_age_ms: float, now_ms: float) -> Position | None:
+        """Return the position of `find_sample`; None if there is none."""
+        sample = self.find_sample(max_age_ms, now_ms)
+        return sample.position if sample is not None else None
 
     def has_applied(self, member: str, min_position: Position) -> bool:
         """Return whether a member has been observed to have applied a position."""
@@ -324,7 +345,8 @@
         position = max(observation.report.position for observation in newest)
         latest = self.latest_position()
         if latest is not None and position >= latest:
-            self._add_sample(Sample(position, newest[-1].requested_ms))
+            at_ms = newest[-1].requested_ms
+            self._add_sample(Sample(position, at_ms, SampleSource.REPLICAS))
 
     def _add_sample(self, sample: Sample) -> None:
         if self.samples and sample.at_ms < self.samples[-1].at_ms + SAMPLE_SPACING_MS:
--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -89,12 +89,15 @@
         Attempts at members; 0 if the statement was refused before the first.
     is_final : bool
         Whether this node refused it because a retry at the member would be refused too.
+    min_position : Position or None
+        Position that the member's log had to contain.
     """
 
     response: MemberResponse
     member: str = ""
     attempts: int = 0
     is_final: bool = False
+    min_position: Position | None = None
 
 
 def make_refusal(refusal: Refusal, detail: str, member: str = "") -> Result:
@@ -329,7 +332,7 @@
                     _find_read_timeout(access, pool, context.route), remaining_ms
                 ),
             )
-            return Result(response, member)
+            return Result(response, member, min_position=min_position)
     except RequestError as error:
         return make_queue_refusal(access, member, error)
     except LinkRefused as error:
--- a/src/radishtrack/pooler/request_log.py
+++ b/src/radishtrack/pooler/request_log.py
@@ -10,8 +10,10 @@
 
 from radishtrack.clock import Clock
 from radishtrack.events import Event, log_event
+from radishtrack.pooler.evidence import GroupEvidence
 from radishtrack.pooler.execution import Result
 from radishtrack.pooler.session import ClientSession, Denied
+from radishtrack.session.position import Position
 
 REFUSED_LINES_PER_S: Final = 40
 """Log lines for refused, failed and slow statements; those beyond are only counted."""
@@ -72,6 +74,7 @@
         group = session.context.find_group(access.route.group)
         evidence = group.evidence
         now_ms = self.clock.now_ms()
+        sample = evidence.find_sample(access.route.max_age_ms, now_ms)
         log_event(
             Event.STATEMENT_FINISHED,
             id=statement_id,
@@ -87,7 +90,15 @@
             configuration_age_ms=round(session.context.catalog_age_ms()),
             term=evidence.term,
             primary=evidence.primary,
+            is_current=group.is_current(),
             belief_left_ms=round(evidence.valid_until_ms() - now_ms),
+            supporters=_format_supporters(evidence, now_ms),
+            announced_term=evidence.announced_term,
+            min_position=_format_position(result.min_position),
+            position=_format_position(result.response.position),
+            sample_position=_format_position(sample.position if sample else None),
+            sample_source=sample.source.value if sample else "none",
+            sample_age_ms=round(now_ms - sample.at_ms) if sample else None,
         )
 
     def observe_denied(self, database: str, denied: Denied, age_ms: float) -> None:
@@ -112,6 +123,18 @@
         return True
 
 
+def _format_position(position: Position | None) -> str:
+    return "none" if position is None else f"{position.term}.{position.sequence}"
+
+
+def _format_supporters(evidence: GroupEvidence, now_ms: float) -> str:
+    """Return the members whose reports support the term, with the reports' ages."""
+    return ",".join(
+        f"{observation.report.member}@{round(now_ms - observation.requested_ms)}"
+        for observation in evidence.list_supporters()
+    )
+
+
 def make_request_log(clock: Clock) -> RequestLog:
     """Return an empty log with metrics of its own."""
     registry = CollectorRegistry()
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -66,6 +66,8 @@
     has_failed: bool = False
     has_written: bool = False
     member: str = ""
+    min_position: Position | None = None
+    """Position that the member's log had to contain at the begin."""
     pooled: PooledLink | None = None
     pool: MemberPool | None = None
     stack: AsyncExitStack = attrs.field(factory=AsyncExitStack)
@@ -188,7 +190,7 @@
             is_still_open = response.state is TransactionState.OPEN
             is_repeatable = response.refusal in NOT_RUN and is_still_open
             if not is_repeatable or not plan.may_retry(self.access.clock.now_ms()):
-                return Result(response, self.member)
+                return Result(response, self.member, min_position=self.min_position)
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def _begin(
@@ -284,4 +286,5 @@
             await stack.aclose()
             return Result(response, member)
         self.member, self.pool, self.pooled, self.stack = member, pool, pooled, stack
+        self.min_position = min_position
         return None
--- a/tests/test_pooler_request_log.py
+++ b/tests/test_pooler_request_log.py
@@ -52,6 +52,30 @@
         assert fields | {"attempts", "elapsed_ms", "group", "detail"} <= line.keys()
 
 
+async def test_line_of_a_read_tells_what_proved_it(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A stale read could not be traced to the evidence on which it was served."""
+    caplog.set_level("INFO", logger="absl")
+    async with open_simulation() as simulation:
+        client = await simulation.connect(simulation.nodes[0], "receipts")
+        await client.execute("WRITE 1 x")
+        use_json_lines(True)
+        try:
+            await client.execute("READ 1")
+        finally:
+            use_json_lines(False)
+        messages = [r.getMessage() for r in caplog.records]
+        line = json.loads(next(m for m in messages if '"id": "q2"' in m))
+        assert line["min_position"] == line["position"] == "1.1"
+        assert line["sample_source"] == "primary" and line["sample_age_ms"] >= 0
+        assert line["is_current"] is True and line["announced_term"] == 0
+        supporters = [
+            entry.partition("@")[0] for entry in line["supporters"].split(",")
+        ]
+        assert sorted(supporters) == ["i-1", "i-2", "i-3"]
+
+
 def test_full_pipe_does_not_block_the_process() -> None:
     """If the reader of the log is slow, lines are dropped and counted."""
     reader, writer = os.pipe()
