Take samples only while a strict read would be permitted

Cause: whether the node knows all announced promotions was checked in GroupAccess.is_current, for strict reads and commits. Samples, from which reads by age, session reads and transactions take their minimum position, were added by GroupEvidence on the members' reports alone.

Change: GroupEvidence knows until when promotions are known, so one function says until when a term is proven. A sample is added for the time until which that holds. For strict reads and commits nothing changes. test_a_suspended_node_must_call_the_store_first asked a function that is gone; it now asks the evidence itself, with reports of all members.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -1,17 +1,21 @@
 """Evidence of which member is a group's primary and of what its members' logs contain.
 
-A promotion first fences `n - s` of the group's n members (s: synchronous replicas)
-and is ordered only after the fence has lasted for `EVIDENCE_VALID_MS`. Reports of
-`s + 1`, at least 2, unfenced members therefore prove that no later term acknowledges a
-commit before the oldest of these reports is `EVIDENCE_VALID_MS` old: the two sets share
-a member.
+A promotion is announced in the store, then fences `n - s` of the group's n members (s:
+synchronous replicas), and is ordered only after the fence has lasted for
+`EVIDENCE_VALID_MS`. Reports of `s + 1`, at least 2, unfenced members therefore prove
+that no later term acknowledges a commit before the oldest of these reports is
+`EVIDENCE_VALID_MS` old: the two sets share a member. A member that restarts, or whose
+term has been replaced, is unfenced again, so the proof also needs a copy of the store
+that is as recent and names no later term.
 """
 
 from __future__ import annotations
 
 import bisect
 import enum
+import math
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -64,6 +68,14 @@
     requested_ms: float
 
 
+def _know_all() -> float:
+    return math.inf
+
+
+def _reach_store() -> bool:
+    return False
+
+
 @attrs.define
 class GroupEvidence:
     """Evidence that one node has of a group, collected by `observe_report`.
@@ -78,6 +90,10 @@
 
     name: str
     synchronous_replicas: int = 1
+    find_known_ms: Callable[[], float] = _know_all
+    """Returns the time up to which the node knows all announced promotions."""
+    has_lost_store: Callable[[], bool] = _reach_store
+    """Returns whether the node can't read announcements at present."""
     members: frozenset[str] = frozenset()
     """Names of all members, including leaving ones and unlisted ones still in use."""
     observations: dict[str, Observation] = attrs.field(factory=dict)
@@ -202,7 +218,15 @@
             needed = max(needed, len(self.members))
         if not self.primary or not needed or len(supporters) < needed:
             return 0.0
-        return supporters[needed - 1].requested_ms + EVIDENCE_VALID_MS
+        known_ms = self.find_known_ms()
+        if known_ms < self.withdrawn_ms and self.term <= self.withdrawn_term:
+            # A replica that restarts forgets its fence, so reports could prove the term
+            # again although the promotion is under way.
+            return 0.0
+        proven_ms = supporters[needed - 1].requested_ms
+        if not self.has_lost_store():
+            proven_ms = min(proven_ms, known_ms)
+        return max(0.0, proven_ms + EVIDENCE_VALID_MS)
 
     def is_current(self, now_ms: float) -> bool:
         """Return whether evidence proves that the term's primary is still current."""
@@ -217,15 +241,6 @@
         self.invalidate(now_ms)
         self.withdrawn_term, self.withdrawn_ms = self.term, now_ms
 
-    @property
-    def needs_announcement(self) -> bool:
-        """Whether the announcement of a promotion must be read first.
-
-        A replica that restarts forgets its fence, so reports could prove the term again
-        although the promotion is under way.
-        """
-        return 0 < self.term <= self.withdrawn_term
-
     def find_sample(self, max_age_ms: float, now_ms: float) -> Sample | None:
         """Return the lowest sample that contains all commits older than an age.
 
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -86,10 +86,6 @@
     has_left: bool = False
 
 
-def _assume_announced(_ms: float) -> bool:
-    return True
-
-
 @attrs.define(eq=False)
 class GroupAccess:
     """State of one group; construct it with `make_group_access`.
@@ -113,11 +109,6 @@
     clock: Clock
     open_link: OpenLink
     evidence: GroupEvidence
-    has_all_announcements: Callable[[float], bool] = _assume_announced
-    """Returns whether no promotion announced longer ago than an age can be unknown to
-    this node; see `StoreCopy.has_all_announcements`."""
-    has_copy_since: Callable[[float], bool] = _assume_announced
-    """Returns whether the copy of the store is known to be complete up to a time."""
     node: str = ""
     """Name of this node."""
     evacuated: EvacuatedZones = attrs.field(factory=EvacuatedZones)
@@ -310,13 +301,7 @@
 
     def is_current(self) -> bool:
         """Return whether evidence proves that the primary is still current."""
-        if not self.evidence.is_current(self.clock.now_ms()):
-            return False
-        if self.evidence.needs_announcement and not self.has_copy_since(
-            self.evidence.withdrawn_ms
-        ):
-            return False
-        return self.has_all_announcements(EVIDENCE_VALID_MS)
+        return self.evidence.is_current(self.clock.now_ms())
 
     def presumed_primary(self) -> str:
         """Return the primary by evidence, or else the one that the store lists."""
@@ -520,13 +505,7 @@
 
 
 def make_group_access(
-    name: str,
-    zone: str,
-    clock: Clock,
-    open_link: OpenLink,
-    has_all_announcements: Callable[[float], bool] = _assume_announced,
+    name: str, zone: str, clock: Clock, open_link: OpenLink
 ) -> GroupAccess:
     """Return a group without members or evidence."""
-    return GroupAccess(
-        name, zone, clock, open_link, GroupEvidence(name), has_all_announcements
-    )
+    return GroupAccess(name, zone, clock, open_link, GroupEvidence(name))
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import secrets
 from collections.abc import AsyncIterator
 from typing import Final
@@ -32,6 +33,7 @@
 from radishtrack.pooler.content_exchange import ContentExchange
 from radishtrack.pooler.evacuation.reports import EvacuationReporter
 from radishtrack.pooler.evacuation.transactions import end_transactions
+from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import (
     UNLISTED_EXPIRY_MS,
     GroupAccess,
@@ -190,13 +192,10 @@
         access = self.groups.get(name)
         if access is None:
             access = make_group_access(
-                name,
-                self.options.node.zone,
-                self.clock,
-                self.open_link,
-                self._has_all_announcements,
+                name, self.options.node.zone, self.clock, self.open_link
             )
-            access.has_copy_since = self.store_copy.is_confirmed_since
+            access.evidence.find_known_ms = self._find_known_ms
+            access.evidence.has_lost_store = self._has_lost_store
             access.node = self.options.node.name
             access.evacuated = self.store_copy.evacuated
             access.scheduling_log = self.scheduling_log
@@ -240,8 +239,22 @@
                 supervise(monitor.run, name, self.clock), name
             )
 
-    def _has_all_announcements(self, max_age_ms: float) -> bool:
-        return self.is_listening and self.store_copy.has_all_announcements(max_age_ms)
+    def _find_known_ms(self) -> float:
+        """Return the time up to which this node knows all announced promotions."""
+        confirmed_ms = self.store_copy.confirmed_ms
+        if not self.is_listening or confirmed_ms is None:
+            return -math.inf
+        return confirmed_ms
+
+    def _has_lost_store(self) -> bool:
+        """Return whether this node may do without announcements of promotions.
+
+        Promotions need the store. A node that was suspended has no recent failure, so
+        it must call the store first.
+        """
+        return self.is_listening and self.store_copy.has_failed_within(
+            EVIDENCE_VALID_MS
+        )
 
     def _may_start_statements(self) -> bool:
         plan = self.stop_plan
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -398,28 +398,11 @@
         if confirmation is not None:
             await self.confirm(confirmation)
 
-    def has_all_announcements(self, max_age_ms: float) -> bool:
-        """Return whether the node can rely on its knowledge of announced promotions.
-
-        This holds if its copy is recent. It also holds if a call of the store has
-        failed recently: promotions need the store, so the node then relies on the
-        members' reports alone. For a node that was suspended neither is the case, so it
-        must call the store first.
-
-        Parameters
-        ----------
-        max_age_ms : float
-            Largest age of the copy or of the failure.
-        """
-        if self.age_ms() < max_age_ms:
-            return True
+    def has_failed_within(self, age_ms: float) -> bool:
+        """Return whether a call of the store has failed or was late that recently."""
         if self.failed_ms is None:
             return False
-        return self.clock.now_ms() - self.failed_ms < max_age_ms
-
-    def is_confirmed_since(self, at_ms: float) -> bool:
-        """Return whether the copy is known to have equalled the store after a time."""
-        return self.confirmed_ms is not None and self.confirmed_ms >= at_ms
+        return self.clock.now_ms() - self.failed_ms < age_ms
 
     @property
     def nodes(self) -> tuple[NodeRecord, ...]:
--- a/tests/evidence_model.py
+++ b/tests/evidence_model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections import Counter
 from collections.abc import Iterator
@@ -381,15 +382,17 @@
 def make_model_access(model: EvidenceModel) -> GroupAccess:
     """Return a group whose knowledge of the store is the model's."""
 
-    def has_all_announcements(max_age_ms: float) -> bool:
-        if model.now_ms < model.listening_ms:
-            return False
-        is_recent = model.now_ms - model.confirmed_ms < max_age_ms
-        return is_recent or not model.options.has_store
+    def find_known_ms() -> float:
+        is_listening = model.now_ms >= model.listening_ms
+        return model.confirmed_ms if is_listening else -math.inf
+
+    def has_lost_store() -> bool:
+        return model.now_ms >= model.listening_ms and not model.options.has_store
 
     clock = make_manual_clock(model.time)
-    access = make_group_access("g", "z", clock, _refuse_link, has_all_announcements)
-    access.has_copy_since = lambda at_ms: model.confirmed_ms >= at_ms
+    access = make_group_access("g", "z", clock, _refuse_link)
+    access.evidence.find_known_ms = find_known_ms
+    access.evidence.has_lost_store = has_lost_store
     return access
 
 
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -290,3 +290,17 @@
     evidence.set_members(frozenset({"a", "b"}))
     evidence.observe_report(make_report("b", sequence=11), 900.0, 901.0)
     assert evidence.find_min_position(200.0, 1_000.0) is None
+
+
+def test_positions_are_sampled_only_while_the_term_is_proven() -> None:
+    """Reads by age were served on reports that a strict read did not accept.
+
+    The node's copy of the store was too old to name the promotion of another member.
+    """
+    evidence = GroupEvidence("g", find_known_ms=lambda: 100.0)
+    evidence.set_members(MEMBERS)
+    late_ms = 100.0 + EVIDENCE_VALID_MS
+    for report in (PRIMARY, make_report("b")):
+        evidence.observe_report(report, late_ms, late_ms)
+    assert not evidence.is_current(late_ms)
+    assert evidence.find_min_position(500.0, late_ms) is None
--- a/tests/test_pooler_store_copy.py
+++ b/tests/test_pooler_store_copy.py
@@ -9,8 +9,10 @@
 
 from radishtrack.clock import ManualTime, make_manual_clock
 from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
+from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
 from radishtrack.pooler.store_copy import DEPARTURE_MS, StoreCopy
+from tests.test_pooler_evidence import PRIMARY, make_evidence, make_report
 
 NODE = NodeRecord("edge-1", "10.0.0.1", 7560, "a", 1)
 OTHER = NodeRecord("edge-2", "10.0.0.2", 7560, "a", 1)
@@ -196,13 +198,23 @@
     store_copy: StoreCopy, store: FakeStore, time: ManualTime
 ) -> None:
     """A promotion may have been announced and completed during the suspension."""
+    evidence = make_evidence()
+    evidence.find_known_ms = lambda: store_copy.confirmed_ms or 0.0
+    evidence.has_lost_store = lambda: store_copy.has_failed_within(EVIDENCE_VALID_MS)
+
+    def is_current_after_reports() -> bool:
+        now_ms = store_copy.clock.now_ms()
+        for report in (PRIMARY, make_report("b"), make_report("c")):
+            evidence.observe_report(report, now_ms, now_ms)
+        return evidence.is_current(now_ms)
+
     await store_copy.confirm()
-    assert store_copy.has_all_announcements(2_000.0)
+    assert is_current_after_reports()
     time.advance(10_000.0)
-    assert not store_copy.has_all_announcements(2_000.0)
+    assert not is_current_after_reports()
     store.is_down = True
     assert not await store_copy.confirm()
-    assert store_copy.has_all_announcements(2_000.0)
+    assert is_current_after_reports()
 
 
 async def test_a_removed_node_counts_until_it_must_have_stopped(
