Ask every member for evidence at a node without the store

Callers saw: in a model and in a test, a strict read at a primary that had been replaced, at a node whose own calls of the store fail.

Cause: reports of s + 1 members prove a term because a promotion fences n - s. A fence is forgotten by a restart and removed once the successor leads, so the proof also needs to know which promotions are announced. A node whose calls fail was taken to know: without the store nothing is promoted. That holds for the store, not for one node's path to it.

Change: such a node needs a report of every member. The promoted one is among them, and reports the later term or is silent. With all members reachable nothing changes; with one of them down, strict reads and commits of its group wait from 2 s after the last confirmation until the store is back.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -209,25 +209,30 @@
 
     def valid_until_ms(self) -> float:
         """Return the time before which no later term acknowledges a commit."""
-        supporters = self.list_supporters()
+        known_ms = self.find_known_ms()
+        if known_ms < self.withdrawn_ms and self.term <= self.withdrawn_term:
+            # A replica that restarts forgets its fence, so reports could prove the term
+            # again although the promotion is under way.
+            return 0.0
         # One replica's report is needed even without synchronous replicas: a promotion
         # fences all replicas but may not reach the old primary.
         needed = min(len(self.members), max(1, self.synchronous_replicas) + 1)
         if self.announced_term > self.term:
             # The promotion may have succeeded and its members been unfenced since.
             needed = max(needed, len(self.members))
-        if not self.primary or not needed or len(supporters) < needed:
-            return 0.0
-        known_ms = self.find_known_ms()
-        if known_ms < self.withdrawn_ms and self.term <= self.withdrawn_term:
-            # A replica that restarts forgets its fence, so reports could prove the term
-            # again although the promotion is under way.
-            return 0.0
-        proven_ms = supporters[needed - 1].requested_ms
-        if not self.has_lost_store():
-            proven_ms = min(proven_ms, known_ms)
+        proven_ms = min(self._find_supported_ms(needed), known_ms)
+        if self.has_lost_store():
+            # The promoted member is among all members, and reports the later term.
+            proven_ms = max(proven_ms, self._find_supported_ms(len(self.members)))
         return max(0.0, proven_ms + EVIDENCE_VALID_MS)
 
+    def _find_supported_ms(self, needed: int) -> float:
+        """Return the latest time since which this many members support the term."""
+        supporters = self.list_supporters()
+        if not self.primary or not needed or len(supporters) < needed:
+            return -math.inf
+        return supporters[needed - 1].requested_ms
+
     def is_current(self, now_ms: float) -> bool:
         """Return whether evidence proves that the term's primary is still current."""
         return now_ms < self.valid_until_ms()
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -304,3 +304,19 @@
         evidence.observe_report(report, late_ms, late_ms)
     assert not evidence.is_current(late_ms)
     assert evidence.find_min_position(500.0, late_ms) is None
+
+
+def test_a_forgotten_fence_proves_no_term_at_a_node_without_the_store() -> None:
+    """A fenced replica restarted, and strict reads ran at the replaced primary."""
+    evidence = GroupEvidence(
+        "g", find_known_ms=lambda: 0.0, has_lost_store=lambda: True
+    )
+    evidence.set_members(MEMBERS)
+    for name in ("b", "c"):
+        evidence.observe_report(make_report(name, fenced_term=2), 500.0, 500.0)
+    evidence.observe_report(PRIMARY, 2_000.0, 2_000.0)
+    evidence.observe_report(make_report("c"), 2_650.0, 2_650.0)
+    evidence.observe_report(PRIMARY, 2_660.0, 2_660.0)
+    assert not evidence.is_current(2_660.0)
+    evidence.observe_report(make_report("b"), 2_700.0, 2_700.0)
+    assert evidence.is_current(2_700.0)
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -7,6 +7,7 @@
 import attrs
 
 from radishtrack.pooler.catalog import NodeRecord
+from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import LEAVING_USE_MS, STARTED_USE_MS
 from radishtrack.pooler.promoter import CHECK_INTERVAL_MS, PromotionState
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, RENEW_AFTER_MS
@@ -506,3 +507,22 @@
             acknowledged += response[0].startswith("COMPLETE")
         assert simulation.primary.received > promoted.received
         assert acknowledged == 0
+
+
+async def test_a_node_without_the_store_asks_every_member_for_strict_reads() -> None:
+    """Its promoted member was silent, and the other had restarted without its fence."""
+    async with open_simulation() as simulation:
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        assert (await client.execute("READ 1"))[0] == "DATAROW i-1@1.0"
+        node = simulation.nodes[0].node
+        simulation.store.faults.status = 503
+        await wait_until(lambda: node.store_copy.age_ms() > EVIDENCE_VALID_MS)
+        promoted, restarted = simulation.members["i-2"], simulation.members["i-3"]
+        promoted.promote()
+        promoted.faults.is_unresponsive = True
+        restarted.fenced_term = 0
+        reported_ms = node.clock.now_ms()
+        evidence = node.find_group(GROUP).evidence
+        evidence.invalidate(reported_ms)
+        await wait_until(lambda: len(evidence.list_supporters()) == 2)
+        assert (await client.execute("READ 1"))[0].startswith("ERROR BUSY")
