Rely on no copy of the store that was read before the node listened

Callers saw: in a test, a node that has just started holds a replaced primary for current.

Cause: a promoter asks each node to drop its evidence and waits 2 s for those that do not respond, but not for one that refuses connections, since it does not run. A node that starts reads its first copy of the store before its peers reach it. A promotion that is announced after this copy and ordered before the node listens waits for nobody, and the node has a recent copy without it and two reports of members whose fence was removed.

Change: such a copy does not count for evidence, and the node reads the store once more when it listens: one more read for each start.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -129,8 +129,8 @@
     sessions: set[ClientSession] = attrs.field(factory=set)
     applied_node_count: int = 0
     """Number of nodes among which rates and connections are divided."""
-    is_listening: bool = False
-    """Whether peers can reach this node."""
+    listening_since_ms: float | None = None
+    """Since when peers can reach this node; None if they can't."""
     stop_plan: StopPlan | None = None
     release_task: asyncio.Task[None] | None = None
     evacuations: EvacuationReporter = attrs.field(factory=EvacuationReporter)
@@ -239,10 +239,20 @@
                 supervise(monitor.run, name, self.clock), name
             )
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether peers can reach this node."""
+        return self.listening_since_ms is not None
+
     def _find_known_ms(self) -> float:
-        """Return the time up to which this node knows all announced promotions."""
+        """Return the time up to which this node knows all announced promotions.
+
+        A promoter does not wait for a node that it can't reach because it is starting,
+        so a copy that was read before the node listened says nothing.
+        """
         confirmed_ms = self.store_copy.confirmed_ms
-        if not self.is_listening or confirmed_ms is None:
+        since_ms = self.listening_since_ms
+        if since_ms is None or confirmed_ms is None or confirmed_ms < since_ms:
             return -math.inf
         return confirmed_ms
 
@@ -389,7 +399,8 @@
         now_ms = self.clock.now_ms()
         for access in self.groups.values():
             access.evidence.invalidate(now_ms)
-        self.is_listening = True
+        self.listening_since_ms = now_ms
+        self.store_copy.is_outdated.set()
         ends = [
             asyncio.create_task(server.wait_closed()),
             asyncio.create_task(self.secret_replaced.wait()),
@@ -398,7 +409,7 @@
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         finally:
             # A node that has ended must not respond over open links.
-            self.is_listening = False
+            self.listening_since_ms = None
             server.close()
             for end in ends:
                 end.cancel()
--- a/tests/evidence_model.py
+++ b/tests/evidence_model.py
@@ -307,6 +307,8 @@
             self.starts_ms = now_ms + 200.0
         if not self.is_node_up:
             return
+        if now_ms < self.listening_ms + STEP_MS:
+            self.access.evidence.invalidate(now_ms)
         if self.options.has_store and (
             now_ms >= self.confirmed_ms + COPY_MS or self.confirmed_ms < self.starts_ms
         ):
@@ -383,8 +385,8 @@
     """Return a group whose knowledge of the store is the model's."""
 
     def find_known_ms() -> float:
-        is_listening = model.now_ms >= model.listening_ms
-        return model.confirmed_ms if is_listening else -math.inf
+        is_known = model.now_ms >= model.listening_ms <= model.confirmed_ms
+        return model.confirmed_ms if is_known else -math.inf
 
     def has_lost_store() -> bool:
         return model.now_ms >= model.listening_ms and not model.options.has_store
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -40,3 +40,14 @@
     for replaces_members, seeds in ((False, (292,)), (True, (37, 91, 107))):
         options = ModelOptions(has_store=False, replaces_members=replaces_members)
         assert find_stale_reads((*range(30), *seeds), options) == []
+
+
+@pytest.mark.parametrize(
+    ("replaces_members", "seeds"), [(False, (188, 258)), (True, (238, 380, 826, 892))]
+)
+def test_no_read_is_stale_at_a_node_that_starts(
+    replaces_members: bool, seeds: tuple[int, ...]
+) -> None:
+    """A promotion was ordered between the node's first copy and its first peer."""
+    options = ModelOptions(True, replaces_members, restarts_node=True)
+    assert find_stale_reads((*range(30), *seeds), options) == []
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import attrs
+import pytest
 
+from radishtrack.peer.server import start_peer_server
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import LEAVING_USE_MS, STARTED_USE_MS
@@ -526,3 +529,31 @@
         evidence.invalidate(reported_ms)
         await wait_until(lambda: len(evidence.list_supporters()) == 2)
         assert (await client.execute("READ 1"))[0].startswith("ERROR BUSY")
+
+
+async def test_a_node_that_starts_reads_the_store_once_its_peers_reach_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A promotion that was announced after its first copy does not wait for it."""
+    async with open_simulation(nodes=0) as simulation:
+        may_listen = asyncio.Event()
+
+        async def start_late(*arguments: Any) -> asyncio.Server:
+            await may_listen.wait()
+            return await start_peer_server(*arguments)
+
+        monkeypatch.setattr("radishtrack.pooler.node.start_peer_server", start_late)
+        running = await simulation.start_node("edge-1")
+        store_copy = running.node.store_copy
+        await wait_until(store_copy.has_copy.is_set)
+        await store_copy.store.announce_term(GROUP, 2)
+        simulation.members["i-2"].promote()
+        simulation.members["i-2"].faults.is_unresponsive = True
+        may_listen.set()
+        await wait_until(lambda: running.node.is_listening)
+        access = running.node.find_group(GROUP)
+        access.request_poll()
+        await wait_until(lambda: len(access.evidence.list_supporters()) == 2)
+        assert not access.is_current()
+        await wait_until(lambda: access.evidence.announced_term == 2)
+        assert not access.is_current()
