Need reports of two members however short a node's list is

Cause: evidence needed no more reports than the node's list has members. The store drops the entry of a member that it has not heard for 3.6 s, and a node drops such a member 5 s later if it does not reach it either. A node that has dropped both replicas took the primary's own report for proof, even after the promotion of another member had been announced.

Evidence: the new test fails on the code before, with and without an announced promotion.

Change: s + 1 reports, at least 2, are needed however many members are listed. A single member proves its term only without synchronous replicas, and only if the group had no other in its term. A group that has lost all replicas serves no strict read until one is back; it could acknowledge no commit before either.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -214,22 +214,33 @@
             # A replica that restarts forgets its fence, so reports could prove the term
             # again although the promotion is under way.
             return 0.0
-        # One replica's report is needed even without synchronous replicas: a promotion
-        # fences all replicas but may not reach the old primary.
-        needed = min(len(self.members), max(1, self.synchronous_replicas) + 1)
+        needed = self._count_needed()
         if self.announced_term > self.term:
             # The promotion may have succeeded and its members been unfenced since.
             needed = max(needed, len(self.members))
         proven_ms = min(self._find_supported_ms(needed), known_ms)
         if self.has_lost_store():
             # The promoted member is among all members, and reports the later term.
-            proven_ms = max(proven_ms, self._find_supported_ms(len(self.members)))
+            needed = max(needed, len(self.members))
+            proven_ms = max(proven_ms, self._find_supported_ms(needed))
         return max(0.0, proven_ms + EVIDENCE_VALID_MS)
 
+    def _count_needed(self) -> int:
+        """Return how many members must support the term.
+
+        A node's list can be shorter than the group, since entries expire while members
+        run, so fewer members in it do not lower the number.
+        """
+        # One replica's report is needed even without synchronous replicas: a promotion
+        # fences all replicas but may not reach the old primary.
+        needed = max(1, self.synchronous_replicas) + 1
+        is_alone = self.synchronous_replicas == 0 and self.max_members == 1
+        return 1 if is_alone else needed
+
     def _find_supported_ms(self, needed: int) -> float:
         """Return the latest time since which this many members support the term."""
         supporters = self.list_supporters()
-        if not self.primary or not needed or len(supporters) < needed:
+        if not self.primary or len(supporters) < needed:
             return -math.inf
         return supporters[needed - 1].requested_ms
 
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -320,3 +320,23 @@
     assert not evidence.is_current(2_660.0)
     evidence.observe_report(make_report("b"), 2_700.0, 2_700.0)
     assert evidence.is_current(2_700.0)
+
+
+@pytest.mark.parametrize("announced_term", [0, 2])
+def test_a_primary_proves_no_term_alone_after_other_members_were_removed(
+    announced_term: int,
+) -> None:
+    """Entries of two members had expired; one of them had been promoted."""
+    evidence = make_evidence(PRIMARY, make_report("b"), make_report("c"))
+    evidence.announced_term = announced_term
+    evidence.set_members(frozenset({"a"}))
+    evidence.observe_report(PRIMARY, 5_000.0, 5_000.0)
+    assert not evidence.is_current(5_000.0)
+
+
+def test_the_only_member_without_synchronous_replicas_proves_its_term() -> None:
+    """No other member could be promoted."""
+    evidence = GroupEvidence("g", synchronous_replicas=0)
+    evidence.set_members(frozenset({"a"}))
+    evidence.observe_report(PRIMARY, 100.0, 100.0)
+    assert evidence.is_current(100.0)
