Need a later copy of the store after evidence of an unknown term was withdrawn

Callers saw: in the model, a strict read at a replaced primary, at a node with a recent copy of the store.

Cause: a node that was asked to drop its evidence needs a copy that is later than the request, unless the term has changed since. It compared with the term that it knew. A node that had not seen the present term yet took that for the new one, although it was being replaced, and counted members that were unfenced again.

Change: the exception holds only if the node had evidence of its term when it was asked; then no later term existed.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -108,8 +108,9 @@
     """Term of the newest promotion announced in the store by any node."""
     valid_from_ms: float = 0.0
     """Reports requested before this time no longer prove the term."""
-    withdrawn_term: int = 0
-    """Term of the evidence when a promoter last invalidated it."""
+    withdrawn_term: float = 0
+    """Newest term that may be the one for which a promoter last invalidated the
+    evidence; infinite if the node did not know the present term then."""
     withdrawn_ms: float = 0.0
     """When that was. The promotion had been announced in the store before."""
     acknowledged_term: int = 0
@@ -254,8 +255,10 @@
 
     def withdraw(self, now_ms: float) -> None:
         """Invalidate the evidence for a promotion that was announced in the store."""
+        # Without evidence, a later term than the one to be replaced may be unknown.
+        self.withdrawn_term = self.term if self.is_current(now_ms) else math.inf
+        self.withdrawn_ms = now_ms
         self.invalidate(now_ms)
-        self.withdrawn_term, self.withdrawn_ms = self.term, now_ms
 
     def find_sample(self, max_age_ms: float, now_ms: float) -> Sample | None:
         """Return the lowest sample that contains all commits older than an age.
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -340,3 +340,23 @@
     evidence.set_members(frozenset({"a"}))
     evidence.observe_report(PRIMARY, 100.0, 100.0)
     assert evidence.is_current(100.0)
+
+
+@pytest.mark.parametrize(("was_current", "is_current"), [(True, True), (False, False)])
+def test_evidence_was_withdrawn_for_the_term_that_was_current(
+    was_current: bool, is_current: bool
+) -> None:
+    """A node one term behind took the next, which was being replaced, for the new one.
+
+    Its copy of the store was older than the announcement of that promotion.
+    """
+    evidence = make_evidence(PRIMARY)
+    evidence.find_known_ms = lambda: 150.0
+    if was_current:
+        evidence.observe_report(make_report("b"), 100.0, 101.0)
+    evidence.withdraw(200.0)
+    evidence.observe_report(make_report("b", Role.PRIMARY, term=2), 300.0, 300.0)
+    evidence.observe_report(make_report("c"), 300.0, 300.0)
+    assert evidence.is_current(300.0) is is_current
+    evidence.find_known_ms = lambda: 250.0
+    assert evidence.is_current(300.0)
