Count every process of a term before replicas alone prove a position

Cause: a position of n - s replicas contains what was acknowledged if n counts all processes that took part. n was the largest number of members listed at one time, so a replica that left and one that joined under a new name cancelled out. Only the primary and the replica that left had the commit; the two others, which had not, were taken for enough.

Change: a member that was removed counts until the term ends, or, if its process is known to have ended (its host refused connections), until the primary has proven a position since. Restarted members counted in this way already. After a replica is lost in silence, reads by age end with their age if the primary is lost too in the same term.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -98,8 +98,9 @@
     """Names of all members, including leaving ones and unlisted ones still in use."""
     observations: dict[str, Observation] = attrs.field(factory=dict)
     samples: deque[Sample] = attrs.field(factory=deque)
-    max_members: int = 0
-    """Largest number of members seen in the current term, since entries can expire."""
+    former: set[str] = attrs.field(factory=set)
+    """Members that were removed in the current term and may still run, since entries
+    can expire."""
     term: int = 0
     primary: str = ""
     applied: dict[str, Position] = attrs.field(factory=dict)
@@ -117,14 +118,14 @@
     """Newest term in which this node has acknowledged a commit."""
     incomplete: dict[str, Position] = attrs.field(factory=dict)
     """Members that lost their log, with the position at which they count again."""
-    restarted_ms: dict[str, float] = attrs.field(factory=dict)
-    """When members were last found to run as another process; what the earlier one had
-    received may be in no other log."""
+    ended_ms: dict[str, float] = attrs.field(factory=dict)
+    """When processes of members were found to have ended; what one had received may be
+    in no other log."""
 
     def set_members(self, names: frozenset[str]) -> None:
         """Replace the list of members and discard the reports of others."""
+        self.former = (self.former | self.members) - names
         self.members = names
-        self.max_members = max(self.max_members, len(names))
         for name in set(self.observations) - names:
             self.discard_member(name)
 
@@ -135,9 +136,14 @@
         counts with what it has.
         """
         self.incomplete.pop(member, None)
-        self.restarted_ms[member] = now_ms
+        self.ended_ms[member] = now_ms
         self.discard_member(member)
 
+    def record_end(self, member: str, now_ms: float) -> None:
+        """Record that a member that was removed has ended."""
+        self.former.discard(member)
+        self.ended_ms[member] = now_ms
+
     def discard_member(self, member: str) -> None:
         """Discard a member's report and applied position after a restart or removal."""
         self.observations.pop(member, None)
@@ -183,11 +189,11 @@
         if member != self.primary or position.term > self.term:
             return
         if at_ms < self.valid_until_ms():
-            # Samples of replicas contain what the primary had proven since a restart.
-            self.restarted_ms = {
-                name: restarted_ms
-                for name, restarted_ms in self.restarted_ms.items()
-                if restarted_ms >= at_ms
+            # Samples of replicas contain what the primary had proven since an end.
+            self.ended_ms = {
+                name: ended_ms
+                for name, ended_ms in self.ended_ms.items()
+                if ended_ms >= at_ms
             }
             self._add_sample(Sample(position, at_ms, SampleSource.PRIMARY))
 
@@ -235,7 +241,8 @@
         # One replica's report is needed even without synchronous replicas: a promotion
         # fences all replicas but may not reach the old primary.
         needed = max(1, self.synchronous_replicas) + 1
-        is_alone = self.synchronous_replicas == 0 and self.max_members == 1
+        known = len(self.members) + len(self.former)
+        is_alone = self.synchronous_replicas == 0 and known == 1
         return 1 if is_alone else needed
 
     def _find_supported_ms(self, needed: int) -> float:
@@ -351,21 +358,23 @@
         # A later term may lack commits that the earlier primary had not replicated, so
         # positions of the earlier term can no longer be required.
         self.samples.clear()
-        self.max_members = len(self.members)
-        self.restarted_ms.clear()
+        self.former.clear()
+        self.ended_ms.clear()
         return True
 
     def _sample_replicas(self) -> None:
         """Add a sample from the replicas alone.
 
-        Every acknowledged commit has reached at least one of any `n - s` members, so
+        Every acknowledged commit has reached at least one of any `n - s` processes, so
         the most advanced position among `n - s` reports contains all commits
-        acknowledged before they were requested. That does not hold if members were
-        replaced by new ones with less of the log, or if some are unknown. Therefore the
-        primary must have proven a position in this term, and the position from the
-        replicas may not be below the latest sample.
+        acknowledged before they were requested. All processes count that took part in
+        the term: one that has ended until the primary has proven a position since, and
+        one that was removed but may run until the term ends. Some may be unknown.
+        Therefore the primary must have proven a position in this term, and the position
+        from the replicas may not be below the latest sample.
         """
-        needed = self.max_members + len(self.restarted_ms) - self.synchronous_replicas
+        processes = len(self.members) + len(self.former) + len(self.ended_ms)
+        needed = processes - self.synchronous_replicas
         in_term = [
             observation
             for observation in self.observations.values()
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -213,8 +213,11 @@
         del self.unlisted_ms[name]
         if name in self.leaving:
             self.leaving[name] = attrs.evolve(self.leaving[name], has_left=True)
-        self.pools.pop(name).drop_all()
+        pool = self.pools.pop(name)
+        pool.drop_all()
         self.evidence.set_members(frozenset(self.pools))
+        if pool.ended_ms is not None:
+            self.evidence.record_end(name, self.clock.now_ms())
 
     @property
     def primary_pool(self) -> MemberPool | None:
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -360,3 +360,29 @@
     assert evidence.is_current(300.0) is is_current
     evidence.find_known_ms = lambda: 250.0
     assert evidence.is_current(300.0)
+
+
+def test_replicas_alone_prove_nothing_after_one_was_replaced_under_a_new_name() -> None:
+    """Only the primary and the replica that left had received the last commit."""
+    evidence = make_evidence(PRIMARY, make_report("b"), make_report("c"))
+    evidence.set_members(frozenset({"a", "b"}))
+    evidence.set_members(frozenset({"a", "b", "d"}))
+    for name in ("b", "d"):
+        evidence.observe_report(make_report(name), 5_000.0, 5_000.0)
+    assert evidence.find_min_position(500.0, 5_000.0) is None
+
+
+def test_replicas_alone_count_again_once_the_primary_has_what_a_former_member_had() -> (
+    None
+):
+    """Reads by age would otherwise end with the primary for a whole term."""
+    evidence = make_evidence(PRIMARY, make_report("b"), make_report("c"))
+    evidence.set_members(frozenset({"a", "b", "d"}))
+    evidence.record_end("c", 3_000.0)
+    for name in ("b", "d"):
+        evidence.observe_report(make_report(name), 3_500.0, 3_500.0)
+    assert evidence.find_min_position(400.0, 3_600.0) is None
+    evidence.observe_report(PRIMARY, 4_000.0, 4_000.0)
+    for name in ("b", "d"):
+        evidence.observe_report(make_report(name, sequence=11), 5_000.0, 5_000.0)
+    assert evidence.find_min_position(500.0, 5_000.0) == Position(1, 11)
