Count no member for a promotion that has forgotten its term

Cause: a member that starts again without its log was noticed by a lower position in the same term. One that knows nothing reports an earlier term, or none, and counted among the fenced members of which one has each acknowledged commit. The replica set tells processes apart by their entry in the store, which stays as it was while the member is cut off from the store.

Evidence: the new test fails on the code before.

Change: a lower position in the same or an earlier term marks a member that lost its log. Once the store lists its new process, the replica set decides as before. A promoter without an earlier report of the member does not notice.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -327,7 +327,7 @@
         """
         if (
             previous is not None
-            and report.term == previous.report.term
+            and report.term <= previous.report.term
             and report.position < previous.report.position
         ):
             latest = self.latest_position() or previous.report.position
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -154,6 +154,17 @@
     assert choose_successor(fenced, evidence, "a", frozenset()) is not None
 
 
+def test_a_member_that_forgot_its_term_as_well_does_not_count() -> None:
+    """It may have started again behind a cut, so that the store lists it as it was."""
+    evidence = make_evidence(PRIMARY, make_report("b"), make_report("c", sequence=9))
+    evidence.observe_report(make_report("b", term=0, sequence=0), 200.0, 201.0)
+    fenced = {
+        "b": make_report("b", term=0, sequence=0, fenced_term=2),
+        "c": make_report("c", sequence=9, fenced_term=2),
+    }
+    assert choose_successor(fenced, evidence, "a", frozenset()) is None
+
+
 @pytest.mark.parametrize(("missing", "chosen"), [(1, None), (0, "c")])
 def test_a_member_that_runs_as_another_process_counts_with_what_it_has(
     missing: int, chosen: str | None
