Sample no position of a response sent before its member was known to lead

Callers saw: nothing; found by reading.

Cause: a position in a late response counts from the time the statement was sent. If its member led, was replaced and leads again meanwhile, it may have lacked the commits of the term between. The report that proves the new term used to add a later sample first. Since the proof also depends on the copy of the store, it can come without a report, and the late response be first.

Change: a response counts only if it was sent after the report by which the primary became known.

Measured: the new test fails on the code before and passes.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -103,6 +103,8 @@
     can expire."""
     term: int = 0
     primary: str = ""
+    led_since_ms: float = 0.0
+    """When the report was requested by which the primary became known."""
     applied: dict[str, Position] = attrs.field(factory=dict)
     """Position up to which each member has applied its log; reads see this state."""
     announced_term: int = 0
@@ -168,7 +170,7 @@
             return False
         self._check_log(previous, report)
         self.observations[report.member] = Observation(report, requested_ms)
-        changed = self._follow_term(report, now_ms)
+        changed = self._follow_term(report, requested_ms)
         # A report that completes the evidence also proves the primary's earlier report.
         primary_observation = self.observations.get(self.primary)
         if (
@@ -188,7 +190,8 @@
         self.applied[member] = max(position, self.applied.get(member, position))
         if member != self.primary or position.term > self.term:
             return
-        if at_ms < self.valid_until_ms():
+        # A response of the time before it led may lack commits of the primary then.
+        if self.led_since_ms <= at_ms < self.valid_until_ms():
             # Samples of replicas contain what the primary had proven since an end.
             self.ended_ms = {
                 name: ended_ms
@@ -337,7 +340,8 @@
         if target is not None and report.position >= target:
             del self.incomplete[report.member]
 
-    def _follow_term(self, report: MemberReport, now_ms: float) -> bool:
+    def _follow_term(self, report: MemberReport, requested_ms: float) -> bool:
+        """Take the term and the primary from a report; return whether one changed."""
         if report.term < self.term:
             if self.primary != report.member:
                 return False
@@ -347,14 +351,15 @@
         is_primary = report.role is Role.PRIMARY
         if report.term == self.term:
             if is_primary and self.primary != report.member:
-                self.primary = report.member
+                self._set_primary(report.member, requested_ms)
                 return True
             if not is_primary and self.primary == report.member:
                 self.primary = ""
                 return True
             return False
-        self.term = report.term
-        self.primary = report.member if is_primary else ""
+        self.term, self.primary = report.term, ""
+        if is_primary:
+            self._set_primary(report.member, requested_ms)
         # A later term may lack commits that the earlier primary had not replicated, so
         # positions of the earlier term can no longer be required.
         self.samples.clear()
@@ -362,6 +367,9 @@
         self.ended_ms.clear()
         return True
 
+    def _set_primary(self, member: str, requested_ms: float) -> None:
+        self.primary, self.led_since_ms = member, requested_ms
+
     def _sample_replicas(self) -> None:
         """Add a sample from the replicas alone.
 
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -397,3 +397,17 @@
     for name in ("b", "d"):
         evidence.observe_report(make_report(name, sequence=11), 5_000.0, 5_000.0)
     assert evidence.find_min_position(500.0, 5_000.0) == Position(1, 11)
+
+
+def test_a_late_response_of_a_member_that_leads_again_proves_no_position() -> None:
+    """The primary of the term between had acknowledged commits that it lacked then."""
+    evidence = GroupEvidence("g", find_known_ms=lambda: known_ms)
+    evidence.set_members(MEMBERS)
+    known_ms = -EVIDENCE_VALID_MS
+    for report in (make_report("a", Role.PRIMARY, term=3), make_report("b", term=3)):
+        evidence.observe_report(report, 1_000.0, 1_001.0)
+    known_ms = 1_000.0
+    evidence.observe_position("a", Position(1, 9), 900.0)
+    assert evidence.find_min_position(500.0, 1_100.0) is None
+    evidence.observe_position("a", Position(3, 11), 1_050.0)
+    assert evidence.find_min_position(500.0, 1_100.0) == Position(3, 11)
