--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -11,10 +11,7 @@
 
 from __future__ import annotations
 
-import bisect
-import enum
 import math
-from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -22,42 +19,13 @@
 
 from radishtrack.group.status import Role
 from radishtrack.pooler.catalog import MemberReport
+from radishtrack.pooler.position_samples import PositionSamples, Sample, SampleSource
 from radishtrack.session.position import Position
 
 EVIDENCE_VALID_MS: Final = 2_000.0
 """Time for which evidence of a term is valid. It covers two polls, so that one lost
 poll does not interrupt strict reads. A promotion waits this long if a node does not
 respond, which fits into the 7 s for a change of primary."""
-SAMPLE_KEEP_MS: Final = 10_000.0
-"""Age at which samples are dropped; routes are unlikely to accept a larger age."""
-SAMPLE_SPACING_MS: Final = 50.0
-"""Smallest interval between two samples; it bounds their number."""
-
-
-class SampleSource(enum.Enum):
-    """Whose reports a sample was taken from."""
-
-    PRIMARY = "primary"
-    REPLICAS = "replicas"
-
-
-@attrs.frozen
-class Sample:
-    """A position that contains all commits acknowledged before a time.
-
-    Parameters
-    ----------
-    position : Position
-        End of the log.
-    at_ms : float
-        The position contains every commit acknowledged before this time.
-    source : SampleSource
-        Whose reports it was taken from.
-    """
-
-    position: Position
-    at_ms: float
-    source: SampleSource
 
 
 @attrs.frozen
@@ -97,7 +65,7 @@
     members: frozenset[str] = frozenset()
     """Names of all members, including leaving ones and unlisted ones still in use."""
     observations: dict[str, Observation] = attrs.field(factory=dict)
-    samples: deque[Sample] = attrs.field(factory=deque)
+    samples: PositionSamples = attrs.field(factory=PositionSamples)
     former: set[str] = attrs.field(factory=set)
     """Members that were removed in the current term and may still run, since entries
     can expire."""
@@ -198,7 +166,7 @@
                 for name, ended_ms in self.ended_ms.items()
                 if ended_ms >= at_ms
             }
-            self._add_sample(Sample(position, at_ms, SampleSource.PRIMARY))
+            self.samples.add(Sample(position, at_ms, SampleSource.PRIMARY))
 
     def record_acknowledged(self, term: int) -> None:
         """Record that a commit of a term was acknowledged to a client."""
@@ -270,22 +238,15 @@
         self.withdrawn_ms = now_ms
         self.invalidate(now_ms)
 
-    def find_sample(self, max_age_ms: float, now_ms: float) -> Sample | None:
-        """Return the lowest sample that contains all commits older than an age.
+    def find_min_position(self, max_age_ms: float, now_ms: float) -> Position | None:
+        """Return the lowest sampled position with all commits older than an age.
 
         Returns
         -------
-        Sample or None
+        Position or None
             None if no sample is recent enough.
         """
-        oldest = bisect.bisect_left(
-            self.samples, now_ms - max_age_ms, key=lambda sample: sample.at_ms
-        )
-        return self.samples[oldest] if oldest < len(self.samples) else None
-
-    def find_min_position(self, max_age_ms: float, now_ms: float) -> Position | None:
-        """Return the position of `find_sample`; None if there is none."""
-        sample = self.find_sample(max_age_ms, now_ms)
+        sample = self.samples.find(max_age_ms, now_ms)
         return sample.position if sample is not None else None
 
     def has_applied(self, member: str, min_position: Position) -> bool:
@@ -295,7 +256,7 @@
 
     def latest_position(self) -> Position | None:
         """Return the position of the newest sample."""
-        return self.samples[-1].position if self.samples else None
+        return self.samples.latest
 
     def find_report(self, member: str) -> MemberReport | None:
         """Return a member's last report."""
@@ -397,15 +358,4 @@
         latest = self.latest_position()
         if latest is not None and position >= latest:
             at_ms = newest[-1].requested_ms
-            self._add_sample(Sample(position, at_ms, SampleSource.REPLICAS))
-
-    def _add_sample(self, sample: Sample) -> None:
-        if self.samples and sample.at_ms < self.samples[-1].at_ms + SAMPLE_SPACING_MS:
-            return
-        # A newer sample with a lower or equal position replaces older ones: it meets
-        # every age that they meet.
-        while self.samples and self.samples[-1].position >= sample.position:
-            self.samples.pop()
-        self.samples.append(sample)
-        while self.samples[0].at_ms < sample.at_ms - SAMPLE_KEEP_MS:
-            self.samples.popleft()
+            self.samples.add(Sample(position, at_ms, SampleSource.REPLICAS))
--- a/src/radishtrack/pooler/request_log.py
+++ b/src/radishtrack/pooler/request_log.py
@@ -74,7 +74,7 @@
         group = session.context.find_group(access.route.group)
         evidence = group.evidence
         now_ms = self.clock.now_ms()
-        sample = evidence.find_sample(access.route.max_age_ms, now_ms)
+        sample = evidence.samples.find(access.route.max_age_ms, now_ms)
         log_event(
             Event.STATEMENT_FINISHED,
             id=statement_id,
