Know the term that a promotion replaces from reports before its fence

Cause: a node that has seen the fence has no valid evidence when it is asked to drop it, and was taken for one that does not know the present term. It then waited for the next confirmation of its copy although the new term was known.

Change: what reports have proven holds until it is withdrawn, whatever later reports show. The node knows the term if that has not run out.

Measured: a new case of the test of withdrawn evidence fails on the code before; 46 tests of evidence pass, and with the model 51.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -79,6 +79,9 @@
     """Term of the newest promotion announced in the store by any node."""
     valid_from_ms: float = 0.0
     """Reports requested before this time no longer prove the term."""
+    proven_until_ms: float = 0.0
+    """Time before which no later term acknowledges a commit, by the best of all reports
+    so far; members may have been fenced since."""
     withdrawn_term: float = 0
     """Newest term that may be the one for which a promoter last invalidated the
     evidence; infinite if the node did not know the present term then."""
@@ -151,6 +154,7 @@
                 primary_observation.requested_ms,
             )
         self._sample_replicas()
+        self.proven_until_ms = max(self.proven_until_ms, self.valid_until_ms())
         return changed
 
     def observe_position(self, member: str, position: Position, at_ms: float) -> None:
@@ -230,11 +234,13 @@
     def invalidate(self, now_ms: float) -> None:
         """Invalidate the evidence from all reports requested before now."""
         self.valid_from_ms = max(self.valid_from_ms, now_ms)
+        self.proven_until_ms = 0.0
 
     def withdraw(self, now_ms: float) -> None:
         """Invalidate the evidence for a promotion that was announced in the store."""
-        # Without evidence, a later term than the one to be replaced may be unknown.
-        self.withdrawn_term = self.term if self.is_current(now_ms) else math.inf
+        # Without evidence, the term that is to be replaced may be a later one.
+        is_known = now_ms < max(self.proven_until_ms, self.valid_until_ms())
+        self.withdrawn_term = self.term if is_known else math.inf
         self.withdrawn_ms = now_ms
         self.invalidate(now_ms)
 
@@ -323,6 +329,7 @@
             self._set_primary(report.member, requested_ms)
         # A later term may lack commits that the earlier primary had not replicated, so
         # positions of the earlier term can no longer be required.
+        self.proven_until_ms = 0.0
         self.samples.clear()
         self.former.clear()
         self.ended_ms.clear()
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -353,9 +353,17 @@
     assert evidence.is_current(100.0)
 
 
-@pytest.mark.parametrize(("was_current", "is_current"), [(True, True), (False, False)])
+@pytest.mark.parametrize(
+    ("others", "is_current"),
+    [
+        ((), False),
+        ((make_report("b"),), True),
+        ((make_report("b"), make_report("b", fenced_term=2)), True),
+    ],
+    ids=["unknown", "current", "seen as fenced"],
+)
 def test_evidence_was_withdrawn_for_the_term_that_was_current(
-    was_current: bool, is_current: bool
+    others: tuple[MemberReport, ...], is_current: bool
 ) -> None:
     """A node one term behind took the next, which was being replaced, for the new one.
 
@@ -363,8 +371,8 @@
     """
     evidence = make_evidence(PRIMARY)
     evidence.find_known_ms = lambda: 150.0
-    if was_current:
-        evidence.observe_report(make_report("b"), 100.0, 101.0)
+    for number, report in enumerate(others):
+        evidence.observe_report(report, 100.0 + number, 110.0)
     evidence.withdraw(200.0)
     evidence.observe_report(make_report("b", Role.PRIMARY, term=2), 300.0, 300.0)
     evidence.observe_report(make_report("c"), 300.0, 300.0)
