Leave the primary's own report out of what replicas alone prove

Cause: a position of n - s members was taken from reports that could include the primary's. A primary that was replaced and a replica that had restarted, had forgotten the later term and followed the old primary again were enough.

Change: only replicas count. With one synchronous replica all of them must report, and one that has the later term says so.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -341,13 +341,14 @@
     def _sample_replicas(self) -> None:
         """Add a sample from the replicas alone.
 
-        Every acknowledged commit has reached at least one of any `n - s` processes, so
-        the most advanced position among `n - s` reports contains all commits
-        acknowledged before they were requested. All processes count that took part in
-        the term: one that has ended until the primary has proven a position since, and
-        one that was removed but may run until the term ends. Some may be unknown.
-        Therefore the primary must have proven a position in this term, and the position
-        from the replicas may not be below the latest sample.
+        Every acknowledged commit has reached at least one of any `n - s` replicas (n
+        counts the primary), so the most advanced position among `n - s` reports
+        contains all commits acknowledged before they were requested. The primary's own
+        report proves nothing here, as it may have been replaced. All processes count
+        that took part in the term: one that has ended until the primary has proven a
+        position since, and one that was removed but may run until the term ends. Some
+        may be unknown. Therefore the primary must have proven a position in this term,
+        and the position from the replicas may not be below the latest sample.
         """
         processes = len(self.members) + len(self.former) + len(self.ended_ms)
         needed = processes - self.synchronous_replicas
@@ -355,6 +356,7 @@
             observation
             for observation in self.observations.values()
             if observation.report.term == self.term
+            and observation.report.member != self.primary
             and observation.report.member not in self.incomplete
         ]
         if needed < 1 or len(in_term) < needed or self.announced_term > self.term:
