Take no overdue timer for a failure of the store

Cause: the timer that counts a call without a response as failed fires at once after the suspension, whatever becomes of the call.

Evidence: found by the review; the new test fails on the code before.

Change: the timer counts only near its time. After a suspension the call's own time limit decides.

--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -344,7 +344,7 @@
         self, confirmation: tuple[CopyContent, float] | None, requested_ms: float
     ) -> bool:
         late_timer = asyncio.get_running_loop().call_later(
-            LATE_RESPONSE_MS / 1000, self._record_late
+            LATE_RESPONSE_MS / 1000, self._record_late, requested_ms
         )
         try:
             if confirmation is not None and confirmation[0].fleet == self.fleet_digest:
@@ -577,8 +577,10 @@
             if requested_ms >= self.settling.settled_ms and self.evacuated.release():
                 self.on_change()
 
-    def _record_late(self) -> None:
-        self.failed_ms = self.clock.now_ms()
+    def _record_late(self, requested_ms: float) -> None:
+        # After a suspension the timer is overdue, and says nothing about the store.
+        if self.clock.now_ms() - requested_ms < 2 * LATE_RESPONSE_MS:
+            self.failed_ms = self.clock.now_ms()
 
     def _record_unavailable(self, error: StoreUnavailable) -> None:
         self.failed_ms = self.clock.now_ms()
--- a/tests/test_pooler_store_copy.py
+++ b/tests/test_pooler_store_copy.py
@@ -11,7 +11,11 @@
 from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
-from radishtrack.pooler.store_copy import DEPARTURE_MS, StoreCopy
+from radishtrack.pooler.store_copy import (
+    DEPARTURE_MS,
+    LATE_RESPONSE_MS,
+    StoreCopy,
+)
 from tests.test_pooler_evidence import PRIMARY, make_evidence, make_report
 
 NODE = NodeRecord("edge-1", "10.0.0.1", 7560, "a", 1)
@@ -217,6 +221,20 @@
     assert is_current_after_reports()
 
 
+async def test_a_late_timer_after_a_suspension_is_no_failure_of_the_store(
+    store_copy: StoreCopy, store: FakeStore, time: ManualTime
+) -> None:
+    """The node took itself for one without the store, and asked the members alone."""
+    store.list_gate = asyncio.Event()
+    reading = asyncio.create_task(store_copy.confirm())
+    await asyncio.sleep(0)
+    time.advance(10_000.0)
+    await asyncio.sleep(1.2 * LATE_RESPONSE_MS / 1000)
+    assert not store_copy.has_failed_within(EVIDENCE_VALID_MS)
+    store.list_gate.set()
+    assert await reading
+
+
 async def test_a_removed_node_counts_until_it_must_have_stopped(
     store_copy: StoreCopy, store: FakeStore, time: ManualTime
 ) -> None:
