Rely on no copy of the store that was read before a node registered

Cause: a promoter asks the nodes that are registered, after its fence. A read that finds this node's record missing registers it again and counted as complete. A promotion that is announced after this read and lists the nodes before the registration waits for nobody and asks nobody. In the same way a node that was asked for a group that it had not read of yet forgot that it was asked.

Evidence: found by the review; two new tests fail on the code before.

Change: only a copy read after the registration counts, and the node reads at once again. Evidence is withdrawn for a group that the node does not know yet.

--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -248,11 +248,13 @@
         """Return the time up to which this node knows all announced promotions.
 
         A promoter does not wait for a node that it can't reach because it is starting,
-        so a copy that was read before the node listened says nothing.
+        nor for one that is not registered, so a copy that was read before either says
+        nothing.
         """
-        confirmed_ms = self.store_copy.confirmed_ms
-        since_ms = self.listening_since_ms
-        if since_ms is None or confirmed_ms is None or confirmed_ms < since_ms:
+        confirmed_ms, since_ms = self.store_copy.confirmed_ms, self.listening_since_ms
+        if since_ms is None or confirmed_ms is None:
+            return -math.inf
+        if confirmed_ms < max(since_ms, self.store_copy.registered_ms):
             return -math.inf
         return confirmed_ms
 
@@ -444,9 +446,7 @@
             case VoteRequest(request, database, member):
                 return Vote(request, await self.promoter.vote(database, member))
             case WithdrawBelief(request, database):
-                access = self.groups.get(database)
-                if access is None:
-                    return BeliefWithdrawn(request, 0)
+                access = self.find_group(database)
                 access.evidence.withdraw(self.clock.now_ms())
                 return BeliefWithdrawn(request, access.evidence.acknowledged_term)
             case SharesWanted():
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -122,6 +122,8 @@
     """Latest time at which the list of members before the present one was confirmed."""
     evacuated: EvacuatedZones = attrs.field(factory=EvacuatedZones)
     registered: tuple[NodeRecord, ...] = ()
+    registered_ms: float = -math.inf
+    """When this node last registered itself; promoters may not have known it before."""
     departed: dict[str, Departure] = attrs.field(factory=dict)
     """Nodes whose records were removed recently, by name."""
     duties: DutyRecords = attrs.field(init=False)
@@ -438,6 +440,8 @@
         listing = await self.store.list_fleet()
         if not any(node == self.node for node in listing.nodes):
             await self.store.register_node(self.node)
+            self.registered_ms = self.clock.now_ms()
+            self.is_outdated.set()
         self._observe_era(listing)
         await self._record_settled(listing)
         if listing.revision == self.revision:
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from radishtrack.peer.messages import WithdrawBelief
 from radishtrack.peer.server import start_peer_server
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
@@ -557,3 +558,25 @@
         assert not access.is_current()
         await wait_until(lambda: access.evidence.announced_term == 2)
         assert not access.is_current()
+
+
+async def test_a_node_that_registers_again_reads_the_store_once_more() -> None:
+    """A promoter that had not listed it ordered a promotion without asking it."""
+    async with open_simulation() as simulation:
+        node = simulation.nodes[0].node
+        store_copy = node.store_copy
+        await wait_until(lambda: node._find_known_ms() > 0)
+        await store_copy.store.remove_node("edge-1")
+        simulation.store.faults.delay_s = 0.1
+        await wait_until(lambda: store_copy.registered_ms > store_copy.confirmed_ms)
+        assert node._find_known_ms() < 0
+        registered_ms = store_copy.registered_ms
+        await wait_until(lambda: node._find_known_ms() >= registered_ms)
+
+
+async def test_a_group_that_a_node_has_not_read_of_yet_is_withdrawn_as_well() -> None:
+    """The group's first members may have been read before the promotion."""
+    async with open_simulation() as simulation:
+        node = simulation.nodes[0].node
+        await node._handle_peer_message("edge-2", WithdrawBelief(1, "new"))
+        assert node.find_group("new").evidence.withdrawn_ms > 0
