Let only members that report a term prove it once a later one is announced

Cause: where every member is asked, the promoted one was taken to report the later term. One that has restarted without its log reports an earlier term, and counted like a replica that receives nothing. In the same way a primary without synchronous replicas that is alone in a node's list was taken for the only member, although a promotion was announced.

Evidence: found by the review; new cases of two tests fail on the code before. The third new case guards the other side: a member that was lost in silence no longer keeps such a primary from being used while the store is reachable.

Change: where every member is asked, a report of an earlier term does not count. The price is that a replica that receives nothing keeps a node without the store from strict reads.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -196,15 +196,15 @@
             # A replica that restarts forgets its fence, so reports could prove the term
             # again although the promotion is under way.
             return 0.0
-        needed = self._count_needed()
         if self.announced_term > self.term:
             # The promotion may have succeeded and its members been unfenced since.
-            needed = max(needed, len(self.members))
-        proven_ms = min(self._find_supported_ms(needed), known_ms)
+            supported_ms = self._find_unanimous_ms()
+        else:
+            supporters = self.list_supporters()
+            supported_ms = self._find_supported_ms(supporters, self._count_needed())
+        proven_ms = min(supported_ms, known_ms)
         if self.has_lost_store():
-            # The promoted member is among all members, and reports the later term.
-            needed = max(needed, len(self.members))
-            proven_ms = max(proven_ms, self._find_supported_ms(needed))
+            proven_ms = max(proven_ms, self._find_unanimous_ms())
         return max(0.0, proven_ms + EVIDENCE_VALID_MS)
 
     def _count_needed(self) -> int:
@@ -213,16 +213,34 @@
         A node's list can be shorter than the group, since entries expire while members
         run, so fewer members in it do not lower the number.
         """
+        if self.synchronous_replicas == 0 and self._is_primary_alone():
+            return 1
         # One replica's report is needed even without synchronous replicas: a promotion
         # fences all replicas but may not reach the old primary.
-        needed = max(1, self.synchronous_replicas) + 1
-        known = len(self.members) + len(self.former)
-        is_alone = self.synchronous_replicas == 0 and known == 1
-        return 1 if is_alone else needed
+        return max(1, self.synchronous_replicas) + 1
 
-    def _find_supported_ms(self, needed: int) -> float:
+    def _is_primary_alone(self) -> bool:
+        """Return whether no other member is known that could have been promoted."""
+        may_miss_others = bool(self.former) and self.has_lost_store()
+        is_announced = self.announced_term > self.term
+        return len(self.members) == 1 and not (may_miss_others or is_announced)
+
+    def _find_unanimous_ms(self) -> float:
+        """Return the latest time since which every member reports the term.
+
+        The member that may have been promoted would report the later term. One that
+        reports an earlier term has restarted, and may have forgotten the later one.
+        """
+        supporters = [
+            observation
+            for observation in self.list_supporters()
+            if observation.report.term == self.term
+        ]
+        needed = max(self._count_needed(), len(self.members))
+        return self._find_supported_ms(supporters, needed)
+
+    def _find_supported_ms(self, supporters: list[Observation], needed: int) -> float:
         """Return the latest time since which this many members support the term."""
-        supporters = self.list_supporters()
         if not self.primary or len(supporters) < needed:
             return -math.inf
         return supporters[needed - 1].requested_ms
--- a/tests/evidence_model.py
+++ b/tests/evidence_model.py
@@ -66,11 +66,14 @@
         Whether members are lost for good and replaced under new names.
     restarts_node : bool
         Whether the node stops and starts again.
+    has_faults : bool
+        Whether members fail and promotions happen.
     """
 
     has_store: bool = False
     replaces_members: bool = False
     restarts_node: bool = False
+    has_faults: bool = True
 
 
 @attrs.define(eq=False)
@@ -116,10 +119,12 @@
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
             self.time.advance(STEP_MS)
-            self.disturb()
+            if self.options.has_faults:
+                self.disturb()
             self.replicate()
             self.commit()
-            self.promote()
+            if self.options.has_faults:
+                self.promote()
             self.replicate()
             self.update_node()
             self.read()
