Sample only responses to statements sent after the primary was known

Cause: compared with the time at which the first report of the primary was requested. A statement that was sent after this request can have run before the member led and the report was made.

Change: compared with the arrival of that report. The report itself still counts from its request.

Measured: a new case of the test fails on the code before; 53 tests of evidence and those of the model pass.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -72,7 +72,7 @@
     term: int = 0
     primary: str = ""
     led_since_ms: float = 0.0
-    """When the report was requested by which the primary became known."""
+    """When the report arrived by which the primary became known."""
     applied: dict[str, Position] = attrs.field(factory=dict)
     """Position up to which each member has applied its log; reads see this state."""
     announced_term: int = 0
@@ -141,36 +141,44 @@
             return False
         self._check_log(previous, report)
         self.observations[report.member] = Observation(report, requested_ms)
-        changed = self._follow_term(report, requested_ms)
+        changed = self._follow_term(report, now_ms)
         # A report that completes the evidence also proves the primary's earlier report.
         primary_observation = self.observations.get(self.primary)
         if (
             primary_observation is not None
             and primary_observation.report.role is Role.PRIMARY
         ):
-            self.observe_position(
-                self.primary,
-                primary_observation.report.position,
-                primary_observation.requested_ms,
-            )
+            position = primary_observation.report.position
+            self._record_applied(self.primary, position)
+            self._sample_primary(position, primary_observation.requested_ms)
         self._sample_replicas()
         self.proven_until_ms = max(self.proven_until_ms, self.valid_until_ms())
         return changed
 
     def observe_position(self, member: str, position: Position, at_ms: float) -> None:
         """Record a member's position from a response requested at `at_ms`."""
-        self.applied[member] = max(position, self.applied.get(member, position))
+        self._record_applied(member, position)
         if member != self.primary or position.term > self.term:
             return
-        # A response of the time before it led may lack commits of the primary then.
-        if self.led_since_ms <= at_ms < self.valid_until_ms():
-            # Samples of replicas contain what the primary had proven since an end.
-            self.ended_ms = {
-                name: ended_ms
-                for name, ended_ms in self.ended_ms.items()
-                if ended_ms >= at_ms
-            }
-            self.samples.add(Sample(position, at_ms, SampleSource.PRIMARY))
+        # An earlier statement may have run before the member led, when it lacked
+        # commits of the primary then.
+        if at_ms >= self.led_since_ms:
+            self._sample_primary(position, at_ms)
+
+    def _record_applied(self, member: str, position: Position) -> None:
+        self.applied[member] = max(position, self.applied.get(member, position))
+
+    def _sample_primary(self, position: Position, at_ms: float) -> None:
+        """Add a sample of the primary's position if its term is proven."""
+        if at_ms >= self.valid_until_ms():
+            return
+        # Samples of replicas contain what the primary had proven since an end.
+        self.ended_ms = {
+            name: ended_ms
+            for name, ended_ms in self.ended_ms.items()
+            if ended_ms >= at_ms
+        }
+        self.samples.add(Sample(position, at_ms, SampleSource.PRIMARY))
 
     def record_acknowledged(self, term: int) -> None:
         """Record that a commit of a term was acknowledged to a client."""
@@ -325,7 +333,7 @@
         if target is not None and report.position >= target:
             del self.incomplete[report.member]
 
-    def _follow_term(self, report: MemberReport, requested_ms: float) -> bool:
+    def _follow_term(self, report: MemberReport, now_ms: float) -> bool:
         """Take the term and the primary from a report; return whether one changed."""
         if report.term < self.term:
             if self.primary != report.member:
@@ -336,7 +344,7 @@
         is_primary = report.role is Role.PRIMARY
         if report.term == self.term:
             if is_primary and self.primary != report.member:
-                self._set_primary(report.member, requested_ms)
+                self._set_primary(report.member, now_ms)
                 return True
             if not is_primary and self.primary == report.member:
                 self.primary = ""
@@ -344,7 +352,7 @@
             return False
         self.term, self.primary = report.term, ""
         if is_primary:
-            self._set_primary(report.member, requested_ms)
+            self._set_primary(report.member, now_ms)
         # A later term may lack commits that the earlier primary had not replicated, so
         # positions of the earlier term can no longer be required.
         self.proven_until_ms = 0.0
@@ -353,8 +361,8 @@
         self.ended_ms.clear()
         return True
 
-    def _set_primary(self, member: str, requested_ms: float) -> None:
-        self.primary, self.led_since_ms = member, requested_ms
+    def _set_primary(self, member: str, now_ms: float) -> None:
+        self.primary, self.led_since_ms = member, now_ms
 
     def _sample_replicas(self) -> None:
         """Add a sample from the replicas alone.
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -430,7 +430,8 @@
     for report in (make_report("a", Role.PRIMARY, term=3), make_report("b", term=3)):
         evidence.observe_report(report, 1_000.0, 1_001.0)
     known_ms = 1_000.0
-    evidence.observe_position("a", Position(1, 9), 900.0)
+    for sent_ms in (900.0, 1_000.5):
+        evidence.observe_position("a", Position(1, 9), sent_ms)
     assert evidence.find_min_position(500.0, 1_100.0) is None
     evidence.observe_position("a", Position(3, 11), 1_050.0)
     assert evidence.find_min_position(500.0, 1_100.0) == Position(3, 11)
