Send no write without the store unless its outcome can be confirmed

Callers saw: in a test, a write with an unknown outcome, at a node without the store while one member of the group is down.

Cause: asks every member for evidence at such a node.

Evidence: found by the review; the new test fails on the code before.

Change: such a write waits for evidence before it is sent, and is refused as not run if there is none in time.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -40,7 +40,7 @@
     return math.inf
 
 
-def _reach_store() -> bool:
+def _never_lost() -> bool:
     return False
 
 
@@ -60,7 +60,7 @@
     synchronous_replicas: int = 1
     find_known_ms: Callable[[], float] = _know_all
     """Returns the time up to which the node knows all announced promotions."""
-    has_lost_store: Callable[[], bool] = _reach_store
+    has_lost_store: Callable[[], bool] = _never_lost
     """Returns whether the node can't read announcements at present."""
     members: frozenset[str] = frozenset()
     """Names of all members, including leaving ones and unlisted ones still in use."""
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -281,9 +281,15 @@
 
         Without synchronous replicas, a replaced primary acknowledges commits alone, so
         the commit needs evidence of the term before it is sent. In any case it needs
-        evidence afterwards; see `confirm_term`.
+        evidence afterwards; see `confirm_term`. Without the store that may not come as
+        long as a member is down, and a commit that was not sent is refused instead.
         """
-        return self.evidence.synchronous_replicas > 0 or self.is_current()
+        if (
+            self.evidence.synchronous_replicas > 0
+            and not self.evidence.has_lost_store()
+        ):
+            return True
+        return self.is_current()
 
     async def confirm_term(self, member: str, term: int, until_ms: float) -> bool:
         """Wait for evidence; return whether a member is still the primary of a term.
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -580,3 +580,17 @@
         node = simulation.nodes[0].node
         await node._handle_peer_message("edge-2", WithdrawBelief(1, "new"))
         assert node.find_group("new").evidence.withdrawn_ms > 0
+
+
+async def test_a_write_without_the_store_is_refused_while_a_member_is_down() -> None:
+    """It was sent, and its outcome could not be confirmed."""
+    async with open_simulation() as simulation:
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        node = simulation.nodes[0].node
+        await simulation.members["i-3"].stop()
+        simulation.store.faults.status = 503
+        access = node.find_group(GROUP)
+        await wait_until(lambda: not access.is_current())
+        assert access.usable_primary() is not None
+        assert (await client.execute("WRITE 1 x"))[0].startswith("ERROR BUSY")
+        assert simulation.primary.received == 0
