Leave out a primary that has stepped down from what replicas alone prove

Cause: it reports as a replica of its term then, and counted as one.

Change: no member that led the term counts among its replicas.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -71,6 +71,8 @@
     can expire."""
     term: int = 0
     primary: str = ""
+    leaders: set[str] = attrs.field(factory=set)
+    """Members that were known as primary of the current term."""
     led_since_ms: float = 0.0
     """When the report arrived by which the primary became known."""
     applied: dict[str, Position] = attrs.field(factory=dict)
@@ -351,6 +353,7 @@
                 return True
             return False
         self.term, self.primary = report.term, ""
+        self.leaders.clear()
         if is_primary:
             self._set_primary(report.member, now_ms)
         # A later term may lack commits that the earlier primary had not replicated, so
@@ -363,6 +366,7 @@
 
     def _set_primary(self, member: str, now_ms: float) -> None:
         self.primary, self.led_since_ms = member, now_ms
+        self.leaders.add(member)
 
     def _sample_replicas(self) -> None:
         """Add a sample from the replicas alone.
@@ -370,7 +374,8 @@
         Every acknowledged commit has reached at least one of any `n - s` replicas (n
         counts the primary), so the most advanced position among `n - s` reports
         contains all commits acknowledged before they were requested. The primary's own
-        report proves nothing here, as it may have been replaced. All processes count
+        report proves nothing here, as it may have been replaced, and may have stepped
+        down since. All processes count
         that took part in the term: one that has ended until the primary has proven a
         position since, and one that was removed but may run until the term ends. Some
         may be unknown. Therefore the primary must have proven a position in this term,
@@ -382,7 +387,7 @@
             observation
             for observation in self.observations.values()
             if observation.report.term == self.term
-            and observation.report.member != self.primary
+            and observation.report.member not in self.leaders
             and observation.report.member not in self.incomplete
         ]
         if needed < 1 or len(in_term) < needed or self.announced_term > self.term:
--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -437,12 +437,16 @@
     assert evidence.find_min_position(500.0, 1_100.0) == Position(3, 11)
 
 
-def test_a_replaced_primary_and_its_follower_prove_no_position() -> None:
-    """The follower had restarted, and had forgotten the commits of the later term."""
+@pytest.mark.parametrize("role", [Role.PRIMARY, Role.REPLICA])
+def test_a_replaced_primary_and_its_follower_prove_no_position(role: Role) -> None:
+    """The follower had restarted, and had forgotten the commits of the later term.
+
+    A primary that has stepped down reports as a replica.
+    """
     evidence = make_evidence(PRIMARY, make_report("b"), make_report("c"))
     evidence.find_known_ms = lambda: 100.0
     evidence.withdraw(1_000.0)
-    for report in (PRIMARY, make_report("c")):
+    for report in (make_report("a", role), make_report("c")):
         evidence.observe_report(report, 1_650.0, 1_650.0)
     assert evidence.find_min_position(1_500.0, 3_100.0) is None
 
