Count a copy read between reports for the term that a promotion replaces

Cause: what reports have proven was noted when a report came. If the copy of the store was confirmed since, and the next report showed a fence, the node was taken for one that had not known the present term, and waited for a later copy.

Change: it is noted before each report is taken in.

Measured: the new test fails on the code before; 55 tests of evidence pass.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -141,6 +141,8 @@
         previous = self.observations.get(report.member)
         if previous is not None and previous.requested_ms > requested_ms:
             return False
+        # The report may end what a later copy of the store has prolonged.
+        self.proven_until_ms = max(self.proven_until_ms, self.valid_until_ms())
         self._check_log(previous, report)
         self.observations[report.member] = Observation(report, requested_ms)
         changed = self._follow_term(report, now_ms)
@@ -154,7 +156,6 @@
             self._record_applied(self.primary, position)
             self._sample_primary(position, primary_observation.requested_ms)
         self._sample_replicas()
-        self.proven_until_ms = max(self.proven_until_ms, self.valid_until_ms())
         return changed
 
     def observe_position(self, member: str, position: Position, at_ms: float) -> None:
