Send no commit without the store unless its outcome can be confirmed

Callers saw: in a test, a transaction's commit with an unknown outcome, at a node without the store while one member of the group is down.

Cause: as for single writes, which the commit of a transaction does not share.

Change: such a commit waits for evidence, and the transaction is rolled back and answered as aborted if there is none in time.

Measured: the test and the one for single writes pass.

--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -118,6 +118,11 @@
                 await self.abandon()
                 return refused
         assert self.pooled is not None and self.pool is not None
+        if self.has_written and not await self._await_evidence(context):
+            await self.abandon()
+            return make_refusal(
+                Refusal.ABORTED, "no recent evidence of the group's log", self.member
+            )
         term = self.access.evidence.term
         try:
             response = await run_on_link(
@@ -142,6 +147,14 @@
             return result
         return await confirm_commit(self.access, result, term)
 
+    async def _await_evidence(self, context: StatementContext) -> bool:
+        """Return whether a commit can be confirmed, if the store is out of reach."""
+        if not self.access.evidence.has_lost_store():
+            return True
+        return await self.access.wait_for(
+            self.access.is_current, context.plan.evidence_until_ms
+        )
+
     async def abandon(self) -> None:
         """Roll back at the member and return the connection to the pool."""
         self.has_failed = True
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -594,3 +594,17 @@
         assert access.usable_primary() is not None
         assert (await client.execute("WRITE 1 x"))[0].startswith("ERROR BUSY")
         assert simulation.primary.received == 0
+
+
+async def test_a_commit_without_the_store_is_refused_while_a_member_is_down() -> None:
+    """It was sent, and its outcome could not be confirmed."""
+    async with open_simulation() as simulation:
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        access = simulation.nodes[0].node.find_group(GROUP)
+        await client.execute("BEGIN")
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        await simulation.members["i-3"].stop()
+        simulation.store.faults.status = 503
+        await wait_until(lambda: not access.is_current())
+        assert (await client.execute("COMMIT"))[0].startswith("ERROR ABORTED")
+        assert simulation.primary.received == 0
