--- a/tests/test_pooler_evidence.py
+++ b/tests/test_pooler_evidence.py
@@ -468,13 +468,13 @@
 
 def test_a_copy_read_between_reports_prolongs_what_they_prove() -> None:
     """The node waited for a later copy although it had known the replaced term."""
-    evidence = make_evidence(PRIMARY, make_report("b"), requested_ms=1_500.0)
-    evidence.find_known_ms = lambda: 1_400.0
-    evidence.observe_report(make_report("c"), 3_350.0, 3_350.0)
-    evidence.find_known_ms = lambda: 3_000.0
-    evidence.observe_report(PRIMARY, 3_380.0, 3_380.0)
-    evidence.find_known_ms = lambda: 3_390.0
+    evidence = GroupEvidence("g", find_known_ms=lambda: known_ms)
+    evidence.set_members(MEMBERS)
+    known_ms = 2_000.0
+    for report in (PRIMARY, make_report("b")):
+        evidence.observe_report(report, 3_000.0, 3_000.0)
+    known_ms = 2_900.0
     for name in ("b", "c"):
-        evidence.observe_report(make_report(name, fenced_term=2), 3_400.0, 3_400.0)
-    evidence.withdraw(5_200.0)
+        evidence.observe_report(make_report(name, fenced_term=2), 3_500.0, 3_500.0)
+    evidence.withdraw(4_500.0)
     assert evidence.withdrawn_term == 1
