--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -274,13 +274,7 @@
         self.invalidate(now_ms)
 
     def find_min_position(self, max_age_ms: float, now_ms: float) -> Position | None:
-        """Return the lowest sampled position with all commits older than an age.
-
-        Returns
-        -------
-        Position or None
-            None if no sample is recent enough.
-        """
+        """Return the position of the lowest sample for an age; None without one."""
         sample = self.samples.find(max_age_ms, now_ms)
         return sample.position if sample is not None else None
 
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -259,10 +259,10 @@
         return confirmed_ms
 
     def _has_lost_store(self) -> bool:
-        """Return whether this node may do without announcements of promotions.
+        """Return whether this node can't read announcements of promotions at present.
 
-        Promotions need the store. A node that was suspended has no recent failure, so
-        it must call the store first.
+        Other nodes may reach the store, so evidence then needs every member. A node
+        that was suspended has no recent failure, and must call the store first.
         """
         return self.is_listening and self.store_copy.has_failed_within(
             EVIDENCE_VALID_MS
--- a/tests/evidence_model.py
+++ b/tests/evidence_model.py
@@ -63,7 +63,7 @@
     has_store : bool
         Whether the node reaches the store and its peers; if not, its calls fail.
     replaces_members : bool
-        Whether members are lost for good and replaced under new names.
+        Whether members are lost and replaced under new names.
     restarts_node : bool
         Whether the node stops and starts again.
     has_faults : bool
@@ -172,7 +172,7 @@
         self.cut_until_ms[frozenset((first, second))] = until_ms
 
     def _replace_member(self) -> None:
-        """Remove a replica for good; a new one has what a random other one has."""
+        """Replace a replica by a new member that has what a random other one has."""
         lost = self.random.choice(list(self.members.values()))
         others = [m for m in self.members.values() if m is not lost]
         if lost.is_primary or not self._has_all_commits(others):
