Log how far a read of the store came, and which version is known to exist

Event 4001 now has the time of the call, what arrived, the copy's age and the latest known version; 2001 the version of the copy and that one; 4009 is a peer that gave no content in time. A gauge shows the known version beside the one in force. By these, a transfer that ends at its limit (4001 with most bytes received, 4009 near 400 ms), a refusal from an old copy (2001) and a lost coordinator (4004) are told apart. No logic changes.

--- a/src/radishtrack/platform/http_client.py
+++ b/src/radishtrack/platform/http_client.py
@@ -31,11 +31,14 @@
         What failed.
     is_sent : bool
         Whether the request may have arrived.
+    received_bytes : int
+        Size of what was received of the response.
     """
 
-    def __init__(self, reason: str, *, is_sent: bool) -> None:
+    def __init__(self, reason: str, *, is_sent: bool, received_bytes: int = 0) -> None:
         super().__init__(reason)
         self.is_sent = is_sent
+        self.received_bytes = received_bytes
 
 
 @attrs.frozen
@@ -65,6 +68,8 @@
         factory=lambda: h11.Connection(our_role=h11.CLIENT)
     )
     idle_since_s: float = 0.0
+    received_bytes: int = 0
+    """Size of what was received in the latest exchange."""
 
     @property
     def is_reusable(self) -> bool:
@@ -86,6 +91,7 @@
         if body:
             data += protocol.send(h11.Data(data=body)) or b""
         data += protocol.send(h11.EndOfMessage()) or b""
+        self.received_bytes = 0
         self.writer.write(data)
         status, content = 0, bytearray()
         response_headers: dict[bytes, bytes] = {}
@@ -94,6 +100,7 @@
             if event is h11.NEED_DATA:
                 received = await self.reader.read(READ_BYTES)
                 protocol.receive_data(received)
+                self.received_bytes += len(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 response_headers = dict(event.headers)
@@ -156,6 +163,13 @@
             all_headers.append(("Content-Length", str(len(body))))
         connection: _Connection | None = None
         is_complete = False
+
+        def fail(reason: str) -> HttpError:
+            received_bytes = 0 if connection is None else connection.received_bytes
+            return HttpError(
+                reason, is_sent=connection is not None, received_bytes=received_bytes
+            )
+
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 connection = self._take_idle()
@@ -164,10 +178,9 @@
                 response = await connection.exchange(method, path, all_headers, body)
             is_complete = True
         except TimeoutError as error:
-            raise HttpError("TimeoutError", is_sent=connection is not None) from error
+            raise fail("TimeoutError") from error
         except (OSError, h11.ProtocolError) as error:
-            reason = str(error) or type(error).__name__
-            raise HttpError(reason, is_sent=connection is not None) from error
+            raise fail(str(error) or type(error).__name__) from error
         finally:
             # The response to an incomplete exchange could reach the next request.
             if connection is not None and not is_complete:
--- a/src/radishtrack/platform/object_store.py
+++ b/src/radishtrack/platform/object_store.py
@@ -182,7 +182,10 @@
             return response.status, decode_body(response.body)
         except HttpError as error:
             raise StoreUnavailable(
-                step, str(error), is_effect_unknown=is_write and error.is_sent
+                step,
+                str(error),
+                is_effect_unknown=is_write and error.is_sent,
+                received_bytes=error.received_bytes,
             ) from error
         except ValueError as error:
             raise StoreUnavailable(
--- a/src/radishtrack/pooler/content_exchange.py
+++ b/src/radishtrack/pooler/content_exchange.py
@@ -13,6 +13,7 @@
 import attrs
 
 from radishtrack.clock import Clock
+from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import Content, ContentWanted
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.content_codec import (
@@ -82,6 +83,7 @@
         if reader is None:
             return None
         present = self.store_copy.content
+        requested_ms = self.clock.now_ms()
         response = await self.peers.send_request(
             reader,
             lambda request: ContentWanted(
@@ -98,6 +100,13 @@
         )
         if isinstance(response, Content):
             return response
+        log_event(
+            Event.CONTENT_MISSED,
+            reader=reader.name,
+            elapsed_ms=self.clock.now_ms() - requested_ms,
+            present_version=present.catalog,
+            wanted_version=wanted.catalog,
+        )
         self.avoid(reader.name)
         return None
 
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -317,6 +317,16 @@
             return Denied(Refusal.NO_ACCESS, "the key is not accepted any more")
         return None
 
+    def _observe_denied(self, database: str, denied: Denied) -> None:
+        copy = self.store_copy
+        self.log.observe_denied(
+            database,
+            denied,
+            age_ms=copy.age_ms(),
+            version=copy.catalog.version,
+            known_version=copy.known_version,
+        )
+
     @property
     def _context(self) -> SessionContext:
         return SessionContext(
@@ -329,7 +339,7 @@
             token_wait_ms=self.rates.token_wait_ms,
             find_group=self.find_group,
             observe=self.log.observe,
-            observe_denied=self.log.observe_denied,
+            observe_denied=self._observe_denied,
             catalog_age_ms=self.store_copy.age_ms,
             may_start=self._may_start_statements,
         )
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -116,13 +116,23 @@
         Cause of the failure.
     is_effect_unknown : bool
         Whether a write may have taken effect or may still take effect.
+    received_bytes : int
+        Size of what was received of an incomplete response.
     """
 
-    def __init__(self, step: str, reason: str, *, is_effect_unknown: bool) -> None:
+    def __init__(
+        self,
+        step: str,
+        reason: str,
+        *,
+        is_effect_unknown: bool,
+        received_bytes: int = 0,
+    ) -> None:
         super().__init__(f"{step}: {reason}")
         self.step = step
         self.reason = reason
         self.is_effect_unknown = is_effect_unknown
+        self.received_bytes = received_bytes
 
 
 @attrs.frozen
--- a/src/radishtrack/pooler/request_log.py
+++ b/src/radishtrack/pooler/request_log.py
@@ -101,8 +101,28 @@
             sample_age_ms=round(now_ms - sample.at_ms) if sample else None,
         )
 
-    def observe_denied(self, database: str, denied: Denied, age_ms: float) -> None:
-        """Record that a session was denied access."""
+    def observe_denied(
+        self,
+        database: str,
+        denied: Denied,
+        *,
+        age_ms: float,
+        version: int,
+        known_version: int,
+    ) -> None:
+        """Record that a session was denied access.
+
+        Parameters
+        ----------
+        database : str
+            Database that the client asked for.
+        denied : Denied
+            Why it was denied.
+        age_ms : float
+            Age of the node's configuration in milliseconds.
+        version, known_version : int
+            Version of that configuration, and the latest that is known to exist.
+        """
         outcome = denied.refusal.name.lower()
         self.statements.labels("none", "access", outcome).inc()
         if self._admit_line():
@@ -112,6 +132,8 @@
                 outcome=outcome,
                 detail=denied.detail,
                 configuration_age_ms=age_ms,
+                version=version,
+                known_version=known_version,
             )
 
     def _admit_line(self) -> bool:
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -95,8 +95,7 @@
         Records the result of an operation: session, statement identifier, step, result
         and arrival time.
     observe_denied : callable
-        Records a denied session: database, reason, and age of the configuration in
-        milliseconds.
+        Records a denied session: database and reason.
     token_wait_ms : callable
         Takes an organisation; returns the time until its rate may have a token.
     catalog_age_ms : callable
@@ -114,15 +113,11 @@
     refund: Callable[[RateToken], None]
     find_group: Callable[[str], GroupAccess]
     observe: Callable[[ClientSession, str, str, Result, float], None]
-    observe_denied: Callable[[str, Denied, float], None]
+    observe_denied: Callable[[str, Denied], None]
     token_wait_ms: Callable[[str], float]
     catalog_age_ms: Callable[[], float]
     may_start: Callable[[], bool]
 
-    def report_denied(self, database: str, denied: Denied) -> None:
-        """Record that a session was denied access."""
-        self.observe_denied(database, denied, self.catalog_age_ms())
-
 
 @attrs.define(eq=False)
 class ClientSession:
@@ -156,7 +151,7 @@
         """Run one statement and return its response."""
         denied = self._check_access()
         if denied is not None:
-            self.context.report_denied(self.database, denied)
+            self.context.observe_denied(self.database, denied)
             await self.close()
             # The client can reconnect, to a node that may serve it.
             self.needs_close = True
@@ -421,6 +416,6 @@
         await context.refresh(database, key_digest)
         access = context.authorise(database, key_digest)
     if isinstance(access, Denied):
-        context.report_denied(database, access)
+        context.observe_denied(database, access)
         return access
     return ClientSession(context, database, key_digest, access=access)
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -150,6 +150,8 @@
     peer_confirmation: tuple[CopyContent, float] | None = None
     """Content confirmed by another node that this copy lacks, and the time at which it
     was current."""
+    announced: CopyContent | None = None
+    """Latest content that another node has confirmed, also if this copy lacks it."""
     fleet: FleetListing = EMPTY_FLEET
     """The listing that the digest of the fleet describes."""
     fleet_digest: int = 0
@@ -198,6 +200,12 @@
             self.revision, self.catalog.version, self.members_digest, self.fleet_digest
         )
 
+    @property
+    def known_version(self) -> int:
+        """Latest version of the configuration that the store is known to have had."""
+        announced = 0 if self.announced is None else self.announced.catalog
+        return max(self.catalog.version, announced)
+
     def accept_confirmation(self, content: CopyContent, confirmed_ms: float) -> None:
         """Accept another node's confirmation that the store had this content at a time.
 
@@ -209,6 +217,8 @@
             self._record_dropped(content)
             return
         self.has_dropped_confirmation = False
+        if self.announced is None or content.revision >= self.announced.revision:
+            self.announced = content
         if self.has_parts(content):
             # Objects of other kinds have changed, or objects were rewritten unchanged.
             self._advance(content.revision)
@@ -355,7 +365,7 @@
                 content = confirmation[0] if confirmation is not None else None
                 await self._read_listing(requested_ms, content)
         except StoreUnavailable as error:
-            self._record_unavailable(error)
+            self._record_unavailable(error, requested_ms)
             return False
         finally:
             late_timer.cancel()
@@ -585,7 +595,7 @@
         if self.clock.now_ms() - requested_ms < 2 * LATE_RESPONSE_MS:
             self.failed_ms = self.clock.now_ms()
 
-    def _record_unavailable(self, error: StoreUnavailable) -> None:
+    def _record_unavailable(self, error: StoreUnavailable, requested_ms: float) -> None:
         self.failed_ms = self.clock.now_ms()
         if self.is_available:
             self.is_available = False
@@ -593,7 +603,10 @@
                 Event.PLATFORM_UNAVAILABLE,
                 step=error.step,
                 reason=error.reason,
-                confirmed_ms=self.confirmed_ms,
+                elapsed_ms=self.clock.now_ms() - requested_ms,
+                received_bytes=error.received_bytes,
+                copy_age_ms=self.age_ms(),
+                known_version=self.known_version,
             )
 
     def _record_available(self) -> None:
--- a/src/radishtrack/pooler/store_metrics.py
+++ b/src/radishtrack/pooler/store_metrics.py
@@ -25,6 +25,11 @@
             "Version of the configuration in force",
             lambda: store_copy.catalog.version,
         ),
+        (
+            "known_configuration_version",
+            "Latest version of the configuration that is known to exist",
+            lambda: store_copy.known_version,
+        ),
         (
             "copy_age_seconds",
             "Upper bound of the copy's age",
