Add failing tests of a configuration too large for small links

On this code: a node behind 5 Mbit/s never gets 4,200 more routes (limit 5 s) nor one changed field among them; 20,000 routes exceed a message, so all of four nodes read the store; a copy of 4 s, and one that is known to be superseded, deny databases and keys; a failed lookup counts as one in vain; a response that keeps arriving is aborted. The relay stand-in shares a bandwidth between connections for this.

--- a/src/radishtrack_standins/relay.py
+++ b/src/radishtrack_standins/relay.py
@@ -1,4 +1,4 @@
-"""TCP relay that injects partitions: it can cut, refuse or delay connections."""
+"""TCP relay that injects partitions: it can cut, refuse, delay or slow connections."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 HOST: Final = "127.0.0.1"
 CHUNK_BYTES: Final = 65_536
 MAX_QUEUED_CHUNKS: Final = 64
+SLOW_CHUNK_BYTES: Final = 8_192
+"""Size of the chunks by which connections share a bandwidth."""
 
 Chunk = tuple[float, bytes]
 """Due time in seconds by the event loop's clock, and the data; empty at the end."""
@@ -34,12 +36,34 @@
     """Added to each chunk in both directions."""
 
 
+@attrs.define(eq=False)
+class Bandwidth:
+    """Capacity of one direction of a link, shared by the relays that have it.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Capacity in bytes a second.
+    """
+
+    bytes_per_s: float
+    free_s: float = 0.0
+
+    def reserve(self, size: int, now_s: float) -> float:
+        """Return when `size` bytes that are sent now have been transmitted."""
+        self.free_s = max(self.free_s, now_s) + size / self.bytes_per_s
+        return self.free_s
+
+
 class Relay:
     """Forwards connections from one port to a target; made by `start_relay`."""
 
-    def __init__(self, target_host: str, target_port: int) -> None:
+    def __init__(
+        self, target_host: str, target_port: int, bandwidth: Bandwidth | None = None
+    ) -> None:
         self.target_host = target_host
         self.target_port = target_port
+        self.bandwidth = bandwidth
         self.port = 0
         self.faults = RelayFaults()
         self.changed = asyncio.Event()
@@ -122,7 +146,8 @@
         to_target: bool,
     ) -> None:
         queue: asyncio.Queue[Chunk] = asyncio.Queue(MAX_QUEUED_CHUNKS)
-        reader_task = asyncio.create_task(self._read_chunks(reader, queue))
+        bandwidth = None if to_target else self.bandwidth
+        reader_task = asyncio.create_task(self._read_chunks(reader, queue, bandwidth))
         loop = asyncio.get_running_loop()
         try:
             while True:
@@ -139,21 +164,44 @@
             reader_task.cancel()
 
     async def _read_chunks(
-        self, reader: asyncio.StreamReader, queue: asyncio.Queue[Chunk]
+        self,
+        reader: asyncio.StreamReader,
+        queue: asyncio.Queue[Chunk],
+        bandwidth: Bandwidth | None,
     ) -> None:
         loop = asyncio.get_running_loop()
+        chunk_bytes = CHUNK_BYTES if bandwidth is None else SLOW_CHUNK_BYTES
         data = b"-"
         while data:
             try:
-                data = await reader.read(CHUNK_BYTES)
+                data = await reader.read(chunk_bytes)
             except OSError:
                 data = b""
+            if bandwidth is not None:
+                sent_s = bandwidth.reserve(len(data), loop.time())
+                await asyncio.sleep(sent_s - loop.time())
             await queue.put((loop.time() + self.faults.delay_ms / 1000, data))
 
 
-async def start_relay(target_host: str, target_port: int, *, port: int = 0) -> Relay:
-    """Start a relay in the running event loop."""
-    relay = Relay(target_host, target_port)
+async def start_relay(
+    target_host: str,
+    target_port: int,
+    *,
+    port: int = 0,
+    bandwidth: Bandwidth | None = None,
+) -> Relay:
+    """Start a relay in the running event loop.
+
+    Parameters
+    ----------
+    target_host, target_port : str, int
+        Address to which connections are forwarded.
+    port : int
+        Port to listen on; 0 chooses a free one.
+    bandwidth : Bandwidth, optional
+        Capacity towards the clients; unlimited by default.
+    """
+    relay = Relay(target_host, target_port, bandwidth)
     await relay.start(port)
     return relay
 
--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -119,14 +119,15 @@
             entry["born"] = born
         self.store.put("servers", member.name, entry)
 
-    async def start_node(self, name: str) -> RunningNode:
+    async def start_node(self, name: str, store: str = "") -> RunningNode:
+        """Start a node that reaches the store at an address; its own by default."""
         clock = make_boot_clock()
         record = NodeRecord(name, "127.0.0.1", find_free_ports(1)[0], "oslo-a", 1)
         options = NodeOptions(record, 6_000.0, 3_000.0, clock.now_ms())
         node = make_node(
             options,
             clock,
-            PlatformControlStore(ObjectStoreClient(self.store.address)),
+            PlatformControlStore(ObjectStoreClient(store or self.store.address)),
             open_wire_link,
             make_promote_member(self.store.address),
             make_request_log(clock),
--- /dev/null
+++ b/tests/test_large_configuration.py
@@ -0,0 +1,220 @@
+"""Tests that a configuration of any size reaches nodes in time, over small links too.
+
+Nodes that could not get it in time went on with an old copy, and denied databases that
+clients had been told of.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import pytest
+
+from radishtrack.clock import ManualTime, make_manual_clock
+from radishtrack.peer.link import PeerLink, open_link
+from radishtrack.platform.http_client import HttpError
+from radishtrack.platform.lines import encode_line
+from radishtrack.pooler import peers
+from radishtrack.pooler.store_copy import StoreCopy
+from radishtrack_standins.relay import Bandwidth, Relay, start_relay
+from tests.pooler_simulation import (
+    KEY,
+    RunningNode,
+    Simulation,
+    make_config,
+    open_simulation,
+    wait_until,
+)
+from tests.test_platform_http import ANSWER, serve
+from tests.test_pooler_store_copy import NODE, FakeStore
+
+APPLY_LIMIT_S = 5.0
+"""Time in which an acknowledged configuration has to be in force (`configApplyMs`)."""
+SMALL_LINK_BYTES_PER_S = 5e6 / 8
+ADDED_ROUTES = 4_200
+
+
+def make_large_config(version: int, added: int) -> dict[str, Any]:
+    """Return a configuration with databases ``added-0``, ``added-1`` and so on."""
+    config = make_config(version=version)
+    first = config["routes"][0]
+    config["routes"] += [
+        first | {"host": f"added-{number}", "name": f"r-added-{number}"}
+        for number in range(added)
+    ]
+    return config
+
+
+@asynccontextmanager
+async def open_small_link(
+    simulation: Simulation, name: str, monkeypatch: pytest.MonkeyPatch
+) -> AsyncIterator[RunningNode]:
+    """Start a node whose store and peers send over one small link."""
+    bandwidth = Bandwidth(SMALL_LINK_BYTES_PER_S)
+    relays: dict[str, Relay] = {}
+
+    async def relay_to(address: str) -> str:
+        if address not in relays:
+            host, port = address.split(":")
+            relays[address] = await start_relay(host, int(port), bandwidth=bandwidth)
+        return f"127.0.0.1:{relays[address].port}"
+
+    async def open_relayed(address: str, node: str, secret: bytes) -> PeerLink:
+        if node == name:
+            address = await relay_to(address)
+        return await open_link(address, node, secret)
+
+    monkeypatch.setattr(peers, "open_link", open_relayed)
+    try:
+        running = await simulation.start_node(
+            name, store=await relay_to(simulation.store.address)
+        )
+        await wait_until(running.node.is_ready)
+        yield running
+    finally:
+        for relay in relays.values():
+            await relay.close()
+
+
+async def request_startup(
+    simulation: Simulation, running: RunningNode, startup: str
+) -> str:
+    connection = await simulation.open_connection(running)
+    connection.write(encode_line(startup))
+    line = await connection.read_line()
+    connection.close()
+    return line
+
+
+async def test_a_large_configuration_reaches_a_node_with_a_small_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each attempt was aborted at its limit, and the next one started from nothing."""
+    async with (
+        open_simulation(nodes=2) as simulation,
+        open_small_link(simulation, "edge-3", monkeypatch) as small,
+    ):
+        store_copy = small.node.store_copy
+        simulation.store.put("config", "main", make_large_config(9, ADDED_ROUTES))
+        await wait_until(lambda: store_copy.catalog.version == 9, APPLY_LIMIT_S)
+        startup = f"STARTUP added-7 {KEY}"
+        assert await request_startup(simulation, small, startup) == "READY I -"
+
+
+async def test_a_changed_field_costs_a_small_link_no_whole_configuration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The transfer of thousands of unchanged routes delayed clients and exchanges."""
+    async with open_simulation(nodes=2) as simulation:
+        simulation.store.put("config", "main", make_large_config(9, ADDED_ROUTES))
+        nodes = [running.node for running in simulation.nodes]
+        await wait_until(lambda: all(n.store_copy.catalog.version == 9 for n in nodes))
+        async with open_small_link(simulation, "edge-3", monkeypatch) as small:
+            store_copy = small.node.store_copy
+            await wait_until(lambda: store_copy.catalog.version == 9)
+            config = make_large_config(10, ADDED_ROUTES)
+            config["routes"][0]["timeoutMs"] = 700
+            simulation.store.put("config", "main", config)
+            await wait_until(lambda: nodes[0].store_copy.catalog.version == 10)
+            await wait_until(lambda: store_copy.catalog.version == 10, 1.0)
+
+
+async def test_a_configuration_larger_than_a_message_is_taken_from_a_peer() -> None:
+    """It could not be sent, so each node of the zone read the store."""
+    async with open_simulation(nodes=4) as simulation:
+        copies = [running.node.store_copy for running in simulation.nodes]
+        await wait_until(lambda: len({copy.content for copy in copies}) == 1)
+        simulation.store.calls.clear()
+        simulation.store.put("config", "main", make_large_config(9, 20_000))
+        await wait_until(
+            lambda: all(copy.catalog.version == 9 for copy in copies), APPLY_LIMIT_S
+        )
+        reads = [call for call in simulation.store.calls if "/config/" in call]
+        assert len(reads) <= 2
+
+
+@pytest.mark.parametrize("startup", [f"STARTUP added-7 {KEY}", "STARTUP orders wrong"])
+async def test_names_are_not_denied_by_a_copy_that_cannot_be_confirmed(
+    startup: str,
+) -> None:
+    """The client was told that a database did not exist, and did not come back."""
+    async with open_simulation() as simulation:
+        running = simulation.nodes[0]
+        store_copy = running.node.store_copy
+        simulation.store.faults.is_unresponsive = True
+        simulation.store.put("config", "main", make_large_config(9, 10))
+        assert store_copy.confirmed_ms is not None
+        store_copy.confirmed_ms -= 4_000.0
+        line = await request_startup(simulation, running, startup)
+        assert line.startswith("ERROR BUSY") and "retry after" in line
+
+
+@pytest.mark.parametrize("startup", [f"STARTUP added-7 {KEY}", "STARTUP orders wrong"])
+async def test_names_are_not_denied_while_a_later_version_is_known(
+    startup: str,
+) -> None:
+    """A copy of a second ago lacks what was confirmed to exist since."""
+    async with open_simulation() as simulation:
+        running = simulation.nodes[0]
+        store_copy = running.node.store_copy
+        await wait_until(lambda: store_copy.age_ms() < 100.0)
+        simulation.store.faults.is_unresponsive = True
+        later = attrs.evolve(
+            store_copy.content, revision=store_copy.revision + 1, catalog=9
+        )
+        store_copy.accept_confirmation(later, store_copy.clock.now_ms())
+        line = await request_startup(simulation, running, startup)
+        assert line.startswith("ERROR BUSY") and "retry after" in line
+
+
+async def test_a_lookup_without_a_response_is_repeated() -> None:
+    """The name was taken for one that this version lacks."""
+    store, time = FakeStore(), ManualTime(10_000.0)
+    copy = StoreCopy(store, make_manual_clock(time), NODE, lambda: None)
+    await copy.confirm()
+    store.is_down = True
+    await copy.refresh("added-7", None)
+    store.is_down = False
+    time.advance(1_500.0)
+    calls = store.list_calls
+    await copy.refresh("added-7", None)
+    assert store.list_calls == calls + 1
+
+
+async def test_a_response_that_arrives_slowly_is_received_whole() -> None:
+    """The limit of a call fits small responses only, whatever the link carries."""
+    body = b"x" * 64
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER.replace(b"Length: 2", b"Length: 64").replace(b"{}", b""))
+        for byte in body:
+            writer.write(bytes((byte,)))
+            await asyncio.sleep(0.01)
+
+    async with serve(script) as client:
+        response = await client.request("GET", "/a", timeout_ms=200.0)
+        assert response.body == body
+
+
+async def test_a_response_that_stops_arriving_fails_within_the_limit() -> None:
+    """A call on a dead connection must not hold up the next attempt."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER.replace(b"Length: 2", b"Length: 64").replace(b"{}", b"x"))
+        await asyncio.sleep(5.0)
+
+    async with serve(script) as client:
+        with pytest.raises(HttpError) as error:
+            async with asyncio.timeout(2.0):
+                await client.request("GET", "/a", timeout_ms=200.0)
+        assert error.value.received_bytes > 0
