Deny no name that a later configuration may have

Callers were told "no such database" for databases that had been acknowledged more than 5 s before, and did not come back. The route was looked up before the copy's age was checked, a later version that peers had confirmed was not asked for, and a lookup without an answer counted as one that found nothing.

Now the age goes first, and what the copy lacks is denied only if no later version is known, the copy is younger than the bound on configurations, and a lookup that was due was answered. Otherwise the client gets BUSY with the time to come back, within 400 ms instead of the time limit of a call. This holds for databases, keys, open transactions, and nodes whose keys have no limit of age.

The configuration itself still arrives late.

--- a/src/radishtrack/platform/main.py
+++ b/src/radishtrack/platform/main.py
@@ -205,7 +205,11 @@
     settings: PlatformSettings, record: NodeRecord, process_started_ms: float
 ) -> NodeOptions:
     return NodeOptions(
-        record, settings.grace_ms, settings.key_age_limit_ms, process_started_ms
+        record,
+        settings.grace_ms,
+        settings.key_age_limit_ms,
+        process_started_ms,
+        settings.configuration_age_limit_ms,
     )
 
 
--- a/src/radishtrack/platform/settings.py
+++ b/src/radishtrack/platform/settings.py
@@ -51,6 +51,9 @@
     evacuation_ms : float or None
         Time from the store's acknowledgement of an evacuation to the last request that
         reaches a member of the zone; None if zones can't be evacuated.
+    configuration_age_limit_ms : float or None
+        Time after its acknowledgement in which a configuration must be in force; None
+        without a bound.
     """
 
     node: str
@@ -65,6 +68,7 @@
     key_age_limit_ms: float | None
     cores: float = 0.0
     evacuation_ms: float | None = None
+    configuration_age_limit_ms: float | None = None
 
 
 def parse_settings(text: str) -> PlatformSettings:
@@ -81,6 +85,7 @@
         is_strict = bool(bounds.get("revokeStrict", False))
         revoke_ms = _quantity(bounds.get("revokeMs", 0))
         evacuation_ms = bounds.get("evacuationMs")
+        apply_ms = bounds.get("configApplyMs")
         return PlatformSettings(
             node=_text(data["nodeName"]),
             ip=_text(data["ip"]),
@@ -95,6 +100,9 @@
             key_age_limit_ms=KEY_AGE_LIMIT_FRACTION * revoke_ms if is_strict else None,
             cores=_cores(data.get("limits", {})),
             evacuation_ms=None if evacuation_ms is None else _quantity(evacuation_ms),
+            configuration_age_limit_ms=None
+            if apply_ms is None
+            else _quantity(apply_ms),
         )
     except (
         KeyError,
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -54,6 +54,7 @@
 from radishtrack.pooler.replica_set_keeper import ReplicaSetKeeper
 from radishtrack.pooler.report_relay import ReportRelay
 from radishtrack.pooler.request_log import RequestLog
+from radishtrack.pooler.scheduling.retry_hint import add_hint, retry_after_ms
 from radishtrack.pooler.scheduling.scheduling_log import (
     SchedulingLog,
     make_scheduling_log,
@@ -67,7 +68,7 @@
     make_session,
 )
 from radishtrack.pooler.statements import Refusal
-from radishtrack.pooler.store_copy import StoreCopy
+from radishtrack.pooler.store_copy import RETRY_INTERVAL_MS, StoreCopy
 from radishtrack.pooler.store_recovery import StoreRecovery
 from radishtrack.pooler.tasks import start_task, supervise
 
@@ -79,6 +80,8 @@
 of its bound."""
 UNCONFIRMED: Final = "the configuration can't be confirmed now"
 """Detail of refusals while the copy of the store is too old."""
+MOST_URGENT: Final = 0
+"""Priority of clients whose route is not known."""
 SECRET_BYTES: Final = 32
 SECRET_RETRY_MS: Final = 300.0
 """Pause between attempts to read the peers' secret while a node starts."""
@@ -99,12 +102,16 @@
         limit.
     process_started_ms : float
         Start of this process on the node's clock.
+    configuration_age_limit_ms : float or None
+        Age of the configuration copy from which on nothing is denied because it is not
+        in the copy; None for no limit besides `key_age_limit_ms`.
     """
 
     node: NodeRecord
     grace_ms: float
     key_age_limit_ms: float | None
     process_started_ms: float
+    configuration_age_limit_ms: float | None = None
 
 
 @attrs.define(eq=False)
@@ -285,21 +292,38 @@
     ) -> SessionAccess | Denied:
         if self.store_copy.confirmed_ms is None:
             # Without a configuration, the node can't tell that a name is unknown.
-            return Denied(Refusal.BUSY, "the configuration has not been read yet")
+            return self._deny_for_now("the configuration has not been read yet")
+        if not self._has_recent_keys():
+            return self._deny_unconfirmed()
         route = self.store_copy.catalog.routes.get(database)
         if route is None:
-            return Denied(Refusal.NO_DATABASE, "no such database")
-        if not self._has_recent_keys():
-            return Denied(Refusal.BUSY, UNCONFIRMED)
+            return self._deny(Refusal.NO_DATABASE, "no such database")
         if route.is_open:
             return SessionAccess(route, OPEN_ORGANISATION, False)
         if key_digest is None:
-            return Denied(Refusal.NO_ACCESS, "the database needs a key")
+            return self._deny(Refusal.NO_ACCESS, "the database needs a key")
         owner = self.store_copy.catalog.key_owners.get(key_digest)
         if owner is None:
-            return Denied(Refusal.NO_ACCESS, "the key is not accepted")
+            return self._deny(Refusal.NO_ACCESS, "the key is not accepted")
         return SessionAccess(route, owner.name, True)
 
+    def _deny(self, refusal: Refusal, detail: str) -> Denied:
+        """Deny what the copy lacks, if no later configuration can have it."""
+        limit_ms = self.options.configuration_age_limit_ms
+        is_old = limit_ms is not None and self.store_copy.age_ms() >= limit_ms
+        if is_old or self.store_copy.is_superseded:
+            return self._deny_unconfirmed()
+        return Denied(refusal, detail)
+
+    def _deny_unconfirmed(self) -> Denied:
+        return self._deny_for_now(UNCONFIRMED)
+
+    def _deny_for_now(self, detail: str) -> Denied:
+        """Deny with the time after which the copy may be confirmed."""
+        number = int(self.clock.now_ms())
+        hint_ms = retry_after_ms(RETRY_INTERVAL_MS, MOST_URGENT, number)
+        return Denied(Refusal.BUSY, add_hint(detail, hint_ms))
+
     def _check_transaction(
         self, access: SessionAccess, key_digest: bytes | None
     ) -> Denied | None:
@@ -309,12 +333,12 @@
         still be that organisation's.
         """
         if not self._has_recent_keys():
-            return Denied(Refusal.BUSY, UNCONFIRMED)
+            return self._deny_unconfirmed()
         if not access.is_limited:
             return None
         owner = self.store_copy.catalog.key_owners.get(key_digest or b"")
         if owner is None or owner.name != access.organisation:
-            return Denied(Refusal.NO_ACCESS, "the key is not accepted any more")
+            return self._deny(Refusal.NO_ACCESS, "the key is not accepted any more")
         return None
 
     def _observe_denied(self, database: str, denied: Denied) -> None:
@@ -333,6 +357,7 @@
             clock=self.clock,
             authorise=self._authorise,
             check_transaction=self._check_transaction,
+            deny_unconfirmed=self._deny_unconfirmed,
             refresh=self.store_copy.refresh,
             admit=self.rates.admit,
             refund=self.rates.refund,
--- a/src/radishtrack/pooler/session.py
+++ b/src/radishtrack/pooler/session.py
@@ -82,8 +82,11 @@
     check_transaction : callable
         Takes the access with which a transaction began and the key digest; returns why
         the transaction may not go on, or None.
+    deny_unconfirmed : callable
+        Returns the denial of a session whose rights are not known at present.
     refresh : callable
-        Reads the configuration from the store; takes what the local copy lacks.
+        Reads the configuration from the store; takes what the local copy lacks, and
+        returns False if there was no answer.
     admit : callable
         Takes an organisation and the longest wait in milliseconds; returns a token of
         its rate, or None if the rate admits no more operation.
@@ -108,7 +111,8 @@
     clock: Clock
     authorise: Callable[[str, bytes | None], SessionAccess | Denied]
     check_transaction: Callable[[SessionAccess, bytes | None], Denied | None]
-    refresh: Callable[[str, bytes | None], Awaitable[None]]
+    deny_unconfirmed: Callable[[], Denied]
+    refresh: Callable[[str, bytes | None], Awaitable[bool]]
     admit: Callable[[str, float], Awaitable[RateToken | None]]
     refund: Callable[[RateToken], None]
     find_group: Callable[[str], GroupAccess]
@@ -413,8 +417,10 @@
     access = context.authorise(database, key_digest)
     if isinstance(access, Denied):
         # The database or key may have been added a moment ago.
-        await context.refresh(database, key_digest)
+        is_answered = await context.refresh(database, key_digest)
         access = context.authorise(database, key_digest)
+        if isinstance(access, Denied) and not is_answered:
+            access = context.deny_unconfirmed()
     if isinstance(access, Denied):
         context.observe_denied(database, access)
         return access
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -61,9 +61,9 @@
 DEPARTURE_MS: Final = 4_500.0
 """Time for which a removed node still counts. It either sees within 1.3 s that its
 record is missing, or refuses all keys once its copy is 3 s old; the rest is margin."""
-FIRST_COPY_WAIT_MS: Final = 400.0
-"""Longest wait of a client for the first read of a starting node; clients come back
-after a refusal in about this time."""
+LOOKUP_WAIT_MS: Final = 400.0
+"""Longest wait of a client for the first read of a starting node, or for a lookup;
+clients come back after a refusal in about this time."""
 
 
 def _read_always() -> bool:
@@ -142,7 +142,7 @@
     has_copy: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set by the first confirmation."""
     pending: asyncio.Task[bool] | None = None
-    lookup: asyncio.Task[None] | None = None
+    lookup: asyncio.Task[bool] | None = None
     """Lookup of a missing name that is under way."""
     unknown: UnknownNames = attrs.field(factory=UnknownNames)
     has_dropped_confirmation: bool = False
@@ -206,6 +206,11 @@
         announced = 0 if self.announced is None else self.announced.catalog
         return max(self.catalog.version, announced)
 
+    @property
+    def is_superseded(self) -> bool:
+        """Whether the store is known to have a later configuration than the copy."""
+        return self.known_version > self.catalog.version
+
     def accept_confirmation(self, content: CopyContent, confirmed_ms: float) -> None:
         """Accept another node's confirmation that the store had this content at a time.
 
@@ -372,12 +377,12 @@
         self._record_available()
         return True
 
-    async def refresh(self, database: str, key_digest: bytes | None) -> None:
+    async def refresh(self, database: str, key_digest: bytes | None) -> bool:
         """Confirm the copy on demand, since a name is missing in it.
 
         The node that reads for the fleet is asked, and the store only if that node does
-        not respond or is this one. Before the first read it waits for that one, for
-        `FIRST_COPY_WAIT_MS` at most.
+        not respond or is this one. Before the first read it waits for that one. No
+        wait exceeds `LOOKUP_WAIT_MS`.
 
         Parameters
         ----------
@@ -385,30 +390,39 @@
             Name of the database that a client asks for.
         key_digest : bytes or None
             Digest of its key.
+
+        Returns
+        -------
+        bool
+            False if a lookup that was due has given no answer.
         """
         if self.confirmed_ms is None:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(FIRST_COPY_WAIT_MS / 1000):
+                async with asyncio.timeout(LOOKUP_WAIT_MS / 1000):
                     await self.has_copy.wait()
-            return
+            return self.confirmed_ms is not None
         name = (database, key_digest)
         is_pending = self.lookup is not None and not self.lookup.done()
         if not is_pending:
             now_ms = self.clock.now_ms()
             if not self.unknown.start_lookup(name, self.catalog.version, now_ms):
-                return
+                return True
             self.lookup = asyncio.create_task(self._look_up())
         assert self.lookup is not None
-        await asyncio.shield(self.lookup)
-        self.unknown.record(name, self.catalog.version)
-
-    async def _look_up(self) -> None:
+        is_answered = False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LOOKUP_WAIT_MS / 1000):
+                is_answered = await asyncio.shield(self.lookup)
+        if is_answered and not self.is_superseded:
+            self.unknown.record(name, self.catalog.version)
+        return is_answered
+
+    async def _look_up(self) -> bool:
+        """Confirm the copy now; return whether that succeeded."""
         if not await self.request_confirmation():
-            await self.confirm()
-            return
+            return await self.confirm()
         confirmation, self.peer_confirmation = self.peer_confirmation, None
-        if confirmation is not None:
-            await self.confirm(confirmation)
+        return confirmation is None or await self.confirm(confirmation)
 
     def has_failed_within(self, age_ms: float) -> bool:
         """Return whether a call of the store has failed or was late that recently."""
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -171,6 +171,35 @@
         assert line.startswith("ERROR BUSY") and "retry after" in line
 
 
+async def test_names_are_not_denied_by_an_old_copy_without_a_limit_for_keys() -> None:
+    """Where keys have no limit of age, nothing else bounded the copy's."""
+    async with open_simulation() as simulation:
+        running = simulation.nodes[0]
+        node, store_copy = running.node, running.node.store_copy
+        node.options = attrs.evolve(
+            node.options, key_age_limit_ms=None, configuration_age_limit_ms=5_000.0
+        )
+        simulation.store.faults.is_unresponsive = True
+        assert store_copy.confirmed_ms is not None
+        store_copy.confirmed_ms -= 6_000.0
+        startup = f"STARTUP added-7 {KEY}"
+        line = await request_startup(simulation, running, startup)
+        assert line.startswith("ERROR BUSY")
+        startup = f"STARTUP orders {KEY}"
+        assert await request_startup(simulation, running, startup) == "READY I -"
+
+
+async def test_a_name_is_not_denied_while_its_lookup_has_no_answer() -> None:
+    """A client waits for an answer until it gives up, or is denied without one."""
+    async with open_simulation() as simulation:
+        running = simulation.nodes[0]
+        simulation.store.faults.is_unresponsive = True
+        startup = f"STARTUP added-7 {KEY}"
+        async with asyncio.timeout(1.0):
+            line = await request_startup(simulation, running, startup)
+        assert line.startswith("ERROR BUSY")
+
+
 async def test_a_lookup_without_a_response_is_repeated() -> None:
     """The name was taken for one that this version lacks."""
     store, time = FakeStore(), ManualTime(10_000.0)
