Pass changes of the store on as differences, in pages

Nodes with small links got large configurations late or not at all, whole with each changed field, and a configuration over the size of a message could not be passed on.

The coordinator, which reads the store for the fleet, now sends the first node of each zone what has changed, and that one the others of its zone: rows that differ from what the receiver has, compressed, in pages of 16 kB of which one is under way at a time. A page has a time limit, the transfer has none; a lost page is requested again. A node that lacks the content yet says so and is waited for. A difference counts only if the result has the digest of the sender's configuration, so that one from a wrong base does no harm. Nodes whose copy is old list the fleet and then ask a peer, too: when the coordinator read for long, all nodes read the store at the same time.

The messages are new. A node of an earlier version closes the link on them once, and is asked with the earlier message until it is replaced; it gets whole parts as before.

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -58,6 +58,7 @@
     )
     RECORD_RESTORED = (4008, "warning", "record that the store has lost written again")
     CONTENT_MISSED = (4009, "warning", "peer gave no changed content of the store")
+    CONTENT_TAKEN = (4010, "info", "changed content of the store taken from a peer")
     NODE_REMOVED = (1006, "warning", "record of a silent node removed")
     SETTINGS_READ = (1004, "info", "settings file read")
     SETTINGS_INVALID = (1005, "error", "settings file can not be used")
--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -535,6 +535,72 @@
     fleet: bytes
 
 
+@attrs.define(frozen=True)
+class ContentPageWanted:
+    """Requests a page of the difference between the sender's content and another.
+
+    Nodes of versions before this message close the connection on it.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    revision, catalog, members, fleet : int
+        The content that was confirmed to the sender, as in `Reports`.
+    present_catalog, present_members, present_fleet : int
+        Version and digests of the sender's own copy; 0 for a part that the receiver
+        shall send whole.
+    transfer : int
+        Transfer of which the sender has pages, as in `ContentPage`; 0 for none.
+    offset : int
+        Size of these pages in bytes.
+    """
+
+    request: int
+    revision: int
+    catalog: int
+    members: int
+    fleet: int
+    present_catalog: int
+    present_members: int
+    present_fleet: int
+    transfer: int
+    offset: int
+
+
+@attrs.define(frozen=True)
+class ContentPage:
+    """Response to `ContentPageWanted`.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    state : str
+        ``"data"``; ``"pending"`` if the sender has not got the content yet, or
+        ``"unavailable"`` if it does not reach the store either.
+    transfer : int
+        Names the bytes that the pages make up.
+    size : int
+        Their number.
+    offset : int
+        Where the page begins; 0 if the sender has no transfer as requested.
+    data : bytes
+        The page.
+    confirmed_age_ms : float
+        Milliseconds since the sender's copy, which has this content, is known to have
+        equalled the store; negative if the copy has other content by now.
+    """
+
+    request: int
+    state: str
+    transfer: int
+    size: int
+    offset: int
+    data: bytes
+    confirmed_age_ms: float
+
+
 Message = (
     Hello
     | Challenge
@@ -571,6 +637,8 @@
     | Reports
     | ContentWanted
     | Content
+    | ContentPageWanted
+    | ContentPage
 )
 
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
@@ -609,5 +677,7 @@
     Reports,
     ContentWanted,
     Content,
+    ContentPageWanted,
+    ContentPage,
 )
 """The index in this tuple is the type number on the wire; only append to it."""
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -15,6 +15,7 @@
 from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import (
     BeliefWithdrawn,
+    ContentPageWanted,
     ContentWanted,
     DutyChanged,
     Execute,
@@ -496,6 +497,8 @@
                 return self.relay.collect_reports(peer, message)
             case ContentWanted():
                 return await self.content.respond(message)
+            case ContentPageWanted():
+                return await self.content.send_page(message)
             case _:
                 log_event(
                     Event.PEER_REFUSED, peer=peer, reason=f"unexpected {type(message)}"
@@ -544,7 +547,9 @@
         options.node.name, clock, store_copy, peers, options.process_started_ms
     )
     store_copy.reads_for_fleet = rates.is_coordinator
-    content = ContentExchange(options.node, clock, store_copy, peers)
+    content = ContentExchange(
+        options.node, clock, store_copy, peers, rates.failover.find_coordinator
+    )
 
     def find_relay() -> NodeRecord | None:
         coordinator = rates.failover.find_coordinator()
--- a/src/radishtrack/pooler/peers.py
+++ b/src/radishtrack/pooler/peers.py
@@ -54,6 +54,11 @@
         """Return the registered nodes without this one."""
         return tuple(node for node in self.list_nodes() if node.name != self.name)
 
+    def find_incarnation(self, name: str) -> int | None:
+        """Return the incarnation of a peer to which there is a link, or None."""
+        link = self.links.get(name)
+        return None if link is None else link.incarnation
+
     async def send_request(
         self, node: NodeRecord, make_message: MakeMessage, timeout_ms: float
     ) -> Message | NotRunning | None:
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -21,12 +21,10 @@
 from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import Content
 from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
-from radishtrack.pooler.content_codec import (
-    ContentError,
-    decode_catalog,
-    decode_fleet,
-    decode_members,
-)
+from radishtrack.pooler.content_codec import ContentError
+from radishtrack.pooler.content_difference import StoreContent, merge_catalog
+from radishtrack.pooler.content_history import ContentHistory
+from radishtrack.pooler.content_transfer import ReceivedContent, decode_content
 from radishtrack.pooler.duties import DutyRecords
 from radishtrack.pooler.evacuation.zones import EvacuatedZones
 from radishtrack.pooler.ports import (
@@ -61,6 +59,8 @@
 DEPARTURE_MS: Final = 4_500.0
 """Time for which a removed node still counts. It either sees within 1.3 s that its
 record is missing, or refuses all keys once its copy is 3 s old; the rest is margin."""
+UNKNOWN_PART: Final = 0
+"""Stands for the version or digest of a part that a listing does not tell."""
 LOOKUP_WAIT_MS: Final = 400.0
 """Longest wait of a client for the first read of a starting node, or for a lookup;
 clients come back after a refusal in about this time."""
@@ -74,7 +74,7 @@
     return False
 
 
-async def _take_nothing(_wanted: CopyContent) -> Content | None:
+async def _take_nothing(_wanted: CopyContent) -> ReceivedContent | Content | None:
     return None
 
 
@@ -114,7 +114,9 @@
     request_confirmation: Callable[[], Awaitable[bool]] = _confirm_nothing
     """Requests a confirmation from the node that reads for the fleet; returns whether
     it came."""
-    request_content: Callable[[CopyContent], Awaitable[Content | None]] = _take_nothing
+    request_content: Callable[
+        [CopyContent], Awaitable[ReceivedContent | Content | None]
+    ] = _take_nothing
     """Requests changed content from another node; None if the store must be read."""
     catalog: Catalog = EMPTY_CATALOG
     members: tuple[Member, ...] = ()
@@ -156,6 +158,10 @@
     """The listing that the digest of the fleet describes."""
     fleet_digest: int = 0
     members_digest: int = 0
+    catalog_digest: int = 0
+    """Digest of the configuration's rows."""
+    history: ContentHistory = attrs.field(factory=ContentHistory)
+    """Earlier parts of the copy, from which differences are sent."""
 
     def __attrs_post_init__(self) -> None:
         self.settling = Settling(self.clock)
@@ -200,6 +206,13 @@
             self.revision, self.catalog.version, self.members_digest, self.fleet_digest
         )
 
+    @property
+    def parts(self) -> StoreContent:
+        """The parts of the copy themselves."""
+        return StoreContent(
+            self.catalog, self.members, self.evacuated.names, self.fleet
+        )
+
     @property
     def known_version(self) -> int:
         """Latest version of the configuration that the store is known to have had."""
@@ -326,26 +339,15 @@
         if not self.has_content:
             return False
         response = await self.request_content(content)
+        if isinstance(response, Content):
+            response = await self._decode_whole(response, content, confirmed_ms)
         if response is None:
             return False
-        if content.revision < self.revision:
+        if response.content.revision < self.revision:
             # The copy has become newer meanwhile; older parts must not replace it.
             return True
-        try:
-            if response.catalog:
-                self._update_catalog(decode_catalog(response.catalog), content.revision)
-            if response.members:
-                members, zones = decode_members(response.members)
-                if digest_members(members, zones) == content.members:
-                    self._update_members(members, zones, content.revision)
-            if response.fleet:
-                listing = decode_fleet(response.fleet)
-                if digest_fleet(listing) == content.fleet and any(
-                    node == self.node for node in listing.nodes
-                ):
-                    self._update_fleet(listing)
-        except ContentError as error:
-            log_event(Event.LISTING_INVALID, object="content", reason=error)
+        self._apply_received(response)
+        content = response.content
         is_complete = (
             self.catalog.version >= content.catalog
             and self.members_digest == content.members
@@ -353,10 +355,40 @@
         )
         if is_complete:
             self._advance(content.revision)
-            self._record_confirmation(confirmed_ms)
+            self._record_confirmation(max(confirmed_ms, response.confirmed_ms))
         self.on_change()
         return is_complete
 
+    async def _decode_whole(
+        self, message: Content, content: CopyContent, confirmed_ms: float
+    ) -> ReceivedContent | None:
+        """Return the parts that a node of an earlier version has sent whole."""
+        try:
+            parts = decode_content(message, self.parts)
+        except ContentError as error:
+            log_event(Event.LISTING_INVALID, object="content", reason=error)
+            return None
+        catalog, digest = await self._share_rows(parts.catalog)
+        return ReceivedContent(
+            content, attrs.evolve(parts, catalog=catalog), digest, confirmed_ms
+        )
+
+    def _apply_received(self, received: ReceivedContent) -> None:
+        """Apply the parts that equal what the sender was confirmed to have."""
+        content, parts = received.content, received.parts
+        self._update_catalog(parts.catalog, received.catalog_digest, content.revision)
+        if (
+            content.members != self.members_digest
+            and digest_members(parts.members, parts.zones) == content.members
+        ):
+            self._update_members(parts.members, parts.zones, content.revision)
+        if (
+            content.fleet != self.fleet_digest
+            and digest_fleet(parts.fleet) == content.fleet
+            and any(node == self.node for node in parts.fleet.nodes)
+        ):
+            self._update_fleet(parts.fleet)
+
     async def _read_store(
         self, confirmation: tuple[CopyContent, float] | None, requested_ms: float
     ) -> bool:
@@ -466,6 +498,8 @@
         if listing.revision == self.revision:
             self._record_own_read(requested_ms)
             return
+        if await self._take_listed(listing, requested_ms):
+            return
         is_catalog_current = is_member_list_current = False
         if peer_content is not None and peer_content.revision == listing.revision:
             is_catalog_current = peer_content.catalog == self.catalog.version
@@ -475,7 +509,8 @@
             self._read_catalog(is_catalog_current),
             self._read_members(is_member_list_current),
         )
-        self._update_catalog(catalog, listing.revision)
+        if catalog is not None:
+            self._update_catalog(*catalog, listing.revision)
         if listing.revision > self.revision:
             self._log_read(listing, "all")
             self._update_members(members, zones, listing.revision)
@@ -487,6 +522,19 @@
             self._record_own_read(requested_ms)
         self.on_change()
 
+    async def _take_listed(self, listing: FleetListing, requested_ms: float) -> bool:
+        """Take what a listing shows to have changed from another node.
+
+        All nodes list the fleet if the one that reads for them takes long, and should
+        not all read a large configuration then.
+        """
+        if self.reads_for_fleet() or requested_ms < self.settling.settled_ms:
+            return False
+        wanted = CopyContent(
+            listing.revision, UNKNOWN_PART, UNKNOWN_PART, digest_fleet(listing)
+        )
+        return await self._take_from_peer(wanted, requested_ms)
+
     def _observe_era(self, listing: FleetListing) -> None:
         """Record that the store was restored, according to a listing.
 
@@ -530,7 +578,9 @@
     ) -> None:
         """Read the parts of the copy that differ from another node's content."""
         if peer_content.catalog != self.catalog.version:
-            self._update_catalog(await self.store.read_catalog(), peer_content.revision)
+            catalog = await self._read_catalog(is_unchanged=False)
+            if catalog is not None:
+                self._update_catalog(*catalog, peer_content.revision)
         if peer_content.members != self.members_digest:
             members, zones = await self._read_members(is_unchanged=False)
             self._update_members(members, zones, peer_content.revision)
@@ -539,8 +589,18 @@
             self._record_confirmation(confirmed_ms)
         self.on_change()
 
-    async def _read_catalog(self, is_unchanged: bool) -> Catalog | None:
-        return self.catalog if is_unchanged else await self.store.read_catalog()
+    async def _read_catalog(self, is_unchanged: bool) -> tuple[Catalog, int] | None:
+        """Return the configuration and its digest, or None if there is none."""
+        if is_unchanged:
+            return self.catalog, self.catalog_digest
+        catalog = await self.store.read_catalog()
+        return None if catalog is None else await self._share_rows(catalog)
+
+    async def _share_rows(self, catalog: Catalog) -> tuple[Catalog, int]:
+        """Return a configuration with the copy's unchanged rows, and its digest."""
+        if catalog.version <= self.catalog.version:
+            return self.catalog, self.catalog_digest
+        return await merge_catalog(self.catalog, self.catalog_digest, catalog)
 
     async def _read_members(
         self, is_unchanged: bool
@@ -559,8 +619,8 @@
             self.settling.record_restore()
         self.revision = max(self.revision, revision)
 
-    def _update_catalog(self, catalog: Catalog | None, revision: int) -> None:
-        if catalog is None or catalog.version <= self.catalog.version:
+    def _update_catalog(self, catalog: Catalog, digest: int, revision: int) -> None:
+        if catalog.version <= self.catalog.version:
             return
         log_event(
             Event.CONFIGURATION_ACCEPTED,
@@ -569,7 +629,8 @@
             routes=len(catalog.routes),
         )
         self.unknown.apply(self.catalog, catalog)
-        self.catalog = catalog
+        self.catalog, self.catalog_digest = catalog, digest
+        self.history.add_catalog(catalog)
 
     def _update_members(
         self, members: tuple[Member, ...], zones: frozenset[str], revision: int
@@ -580,6 +641,7 @@
             zones, era=get_era(revision), absent_ms=self.confirmed_ms
         )
         self.members_digest = digest_members(members, zones)
+        self.history.add_members(self.members_digest, members, zones)
 
     def _update_fleet(self, listing: FleetListing) -> None:
         self._record_nodes(listing.nodes)
@@ -592,6 +654,7 @@
             self.duties.record(name, duty)
         self.fleet = listing
         self.fleet_digest = digest_fleet(listing)
+        self.history.add_fleet(self.fleet_digest, listing)
 
     def _record_confirmation(self, requested_ms: float) -> None:
         if self.confirmed_ms is None or requested_ms > self.confirmed_ms:
