--- a/src/radishtrack/pooler/content_exchange.py
+++ b/src/radishtrack/pooler/content_exchange.py
@@ -94,6 +94,8 @@
         attrs.field(factory=dict)
     )
     """Encodings under way."""
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    """Held while content is requested."""
     pages_known: set[str] = attrs.field(factory=set)
     """Nodes that have sent a page."""
     earlier_versions: dict[str, int | None] = attrs.field(factory=dict)
@@ -146,7 +148,15 @@
         self.avoided_until_ms[name] = self.clock.now_ms() + AVOID_MS
 
     async def request(self, wanted: CopyContent) -> ReceivedContent | Content | None:
-        """Return the content that this node lacks; None if it has to read the store."""
+        """Return the content that this node lacks; None if it has to read the store.
+
+        Concurrent requests would transfer the same; a later one gets the little that
+        the earlier has left.
+        """
+        async with self.lock:
+            return await self._request(wanted)
+
+    async def _request(self, wanted: CopyContent) -> ReceivedContent | Content | None:
         source = self.find_source()
         if source is None:
             return None
--- a/tests/test_content_transfer.py
+++ b/tests/test_content_transfer.py
@@ -279,6 +279,23 @@
     assert (pages - 1) * PAGE_BYTES < len(encoded.data) <= pages * PAGE_BYTES
 
 
+async def test_concurrent_requests_transfer_content_once() -> None:
+    """A lookup and the task of the copy filled a small link with the same content."""
+    pair = await make_pair(routes=3_000)
+    copy = pair.receiver.store_copy
+    await asyncio.gather(*(copy.confirm((pair.wanted, 10_500.0)) for _ in range(3)))
+    assert copy.catalog == pair.sender.store_copy.catalog
+    offsets = [
+        message.offset
+        for message in pair.peers.requests
+        if isinstance(message, ContentPageWanted)
+    ]
+    assert offsets.count(PAGE_BYTES) == 1
+    store = copy.store
+    assert isinstance(store, FakeStore)
+    assert store.catalog_reads == 1
+
+
 async def test_a_lost_page_is_requested_again() -> None:
     """A lost response began the transfer anew, or ended it."""
     pair = await make_pair(routes=3_000)
