--- a/src/radishtrack/objects/client.py
+++ b/src/radishtrack/objects/client.py
@@ -327,12 +327,18 @@
     ) -> _Response:
         is_write = method not in READ_METHODS
         timeout_s = (self.timeout_ms + wait_ms) / 1000
+        # A list grows with the deployment, so what bounds a read is its progress.
+        timeout = (
+            aiohttp.ClientTimeout(total=timeout_s)
+            if is_write
+            else aiohttp.ClientTimeout(connect=timeout_s, sock_read=timeout_s)
+        )
         try:
             async with self._open_session().request(
                 method,
                 self.url + path,
                 data=_stream_body(body) if body is not None else None,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                timeout=timeout,
             ) as response:
                 if response.status >= 500 or response.status == 429:
                     raise PlatformUnavailable(
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -57,6 +58,45 @@
     await platform_client.close()
 
 
+async def open_slow_store(pause_s: float, parts: int) -> asyncio.Server:
+    """Start a store whose responses arrive in parts; the last one may be missing."""
+    body = json.dumps({"objects": [], "padding": "x" * 1_000}).encode()
+
+    async def respond(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode())
+        size = -(-len(body) // 10)
+        for start in range(0, parts * size, size):
+            writer.write(body[start : start + size])
+            await asyncio.sleep(pause_s)
+        await asyncio.sleep(5.0 if parts < 10 else 0.0)
+
+    return await asyncio.start_server(respond, "127.0.0.1", 0)
+
+
+@pytest.mark.parametrize(("pause_s", "parts"), [(0.05, 10), (0.0, 5)])
+async def test_a_read_is_bounded_by_its_progress(pause_s: float, parts: int) -> None:
+    """A large list over a small link was aborted each time, and began anew."""
+    server = await open_slow_store(pause_s, parts)
+    port = server.sockets[0].getsockname()[1]
+    client = make_platform_client(
+        f"http://127.0.0.1:{port}", make_system_clock(), timeout_ms=200
+    )
+    try:
+        async with asyncio.timeout(2.0):
+            if parts == 10:
+                assert await client.list_objects("groups") == ()
+            else:
+                with pytest.raises(PlatformUnavailable):
+                    await client.list_objects("groups")
+    finally:
+        await client.close()
+        server.close()
+
+
 async def test_calls_return_typed_results(client: PlatformClient) -> None:
     assert await client.get("groups", "a/b") is None
     written = await client.put("groups", "a/b", OWN_VALUE, 0)
