Send reports of many members in responses of bounded size

A relay answered with all reports that a node lacked, for 710 groups some 160 kB, on the connection that carries everything else, within a limit of 300 ms. A late response was sent again as a whole, so over a small link a starting node might never have got one.

A response now has 100 reports at most, the longest unsent first, and the node asks for the others at once. Earlier nodes get the others with their next requests. A test with 270 members saw one response of 20,205 bytes before, and none above 16,384 now.

--- a/src/radishtrack/pooler/report_relay.py
+++ b/src/radishtrack/pooler/report_relay.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
@@ -36,6 +37,8 @@
 """Pause between requests of the only node of a zone."""
 RELAY_TIMEOUT_MS: Final = 300.0
 """Time limit of a request, which takes one round trip."""
+MAX_REPORTS: Final = 100
+"""Number of reports in a response, about 10 kB; the next one has those that remain."""
 
 UNKNOWN_COUNT: Final = -1
 """Stands for a count that the member did not report."""
@@ -69,13 +72,16 @@
     """Node to which the last request was sent."""
     received_number: int = 0
     """Number of that node's last response; 0 if none was received."""
+    has_more: bool = False
+    """Whether that response was full, so that the relay may have more reports."""
 
     async def run(self) -> None:
         """Request reports periodically."""
         while True:
             pause_ms = ZONE_INTERVAL_MS if self.has_zone_peers() else SINGLE_INTERVAL_MS
             await asyncio.sleep(pause_ms / 1000)
-            await self.request_reports()
+            while await self.request_reports() and self.has_more:
+                pass
 
     async def request_reports(self) -> bool:
         """Request reports and a confirmation of the copy; return whether they came."""
@@ -111,29 +117,40 @@
 
     def _pack(self, receiver: Receiver) -> Iterator[PackedReport]:
         now_ms = self.clock.now_ms()
-        for group, access in self.groups.items():
-            for name, observation in access.evidence.observations.items():
-                key = (group, name)
-                if receiver.sent_ms.get(key) == observation.requested_ms:
-                    continue
-                receiver.sent_ms[key] = observation.requested_ms
-                report = observation.report
-                applied = access.evidence.applied.get(name, Position(0, 0))
-                yield (
-                    group,
-                    name,
-                    report.role is Role.PRIMARY,
-                    report.term,
-                    report.position.term,
-                    report.position.sequence,
-                    applied.term,
-                    applied.sequence,
-                    report.fenced_term,
-                    report.lag_ms,
-                    now_ms - observation.requested_ms,
-                    _pack_count(report.busy),
-                    _pack_count(report.connections),
-                )
+        for group, name in self._choose_reports(receiver):
+            evidence = self.groups[group].evidence
+            observation = evidence.observations[name]
+            receiver.sent_ms[group, name] = observation.requested_ms
+            report = observation.report
+            applied = evidence.applied.get(name, Position(0, 0))
+            yield (
+                group,
+                name,
+                report.role is Role.PRIMARY,
+                report.term,
+                report.position.term,
+                report.position.sequence,
+                applied.term,
+                applied.sequence,
+                report.fenced_term,
+                report.lag_ms,
+                now_ms - observation.requested_ms,
+                _pack_count(report.busy),
+                _pack_count(report.connections),
+            )
+
+    def _choose_reports(self, receiver: Receiver) -> list[tuple[str, str]]:
+        """Return group and member of new reports, the longest unsent first."""
+        sent_ms = receiver.sent_ms
+        changed = [
+            (group, name)
+            for group, access in self.groups.items()
+            for name, observation in access.evidence.observations.items()
+            if sent_ms.get((group, name)) != observation.requested_ms
+        ]
+        if len(changed) > MAX_REPORTS:
+            changed.sort(key=lambda key: sent_ms.get(key, -math.inf))
+        return changed[:MAX_REPORTS]
 
     async def _poll_relay(self, relay: NodeRecord) -> bool:
         if relay.name != self.relay_name:
@@ -148,6 +165,7 @@
             self.received_number = 0
             return False
         self.received_number = response.number
+        self.has_more = len(response.reports) >= MAX_REPORTS
         if response.number:
             content = CopyContent(
                 response.revision, response.catalog, response.members, response.fleet
