Ask the next node for content if one does not respond

When the first node of a zone did not respond, all others of the zone read the store, over small links too. They now ask the next of the zone for it, or the coordinator, for a second at most, and give up on a node that the exchange of reports has found silent meanwhile. A node that is still reading a large configuration is waited for up to the age at which keys end: reading it oneself takes no less. The test of the next node failed before (it was not asked).

--- a/src/radishtrack/pooler/content_exchange.py
+++ b/src/radishtrack/pooler/content_exchange.py
@@ -66,8 +66,11 @@
 """Time limit of a page: one round trip, beside the traffic of a small link."""
 MAX_FAILED_PAGES: Final = 2
 """Number of requests of one page without a response after which it is given up."""
-PENDING_LIMIT_MS: Final = 1_500.0
-"""Time after which a node that has not got the wanted content is asked no more."""
+PENDING_LIMIT_MS: Final = 3_000.0
+"""Time after which a node that has not got the wanted content is asked no more. It is
+asked for so long since its own read of the store may take as long as this node's."""
+SOURCES_LIMIT_MS: Final = 1_000.0
+"""Time after which no further node is asked in place of one that did not respond."""
 PENDING_RETRY_MS: Final = 50.0
 AVOID_MS: Final = 5_000.0
 """Time for which a node that did not respond is not asked again."""
@@ -154,12 +157,19 @@
         the earlier has left.
         """
         async with self.lock:
-            return await self._request(wanted)
-
-    async def _request(self, wanted: CopyContent) -> ReceivedContent | Content | None:
-        source = self.find_source()
-        if source is None:
+            until_ms = self.clock.now_ms() + SOURCES_LIMIT_MS
+            while self.clock.now_ms() < until_ms:
+                source = self.find_source()
+                if source is None:
+                    return None
+                received = await self._request_from(source, wanted)
+                if received is not None or not self._is_avoided(source):
+                    return received
             return None
+
+    async def _request_from(
+        self, source: NodeRecord, wanted: CopyContent
+    ) -> ReceivedContent | Content | None:
         present = self.store_copy.content
         requested_ms = self.clock.now_ms()
         received: ReceivedContent | Content | None = None
@@ -246,7 +256,7 @@
                 failures += 1
                 if source.name not in self.pages_known:
                     return None
-                if failures >= MAX_FAILED_PAGES:
+                if failures >= MAX_FAILED_PAGES or self._is_avoided(source):
                     self.pages_known.discard(source.name)
                     self.avoid(source.name)
                     return None
