Forget an announced version that the store has lost

A node that had heard of a version from a peer denied nothing until it had that version, also after it had read a later revision of the store without it, as after a restore. Names that do not exist were answered with BUSY for as long. Only an announcement later than the copy counts now; the test failed before.

--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -22,7 +22,11 @@
 from radishtrack.peer.messages import Content
 from radishtrack.pooler.catalog import EMPTY_CATALOG, Catalog, Member, NodeRecord
 from radishtrack.pooler.content_codec import ContentError
-from radishtrack.pooler.content_difference import StoreContent, merge_catalog
+from radishtrack.pooler.content_difference import (
+    EMPTY_LISTING,
+    StoreContent,
+    merge_catalog,
+)
 from radishtrack.pooler.content_history import ContentHistory
 from radishtrack.pooler.content_transfer import ReceivedContent, decode_content
 from radishtrack.pooler.duties import DutyRecords
@@ -88,9 +92,6 @@
     at_ms: float
 
 
-EMPTY_FLEET: Final = FleetListing((), {}, {}, 0)
-
-
 @attrs.define(eq=False)
 class StoreCopy:
     """A node's cached copy of the store; `run` keeps it up to date.
@@ -160,7 +161,7 @@
     was current."""
     announced: CopyContent | None = None
     """Latest content that another node has confirmed, also if this copy lacks it."""
-    fleet: FleetListing = EMPTY_FLEET
+    fleet: FleetListing = EMPTY_LISTING
     """The listing that the digest of the fleet describes."""
     fleet_digest: int = 0
     members_digest: int = 0
@@ -221,9 +222,12 @@
 
     @property
     def known_version(self) -> int:
-        """Latest version of the configuration that the store is known to have had."""
-        announced = 0 if self.announced is None else self.announced.catalog
-        return max(self.catalog.version, announced)
+        """Latest version of the configuration that the store is known to have."""
+        announced = self.announced
+        if announced is None or announced.revision <= self.revision:
+            # A later read may lack an announced version only if the store has lost it.
+            return self.catalog.version
+        return max(self.catalog.version, announced.catalog)
 
     @property
     def is_superseded(self) -> bool:
@@ -233,7 +237,8 @@
     def accept_confirmation(self, content: CopyContent, confirmed_ms: float) -> None:
         """Accept another node's confirmation that the store had this content at a time.
 
-        Content that the copy lacks is read from the store by `run`.
+        Content that the copy lacks is taken from another node, or read from the store,
+        by `run`.
         """
         if not self.has_content:
             return
@@ -322,9 +327,8 @@
     ) -> bool:
         """Read the store after this call, together with concurrent callers.
 
-        A read under way has started before the call. It suffices only if the copy then
-        has the confirmed content: a promotion needs nodes that are listed after its
-        fence.
+        A read under way has started before the call, so it suffices only if the copy
+        then has the confirmed content.
         """
         earlier = self.pending
         if earlier is not None and not earlier.done():
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -221,6 +221,20 @@
         assert line.startswith("ERROR BUSY") and "retry after" in line
 
 
+async def test_an_announced_version_that_the_store_has_lost_is_forgotten() -> None:
+    """Names would be in doubt until the operators write a later version."""
+    store, time = FakeStore(), ManualTime(10_000.0)
+    copy = StoreCopy(store, make_manual_clock(time), NODE, lambda: None)
+    await copy.confirm()
+    copy.accept_confirmation(
+        attrs.evolve(copy.content, revision=2, catalog=9), 10_000.0
+    )
+    assert copy.is_superseded
+    store.revision = 3
+    await copy.confirm()
+    assert not copy.is_superseded
+
+
 async def test_names_are_not_denied_by_an_old_copy_without_a_limit_for_keys() -> None:
     """Where keys have no limit of age, nothing else bounded the copy's."""
     async with open_simulation() as simulation:
