Move the reads of the store out of its copy

How the store is read, with what is asked of other nodes instead, has a module of its own; the copy keeps its parts, ages and confirmations. No behaviour changes.

--- a/src/radishtrack/pooler/content_exchange.py
+++ b/src/radishtrack/pooler/content_exchange.py
@@ -52,11 +52,8 @@
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.rank import find_first
 from radishtrack.pooler.store_content import CopyContent
-from radishtrack.pooler.store_copy import (
-    PEER_CONFIRMATION_MS,
-    UNKNOWN_PART,
-    StoreCopy,
-)
+from radishtrack.pooler.store_copy import PEER_CONFIRMATION_MS, StoreCopy
+from radishtrack.pooler.store_reading import UNKNOWN_PART
 
 READER_DUTY: Final = "content"
 """Name that determines the order of a zone's nodes for reading changes."""
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -12,7 +12,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 import attrs
@@ -42,15 +42,13 @@
     digest_fleet,
     digest_members,
 )
+from radishtrack.pooler.store_reading import LATE_RESPONSE_MS, StoreReading
 from radishtrack.pooler.unknown_names import UnknownNames
 from radishtrack.revision import NO_REVISION, get_era, get_number
 
 CONFIRM_INTERVAL_MS: Final = 700.0
 """Pause between calls. A change of the configuration must be in force within 3 s, even
 if one call is lost and times out."""
-LATE_RESPONSE_MS: Final = 500.0
-"""Time after which a call without a response counts as a failure to reach the store, so
-that the members' reports suffice as evidence before the copy is too old."""
 PEER_CONFIRMATION_MS: Final = 1_300.0
 """Age of the copy at which a node reads the store itself. The coordinator reads it
 every 0.7 s, and a confirmation passes two pauses of 0.25 s, so the copy reaches this
@@ -63,10 +61,6 @@
 DEPARTURE_MS: Final = 4_500.0
 """Time for which a removed node still counts. It either sees within 1.3 s that its
 record is missing, or refuses all keys once its copy is 3 s old; the rest is margin."""
-FIRST_REQUEST_MS: Final = 100.0
-"""Pause between requests of a starting node for the configuration."""
-UNKNOWN_PART: Final = 0
-"""Stands for the version or digest of a part that a listing does not tell."""
 LOOKUP_WAIT_MS: Final = 400.0
 """Longest wait of a client for the first read of a starting node, or for a lookup;
 clients come back after a refusal in about this time."""
@@ -133,6 +127,7 @@
     """Nodes whose records were removed recently, by name."""
     duties: DutyRecords = attrs.field(init=False)
     settling: Settling = attrs.field(init=False)
+    reading: StoreReading = attrs.field(init=False)
     terms: Mapping[str, int] = attrs.field(factory=dict)
     failed_ms: float | None = None
     """When a call last failed or was late."""
@@ -172,6 +167,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.settling = Settling(self.clock)
+        self.reading = StoreReading(self)
         self.duties = DutyRecords(
             self.store,
             self.clock,
@@ -247,13 +243,13 @@
             return
         self.has_dropped_confirmation = False
         if content.fleet == self.fleet_digest:
-            self._record_announcements(confirmed_ms)
+            self.record_announcements(confirmed_ms)
         if self.announced is None or content.revision >= self.announced.revision:
             self.announced = content
         if self.has_parts(content):
             # Objects of other kinds have changed, or objects were rewritten unchanged.
-            self._advance(content.revision)
-            self._record_confirmation(confirmed_ms)
+            self.advance(content.revision)
+            self.record_confirmation(confirmed_ms)
             return
         self.peer_confirmation = (content, confirmed_ms)
         self.is_outdated.set()
@@ -309,10 +305,14 @@
             The store's content as read by another node, and the time at which it was
             current. Parts that are equal in this copy are not read again.
         """
-        if confirmation is not None and await self._take_from_peer(*confirmation):
+        if confirmation is not None and await self.take_from_peer(*confirmation):
             return True
         return await self._read_shared(confirmation)
 
+    async def read_records(self) -> bool:
+        """Read members and records now; see `StoreReading.read_records`."""
+        return await self.reading.read_records()
+
     def has_parts(self, content: CopyContent) -> bool:
         """Return whether the copy has this content, whatever its revision is."""
         return content == attrs.evolve(self.content, revision=content.revision)
@@ -338,12 +338,12 @@
                 return True
         if self.pending is earlier:
             self.pending = asyncio.create_task(
-                self._read_store(confirmation, self.clock.now_ms())
+                self.reading.read(confirmation, self.clock.now_ms())
             )
         assert self.pending is not None
         return await asyncio.shield(self.pending)
 
-    async def _take_from_peer(self, content: CopyContent, confirmed_ms: float) -> bool:
+    async def take_from_peer(self, content: CopyContent, confirmed_ms: float) -> bool:
         """Take changed content from another node; return whether the copy has it now.
 
         The content counts only if it equals the confirmed digests.
@@ -366,8 +366,8 @@
             and self.fleet_digest == content.fleet
         )
         if is_complete:
-            self._advance(content.revision)
-            self._record_confirmation(max(confirmed_ms, response.confirmed_ms))
+            self.advance(content.revision)
+            self.record_confirmation(max(confirmed_ms, response.confirmed_ms))
         self.on_change()
         return is_complete
 
@@ -380,7 +380,7 @@
         except ContentError as error:
             log_event(Event.LISTING_INVALID, object="content", reason=error)
             return None
-        catalog, digest = await self._share_rows(parts.catalog)
+        catalog, digest = await self.share_rows(parts.catalog)
         return ReceivedContent(
             content, attrs.evolve(parts, catalog=catalog), digest, confirmed_ms
         )
@@ -388,33 +388,18 @@
     def _apply_received(self, received: ReceivedContent) -> None:
         """Apply the parts that equal what the sender was confirmed to have."""
         content, parts = received.content, received.parts
-        self._update_catalog(parts.catalog, received.catalog_digest, content.revision)
+        self.update_catalog(parts.catalog, received.catalog_digest, content.revision)
         if (
             content.members != self.members_digest
             and digest_members(parts.members, parts.zones) == content.members
         ):
-            self._update_members(parts.members, parts.zones, content.revision)
+            self.update_members(parts.members, parts.zones, content.revision)
         if (
             content.fleet != self.fleet_digest
             and digest_fleet(parts.fleet) == content.fleet
             and any(node == self.node for node in parts.fleet.nodes)
         ):
-            self._update_fleet(parts.fleet)
-
-    async def _read_store(
-        self, confirmation: tuple[CopyContent, float] | None, requested_ms: float
-    ) -> bool:
-        try:
-            if confirmation is not None and confirmation[0].fleet == self.fleet_digest:
-                await self._read_differences(*confirmation)
-            else:
-                content = confirmation[0] if confirmation is not None else None
-                await self._read_listing(requested_ms, content)
-        except StoreUnavailable as error:
-            self._record_unavailable(error, requested_ms)
-            return False
-        self._record_available()
-        return True
+            self.update_fleet(parts.fleet)
 
     async def refresh(self, database: str, key_digest: bytes | None) -> bool:
         """Confirm the copy on demand, since a name is missing in it.
@@ -480,7 +465,8 @@
         recent = (d.node for d in self.departed.values() if d.at_ms > after_ms)
         return (*self.registered, *recent)
 
-    def _record_nodes(self, registered: tuple[NodeRecord, ...]) -> None:
+    def record_nodes(self, registered: tuple[NodeRecord, ...]) -> None:
+        """Replace the registered nodes; those that are missing have departed."""
         names = {node.name for node in registered}
         now_ms = self.clock.now_ms()
         for node in self.registered:
@@ -496,225 +482,29 @@
             return float("inf")
         return self.clock.now_ms() - self.confirmed_ms
 
-    async def _read_listing(
-        self, requested_ms: float, peer_content: CopyContent | None
-    ) -> None:
-        """Read the fleet's records, and the rest if the store revision has changed."""
-        listing = await self._list_fleet(requested_ms)
-        if listing.revision == self.revision:
-            self._record_own_read(requested_ms)
-            return
-        if await self._take_listed(listing, requested_ms):
-            return
-        is_catalog_current = is_member_list_current = False
-        if peer_content is not None and peer_content.revision == listing.revision:
-            is_catalog_current = peer_content.catalog == self.catalog.version
-            is_member_list_current = peer_content.members == self.members_digest
-        # Both reads start after the listing, so the copy is at least as new as it.
-        catalog, (members, zones) = await asyncio.gather(
-            self._read_catalog(is_catalog_current)
-            if self.has_content
-            else self._read_first_catalog(listing),
-            self._read_members(is_member_list_current),
-        )
-        if catalog is not None:
-            self._update_catalog(*catalog, listing.revision)
-        if listing.revision >= self.records_revision:
-            self._log_read(listing, "all")
-            self._update_members(members, zones, listing.revision)
-            self._update_fleet(listing)
-            self._advance(listing.revision)
-        else:
-            self._log_read(listing, "configuration")
-        if catalog is not None:
-            self._record_own_read(requested_ms)
-        self.on_change()
-
-    async def _list_fleet(self, requested_ms: float) -> FleetListing:
-        """List the fleet's records, and register this node if its own is missing."""
-        with self._expect_response(requested_ms):
-            listing = await self.store.list_fleet()
-        if not any(node == self.node for node in listing.nodes):
-            await self.store.register_node(self.node)
-            self.registered_ms = self.clock.now_ms()
-        self._observe_era(listing)
-        await self._record_settled(listing)
-        is_settled = requested_ms >= self.settling.settled_ms
-        if is_settled and digest_fleet(listing) == self.fleet_digest:
-            self._record_announcements(requested_ms)
-        return listing
-
-    async def read_records(self) -> bool:
-        """Read members and the fleet's records now; return whether the store responded.
-
-        The configuration is left out: claims and promotions can't wait for a large one.
-        """
-        requested_ms = self.clock.now_ms()
-        try:
-            listing = await self._list_fleet(requested_ms)
-            if listing.revision == self.revision:
-                self._record_own_read(requested_ms)
-            else:
-                members, zones = await self._read_members(is_unchanged=False)
-                if listing.revision >= self.records_revision:
-                    self._apply_records(listing, members, zones, requested_ms)
-        except StoreUnavailable as error:
-            self._record_unavailable(error, requested_ms)
-            return False
-        self._record_available()
-        return True
-
-    def _apply_records(
-        self,
-        listing: FleetListing,
-        members: tuple[Member, ...],
-        zones: frozenset[str],
-        requested_ms: float,
-    ) -> None:
-        self._log_read(listing, "records")
-        self._update_members(members, zones, listing.revision)
-        self._update_fleet(listing)
-        self.records_revision = listing.revision
-        if requested_ms >= self.settling.settled_ms:
-            self._record_announcements(requested_ms)
-        self.on_change()
-
-    async def _take_listed(self, listing: FleetListing, requested_ms: float) -> bool:
-        """Take what a listing shows to have changed from another node.
-
-        All nodes list the fleet if the one that reads for them takes long, and should
-        not all read a large configuration then.
-        """
-        if self.reads_for_fleet() or requested_ms < self.settling.settled_ms:
-            return False
-        wanted = CopyContent(
-            listing.revision, UNKNOWN_PART, UNKNOWN_PART, digest_fleet(listing)
-        )
-        return await self._take_from_peer(wanted, requested_ms)
-
-    def _observe_era(self, listing: FleetListing) -> None:
-        """Record that the store was restored, according to a listing.
-
-        A process that starts knows no earlier era, but finds that nobody has recorded
-        this one as settled.
-        """
-        era = get_era(listing.revision)
-        if era > self.era and (self.has_content or listing.settled_era < era):
-            self.settling.record_restore()
-
-    async def _record_settled(self, listing: FleetListing) -> None:
-        era = get_era(listing.revision)
-        if (
-            listing.settled_era < era
-            and not self.settling.has_unsettled_records()
-            and self.reads_for_fleet()
-        ):
-            await self.store.record_settled_era(era)
-
-    def _record_own_read(self, requested_ms: float) -> None:
+    def record_own_read(self, requested_ms: float) -> None:
         """Count a read of the store as confirmation, unless it may lack writes."""
         if requested_ms < self.settling.settled_ms:
             # Announced promotions may be lost as well, so the members' reports count.
             self.failed_ms = self.clock.now_ms()
         else:
-            self._record_confirmation(requested_ms)
-
-    def _log_read(self, listing: FleetListing, applied: str) -> None:
-        log_event(
-            Event.COPY_READ,
-            era=get_era(listing.revision),
-            store_revision=get_number(listing.revision),
-            copy_era=self.era,
-            copy_revision=get_number(self.revision),
-            version=self.catalog.version,
-            applied=applied,
-        )
-
-    async def _read_differences(
-        self, peer_content: CopyContent, confirmed_ms: float
-    ) -> None:
-        """Read the parts of the copy that differ from another node's content."""
-        if peer_content.catalog != self.catalog.version:
-            catalog = await self._read_catalog(is_unchanged=False)
-            if catalog is not None:
-                self._update_catalog(*catalog, peer_content.revision)
-        if peer_content.members != self.members_digest:
-            members, zones = await self._read_members(is_unchanged=False)
-            self._update_members(members, zones, peer_content.revision)
-        if self.catalog.version >= peer_content.catalog:
-            self._advance(peer_content.revision)
-            self._record_confirmation(confirmed_ms)
-        self.on_change()
-
-    async def _read_catalog(self, is_unchanged: bool) -> tuple[Catalog, int] | None:
-        """Return the configuration and its digest, or None if there is none."""
-        if is_unchanged:
-            return self.catalog, self.catalog_digest
-        catalog = await self.store.read_catalog()
-        return None if catalog is None else await self._share_rows(catalog)
+            self.record_confirmation(requested_ms)
 
-    async def _read_first_catalog(
-        self, listing: FleetListing
-    ) -> tuple[Catalog, int] | None:
-        """Read the configuration from the store or another node, whichever is faster.
-
-        A large one arrives sooner from another node. When the whole fleet starts, only
-        the store has it.
-        """
-        self._record_nodes(listing.nodes)
-        wanted = CopyContent(
-            listing.revision, UNKNOWN_PART, UNKNOWN_PART, digest_fleet(listing)
-        )
-        from_store = asyncio.create_task(self._read_catalog(is_unchanged=False))
-        from_peer = asyncio.create_task(self._request_first(wanted))
-        try:
-            await asyncio.wait(
-                (from_store, from_peer), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not from_peer.done():
-                return await from_store
-            received = from_peer.result()
-            if received.parts.catalog.version == EMPTY_CATALOG.version:
-                return None
-            return received.parts.catalog, received.catalog_digest
-        finally:
-            from_store.cancel()
-            from_peer.cancel()
-            await asyncio.gather(from_store, from_peer, return_exceptions=True)
-
-    async def _request_first(self, wanted: CopyContent) -> ReceivedContent:
-        """Request the first content of this node until another one sends it."""
-        while True:
-            received = await self.request_content(wanted)
-            if isinstance(received, ReceivedContent):
-                return received
-            await asyncio.sleep(FIRST_REQUEST_MS / 1000)
-
-    async def _share_rows(self, catalog: Catalog) -> tuple[Catalog, int]:
+    async def share_rows(self, catalog: Catalog) -> tuple[Catalog, int]:
         """Return a configuration with the copy's unchanged rows, and its digest."""
         if catalog.version <= self.catalog.version:
             return self.catalog, self.catalog_digest
         return await merge_catalog(self.catalog, self.catalog_digest, catalog)
 
-    async def _read_members(
-        self, is_unchanged: bool
-    ) -> tuple[tuple[Member, ...], frozenset[str]]:
-        """Return the members and the evacuated zones."""
-        if is_unchanged:
-            return self.members, self.evacuated.names
-        members, zones = await asyncio.gather(
-            self.store.list_members(), self.store.list_evacuations()
-        )
-        return members, zones
-
-    def _advance(self, revision: int) -> None:
+    def advance(self, revision: int) -> None:
         """Record that the copy is complete up to a revision."""
         if self.has_content and get_era(revision) > self.era:
             self.settling.record_restore()
         self.revision = max(self.revision, revision)
         self.records_revision = max(self.records_revision, revision)
 
-    def _update_catalog(self, catalog: Catalog, digest: int, revision: int) -> None:
+    def update_catalog(self, catalog: Catalog, digest: int, revision: int) -> None:
+        """Replace the configuration if this version is later."""
         if catalog.version <= self.catalog.version:
             return
         log_event(
@@ -727,9 +517,10 @@
         self.catalog, self.catalog_digest = catalog, digest
         self.history.add_catalog(catalog)
 
-    def _update_members(
+    def update_members(
         self, members: tuple[Member, ...], zones: frozenset[str], revision: int
     ) -> None:
+        """Replace the members and the evacuated zones."""
         self.members = members
         self.listed_before_ms = self.confirmed_ms
         self.evacuated.replace(
@@ -738,8 +529,9 @@
         self.members_digest = digest_members(members, zones)
         self.history.add_members(self.members_digest, members, zones)
 
-    def _update_fleet(self, listing: FleetListing) -> None:
-        self._record_nodes(listing.nodes)
+    def update_fleet(self, listing: FleetListing) -> None:
+        """Replace the fleet's records."""
+        self.record_nodes(listing.nodes)
         # A restored store may lack the announcement of a promotion under way.
         self.terms = {
             group: max(self.terms.get(group, 0), listing.terms.get(group, 0))
@@ -751,39 +543,28 @@
         self.fleet_digest = digest_fleet(listing)
         self.history.add_fleet(self.fleet_digest, listing)
 
-    def _record_announcements(self, requested_ms: float) -> None:
+    def record_announcements(self, requested_ms: float) -> None:
+        """Record that the announced terms equalled the store's at a time."""
         if self.announcements_ms is None or requested_ms > self.announcements_ms:
             self.announcements_ms = requested_ms
 
-    def _record_confirmation(self, requested_ms: float) -> None:
-        self._record_announcements(requested_ms)
+    def record_confirmation(self, requested_ms: float) -> None:
+        """Record that the copy equalled the store at a time."""
+        self.record_announcements(requested_ms)
         if self.confirmed_ms is None or requested_ms > self.confirmed_ms:
             self.confirmed_ms = requested_ms
             self.has_copy.set()
             if requested_ms >= self.settling.settled_ms and self.evacuated.release():
                 self.on_change()
 
-    @contextlib.contextmanager
-    def _expect_response(self, requested_ms: float) -> Iterator[None]:
-        """Count a call whose response is late as a failure to reach the store.
-
-        Only a listing of the fleet tells: other responses are late because they are
-        large.
-        """
-        timer = asyncio.get_running_loop().call_later(
-            LATE_RESPONSE_MS / 1000, self._record_late, requested_ms
-        )
-        try:
-            yield
-        finally:
-            timer.cancel()
-
-    def _record_late(self, requested_ms: float) -> None:
+    def record_late(self, requested_ms: float) -> None:
+        """Record that a call has no response yet."""
         # After a suspension the timer is overdue, and says nothing about the store.
         if self.clock.now_ms() - requested_ms < 2 * LATE_RESPONSE_MS:
             self.failed_ms = self.clock.now_ms()
 
-    def _record_unavailable(self, error: StoreUnavailable, requested_ms: float) -> None:
+    def record_unavailable(self, error: StoreUnavailable, requested_ms: float) -> None:
+        """Record that a call failed."""
         self.failed_ms = self.clock.now_ms()
         if self.is_available:
             self.is_available = False
@@ -797,7 +578,8 @@
                 known_version=self.known_version,
             )
 
-    def _record_available(self) -> None:
+    def record_available(self) -> None:
+        """Record that the store has responded."""
         if not self.is_available:
             self.is_available = True
             log_event(
