Encode the content that the header of a difference describes

If a node's copy changed between a request and the start of its encoding, the bytes had the later content under the earlier header. The receiver noticed by the digest and read the store. The parts are now taken together; the test failed before.

--- a/src/radishtrack/pooler/content_exchange.py
+++ b/src/radishtrack/pooler/content_exchange.py
@@ -323,27 +323,24 @@
 
     async def _encode(self, wanted: Bases) -> EncodedContent:
         """Return the difference from a content to this node's, encoded once for all."""
-        content = self.store_copy.content
+        store_copy = self.store_copy
+        content = store_copy.content
         encoded = self.encoded.find_difference(wanted, content)
         if encoded is not None:
             return encoded
         key = (wanted, content)
         if key not in self.encodings:
-            task = asyncio.create_task(self._encode_difference(wanted, content))
+            bases, earlier = store_copy.history.find(wanted)
+            header = ContentHeader(
+                content, bases, store_copy.catalog_digest, store_copy.fleet.revision
+            )
+            # The copy may change while it is encoded.
+            encoding = encode_difference(header, earlier, store_copy.parts, wanted)
+            self.encodings[key] = task = asyncio.create_task(encoding)
             task.add_done_callback(lambda _: self.encodings.pop(key))
-            self.encodings[key] = task
-        return await asyncio.shield(self.encodings[key])
-
-    async def _encode_difference(
-        self, wanted: Bases, content: CopyContent
-    ) -> EncodedContent:
-        store_copy = self.store_copy
-        bases, earlier = store_copy.history.find(wanted)
-        header = ContentHeader(
-            content, bases, store_copy.catalog_digest, store_copy.fleet.revision
-        )
-        encoded = await encode_difference(header, earlier, store_copy.parts, wanted)
-        self.encoded.add(encoded)
+        encoded = await asyncio.shield(self.encodings[key])
+        if self.encoded.find_transfer(encoded.transfer) is None:
+            self.encoded.add(encoded)
         return encoded
 
 
--- a/tests/test_content_transfer.py
+++ b/tests/test_content_transfer.py
@@ -345,6 +345,21 @@
     assert received.parts.catalog.version == 7
 
 
+async def test_an_encoding_describes_the_content_that_it_has() -> None:
+    """The copy may change before its encoding has begun."""
+    pair = await make_pair(routes=10)
+    copy = pair.sender.store_copy
+    encoding = asyncio.create_task(pair.sender._encode(Bases()))
+    await asyncio.sleep(0)
+    store = copy.store
+    assert isinstance(store, FakeStore)
+    copy.update_catalog(make_catalog(8, 5), 0, 9)
+    header = decode_header((await encoding).data)
+    parts, digest = await decode_difference((await encoding).data, StoreContent(), 0)
+    assert header.content.catalog == parts.catalog.version == 7
+    assert digest == header.catalog_digest
+
+
 async def test_a_sender_that_has_restarted_begins_anew() -> None:
     pair = await make_pair(routes=3_000)
     respond = pair.peers.respond
