Rank nodes with small links after the others for duties

It had the configuration after 4.1 s, and needed 4.4 s more to pass it on to its zone, whose nodes refused keys meanwhile. The ranks went by processor cores, of which this node had just over half of the most.

A node states fewer cores now if its link is below 100 Mbit/s. The record keeps its fields, so earlier nodes rank by the same number; a node registers once more when it is replaced. The test failed before.

--- a/src/radishtrack/platform/settings.py
+++ b/src/radishtrack/platform/settings.py
@@ -16,6 +16,9 @@
 """Fraction of the bound on revoked keys after which a node that can't confirm its copy
 refuses keys. Nothing requires it to serve after that; the rest is margin."""
 MS_PER_S: Final = 1_000.0
+FULL_LINK_MBPS: Final = 100.0
+"""Link with which a node can use all its cores for a duty: it passes a configuration of
+some 10,000 routes on to a hundred nodes within a second or two."""
 
 
 class SettingsError(ValueError):
@@ -47,7 +50,8 @@
     key_age_limit_ms : float or None
         Age of the configuration from which on keys are refused; None without a bound.
     cores : float
-        Processor cores that the process may use; 0 if the settings don't say.
+        Processor cores that the process may use, less where its link is small; 0 if the
+        settings don't say.
     evacuation_ms : float or None
         Time from the store's acknowledgement of an evacuation to the last request that
         reaches a member of the zone; None if zones can't be evacuated.
@@ -145,8 +149,15 @@
 
 
 def _cores(limits: Any) -> float:
-    """Return the share of one core, times its speed in cores of the platform."""
-    return _quantity(limits.get("cpuQuota", 0.0)) * _quantity(limits.get("cpuCores", 0))
+    """Return the share of one core, times its speed in cores of the platform.
+
+    The holder of a duty sends to many nodes, so a small link counts like few cores.
+    """
+    cores = _quantity(limits.get("cpuQuota", 0.0)) * _quantity(
+        limits.get("cpuCores", 0)
+    )
+    link_mbps = _quantity(limits.get("linkMbps") or FULL_LINK_MBPS)
+    return cores * min(1.0, link_mbps / FULL_LINK_MBPS)
 
 
 def _address(value: Any) -> str:
--- a/src/radishtrack/pooler/catalog.py
+++ b/src/radishtrack/pooler/catalog.py
@@ -196,7 +196,8 @@
         in it alone are equal, so a restart at the same address changes no record: each
         change is read by all zones.
     cores : float
-        Processor cores that the node may use; 0 if unknown.
+        Processor cores that the node may use, less if its link can't keep them busy; 0
+        if unknown.
     """
 
     name: str
--- a/src/radishtrack/pooler/rank.py
+++ b/src/radishtrack/pooler/rank.py
@@ -11,7 +11,7 @@
 LARGE_NODE_FRACTION: Final = 0.5
 """Nodes with at least this fraction of the most cores rank before the others. After a
 loss of power, all nodes connect to the holder of a duty at once, which takes a small
-node of a large fleet more than a second."""
+node of a large fleet more than a second; over a small link, content takes longer."""
 
 
 def find_first(duty: str, nodes: Iterable[NodeRecord]) -> NodeRecord | None:
--- a/tests/test_pooler_rank.py
+++ b/tests/test_pooler_rank.py
@@ -4,6 +4,8 @@
 
 import json
 
+import pytest
+
 from radishtrack.platform.settings import parse_settings
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.rank import find_first, rank_node, rank_nodes
@@ -51,3 +53,17 @@
     limits = {"cpuQuota": 0.5, "cpuCores": 3}
     assert parse_settings(json.dumps(SETTINGS)).cores == 0.0
     assert parse_settings(json.dumps(SETTINGS | {"limits": limits})).cores == 1.5
+    limits["linkMbps"] = 0
+    assert parse_settings(json.dumps(SETTINGS | {"limits": limits})).cores == 1.5
+
+
+@pytest.mark.parametrize(("link_mbps", "is_first"), [(10, False), (200, True)])
+def test_a_node_with_a_small_link_ranks_after_the_others(
+    link_mbps: float, is_first: bool
+) -> None:
+    """It took 4 s to pass a large configuration on to its zone."""
+    limits = {"cpuQuota": 0.75, "cpuCores": 2, "linkMbps": link_mbps}
+    cores = parse_settings(json.dumps(SETTINGS | {"limits": limits})).cores
+    nodes = [make_node(0, cores), make_node(1, 2.15)]
+    firsts = {find_first(f"duty-{number}", nodes) for number in range(20)}
+    assert (nodes[0] in firsts) is is_first
