Take the configuration from a peer also while the store sends it

It now goes on asking while it reads, as a starting node did already, and uses what arrives first. The test failed before.

--- a/src/radishtrack/pooler/store_reading.py
+++ b/src/radishtrack/pooler/store_reading.py
@@ -22,8 +22,8 @@
 LATE_RESPONSE_MS: Final = 500.0
 """Time after which a call without a response counts as a failure to reach the store, so
 that the members' reports suffice as evidence before the copy is too old."""
-FIRST_REQUEST_MS: Final = 100.0
-"""Pause between requests of a starting node for the configuration."""
+PEER_REQUEST_MS: Final = 250.0
+"""Pause between requests for the configuration while it is read from the store."""
 UNKNOWN_PART: Final = 0
 """Stands for the version or digest of a part that a listing does not tell."""
 
@@ -77,15 +77,18 @@
             return
         if await self._take_listed(listing, requested_ms):
             return
+        if not self.copy.has_content:
+            # The other nodes can be asked from now on.
+            self.copy.record_nodes(listing.nodes)
         is_catalog_current = is_member_list_current = False
         if peer_content is not None and peer_content.revision == listing.revision:
             is_catalog_current = peer_content.catalog == self.copy.catalog.version
             is_member_list_current = peer_content.members == self.copy.members_digest
         # Both reads start after the listing, so the copy is at least as new as it.
         catalog, (members, zones) = await asyncio.gather(
-            self.read_catalog(is_catalog_current)
-            if self.copy.has_content
-            else self._read_first_catalog(listing),
+            self._read_catalog(
+                is_catalog_current, listing.revision, digest_fleet(listing)
+            ),
             self._read_members(is_member_list_current),
         )
         if catalog is not None:
@@ -198,7 +201,9 @@
     ) -> None:
         """Read the parts of the copy that differ from another node's content."""
         if peer_content.catalog != self.copy.catalog.version:
-            catalog = await self.read_catalog(is_unchanged=False)
+            catalog = await self._read_catalog(
+                False, peer_content.revision, peer_content.fleet
+            )
             if catalog is not None:
                 self.copy.update_catalog(*catalog, peer_content.revision)
         if peer_content.members != self.copy.members_digest:
@@ -209,49 +214,52 @@
             self.copy.record_confirmation(confirmed_ms)
         self.copy.on_change()
 
-    async def read_catalog(self, is_unchanged: bool) -> tuple[Catalog, int] | None:
-        """Return the configuration and its digest, or None if there is none."""
-        if is_unchanged:
-            return self.copy.catalog, self.copy.catalog_digest
-        catalog = await self.copy.store.read_catalog()
-        return None if catalog is None else await self.copy.share_rows(catalog)
-
-    async def _read_first_catalog(
-        self, listing: FleetListing
+    async def _read_catalog(
+        self, is_unchanged: bool, revision: int, fleet_digest: int
     ) -> tuple[Catalog, int] | None:
         """Read the configuration from the store or another node, whichever is faster.
 
-        A large one arrives sooner from another node. When the whole fleet starts, only
-        the store has it.
+        Over a small link, a large one arrives sooner from a node that has it, even if
+        that node was late at first. When the whole fleet starts, only the store has it.
+
+        Returns
+        -------
+        Catalog and int, or None
+            The configuration of this store revision or a later one, and the digest of
+            its rows; None if there is none yet.
         """
-        self.copy.record_nodes(listing.nodes)
-        wanted = CopyContent(
-            listing.revision, UNKNOWN_PART, UNKNOWN_PART, digest_fleet(listing)
-        )
-        from_store = asyncio.create_task(self.read_catalog(is_unchanged=False))
-        from_peer = asyncio.create_task(self._request_first(wanted))
+        copy = self.copy
+        if is_unchanged:
+            return copy.catalog, copy.catalog_digest
+        if copy.reads_for_fleet():
+            return await self._read_stored_catalog()
+        wanted = CopyContent(revision, UNKNOWN_PART, UNKNOWN_PART, fleet_digest)
+        from_store = asyncio.create_task(self._read_stored_catalog())
+        from_peer = asyncio.create_task(self._request_catalog(wanted))
         try:
             await asyncio.wait(
                 (from_store, from_peer), return_when=asyncio.FIRST_COMPLETED
             )
-            if not from_peer.done():
-                return await from_store
-            received = from_peer.result()
-            if received.parts.catalog.version == EMPTY_CATALOG.version:
-                return None
-            return received.parts.catalog, received.catalog_digest
+            task = from_peer if from_peer.done() else from_store
+            return await task
         finally:
             from_store.cancel()
             from_peer.cancel()
             await asyncio.gather(from_store, from_peer, return_exceptions=True)
 
-    async def _request_first(self, wanted: CopyContent) -> ReceivedContent:
-        """Request the first content of this node until another one sends it."""
+    async def _read_stored_catalog(self) -> tuple[Catalog, int] | None:
+        catalog = await self.copy.store.read_catalog()
+        return None if catalog is None else await self.copy.share_rows(catalog)
+
+    async def _request_catalog(self, wanted: CopyContent) -> tuple[Catalog, int] | None:
+        """Request the configuration until another node sends it."""
         while True:
             received = await self.copy.request_content(wanted)
             if isinstance(received, ReceivedContent):
-                return received
-            await asyncio.sleep(FIRST_REQUEST_MS / 1000)
+                catalog = received.parts.catalog
+                is_missing = catalog.version == EMPTY_CATALOG.version
+                return None if is_missing else (catalog, received.catalog_digest)
+            await asyncio.sleep(PEER_REQUEST_MS / 1000)
 
     async def _read_members(
         self, is_unchanged: bool
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -357,6 +357,32 @@
     assert copy.confirmed_ms == 10_000.0
 
 
+async def test_a_read_of_the_store_ends_once_a_peer_has_the_configuration() -> None:
+    """A node that had waited in vain at first read for 13 s what others had by then."""
+    store, time = FakeStore(), ManualTime(10_000.0)
+    copy = StoreCopy(store, make_manual_clock(time), NODE, lambda: None)
+    await copy.confirm()
+    copy.reads_for_fleet = lambda: False
+    store.revision, store.catalog_gate = 2, asyncio.Event()
+    catalog = attrs.evolve(EMPTY_CATALOG, version=7)
+    received = ReceivedContent(
+        attrs.evolve(copy.content, revision=2, catalog=7),
+        attrs.evolve(copy.parts, catalog=catalog),
+        5,
+        10_000.0,
+    )
+    responses = [None, None, received]
+
+    async def respond(_wanted: CopyContent) -> ReceivedContent | None:
+        return responses.pop(0)
+
+    copy.request_content = respond
+    async with asyncio.timeout(5.0):
+        assert await copy.confirm()
+    assert (copy.catalog, copy.catalog_digest) == (catalog, 5)
+    assert copy.revision == 2
+
+
 async def test_announced_terms_are_confirmed_while_a_configuration_arrives() -> None:
     """Strict reads and writes stopped 2 s after a transfer had begun."""
     store, time = FakeStore(), ManualTime(10_000.0)
