--- a/src/radishtrack/pooler/content_difference.py
+++ b/src/radishtrack/pooler/content_difference.py
@@ -165,6 +165,8 @@
     """
     before, after = list_tables(earlier), list_tables(later)
     for table in _TABLES:
+        if before[table] is after[table]:
+            continue
         removed = list(before[table].keys() - after[table].keys())
         for start in range(0, len(removed), ROWS_PER_CHANGE):
             yield TableChange(table, {}, removed[start : start + ROWS_PER_CHANGE])
