--- a/src/radishtrack/pooler/content_stream.py
+++ b/src/radishtrack/pooler/content_stream.py
@@ -28,8 +28,8 @@
 LENGTH_BYTES: Final = 4
 INPUT_BYTES: Final = 4_096
 """Size of the compressed parts that are decoded at a time."""
-MAX_FRAME_BYTES: Final = 1 << 20
-"""Longest frame; each has at most some hundred rows."""
+MAX_CHANGE_BYTES: Final = 1 << 20
+"""Longest frame; it has some hundred rows at most."""
 TRANSFER_DIGEST_BYTES: Final = 7
 """Size of the digest that names a transfer; it must fit into a signed integer."""
 
@@ -213,7 +213,7 @@
     """Yield the complete frames at the start of `pending`, and remove them."""
     while len(pending) >= LENGTH_BYTES:
         end = LENGTH_BYTES + int.from_bytes(pending[:LENGTH_BYTES])
-        if end > MAX_FRAME_BYTES:
+        if end > MAX_CHANGE_BYTES:
             raise ValueError("a frame is too long")
         if len(pending) < end:
             return
