Give up on a node whose pages of content add nothing

A sender that answered with a page of another offset, or without data, was asked for the same page without end, and the requests of the node behind it waited. Such a page now counts as one without a response. A node that has answered pages is not asked for whole parts at once when it fails.

--- a/src/radishtrack/pooler/content_exchange.py
+++ b/src/radishtrack/pooler/content_exchange.py
@@ -173,7 +173,11 @@
         if source.name not in self.earlier_versions:
             received = await self._request_pages(source, wanted)
         is_described = wanted.catalog != UNKNOWN_PART
-        if received is None and is_described and source.name not in self.pages_known:
+        if received is None and source.name in self.pages_known:
+            if self._is_avoided(source):
+                # It may have been replaced by one of an earlier version.
+                self.pages_known.discard(source.name)
+        elif received is None and is_described:
             received = await self._request_whole(source, wanted)
         log_event(
             Event.CONTENT_MISSED if received is None else Event.CONTENT_TAKEN,
@@ -250,18 +254,18 @@
         while not incoming.is_complete:
             requested_ms = self.clock.now_ms()
             page = await self.peers.send_request(source, make_request, PAGE_TIMEOUT_MS)
-            if not isinstance(page, ContentPage):
+            if not isinstance(page, ContentPage) or not incoming.accept(
+                page, requested_ms
+            ):
                 failures += 1
                 if source.name not in self.pages_known:
                     return None
                 if failures >= MAX_FAILED_PAGES or self._is_avoided(source):
-                    self.pages_known.discard(source.name)
                     self.avoid(source.name)
                     return None
                 continue
             failures = 0
             self.pages_known.add(source.name)
-            incoming.accept(page, requested_ms)
             if page.state != PageState.DATA.value:
                 is_late = self.clock.now_ms() >= pending_until_ms
                 if is_late or page.state != PageState.PENDING.value:
--- a/src/radishtrack/pooler/content_transfer.py
+++ b/src/radishtrack/pooler/content_transfer.py
@@ -57,21 +57,29 @@
         """Whether all pages have arrived."""
         return self.transfer != NO_TRANSFER and len(self.data) >= self.size
 
-    def accept(self, page: ContentPage, requested_ms: float) -> None:
-        """Take the data of a page that was requested at a time."""
+    def accept(self, page: ContentPage, requested_ms: float) -> bool:
+        """Take the data of a page that was requested at a time.
+
+        Returns
+        -------
+        bool
+            False for a page of data that adds nothing.
+        """
         if page.state != PageState.DATA.value:
-            return
+            return True
         if page.transfer != self.transfer:
             # The sender no longer had the content, and begins with what it has.
             self.transfer, self.size = page.transfer, page.size
             self.data.clear()
             self.confirmed_ms = -math.inf
-        if page.offset == len(self.data):
-            self.data += page.data
+        if page.offset != len(self.data) or not page.data:
+            return False
+        self.data += page.data
         if page.confirmed_age_ms >= 0:
             self.confirmed_ms = max(
                 self.confirmed_ms, requested_ms - page.confirmed_age_ms
             )
+        return True
 
 
 @attrs.define(eq=False)
--- a/tests/test_content_transfer.py
+++ b/tests/test_content_transfer.py
@@ -416,6 +416,23 @@
     assert len(pair.peers.requests) == 1
 
 
+async def test_a_node_whose_pages_add_nothing_is_given_up() -> None:
+    """It was asked for the same page without end."""
+    pair = await make_pair(routes=3_000)
+    respond = pair.peers.respond
+
+    async def respond_without_data(message: Message) -> object:
+        response = respond(message)
+        assert asyncio.iscoroutine(response)
+        page = await response
+        return attrs.evolve(page, data=b"") if page.offset else page
+
+    pair.peers.respond = respond_without_data
+    async with asyncio.timeout(5.0):
+        assert await pair.receiver.request(pair.wanted) is None
+    assert pair.receiver.find_source() is None
+
+
 async def test_an_unresponsive_node_is_avoided() -> None:
     pair = await make_pair(routes=10)
     pair.peers.respond = lambda _message: None
@@ -466,7 +483,7 @@
     incoming.accept(make_page(1, first, 0, 100.0), 1_000.0)
     assert not incoming.is_complete
     incoming.accept(make_empty_page(2, True), 1_000.0)
-    incoming.accept(make_page(3, first, 0, 100.0), 1_000.0)
+    assert not incoming.accept(make_page(3, first, 0, 100.0), 1_000.0)
     assert len(incoming.data) == PAGE_BYTES
     incoming.accept(make_page(4, second, 0, -1.0), 1_100.0)
     assert incoming.is_complete and bytes(incoming.data) == b"bbb"
