Log what a promotion counts and why a member is taken for ended

The record of the incident shows the member and position of an order, but not which members were fenced, at which positions, and which ones were counted as missing or ended. Event 3019 names them for each decision, 3020 the refused connection by which a member is taken for ended, and 3018 the position by which a holder was dropped.

--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -44,6 +44,12 @@
     EVACUATION_STARTED = (3016, "warning", "availability zone is being evacuated")
     EVACUATION_ENDED = (3017, "info", "evacuation of an availability zone ended")
     REPLICA_SET_CHANGED = (3018, "info", "replica set of a group recorded")
+    PROMOTION_DECIDED = (
+        3019,
+        "warning",
+        "members and commits that a promotion has counted",
+    )
+    MEMBER_ENDED = (3020, "info", "member's process was taken for ended")
     MEMBER_FOLLOWS = (3008, "info", "member told to follow the primary")
     RATES_HELD = (4004, "info", "node holds the organisations' rates")
     LISTING_INVALID = (4003, "warning", "entry in the platform's store is not usable")
--- a/src/radishtrack/pooler/monitor.py
+++ b/src/radishtrack/pooler/monitor.py
@@ -175,6 +175,13 @@
             return None
         if pool.ended_ms is None and (error.has_no_listener or error.is_wrong_member):
             pool.ended_ms = clock.now_ms()
+            log_event(
+                Event.MEMBER_ENDED,
+                group=access.name,
+                member=pool.member.name,
+                started_ms=pool.member.started_ms,
+                reason=error.reason,
+            )
         _record_failure(
             access, pool, error.reason, clock.now_ms(), error.has_no_listener
         )
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final
 
 import attrs
@@ -319,6 +319,20 @@
             missing=len(list_missing_holders(replica_set, access, old_primary)),
             ended=list_ended_members(replica_set, access),
         )
+        log_event(
+            Event.PROMOTION_DECIDED,
+            group=access.name,
+            term=term,
+            successor=successor.member if successor is not None else "none",
+            fenced=_format_positions(fenced.values()),
+            members=",".join(sorted(access.pools)),
+            missing=_format_processes(
+                list_missing_holders(replica_set, access, old_primary)
+            ),
+            ended=",".join(sorted(list_ended_members(replica_set, access))),
+            acknowledged_term=acknowledged_term,
+            primary=old_primary or "none",
+        )
         if access.evidence.term >= term:
             return "another promotion was faster"
         if successor is None:
@@ -486,3 +500,14 @@
             and (report := access.evidence.find_report(name)) is not None
             and report.fenced_term >= term
         )
+
+
+def _format_positions(reports: Iterable[MemberReport]) -> str:
+    return ",".join(
+        f"{report.member}@{report.position.term}.{report.position.sequence}"
+        for report in sorted(reports, key=lambda report: report.member)
+    )
+
+
+def _format_processes(processes: Iterable[MemberProcess]) -> str:
+    return ",".join(f"{p.name}/{p.started_ms}" for p in sorted(processes))
--- a/src/radishtrack/pooler/replica_set_keeper.py
+++ b/src/radishtrack/pooler/replica_set_keeper.py
@@ -10,9 +10,10 @@
 
 from radishtrack.clock import Clock
 from radishtrack.events import Event, log_event
+from radishtrack.pooler.catalog import MemberProcess
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.ports import ReplicaSet, StoredReplicaSet, StoreUnavailable
-from radishtrack.pooler.replica_set import ReplicaSetTracker
+from radishtrack.pooler.replica_set import Departure, ReplicaSetTracker
 from radishtrack.pooler.store_copy import StoreCopy
 
 CHECK_INTERVAL_MS: Final = 250.0
@@ -134,6 +135,8 @@
         )
         if written is None:
             return False
+        dropped = _list_dropped(self.records.get(name, NO_RECORD), replica_set)
+        departures = self.trackers[name].departures
         self.records[name] = written
         self.lost.discard(name)
         log_event(
@@ -143,10 +146,30 @@
             primary=replica_set.primary or "none",
             holders=",".join(p.name for p in sorted(replica_set.holders)),
             ended=",".join(p.name for p in sorted(replica_set.ended)),
+            dropped=",".join(
+                f"{process.name}/{process.started_ms}"
+                + _format_position(departures.get(process))
+                for process in dropped
+            ),
         )
         return True
 
 
+def _list_dropped(
+    stored: StoredReplicaSet, replica_set: ReplicaSet
+) -> list[MemberProcess]:
+    """Return the holders of a record that a later one does not have."""
+    known = stored.replica_set
+    return [] if known is None else sorted(known.holders - replica_set.holders)
+
+
+def _format_position(departure: Departure | None) -> str:
+    """Return the position that others have received, as a suffix."""
+    if departure is None or departure.position is None:
+        return ""
+    return f"@{departure.position.term}.{departure.position.sequence}"
+
+
 def _merge(stored: StoredReplicaSet, known: StoredReplicaSet) -> StoredReplicaSet:
     """Return a stored record with the holders of one that the store has lost."""
     replica_set = known.replica_set
