Promote no member that lacks a commit which a node has acknowledged

A promotion trusts its list of members: of those it knows, enough are fenced to have every acknowledged commit between them. The list can be short, and nothing that the nodes know of their own acknowledgements could contradict it.

Nodes now answer a promoter with bounds of the position of their newest acknowledged commit (WithdrawEvidence, EvidenceWithdrawn): the position before it was sent plus one, and the one in its response, which may include others that no replica has. A member below the lower bound is not promoted, whatever the list says; the attempt is withheld until another member responds. Conversely, a member is promoted without one that is missing if every node that may have acknowledged commits has responded, and the log contains the upper bounds and a position that the primary had since all of them run. Nodes of an earlier version close the connection on the new message once for each promotion; they get the earlier one then and count as nodes that have told nothing.

The steps of an attempt move out of Promoter into PromotionAttempt.

--- a/src/radishtrack/peer/messages.py
+++ b/src/radishtrack/peer/messages.py
@@ -346,6 +346,42 @@
     acknowledged_term: int
 
 
+@attrs.define(frozen=True)
+class WithdrawEvidence:
+    """Requests the same as `WithdrawBelief`, and what the receiver has acknowledged.
+
+    Earlier versions of this program close the connection on this message.
+    """
+
+    request: int
+    database: str
+
+
+@attrs.define(frozen=True)
+class EvidenceWithdrawn:
+    """Response to `WithdrawEvidence`, after the evidence was invalidated.
+
+    Parameters
+    ----------
+    request : int
+        The request.
+    least_term, least_sequence : int
+        Position that the newest commit acknowledged by the sender has at least; zeros
+        if it has acknowledged none.
+    most_term, most_sequence : int
+        Position that contains all commits acknowledged by the sender.
+    running_ms : float
+        Time in milliseconds since the start of the sender's process.
+    """
+
+    request: int
+    least_term: int
+    least_sequence: int
+    most_term: int
+    most_sequence: int
+    running_ms: float
+
+
 @attrs.define(frozen=True)
 class SharesWanted:
     """Delegates the sender's shares of all rates and requests tokens.
@@ -639,6 +675,8 @@
     | Content
     | ContentPageWanted
     | ContentPage
+    | WithdrawEvidence
+    | EvidenceWithdrawn
 )
 
 MESSAGE_TYPES: Final[tuple[type[Message], ...]] = (
@@ -679,5 +717,7 @@
     Content,
     ContentPageWanted,
     ContentPage,
+    WithdrawEvidence,
+    EvidenceWithdrawn,
 )
 """The index in this tuple is the type number on the wire; only append to it."""
--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -18,6 +18,7 @@
 import attrs
 
 from radishtrack.group.status import Role
+from radishtrack.pooler.acknowledgements import AcknowledgedRange
 from radishtrack.pooler.catalog import MemberReport
 from radishtrack.pooler.position_samples import PositionSamples, Sample, SampleSource
 from radishtrack.session.position import Position
@@ -89,8 +90,8 @@
     evidence; infinite if the node did not know the present term then."""
     withdrawn_ms: float = 0.0
     """When that was. The promotion had been announced in the store before."""
-    acknowledged_term: int = 0
-    """Newest term in which this node has acknowledged a commit."""
+    acknowledged: AcknowledgedRange = attrs.field(factory=AcknowledgedRange)
+    """Bounds of the newest commit that this node has acknowledged."""
     incomplete: dict[str, Position] = attrs.field(factory=dict)
     """Members that lost their log, with the position at which they count again."""
     ended_ms: dict[str, float] = attrs.field(factory=dict)
@@ -183,9 +184,25 @@
         }
         self.samples.add(Sample(position, at_ms, SampleSource.PRIMARY))
 
-    def record_acknowledged(self, term: int) -> None:
-        """Record that a commit of a term was acknowledged to a client."""
-        self.acknowledged_term = max(self.acknowledged_term, term)
+    def record_acknowledged(self, commit: AcknowledgedRange) -> None:
+        """Record that a commit was acknowledged to a client."""
+        self.acknowledged = self.acknowledged.extend(commit)
+
+    def find_contained_ms(self, position: Position) -> float:
+        """Return the time before which all acknowledged commits are in a log.
+
+        Parameters
+        ----------
+        position : Position
+            End of the log.
+
+        Returns
+        -------
+        float
+            Negative infinity if the primary is not known to have had a position of the
+            log in the present term.
+        """
+        return self.samples.find_contained_ms(position)
 
     def list_supporters(self) -> list[Observation]:
         """Return the reports that support the present term, the newest first."""
--- a/src/radishtrack/pooler/execution.py
+++ b/src/radishtrack/pooler/execution.py
@@ -9,6 +9,7 @@
 import attrs
 
 from radishtrack.errors import RequestError
+from radishtrack.pooler.acknowledgements import locate_commit
 from radishtrack.pooler.catalog import ReadClass, Route
 from radishtrack.pooler.evacuation.succession import is_primary_stranded
 from radishtrack.pooler.group_access import GroupAccess, ReadPlan
@@ -379,6 +380,7 @@
             plan.is_sent = True
             await prepare_link(pooled, context)
             is_sent = True
+            before = access.evidence.applied.get(member)
             response = await run_on_link(
                 access,
                 pool,
@@ -388,7 +390,8 @@
                 min_position=None,
                 timeout_ms=plan.remaining_ms(access.clock.now_ms()),
             )
-        return await confirm_commit(access, Result(response, member), term)
+        result = Result(response, member)
+        return await confirm_commit(access, result, term, before)
     except RequestError as error:
         return make_queue_refusal(access, member, error)
     except LinkRefused as error:
@@ -402,7 +405,9 @@
         )
 
 
-async def confirm_commit(access: GroupAccess, result: Result, term: int) -> Result:
+async def confirm_commit(
+    access: GroupAccess, result: Result, term: int, before: Position | None
+) -> Result:
     """Return the result of a commit; unknown if a promotion may have discarded it.
 
     Parameters
@@ -413,12 +418,15 @@
         Result of the commit at the member.
     term : int
         Term in which the member was the primary when the commit was sent.
+    before : Position or None
+        A position of the member at that time.
     """
     if result.response.refusal is not None:
         return result
     until_ms = access.clock.now_ms() + CONFIRM_TIMEOUT_MS
     if await access.confirm_term(result.member, term, until_ms):
-        access.evidence.record_acknowledged(term)
+        commit = locate_commit(term, before, result.response.position)
+        access.evidence.record_acknowledged(commit)
         return result
     detail = "the primary may have been replaced meanwhile"
     return make_refusal(Refusal.OUTCOME_UNKNOWN, detail, result.member)
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -18,6 +18,7 @@
     ContentPageWanted,
     ContentWanted,
     DutyChanged,
+    EvidenceWithdrawn,
     Execute,
     HolderAsked,
     HolderHeard,
@@ -28,6 +29,7 @@
     Vote,
     VoteRequest,
     WithdrawBelief,
+    WithdrawEvidence,
 )
 from radishtrack.peer.server import PeerHandlers, start_peer_server
 from radishtrack.pooler.catalog import NodeRecord
@@ -484,7 +486,10 @@
             case WithdrawBelief(request, database):
                 access = self.find_group(database)
                 access.evidence.withdraw(self.clock.now_ms())
-                return BeliefWithdrawn(request, access.evidence.acknowledged_term)
+                commits = access.evidence.acknowledged
+                return BeliefWithdrawn(request, commits.least.term)
+            case WithdrawEvidence(request, database):
+                return self._withdraw_evidence(request, database)
             case SharesWanted():
                 return self.rates.grant(peer, message)
             case SharesReturned():
@@ -505,6 +510,20 @@
                 )
                 return None
 
+    def _withdraw_evidence(self, request: int, group: str) -> EvidenceWithdrawn:
+        now_ms = self.clock.now_ms()
+        evidence = self.find_group(group).evidence
+        evidence.withdraw(now_ms)
+        least, most = evidence.acknowledged.least, evidence.acknowledged.most
+        return EvidenceWithdrawn(
+            request,
+            least.term,
+            least.sequence,
+            most.term,
+            most.sequence,
+            now_ms - self.options.process_started_ms,
+        )
+
 
 async def _refuse_execute(_peer: str, _message: Execute) -> AsyncIterator[Message]:
     raise NotImplementedError("this node's peers forward no statements")
--- a/src/radishtrack/pooler/position_samples.py
+++ b/src/radishtrack/pooler/position_samples.py
@@ -4,6 +4,7 @@
 
 import bisect
 import enum
+import math
 from collections import deque
 from typing import Final
 
@@ -82,3 +83,18 @@
     def clear(self) -> None:
         """Drop all samples, as a later term may lack their positions."""
         self.samples.clear()
+
+    def find_contained_ms(self, position: Position) -> float:
+        """Return the time before which all acknowledged commits are in a log.
+
+        Only positions of the primary count: those of replicas assume that all members
+        that may have received commits are known.
+        """
+        return max(
+            (
+                sample.at_ms
+                for sample in self.samples
+                if sample.source is SampleSource.PRIMARY and sample.position <= position
+            ),
+            default=-math.inf,
+        )
--- a/src/radishtrack/pooler/promotion.py
+++ b/src/radishtrack/pooler/promotion.py
@@ -210,6 +210,8 @@
     needs_outside: bool = False,
     missing: int = 0,
     ended: frozenset[str] = frozenset(),
+    needed: int | None = None,
+    preferred: str = "",
 ) -> MemberReport | None:
     """Return the member to promote.
 
@@ -234,6 +236,11 @@
         Whether none of them may be promoted.
     missing, ended : int, frozenset of str
         As for `count_required_fences`.
+    needed : int or None
+        Number of fenced members that suffice; by default the one that contains every
+        acknowledged commit.
+    preferred : str
+        Member to promote if no other one is more advanced.
 
     Returns
     -------
@@ -251,9 +258,10 @@
     replicas = {
         name: report for name, report in complete.items() if name != old_primary
     }
-    needed = count_required_fences(
-        evidence, old_primary, missing=missing, ended=ended - replicas.keys()
-    )
+    if needed is None:
+        needed = count_required_fences(
+            evidence, old_primary, missing=missing, ended=ended - replicas.keys()
+        )
     # The old primary may have commits that were never acknowledged, so it counts only
     # if the replicas are too few without it.
     candidates = replicas if len(replicas) >= needed else complete
@@ -267,6 +275,11 @@
         successors = [r for r in successors if r.member not in evacuated]
     return min(
         successors,
-        key=lambda r: (r.member in evacuated, r.member in leaving, r.member),
+        key=lambda r: (
+            r.member != preferred,
+            r.member in evacuated,
+            r.member in leaving,
+            r.member,
+        ),
         default=None,
     )
--- /dev/null
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -0,0 +1,486 @@
+"""One attempt to replace a group's primary, from the votes to the order."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Awaitable, Iterable, Iterator, Mapping
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from radishtrack.events import Event, log_event
+from radishtrack.group.status import Role
+from radishtrack.peer.messages import (
+    BeliefWithdrawn,
+    EvidenceWithdrawn,
+    Message,
+    Vote,
+    VoteRequest,
+    WithdrawBelief,
+    WithdrawEvidence,
+)
+from radishtrack.pooler.acknowledgements import (
+    AcknowledgedRange,
+    FleetAcknowledgements,
+    NodeAcknowledgements,
+    merge_acknowledgements,
+)
+from radishtrack.pooler.catalog import MemberProcess, MemberReport
+from radishtrack.pooler.evacuation.succession import (
+    list_evacuated_members,
+    order_fences,
+)
+from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
+from radishtrack.pooler.group_access import GroupAccess
+from radishtrack.pooler.monitor import request_report
+from radishtrack.pooler.peers import NotRunning
+from radishtrack.pooler.ports import PromotionResult, ReplicaSet, StoreUnavailable
+from radishtrack.pooler.promotion import (
+    PromotionReason,
+    choose_successor,
+    count_required_fences,
+    needs_outside_successor,
+)
+from radishtrack.pooler.promotion_duty import Claim
+from radishtrack.pooler.replica_set import (
+    find_term_primary,
+    list_ended_members,
+    list_missing_holders,
+)
+from radishtrack.pooler.statements import Fence, GetStatus, MemberStatement, Unfence
+from radishtrack.pooler.store_copy import DEPARTURE_MS
+from radishtrack.session.position import Position
+
+if TYPE_CHECKING:
+    from radishtrack.pooler.promoter import Promoter
+
+VOTE_TIMEOUT_MS: Final = 400.0
+"""Time limit for a peer's vote, longer than the peer's own poll of the primary. Later
+votes are not counted."""
+FENCE_ROUNDS: Final = 3
+"""Attempts to fence enough members, since some may not respond to the first."""
+FENCE_PAUSE_MS: Final = 100.0
+"""Pause between these attempts."""
+CONFIRM_PROMOTION_MS: Final = 2_000.0
+"""Longest wait until the promoted member is the primary; usually it takes some hundred
+milliseconds."""
+CONFIRM_POLL_MS: Final = 40.0
+"""Interval of polls whether the promoted member is the primary."""
+INVALIDATE_TIMEOUT_MS: Final = 200.0
+"""Time limit for nodes to confirm; without a confirmation the promoter waits until the
+node's evidence has expired."""
+
+_Response = Message | NotRunning | None
+
+
+@attrs.define(eq=False)
+class PromotionAttempt:
+    """One attempt of a node; call `run` once.
+
+    Parameters
+    ----------
+    promoter : Promoter
+        The node's promoter.
+    access : GroupAccess
+        The group.
+    reason : PromotionReason
+        Why its primary is replaced.
+    """
+
+    promoter: Promoter
+    access: GroupAccess
+    reason: PromotionReason
+    term: int = 0
+    """Term that the successor will lead."""
+    old_primary: str = ""
+    replica_set: ReplicaSet | None = None
+    acknowledged: FleetAcknowledgements = attrs.field(
+        factory=lambda: FleetAcknowledgements(AcknowledgedRange(), math.inf)
+    )
+    missing: tuple[MemberProcess, ...] = ()
+    """Processes without which the promotion was withheld."""
+    is_withheld: bool = False
+    """Whether acknowledged commits may be in logs that this attempt could not read."""
+
+    async def run(self) -> str:
+        """Replace the primary; return why it failed, or an empty string.
+
+        Raises
+        ------
+        StoreUnavailable
+            If a call of the store failed.
+        """
+        if self.reason.needs_votes and not await self._is_confirmed_by_peers():
+            return "another node reaches the primary"
+        # Members that have just joined may have acknowledged commits.
+        if not await self.promoter.store_copy.read_records():
+            return "the store can't confirm the list of members"
+        await self._read_replica_set()
+        if self._serves_at_present() and not self._knows_all_members():
+            return self._withhold()
+        claim = await self.promoter.duty.claim()
+        if claim is None:
+            return "another node holds the duty"
+        self.term = self.access.evidence.term + 1
+        await self._announce(claim)
+        fenced_ms = await self.fence()
+        if fenced_ms is None:
+            await self._unfence(self.old_primary)
+            return "too few members could be fenced"
+        if not await self.promoter.duty.renew(claim):
+            return await self.give_up(claim)
+        try:
+            return await self._order_successor(claim, fenced_ms)
+        except StoreUnavailable:
+            await self._unfence(self.old_primary)
+            raise
+
+    async def _order_successor(self, claim: Claim, fenced_ms: float) -> str:
+        """Choose a successor among the fenced members, and order its promotion."""
+        self.acknowledged = await self._withdraw_evidence(fenced_ms)
+        if not await self.promoter.duty.renew(claim):
+            return await self.give_up(claim)
+        # A member may have joined before all were fenced.
+        await self._read_replica_set()
+        fenced = await self._read_fenced()
+        successor = self._choose(fenced, "")
+        self._log_decision(fenced, successor)
+        if self.access.evidence.term >= self.term:
+            return "another promotion was faster"
+        if successor is None:
+            await self._unfence(self.old_primary)
+            return self._withhold()
+        if not self.promoter.duty.may_order(claim):
+            await self._unfence(self.old_primary)
+            return "the claim is too old to order the promotion"
+        return await self._order(successor, claim)
+
+    async def _order(self, successor: MemberReport, claim: Claim) -> str:
+        age_ms = self.promoter.clock.now_ms() - claim.requested_ms
+        result = await self.promoter.promote(
+            self.access.name,
+            successor.member,
+            self.promoter.name,
+            claim.duty.revision,
+        )
+        log_event(
+            Event.PROMOTION_ORDERED,
+            group=self.access.name,
+            member=successor.member,
+            position=f"{successor.position.term}.{successor.position.sequence}",
+            token=claim.duty.revision,
+            claim_age_ms=round(age_ms),
+            result=result.value,
+        )
+        if result is PromotionResult.REFUSED:
+            return f"the order to promote {successor.member} was refused"
+        if not await self._await_primary(successor.member):
+            return f"{successor.member} is not the primary yet"
+        await self._unfence(successor.member)
+        return ""
+
+    async def give_up(self, claim: Claim) -> str:
+        """End an attempt whose claim was lost; return why."""
+        duty = self.promoter.duty
+        if duty.is_outdated(claim) and not duty.is_taken_over():
+            # No node takes over before the lease of a lost claim has ended.
+            await self._unfence(self.old_primary)
+            return "the store was restored after the claim"
+        # A node that has taken over the duty fences members itself, so they are not
+        # unfenced here.
+        return "another node has taken the duty over"
+
+    def _withhold(self) -> str:
+        self.is_withheld = True
+        self.missing = self._list_missing()
+        commits = self.acknowledged.commits
+        if self.missing:
+            names = ", ".join(process.name for process in self.missing)
+            return f"acknowledged commits may exist at {names} alone"
+        return (
+            "the members that respond may lack commits that were acknowledged up to "
+            f"{commits.most.term}.{commits.most.sequence}"
+        )
+
+    async def _is_confirmed_by_peers(self) -> bool:
+        primary = self.access.presumed_primary()
+        responses = await self.promoter.peers.request_all(
+            lambda request: VoteRequest(request, self.access.name, primary),
+            VOTE_TIMEOUT_MS,
+        )
+        votes = [
+            response for response in responses.values() if isinstance(response, Vote)
+        ]
+        return all(vote.unreachable for vote in votes)
+
+    async def _read_replica_set(self) -> None:
+        store = self.promoter.store_copy.store
+        self.replica_set = await store.find_replica_set(self.access.name)
+        self.old_primary = find_term_primary(self.access, self.replica_set)
+
+    def _serves_at_present(self) -> bool:
+        """Return whether the primary responds, so that fences interrupt its work."""
+        pool = self.access.pools.get(self.old_primary)
+        return pool is not None and pool.is_reachable
+
+    def _knows_all_members(self) -> bool:
+        """Return whether every member that may have received commits is known."""
+        slack = max(0, self.access.evidence.synchronous_replicas - 1)
+        return len(self._list_missing()) <= slack
+
+    def _list_missing(self) -> tuple[MemberProcess, ...]:
+        return list_missing_holders(self.replica_set, self.access, self.old_primary)
+
+    async def _announce(self, claim: Claim) -> None:
+        store = self.promoter.store_copy.store
+        await store.announce_term(self.access.name, self.term)
+        self.promoter.record_announced(self.access.name, self.term)
+        log_event(
+            Event.PROMOTION_STARTED,
+            group=self.access.name,
+            term=self.term,
+            token=claim.duty.revision,
+            reason=self.reason.value,
+        )
+
+    async def fence(self) -> float | None:
+        """Fence the members; return the time of completion, or None on failure.
+
+        If the primary does not respond, fewer members than usual suffice: the nodes may
+        know that one of these has all commits.
+        """
+        names = [name for name in self.access.pools if name != self.old_primary]
+        for _ in range(FENCE_ROUNDS):
+            for group in order_fences(self.access, names):
+                await self._request_reports(group, Fence(self.term))
+            fenced = dict(self._list_fenced())
+            if len(fenced) >= self._count_required(fenced.keys()):
+                return self.promoter.clock.now_ms()
+            unfenced = [name for name in names if name not in fenced]
+            if all(self.access.pools[name].ended_ms is not None for name in unfenced):
+                break
+            await asyncio.sleep(FENCE_PAUSE_MS / 1000)
+        if not fenced or self._serves_at_present():
+            return None
+        return self.promoter.clock.now_ms()
+
+    def _count_required(self, fenced: Iterable[str]) -> int:
+        return count_required_fences(
+            self.access.evidence,
+            self.old_primary,
+            missing=len(self._list_missing()),
+            ended=list_ended_members(self.replica_set, self.access).difference(fenced),
+        )
+
+    def _choose(
+        self, fenced: Mapping[str, MemberReport], preferred: str
+    ) -> MemberReport | None:
+        """Return a member whose log has every acknowledged commit, or None.
+
+        Either all members are known that may have received commits, or all nodes are
+        that may have acknowledged some.
+        """
+        has_replicas = self.access.evidence.synchronous_replicas > 0
+        if self._knows_all_members():
+            successor = self._choose_by_position(fenced, preferred=preferred)
+            if successor is not None and not (
+                has_replicas and self.acknowledged.excludes(successor.position)
+            ):
+                return successor
+        successor = self._choose_by_position(fenced, needed=1, preferred=preferred)
+        if successor is None or not has_replicas:
+            return None
+        contained_ms = self.access.evidence.find_contained_ms(successor.position)
+        if self.acknowledged.is_covered(successor.position, contained_ms):
+            return successor
+        return None
+
+    def _choose_by_position(
+        self,
+        fenced: Mapping[str, MemberReport],
+        *,
+        needed: int | None = None,
+        preferred: str = "",
+    ) -> MemberReport | None:
+        leaving = frozenset(
+            name for name, pool in self.access.pools.items() if pool.member.is_leaving
+        )
+        return choose_successor(
+            fenced,
+            self.access.evidence,
+            self.old_primary,
+            leaving,
+            self.acknowledged.commits.least.term,
+            list_evacuated_members(self.access),
+            needs_outside=needs_outside_successor(self.access, self.reason),
+            missing=len(self._list_missing()),
+            ended=list_ended_members(self.replica_set, self.access),
+            needed=needed,
+            preferred=preferred,
+        )
+
+    def _log_decision(
+        self, fenced: Mapping[str, MemberReport], successor: MemberReport | None
+    ) -> None:
+        commits = self.acknowledged.commits
+        now_ms = self.promoter.clock.now_ms()
+        log_event(
+            Event.PROMOTION_DECIDED,
+            group=self.access.name,
+            term=self.term,
+            successor=successor.member if successor is not None else "none",
+            fenced=",".join(
+                f"{name}@{_format_position(report.position)}"
+                for name, report in sorted(fenced.items())
+            ),
+            members=",".join(sorted(self.access.pools)),
+            missing=",".join(f"{p.name}/{p.started_ms}" for p in self._list_missing()),
+            ended=",".join(sorted(list_ended_members(self.replica_set, self.access))),
+            knows_all_members=self._knows_all_members(),
+            acknowledged_least=_format_position(commits.least),
+            acknowledged_most=_format_position(commits.most),
+            acknowledged_age_ms=round(min(now_ms - self.acknowledged.since_ms, now_ms))
+            if math.isfinite(self.acknowledged.since_ms)
+            else "unknown",
+            primary=self.old_primary or "none",
+        )
+
+    async def _withdraw_evidence(self, fenced_ms: float) -> FleetAcknowledgements:
+        """Wait until no node has valid evidence of the old term.
+
+        Returns what the nodes have acknowledged.
+
+        The list of nodes must be read after the members were fenced: a node that
+        registers later can't obtain evidence of the old term.
+        """
+        evidence, clock = self.access.evidence, self.promoter.clock
+        evidence.withdraw(clock.now_ms())
+        is_complete = await self.promoter.store_copy.read_records()
+        responses = await self._request_withdrawals()
+        nodes = list(self._list_acknowledgements(responses))
+        if not is_complete:
+            nodes.append(NodeAcknowledgements(AcknowledgedRange(), math.inf))
+        acknowledged = merge_acknowledgements(nodes)
+        # A process that is not running has no evidence, and one that starts discards
+        # what it had when it begins to listen. If this node started recently, it may
+        # not know nodes that were removed shortly before.
+        age_ms = clock.now_ms() - self.promoter.started_ms
+        if (
+            is_complete
+            and age_ms > DEPARTURE_MS
+            and all(
+                isinstance(response, EvidenceWithdrawn | BeliefWithdrawn | NotRunning)
+                for response in responses.values()
+            )
+        ):
+            return acknowledged
+        remaining_ms = fenced_ms + EVIDENCE_VALID_MS - clock.now_ms()
+        await asyncio.sleep(max(0.0, remaining_ms) / 1000)
+        return acknowledged
+
+    async def _request_withdrawals(self) -> dict[str, _Response]:
+        """Request all nodes to withdraw their evidence; return the responses."""
+        peers, group = self.promoter.peers, self.access.name
+        responses = await peers.request_all(
+            lambda request: WithdrawEvidence(request, group), INVALIDATE_TIMEOUT_MS
+        )
+        silent = [node for node in peers.others() if responses.get(node.name) is None]
+        # Earlier versions of this program know only the other message.
+        repeated = await asyncio.gather(
+            *(
+                peers.send_request(
+                    node,
+                    lambda request: WithdrawBelief(request, group),
+                    INVALIDATE_TIMEOUT_MS,
+                )
+                for node in silent
+            )
+        )
+        return responses | {
+            node.name: response for node, response in zip(silent, repeated, strict=True)
+        }
+
+    def _list_acknowledgements(
+        self, responses: Mapping[str, _Response]
+    ) -> Iterator[NodeAcknowledgements]:
+        """Yield what this node and the others have acknowledged."""
+        promoter = self.promoter
+        now_ms = promoter.clock.now_ms()
+        # This node may not know those that were removed before it started.
+        known_ms = promoter.started_ms + DEPARTURE_MS
+        yield NodeAcknowledgements(self.access.evidence.acknowledged, known_ms)
+        for response in responses.values():
+            match response:
+                case EvidenceWithdrawn():
+                    commits = AcknowledgedRange(
+                        Position(response.least_term, response.least_sequence),
+                        Position(response.most_term, response.most_sequence),
+                    )
+                    yield NodeAcknowledgements(commits, now_ms - response.running_ms)
+                case BeliefWithdrawn(_, acknowledged_term):
+                    commits = AcknowledgedRange(Position(acknowledged_term, 0))
+                    yield NodeAcknowledgements(commits, math.inf)
+                case _:
+                    yield NodeAcknowledgements(AcknowledgedRange(), math.inf)
+        for departure in promoter.store_copy.departed.values():
+            if departure.node.name not in responses:
+                ended_ms = departure.at_ms + DEPARTURE_MS
+                yield NodeAcknowledgements(AcknowledgedRange(), ended_ms)
+
+    async def _read_fenced(self) -> dict[str, MemberReport]:
+        """Return new reports of fenced members; a restart removes a member's fence."""
+        names = [name for name in self.access.pools if name != self.old_primary]
+        reports = await self._request_reports(names, GetStatus())
+        return {
+            report.member: report
+            for report in reports
+            if report.fenced_term >= self.term
+        }
+
+    async def _unfence(self, except_member: str) -> None:
+        names = [name for name in self.access.pools if name != except_member]
+        await self._request_reports(names, Unfence())
+
+    async def _await_primary(self, member: str) -> bool:
+        clock, evidence = self.promoter.clock, self.access.evidence
+        until_ms = clock.now_ms() + CONFIRM_PROMOTION_MS
+        while clock.now_ms() < until_ms:
+            (report,) = await self._request_reports([member], GetStatus()) or (None,)
+            is_primary = report is not None and report.role is Role.PRIMARY
+            if is_primary and report is not None and report.term >= self.term:
+                return True
+            if evidence.term >= self.term and evidence.primary:
+                return True
+            await asyncio.sleep(CONFIRM_POLL_MS / 1000)
+        return False
+
+    async def _request_reports(
+        self, names: Iterable[str], statement: MemberStatement
+    ) -> list[MemberReport]:
+        promoter, access = self.promoter, self.access
+        requests: list[Awaitable[MemberReport | None]] = [
+            request_report(
+                access, pool, statement, promoter.organisation(), promoter.clock
+            )
+            for name in names
+            if (pool := access.pools.get(name)) is not None
+        ]
+        return [
+            report for report in await asyncio.gather(*requests) if report is not None
+        ]
+
+    def _list_fenced(self) -> Iterator[tuple[str, MemberReport]]:
+        """Yield the fenced members and their last reports."""
+        for name in self.access.pools:
+            report = self.access.evidence.find_report(name)
+            if (
+                name != self.old_primary
+                and report is not None
+                and report.fenced_term >= self.term
+            ):
+                yield name, report
+
+
+def _format_position(position: Position) -> str:
+    return f"{position.term}.{position.sequence}"
--- a/src/radishtrack/pooler/transaction.py
+++ b/src/radishtrack/pooler/transaction.py
@@ -124,6 +124,7 @@
                 Refusal.ABORTED, "no recent evidence of the group's log", self.member
             )
         term = self.access.evidence.term
+        before = self.access.evidence.applied.get(self.member)
         try:
             response = await run_on_link(
                 self.access,
@@ -145,7 +146,7 @@
         result = Result(response, self.member)
         if not self.has_written:
             return result
-        return await confirm_commit(self.access, result, term)
+        return await confirm_commit(self.access, result, term, before)
 
     async def _await_evidence(self, context: StatementContext) -> bool:
         """Return whether a commit can be confirmed, if the store is out of reach."""
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -10,13 +10,17 @@
 
 from radishtrack.peer.messages import WithdrawBelief
 from radishtrack.peer.server import start_peer_server
+from radishtrack.pooler.acknowledgements import AcknowledgedRange
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import LEAVING_USE_MS, STARTED_USE_MS
 from radishtrack.pooler.promoter import CHECK_INTERVAL_MS, PromotionState
+from radishtrack.pooler.promotion import PromotionReason
+from radishtrack.pooler.promotion_attempt import PromotionAttempt
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, RENEW_AFTER_MS
 from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.revision import get_era
+from radishtrack.session.position import Position
 from radishtrack_standins.cluster import find_free_ports
 from tests.pooler_simulation import (
     GROUP,
@@ -140,13 +144,15 @@
         access = simulation.nodes[0].node.find_group(GROUP)
         claim = await promoter.duty.claim()
         assert claim is not None
-        await promoter._fence(access, access.evidence.term + 1, "i-1")
+        attempt = PromotionAttempt(promoter, access, PromotionReason.UNREACHABLE)
+        attempt.term, attempt.old_primary = access.evidence.term + 1, "i-1"
+        await attempt.fence()
         fenced = [simulation.members[name] for name in ("i-2", "i-3")]
         assert all(member.fenced_term for member in fenced)
         simulation.store.restore(simulation.store.back_up())
         claim.requested_ms -= RENEW_AFTER_MS
         assert not await promoter.duty.renew(claim)
-        assert "restored" in await promoter._give_up(access, claim, "i-1")
+        assert "restored" in await attempt.give_up(claim)
         assert not any(member.fenced_term for member in fenced)
         assert simulation.store.orders == []
 
@@ -461,19 +467,19 @@
         assert not await access.confirm_term("i-2", 1, until_ms)
 
 
-async def test_nodes_tell_the_promoter_in_which_term_they_acknowledged_commits() -> (
-    None
-):
+async def test_nodes_tell_the_promoter_what_they_acknowledged() -> None:
     """A promotion must not discard what another node has acknowledged."""
     async with open_simulation(nodes=2) as simulation:
         first, second = (running.node for running in simulation.nodes)
         client = await simulation.connect(simulation.nodes[0], "orders")
-        assert first.find_group(GROUP).evidence.acknowledged_term == 0
+        assert first.find_group(GROUP).evidence.acknowledged.least.term == 0
         assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
-        assert first.find_group(GROUP).evidence.acknowledged_term == 1
+        assert first.find_group(GROUP).evidence.acknowledged.least.term == 1
         access = second.find_group(GROUP)
         fenced_ms = second.clock.now_ms()
-        assert await second.promoter._await_invalidation(access, fenced_ms) == 1
+        attempt = PromotionAttempt(second.promoter, access, PromotionReason.UNREACHABLE)
+        acknowledged = await attempt._withdraw_evidence(fenced_ms)
+        assert acknowledged.commits == AcknowledgedRange(Position(1, 1), Position(1, 1))
 
 
 async def test_no_commit_is_acknowledged_after_a_fenced_replica_restarts() -> None:
--- a/tests/test_promoted_behind.py
+++ b/tests/test_promoted_behind.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 
 from radishtrack.pooler.group_access import UNLISTED_EXPIRY_MS
+from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack_standins.line_member import LineMember
 from tests.pooler_simulation import (
     GROUP,
@@ -20,6 +21,7 @@
 )
 
 REPLICAS_KIND = "radishtrack-replicas"
+PROMOTE_S = 1.0
 STARTED_AGAIN = 1_700_000_000_400
 """Start of a member's second process."""
 
@@ -116,6 +118,8 @@
 async def test_an_unlisted_successor_with_acknowledged_commits_is_awaited() -> None:
     async with open_simulation(nodes=2) as simulation:
         await await_record(simulation)
+        for running in simulation.nodes:
+            running.node.promoter.started_ms -= DEPARTURE_MS
         client = await simulation.connect(simulation.nodes[0], "orders")
         assert await write(client, 3) == 3
         await restart_third(simulation)
@@ -160,21 +164,27 @@
         assert await write(client, 3) == 3
         replicate_to(simulation, ["i-2", "i-3"])
         primary = simulation.members["i-1"]
-        ordered = asyncio.Event()
+        promoted: asyncio.Future[LineMember] = asyncio.Future()
 
-        def order(_group: str, _name: str) -> int:
+        def promote(member: LineMember) -> None:
+            member.promote()
+            promoted.set_result(member)
+
+        def order(_group: str, name: str) -> int:
             # The fences are gone, and only the other replica receives.
             for member in simulation.members.values():
                 member.fenced_term = 0
-            other = "i-3" if _name == "i-2" else "i-2"
-            replicate_to(simulation, [other])
-            ordered.set()
+            replicate_to(simulation, ["i-3" if name == "i-2" else "i-2"])
+            member = simulation.members[name]
+            asyncio.get_running_loop().call_later(PROMOTE_S, promote, member)
             return 200
 
         simulation.store.on_order = order
         simulation.register(primary, state="draining")
-        await ordered.wait()
-        assert await write(client, 30) == 0
+        acknowledged = 3
+        while not promoted.done():
+            acknowledged += await write(client, 1)
+        assert promoted.result().received >= acknowledged
 
 
 async def test_a_lost_replica_without_a_successor_delays_no_promotion_for_good() -> (
