Take a closed port for no end of a member, nor a short list for complete

Callers lost acknowledged commits in two ways that no node could contradict any more, since those that had acknowledged them were gone. A replica that refuses connections but runs on was recorded as ended, and a promotion did without it while it alone received. And a process that had started in an outage of the store was in no list when the store came back.

A process that is recorded as ended is now counted until the store has removed its entry as well, or lists another process of its name. The record of the replica set has the size of the group; a group that lists fewer members promotes by its list only once the store has responded for 3.5 s, as entries return about 2 s after an outage. Records of earlier versions have no size, and earlier versions ignore it.

--- a/src/radishtrack/platform/documents.py
+++ b/src/radishtrack/platform/documents.py
@@ -183,6 +183,7 @@
         "primary": replica_set.primary,
         "holders": _render_processes(replica_set.holders),
         "ended": _render_processes(replica_set.ended),
+        "size": replica_set.size,
     }
 
 
@@ -204,6 +205,8 @@
             primary=primary,
             holders=_parse_processes(spec["holders"]),
             ended=_parse_processes(spec["ended"]),
+            # Records of earlier versions of this program don't name it.
+            size=_integer(spec, "size") if "size" in spec else 0,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DocumentError(f"replica set: {error!r}") from error
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -198,12 +198,15 @@
         received everything that was acknowledged with its help.
     ended : frozenset of MemberProcess
         Processes that the store may still list, but that have ended and are no holders.
+    size : int
+        Number of members that the group has if none is missing; 0 if unknown.
     """
 
     term: int
     primary: str
     holders: frozenset[MemberProcess]
     ended: frozenset[MemberProcess] = frozenset()
+    size: int = 0
 
 
 @attrs.frozen
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -47,6 +47,7 @@
     find_term_primary,
     list_ended_members,
     list_missing_holders,
+    may_lack_members,
 )
 from radishtrack.pooler.statements import Fence, GetStatus, MemberStatement, Unfence
 from radishtrack.pooler.store_copy import DEPARTURE_MS
@@ -70,6 +71,9 @@
 INVALIDATE_TIMEOUT_MS: Final = 200.0
 """Time limit for nodes to confirm; without a confirmation the promoter waits until the
 node's evidence has expired."""
+LIST_SETTLED_MS: Final = 3_500.0
+"""Time for which the store has to respond until its list has all members that run.
+Entries return about 2 s after an outage."""
 
 _Response = Message | NotRunning | None
 
@@ -227,7 +231,12 @@
     def _knows_all_members(self) -> bool:
         """Return whether every member that may have received commits is known."""
         slack = max(0, self.access.evidence.synchronous_replicas - 1)
-        return len(self._list_missing()) <= slack
+        if len(self._list_missing()) > slack:
+            return False
+        settled_ms = self.promoter.store_copy.steady_ms()
+        return settled_ms >= LIST_SETTLED_MS or not may_lack_members(
+            self.replica_set, self.access, self.old_primary
+        )
 
     def _list_missing(self) -> tuple[MemberProcess, ...]:
         return list_missing_holders(self.replica_set, self.access, self.old_primary)
--- a/src/radishtrack/pooler/replica_set.py
+++ b/src/radishtrack/pooler/replica_set.py
@@ -97,6 +97,7 @@
             primary,
             holders - dispensable,
             frozenset(ended | (dispensable & present)),
+            max(recorded.size, _count_running(access)),
         )
 
     def _is_settled(self, recorded: ReplicaSet, access: GroupAccess) -> bool:
@@ -106,6 +107,8 @@
             return False
         if (recorded.term, recorded.primary) != (evidence.term, evidence.primary):
             return False
+        if recorded.size < len(access.pools):
+            return False
         if self.indexed is not recorded:
             self.indexed = recorded
             self.started_ms = {p.name: p.started_ms for p in recorded.holders}
@@ -217,13 +220,47 @@
 def list_ended_members(
     replica_set: ReplicaSet | None, access: GroupAccess
 ) -> frozenset[str]:
-    """Return the names of listed members that have ended and are no holders."""
+    """Return the names of members that have ended and that a promotion can do without.
+
+    A process whose port is closed may run and receive commits, so its entry in the
+    store must have been removed as well.
+    """
     if replica_set is None:
         return frozenset()
     return frozenset(
         name
         for name, pool in access.pools.items()
-        if pool.member.process in replica_set.ended
+        if name in access.unlisted_ms and pool.member.process in replica_set.ended
+    )
+
+
+def may_lack_members(
+    replica_set: ReplicaSet | None, access: GroupAccess, primary: str
+) -> bool:
+    """Return whether a process may run in a group that the store does not list yet.
+
+    Parameters
+    ----------
+    replica_set : ReplicaSet or None
+        The group's record in the store; None if there is none.
+    access : GroupAccess
+        The group, with a recent list of members.
+    primary : str
+        The primary of the present term, which is known even if it is not listed.
+    """
+    if replica_set is None:
+        return True
+    known = (access.pools.keys() - access.unlisted_ms.keys()) | {primary}
+    return len(known) < replica_set.size
+
+
+def _count_running(access: GroupAccess) -> int:
+    """Return how many listed members respond."""
+    return sum(
+        pool.is_reachable
+        and name not in access.unlisted_ms
+        and access.evidence.find_report(name) is not None
+        for name, pool in access.pools.items()
     )
 
 
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -25,6 +25,7 @@
     find_term_primary,
     list_missing_holders,
 )
+from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.session.position import Position
 from tests.pooler_simulation import (
     GROUP,
@@ -288,6 +289,10 @@
     """A promotion that is safe must not wait for a member that is lost."""
     async with open_simulation(nodes=2) as simulation:
         await wait_until(lambda: (REPLICAS_KIND, GROUP) in simulation.store.objects)
+        for running in simulation.nodes:
+            # All nodes that may have acknowledged commits are known to one that runs
+            # for longer than a removed node may serve.
+            running.node.promoter.started_ms -= DEPARTURE_MS
         client = await simulation.connect(simulation.nodes[0], "orders")
         assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
         simulation.members["i-1"].replicas = [simulation.members["i-2"]]
@@ -304,6 +309,25 @@
         await wait_until(lambda: simulation.members["i-2"].role == "primary", 3.0)
 
 
+async def test_a_replica_whose_entry_was_removed_is_not_awaited() -> None:
+    """A crashed member's entry expires, and nodes that have restarted know no more."""
+    async with open_simulation(nodes=2) as simulation:
+        await wait_until(lambda: (REPLICAS_KIND, GROUP) in simulation.store.objects)
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
+        simulation.members["i-1"].replicas = [simulation.members["i-2"]]
+        await simulation.members["i-3"].stop()
+        await wait_until(
+            lambda: (
+                len(simulation.store.objects[REPLICAS_KIND, GROUP]["spec"]["holders"])
+                == 2
+            )
+        )
+        simulation.store.remove("servers", "i-3")
+        await simulation.members["i-1"].stop()
+        await wait_until(lambda: simulation.members["i-2"].role == "primary")
+
+
 async def test_a_malformed_record_is_replaced_and_stops_no_other_group() -> None:
     """Another writer's entry may cost that entry alone."""
     async with open_simulation() as simulation:
