Acknowledge nothing in a term for whose end an order was given

Callers lost commits that were acknowledged between an order and the promotion. If the members' fences are gone by then (a member restarted, or a late RESUME arrived), all of them report the old term unfenced, and reports of all members count as proof of it.

A mark of the order is now kept in the store, with the term, a number that grows with each order for it, and the member. It is written before nodes withdraw their evidence, so that a node whose copy of the store is recent enough to prove anything has read it. The mark also settles what an order without a response leaves open: until it lapses, only the same member is ordered again. An attempt that ends without an order voids its mark for promoters.

--- a/src/radishtrack/platform/control_store.py
+++ b/src/radishtrack/platform/control_store.py
@@ -21,10 +21,12 @@
 from radishtrack.platform.object_store import ObjectStoreClient, StoredObject
 from radishtrack.pooler.catalog import Catalog, Member, NodeRecord
 from radishtrack.pooler.duties import NO_HOLDER
+from radishtrack.pooler.order_mark import PromotionOrder, name_order
 from radishtrack.pooler.ports import (
     Duty,
     FleetListing,
     ReplicaSet,
+    StoredOrder,
     StoredReplicaSet,
     StoreUnavailable,
 )
@@ -161,6 +163,28 @@
         if stored is None or _parse_number(stored, "term") < term:
             await self._write(name, {"term": term})
 
+    async def find_order(self, group: str) -> StoredOrder:
+        """Return the last promotion order that was announced for a group."""
+        stored = await self.client.get(FLEET_KIND, TERM_PREFIX + name_order(group))
+        if stored is None:
+            return StoredOrder(None, 0)
+        mark = _parse_number(stored, "term")
+        member = stored.spec.get("member") if isinstance(stored.spec, dict) else None
+        order = PromotionOrder(mark, member if isinstance(member, str) else "")
+        return StoredOrder(order, stored.revision)
+
+    async def record_order(
+        self, group: str, order: PromotionOrder, revision: int
+    ) -> StoredOrder | None:
+        """Announce an order; return None if the record has another revision."""
+        name = TERM_PREFIX + name_order(group)
+        spec = {"term": order.mark, "member": order.member}
+        if revision:
+            stored = await self.client.replace(FLEET_KIND, name, spec, revision)
+        else:
+            stored = await self.client.create(FLEET_KIND, name, spec)
+        return None if stored is None else StoredOrder(order, stored.revision)
+
     async def find_secret(self) -> bytes | None:
         """Return the secret of the fleet's peers, or None if there is none."""
         stored = await self.client.get(FLEET_KIND, SECRET_NAME)
--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -6,7 +6,8 @@
 that no later term acknowledges a commit before the oldest of these reports is
 `EVIDENCE_VALID_MS` old: the two sets share a member. A member that restarts, or whose
 term has been replaced, is unfenced again, so the proof also needs a copy of the store
-that is as recent and names no later term.
+that is as recent and names no later term. Before an order is given, the store marks it,
+and the present term is not proven any more until the order has taken effect or expired.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from radishtrack.group.status import Role
 from radishtrack.pooler.acknowledgements import AcknowledgedRange
 from radishtrack.pooler.catalog import MemberReport
+from radishtrack.pooler.order_mark import ORDER_EXPIRY_MS, get_order_term
 from radishtrack.pooler.position_samples import PositionSamples, Sample, SampleSource
 from radishtrack.session.position import Position
 
@@ -90,6 +92,11 @@
     evidence; infinite if the node did not know the present term then."""
     withdrawn_ms: float = 0.0
     """When that was. The promotion had been announced in the store before."""
+    order_mark: int = 0
+    """Newest mark of a promotion order that this node has read; see
+    `radishtrack.pooler.order_mark`."""
+    ordered_ms: float = -math.inf
+    """When the node first read it."""
     acknowledged: AcknowledgedRange = attrs.field(factory=AcknowledgedRange)
     """Bounds of the newest commit that this node has acknowledged."""
     incomplete: dict[str, Position] = attrs.field(factory=dict)
@@ -204,14 +211,29 @@
         """
         return self.samples.find_contained_ms(position)
 
+    def observe_order(self, mark: int, now_ms: float) -> None:
+        """Record the store's mark of the newest promotion order for the group."""
+        if mark > self.order_mark:
+            self.order_mark, self.ordered_ms = mark, now_ms
+
+    def order_expires_ms(self) -> float:
+        """Return the time from which on no order for a later term takes effect."""
+        if get_order_term(self.order_mark) <= self.term:
+            return -math.inf
+        return self.ordered_ms + ORDER_EXPIRY_MS
+
     def list_supporters(self) -> list[Observation]:
-        """Return the reports that support the present term, the newest first."""
+        """Return the reports that support the present term, the newest first.
+
+        While an order may take effect, fences that are gone by mistake prove nothing.
+        """
+        valid_from_ms = max(self.valid_from_ms, self.order_expires_ms())
         return sorted(
             (
                 observation
                 for observation in self.observations.values()
                 if self._is_unfenced(observation.report)
-                and observation.requested_ms >= self.valid_from_ms
+                and observation.requested_ms >= valid_from_ms
             ),
             key=lambda observation: observation.requested_ms,
             reverse=True,
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -43,6 +43,7 @@
     make_group_access,
 )
 from radishtrack.pooler.monitor import MemberMonitor
+from radishtrack.pooler.order_mark import name_order
 from radishtrack.pooler.peers import Peers
 from radishtrack.pooler.ports import (
     ControlStore,
@@ -229,6 +230,8 @@
         for name, access in self.groups.items():
             members = tuple(m for m in self.store_copy.members if m.group == name)
             access.evidence.announced_term = self.store_copy.terms.get(name, 0)
+            mark = self.store_copy.terms.get(name_order(name), 0)
+            access.evidence.observe_order(mark, now_ms)
             access.set_members(members, now_ms, self.store_copy.listed_before_ms)
             for pool in access.pools.values():
                 pool.gate.set_weights(weights)
--- a/src/radishtrack/pooler/ports.py
+++ b/src/radishtrack/pooler/ports.py
@@ -9,6 +9,7 @@
 import attrs
 
 from radishtrack.pooler.catalog import Catalog, Member, MemberProcess, NodeRecord
+from radishtrack.pooler.order_mark import PromotionOrder
 from radishtrack.pooler.statements import MemberResponse, MemberStatement
 from radishtrack.session.position import Position
 
@@ -167,7 +168,8 @@
     duties : mapping
         Duties by name; names without a record are absent.
     terms : mapping
-        Newest term for which a promotion was announced, by group.
+        Newest term for which a promotion was announced, by group; marks of promotion
+        orders by `name_order`.
     revision : int
         Store revision, see `radishtrack.revision`; grows with each change of any
         object and when the store comes back from a backup.
@@ -225,6 +227,23 @@
     revision: int
 
 
+@attrs.frozen
+class StoredOrder:
+    """A group's record of its last promotion order.
+
+    Parameters
+    ----------
+    order : PromotionOrder or None
+        The order; None if there is none.
+    revision : int
+        Revision of the record's last change, without the store's era; 0 if there is no
+        record.
+    """
+
+    order: PromotionOrder | None
+    revision: int
+
+
 class ControlStore(Protocol):
     """The platform's durable store. Every call raises `StoreUnavailable`."""
 
@@ -260,6 +279,18 @@
         An announcement of a later term stays.
         """
 
+    async def find_order(self, group: str) -> StoredOrder:
+        """Return the last promotion order that was announced for a group."""
+
+    async def record_order(
+        self, group: str, order: PromotionOrder, revision: int
+    ) -> StoredOrder | None:
+        """Announce an order; return None if the record has another revision.
+
+        Revision 0 stands for a group without a record. Listings contain the order's
+        mark among the terms, under `name_order`.
+        """
+
     async def list_replica_sets(self) -> Mapping[str, StoredReplicaSet]:
         """Return the records of all groups' replica sets, by group."""
 
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -34,8 +34,14 @@
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import request_report
+from radishtrack.pooler.order_mark import PromotionOrder, make_next_mark
 from radishtrack.pooler.peers import NotRunning
-from radishtrack.pooler.ports import PromotionResult, ReplicaSet, StoreUnavailable
+from radishtrack.pooler.ports import (
+    PromotionResult,
+    ReplicaSet,
+    StoredOrder,
+    StoreUnavailable,
+)
 from radishtrack.pooler.promotion import (
     PromotionReason,
     choose_successor,
@@ -104,6 +110,8 @@
     )
     missing: tuple[MemberProcess, ...] = ()
     """Processes without which the promotion was withheld."""
+    is_ordered: bool = False
+    """Whether an order was sent and not refused."""
     is_withheld: bool = False
     """Whether acknowledged commits may be in logs that this attempt could not read."""
 
@@ -142,26 +150,76 @@
 
     async def _order_successor(self, claim: Claim, fenced_ms: float) -> str:
         """Choose a successor among the fenced members, and order its promotion."""
+        last = await self.promoter.store_copy.store.find_order(self.access.name)
+        pending = self._find_pending(last.order)
+        # The fenced logs don't grow, so the later choice is usually the same.
+        candidate = self._choose_by_position(
+            dict(self._list_fenced()), needed=1, preferred=pending
+        )
+        if candidate is None:
+            await self._unfence(self.old_primary)
+            return "no fenced member may be promoted"
+        if pending and candidate.member != pending:
+            await self._unfence(self.old_primary)
+            return f"an earlier order to promote {pending} may still take effect"
+        # Nodes that confirm their copy of the store from now on read the mark.
+        stored = await self._record_order(candidate.member, last)
+        if stored is None:
+            return await self.give_up(claim)
+        try:
+            return await self._order_marked(claim, fenced_ms, candidate.member, stored)
+        finally:
+            if not (self.is_ordered or pending):
+                await self._void_order(stored)
+
+    async def _order_marked(
+        self, claim: Claim, fenced_ms: float, candidate: str, stored: StoredOrder
+    ) -> str:
+        """Order a successor; the store has the mark of an order for the candidate."""
         self.acknowledged = await self._withdraw_evidence(fenced_ms)
         if not await self.promoter.duty.renew(claim):
             return await self.give_up(claim)
         # A member may have joined before all were fenced.
         await self._read_replica_set()
         fenced = await self._read_fenced()
-        successor = self._choose(fenced, "")
+        successor = self._choose(fenced, candidate)
         self._log_decision(fenced, successor)
         if self.access.evidence.term >= self.term:
             return "another promotion was faster"
         if successor is None:
             await self._unfence(self.old_primary)
             return self._withhold()
+        if successor.member != candidate and (
+            await self._record_order(successor.member, stored) is None
+        ):
+            return await self.give_up(claim)
         if not self.promoter.duty.may_order(claim):
             await self._unfence(self.old_primary)
             return "the claim is too old to order the promotion"
         return await self._order(successor, claim)
 
+    async def _record_order(self, member: str, last: StoredOrder) -> StoredOrder | None:
+        """Mark an order in the store; return None if another node has marked one."""
+        order = PromotionOrder(make_next_mark(self.term, last.order), member)
+        return await self.promoter.store_copy.store.record_order(
+            self.access.name, order, last.revision
+        )
+
+    async def _void_order(self, stored: StoredOrder) -> None:
+        """Record that a marked order was not given, so that others may be."""
+        assert stored.order is not None
+        order = attrs.evolve(stored.order, member="")
+        try:
+            await self.promoter.store_copy.store.record_order(
+                self.access.name, order, stored.revision
+            )
+        except StoreUnavailable as error:
+            # The mark expires by itself.
+            log_event(Event.PLATFORM_UNAVAILABLE, step=error.step, reason=error.reason)
+
     async def _order(self, successor: MemberReport, claim: Claim) -> str:
         age_ms = self.promoter.clock.now_ms() - claim.requested_ms
+        self.is_ordered = True
         result = await self.promoter.promote(
             self.access.name,
             successor.member,
@@ -178,6 +236,7 @@
             result=result.value,
         )
         if result is PromotionResult.REFUSED:
+            self.is_ordered = False
             return f"the order to promote {successor.member} was refused"
         if not await self._await_primary(successor.member):
             return f"{successor.member} is not the primary yet"
@@ -282,6 +341,15 @@
             ended=list_ended_members(self.replica_set, self.access).difference(fenced),
         )
 
+    def _find_pending(self, order: PromotionOrder | None) -> str:
+        """Return the member whose promotion may still take effect, if there is one."""
+        if order is None or order.term != self.term:
+            return ""
+        now_ms = self.promoter.clock.now_ms()
+        self.access.evidence.observe_order(order.mark, now_ms)
+        is_expired = now_ms >= self.access.evidence.order_expires_ms()
+        return "" if is_expired else order.member
+
     def _choose(
         self, fenced: Mapping[str, MemberReport], preferred: str
     ) -> MemberReport | None:
