Tell an order that was not given from one that may take effect

A mark that was written for an attempt which then gave no order looked the same as that of an outstanding order, also to nodes that start later: each start cost the group 5 s without writes until the next promotion. Marks of void orders are even now, and nodes that read one use their evidence at once. The next mark also counts from the last one that this node knows, as a restored store may have lost it. A withheld attempt is repeated at once when a member's entry comes or goes, not only when one responds.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -21,7 +21,11 @@
 from radishtrack.group.status import Role
 from radishtrack.pooler.acknowledgements import AcknowledgedRange
 from radishtrack.pooler.catalog import MemberReport
-from radishtrack.pooler.order_mark import ORDER_EXPIRY_MS, get_order_term
+from radishtrack.pooler.order_mark import (
+    ORDER_EXPIRY_MS,
+    get_order_term,
+    is_order_given,
+)
 from radishtrack.pooler.position_samples import PositionSamples, Sample, SampleSource
 from radishtrack.session.position import Position
 
@@ -93,8 +97,7 @@
     withdrawn_ms: float = 0.0
     """When that was. The promotion had been announced in the store before."""
     order_mark: int = 0
-    """Newest mark of a promotion order that this node has read; see
-    `radishtrack.pooler.order_mark`."""
+    """Mark of the group's last promotion order that this node has read."""
     ordered_ms: float = -math.inf
     """When the node first read it."""
     acknowledged: AcknowledgedRange = attrs.field(factory=AcknowledgedRange)
@@ -218,7 +221,8 @@
 
     def order_expires_ms(self) -> float:
         """Return the time from which on no order for a later term takes effect."""
-        if get_order_term(self.order_mark) <= self.term:
+        is_later = get_order_term(self.order_mark) > self.term
+        if not (is_later and is_order_given(self.order_mark)):
             return -math.inf
         return self.ordered_ms + ORDER_EXPIRY_MS
 
--- a/src/radishtrack/pooler/order_mark.py
+++ b/src/radishtrack/pooler/order_mark.py
@@ -1,7 +1,8 @@
 """Marks of promotion orders, which the store keeps for each group.
 
 A mark is written before the order is given. It grows with each order, so that nodes can
-tell a new order for the same term from one that has expired.
+tell a new order for the same term from one that has expired, and once more if the order
+was not given after all.
 """
 
 from __future__ import annotations
@@ -16,13 +17,13 @@
 ORDER_PREFIX: Final = "order:"
 """Marks share the mapping of announced terms, which earlier versions of this program
 pass on unchanged."""
-MAX_ORDERS: Final = 1_000
-"""Number of orders for one term; later ones share the last mark."""
+MARKS_IN_TERM: Final = 100_000
+"""Number of marks for one term; terms up to 42,949 have some."""
 
 
 @attrs.frozen
 class PromotionOrder:
-    """An order that may have been given.
+    """The last order for a group.
 
     Parameters
     ----------
@@ -35,37 +36,28 @@
     mark: int
     member: str
 
-    @property
-    def term(self) -> int:
-        """Term that the member will lead."""
-        return get_order_term(self.mark)
-
 
 def name_order(group: str) -> str:
     """Return the name under which listings contain a group's mark."""
     return ORDER_PREFIX + group
 
 
-def make_order_mark(term: int, number: int) -> int:
-    """Return the mark of an order.
+def get_order_term(mark: int) -> int:
+    """Return the term that the ordered member leads."""
+    return mark // MARKS_IN_TERM
 
-    Parameters
-    ----------
-    term : int
-        Term that the ordered member will lead.
-    number : int
-        Number of the order among those for this term, from 1.
-    """
-    return term * MAX_ORDERS + min(number, MAX_ORDERS - 1)
 
+def is_order_given(mark: int) -> bool:
+    """Return whether the order may have been given."""
+    return mark % 2 == 1
 
-def get_order_term(mark: int) -> int:
-    """Return the term of a mark."""
-    return mark // MAX_ORDERS
+
+def make_next_mark(term: int, last_mark: int) -> int:
+    """Return the mark of an order for a term, after the last one of the group."""
+    mark = term * MARKS_IN_TERM + 1
+    return max(mark, last_mark + (1 if last_mark % 2 == 0 else 2))
 
 
-def make_next_mark(term: int, last: PromotionOrder | None) -> int:
-    """Return the mark of the order that follows the last one of a group."""
-    if last is None or last.term != term:
-        return make_order_mark(term, 1)
-    return make_order_mark(term, last.mark % MAX_ORDERS + 1)
+def make_void_mark(mark: int) -> int:
+    """Return the mark that follows if an order was not given."""
+    return mark + 1
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -42,12 +42,28 @@
 RETRY_MS: Final = 250.0
 """Pause after a failed attempt."""
 WITHHELD_RETRY_MS: Final = 3_000.0
-"""Pause while members are missing that may alone hold acknowledged commits, unless one
-of them comes back. Each attempt claims the duty, which is a write."""
+"""Pause while acknowledged commits may be in logs that can't be read, unless a member
+comes back. Each attempt claims the duty, which is a write."""
 
 MakeOrganisation = Callable[[], str]
 
 
+@attrs.frozen
+class GroupMembers:
+    """Processes of a group's members.
+
+    Parameters
+    ----------
+    reached : frozenset of MemberProcess
+        Those that respond.
+    listed : frozenset of MemberProcess
+        Those that the store lists.
+    """
+
+    reached: frozenset[MemberProcess]
+    listed: frozenset[MemberProcess]
+
+
 @attrs.define(eq=False)
 class PromotionState:
     """Progress of failure detection and promotion in one group."""
@@ -63,8 +79,8 @@
     """When this node announced it."""
     missing: tuple[MemberProcess, ...] = ()
     """Members for which the last attempt was withheld."""
-    reached: frozenset[MemberProcess] | None = None
-    """Members that responded when it was withheld; None if it was not."""
+    withheld_for: GroupMembers | None = None
+    """Members that were known when it was withheld; None if it was not."""
     task: asyncio.Task[None] | None = None
 
 
@@ -111,12 +127,12 @@
             state.reason_since_ms = None
         state.reason = reason
         if reason is None:
-            state.reason_since_ms, state.missing, state.reached = None, (), None
+            state.reason_since_ms, state.missing, state.withheld_for = None, (), None
             return
         if state.reason_since_ms is None:
             state.reason_since_ms = now_ms
-        if state.reached is not None and not _list_reached(access) <= state.reached:
-            state.reached, state.not_before_ms = None, now_ms
+        if state.withheld_for not in (None, _list_members(access)):
+            state.withheld_for, state.not_before_ms = None, now_ms
         start_ms = state.reason_since_ms + self._rank(access.name) * RANK_DELAY_MS
         if now_ms < max(start_ms, state.not_before_ms) or self.duty.is_held_by_other():
             return
@@ -217,7 +233,7 @@
             outcome = f"store: {error}"
         finally:
             state.missing = attempt.missing
-            state.reached = _list_reached(access) if attempt.is_withheld else None
+            state.withheld_for = _list_members(access) if attempt.is_withheld else None
             pause_ms = WITHHELD_RETRY_MS if attempt.is_withheld else RETRY_MS
             state.not_before_ms = self.clock.now_ms() + pause_ms
         event = Event.PROMOTION_FAILED if outcome else Event.PROMOTION_WON
@@ -233,8 +249,18 @@
         )
 
 
-def _list_reached(access: GroupAccess) -> frozenset[MemberProcess]:
-    """Return the processes of the members that respond."""
-    return frozenset(
-        pool.member.process for pool in access.pools.values() if pool.is_reachable
+def _list_members(access: GroupAccess) -> GroupMembers:
+    """Return the group's members as this node knows them."""
+    processes = {name: pool.member.process for name, pool in access.pools.items()}
+    return GroupMembers(
+        frozenset(
+            process
+            for name, process in processes.items()
+            if access.pools[name].is_reachable
+        ),
+        frozenset(
+            process
+            for name, process in processes.items()
+            if name not in access.unlisted_ms
+        ),
     )
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -34,7 +34,12 @@
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import request_report
-from radishtrack.pooler.order_mark import PromotionOrder, make_next_mark
+from radishtrack.pooler.order_mark import (
+    PromotionOrder,
+    get_order_term,
+    make_next_mark,
+    make_void_mark,
+)
 from radishtrack.pooler.peers import NotRunning
 from radishtrack.pooler.ports import (
     PromotionResult,
@@ -154,14 +159,17 @@
         pending = self._find_pending(last.order)
         # The fenced logs don't grow, so the later choice is usually the same.
         candidate = self._choose_by_position(
-            dict(self._list_fenced()), needed=1, preferred=pending
+            dict(self._list_fenced()),
+            needed=1,
+            preferred="" if pending is None else pending.member,
         )
         if candidate is None:
             await self._unfence(self.old_primary)
             return "no fenced member may be promoted"
-        if pending and candidate.member != pending:
+        if pending is not None and candidate.member != pending.member:
             await self._unfence(self.old_primary)
-            return f"an earlier order to promote {pending} may still take effect"
+            name = pending.member or "another member"
+            return f"an earlier order to promote {name} may still take effect"
         # Nodes that confirm their copy of the store from now on read the mark.
         stored = await self._record_order(candidate.member, last)
         if stored is None:
@@ -169,7 +177,7 @@
         try:
             return await self._order_marked(claim, fenced_ms, candidate.member, stored)
         finally:
-            if not (self.is_ordered or pending):
+            if not self.is_ordered and pending is None:
                 await self._void_order(stored)
 
     async def _order_marked(
@@ -189,10 +197,10 @@
         if successor is None:
             await self._unfence(self.old_primary)
             return self._withhold()
-        if successor.member != candidate and (
-            await self._record_order(successor.member, stored) is None
-        ):
-            return await self.give_up(claim)
+        if successor.member != candidate:
+            # The store names the member of an order before it is given.
+            await self._unfence(self.old_primary)
+            return f"{candidate} has lost its fence or its log"
         if not self.promoter.duty.may_order(claim):
             await self._unfence(self.old_primary)
             return "the claim is too old to order the promotion"
@@ -200,7 +208,11 @@
 
     async def _record_order(self, member: str, last: StoredOrder) -> StoredOrder | None:
         """Mark an order in the store; return None if another node has marked one."""
-        order = PromotionOrder(make_next_mark(self.term, last.order), member)
+        # A restored store may have lost the last mark.
+        last_mark = self.access.evidence.order_mark
+        if last.order is not None:
+            last_mark = max(last_mark, last.order.mark)
+        order = PromotionOrder(make_next_mark(self.term, last_mark), member)
         return await self.promoter.store_copy.store.record_order(
             self.access.name, order, last.revision
         )
@@ -208,7 +220,7 @@
     async def _void_order(self, stored: StoredOrder) -> None:
         """Record that a marked order was not given, so that others may be."""
         assert stored.order is not None
-        order = attrs.evolve(stored.order, member="")
+        order = PromotionOrder(make_void_mark(stored.order.mark), "")
         try:
             await self.promoter.store_copy.store.record_order(
                 self.access.name, order, stored.revision
@@ -257,14 +269,13 @@
     def _withhold(self) -> str:
         self.is_withheld = True
         self.missing = self._list_missing()
-        commits = self.acknowledged.commits
         if self.missing:
             names = ", ".join(process.name for process in self.missing)
             return f"acknowledged commits may exist at {names} alone"
-        return (
-            "the members that respond may lack commits that were acknowledged up to "
-            f"{commits.most.term}.{commits.most.sequence}"
-        )
+        if not self._knows_all_members():
+            return "the store may not list all members yet"
+        most = _format_position(self.acknowledged.commits.most)
+        return f"the members that respond may lack commits up to {most}"
 
     async def _is_confirmed_by_peers(self) -> bool:
         primary = self.access.presumed_primary()
@@ -341,14 +352,13 @@
             ended=list_ended_members(self.replica_set, self.access).difference(fenced),
         )
 
-    def _find_pending(self, order: PromotionOrder | None) -> str:
-        """Return the member whose promotion may still take effect, if there is one."""
-        if order is None or order.term != self.term:
-            return ""
-        now_ms = self.promoter.clock.now_ms()
-        self.access.evidence.observe_order(order.mark, now_ms)
-        is_expired = now_ms >= self.access.evidence.order_expires_ms()
-        return "" if is_expired else order.member
+    def _find_pending(self, order: PromotionOrder | None) -> PromotionOrder | None:
+        """Return the last order if it may still take effect."""
+        if order is None or get_order_term(order.mark) != self.term:
+            return None
+        evidence, now_ms = self.access.evidence, self.promoter.clock.now_ms()
+        evidence.observe_order(order.mark, now_ms)
+        return None if now_ms >= evidence.order_expires_ms() else order
 
     def _choose(
         self, fenced: Mapping[str, MemberReport], preferred: str
