Replace a serving primary beside a replica with a closed port

A replica that refuses connections but runs on keeps its entry, so a promotion counts it and can't fence it: a leaving primary would have stayed until its end. If all members that are not fenced refuse connections, the attempt goes on, and the nodes' acknowledgements decide. A gauge tells the groups whose promotion is withheld.

test_a_leaving_primary_is_replaced_beside_a_closed_port; 79 tests of test_promoted_behind.py, test_promotion_orders.py, test_metrics.py, test_replica_set.py, test_evacuation.py and test_pooler_failover.py passed.

--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -326,8 +326,8 @@
     async def fence(self) -> float | None:
         """Fence the members; return the time of completion, or None on failure.
 
-        If the primary does not respond, fewer members than usual suffice: the nodes may
-        know that one of these has all commits.
+        Fewer members than usual suffice if the others refuse connections or the primary
+        does not respond: the nodes may know that one of these has all commits.
         """
         names = [name for name in self.access.pools if name != self.old_primary]
         for _ in range(FENCE_ROUNDS):
@@ -336,14 +336,17 @@
             fenced = dict(self._list_fenced())
             if len(fenced) >= self._count_required(fenced.keys()):
                 return self.promoter.clock.now_ms()
-            unfenced = [name for name in names if name not in fenced]
-            if all(self.access.pools[name].ended_ms is not None for name in unfenced):
-                break
+            if self._refuse_connections(name for name in names if name not in fenced):
+                return self.promoter.clock.now_ms() if fenced else None
             await asyncio.sleep(FENCE_PAUSE_MS / 1000)
         if not fenced or self._serves_at_present():
             return None
         return self.promoter.clock.now_ms()
 
+    def _refuse_connections(self, names: Iterable[str]) -> bool:
+        pools = (self.access.pools.get(name) for name in names)
+        return all(pool is None or pool.ended_ms is not None for pool in pools)
+
     def _count_required(self, fenced: Iterable[str]) -> int:
         return count_required_fences(
             self.access.evidence,
--- a/src/radishtrack/pooler/promotion_metrics.py
+++ b/src/radishtrack/pooler/promotion_metrics.py
@@ -19,15 +19,22 @@
     promoter: Promoter
 
     def collect(self) -> Iterator[Metric]:
-        """Return the missing members of groups whose promotion is withheld."""
+        """Return the groups whose promotion is withheld, and their missing members."""
         missing = GaugeMetricFamily(
             "radishtrack_pooler_promotion_missing_members",
             "Members without which this node may not promote",
             labels=("group",),
         )
+        withheld = GaugeMetricFamily(
+            "radishtrack_pooler_promotion_withheld",
+            "Whether acknowledged commits may be in logs that this node can't read",
+            labels=("group",),
+        )
         for group, state in self.promoter.states.items():
             missing.add_metric((group,), len(state.missing))
+            withheld.add_metric((group,), state.withheld_for is not None)
         yield missing
+        yield withheld
 
 
 def register_promotion_metrics(registry: CollectorRegistry, promoter: Promoter) -> None:
--- a/tests/test_promoted_behind.py
+++ b/tests/test_promoted_behind.py
@@ -201,3 +201,17 @@
         assert await write(client, 3) == 3
         await simulation.members["i-1"].stop()
         await wait_until(lambda: simulation.members["i-2"].role == "primary")
+
+
+async def test_a_leaving_primary_is_replaced_beside_a_closed_port() -> None:
+    async with open_simulation(nodes=2) as simulation:
+        await await_record(simulation)
+        for running in simulation.nodes:
+            running.node.promoter.started_ms -= DEPARTURE_MS
+        client = await simulation.connect(simulation.nodes[0], "orders")
+        replicate_to(simulation, ["i-2", "i-3"])
+        close_port(simulation.members["i-3"])
+        assert await write(client, 3) == 3
+        simulation.register(simulation.members["i-1"], state="draining")
+        await wait_until(lambda: simulation.members["i-2"].role == "primary")
+        assert simulation.members["i-2"].received >= 3
