Repeat an attempt as soon as the list of members has settled

A serving primary that has to leave waited for up to 3 s more after the list had become complete; a short pause is enough there, as the attempt writes nothing. A withheld attempt is also repeated once the list settles.

--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -44,6 +44,9 @@
 WITHHELD_RETRY_MS: Final = 3_000.0
 """Pause while acknowledged commits may be in logs that can't be read, unless a member
 comes back. Each attempt claims the duty, which is a write."""
+LIST_SETTLED_MS: Final = 3_500.0
+"""Time for which the store has to respond until its list has all members that run.
+Entries return about 2 s after an outage."""
 
 MakeOrganisation = Callable[[], str]
 
@@ -58,10 +61,13 @@
         Those that respond.
     listed : frozenset of MemberProcess
         Those that the store lists.
+    is_settled : bool
+        Whether the list has all members that run.
     """
 
     reached: frozenset[MemberProcess]
     listed: frozenset[MemberProcess]
+    is_settled: bool
 
 
 @attrs.define(eq=False)
@@ -131,7 +137,7 @@
             return
         if state.reason_since_ms is None:
             state.reason_since_ms = now_ms
-        if state.withheld_for not in (None, _list_members(access)):
+        if state.withheld_for not in (None, self._list_members(access)):
             state.withheld_for, state.not_before_ms = None, now_ms
         start_ms = state.reason_since_ms + self._rank(access.name) * RANK_DELAY_MS
         if now_ms < max(start_ms, state.not_before_ms) or self.duty.is_held_by_other():
@@ -170,11 +176,25 @@
             now_ms=now_ms,
         )
 
+    def has_settled_list(self) -> bool:
+        """Return whether the store's list has all members that run."""
+        return self.store_copy.steady_ms() >= LIST_SETTLED_MS
+
     def record_announced(self, group: str, term: int) -> None:
         """Record that this node has announced a promotion to a term."""
         state = self.states.setdefault(group, PromotionState())
         state.announced_term, state.announced_ms = term, self.clock.now_ms()
 
+    def _list_members(self, access: GroupAccess) -> GroupMembers:
+        pools = access.pools.items()
+        reached = (pool for _, pool in pools if pool.is_reachable)
+        listed = (pool for name, pool in pools if name not in access.unlisted_ms)
+        return GroupMembers(
+            frozenset(pool.member.process for pool in reached),
+            frozenset(pool.member.process for pool in listed),
+            self.has_settled_list(),
+        )
+
     async def vote(self, group: str, member: str) -> bool:
         """Return whether this node, too, finds that a primary can't serve.
 
@@ -233,7 +253,8 @@
             outcome = f"store: {error}"
         finally:
             state.missing = attempt.missing
-            state.withheld_for = _list_members(access) if attempt.is_withheld else None
+            members = self._list_members(access)
+            state.withheld_for = members if attempt.is_withheld else None
             pause_ms = WITHHELD_RETRY_MS if attempt.is_withheld else RETRY_MS
             state.not_before_ms = self.clock.now_ms() + pause_ms
         event = Event.PROMOTION_FAILED if outcome else Event.PROMOTION_WON
@@ -247,20 +268,3 @@
             detail=outcome or "promoted",
             elapsed_ms=round(self.clock.now_ms() - started_ms),
         )
-
-
-def _list_members(access: GroupAccess) -> GroupMembers:
-    """Return the group's members as this node knows them."""
-    processes = {name: pool.member.process for name, pool in access.pools.items()}
-    return GroupMembers(
-        frozenset(
-            process
-            for name, process in processes.items()
-            if access.pools[name].is_reachable
-        ),
-        frozenset(
-            process
-            for name, process in processes.items()
-            if name not in access.unlisted_ms
-        ),
-    )
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -82,9 +82,8 @@
 INVALIDATE_TIMEOUT_MS: Final = 200.0
 """Time limit for nodes to confirm; without a confirmation the promoter waits until the
 node's evidence has expired."""
-LIST_SETTLED_MS: Final = 3_500.0
-"""Time for which the store has to respond until its list has all members that run.
-Entries return about 2 s after an outage."""
+UNSETTLED_LIST: Final = "the store may not list all members yet"
+"""Outcome of an attempt soon after an outage of the store."""
 
 _Response = Message | NotRunning | None
 
@@ -135,7 +134,8 @@
             return "the store can't confirm the list of members"
         await self._read_replica_set()
         if self._serves_at_present() and not self._knows_all_members():
-            return self._withhold()
+            # A list that may be short is complete within seconds.
+            return self._withhold() if self._list_missing() else UNSETTLED_LIST
         claim = await self.promoter.duty.claim()
         if claim is None:
             return "another node holds the duty"
@@ -273,7 +273,7 @@
             names = ", ".join(process.name for process in self.missing)
             return f"acknowledged commits may exist at {names} alone"
         if not self._knows_all_members():
-            return "the store may not list all members yet"
+            return UNSETTLED_LIST
         most = _format_position(self.acknowledged.commits.most)
         return f"the members that respond may lack commits up to {most}"
 
@@ -303,8 +303,7 @@
         slack = max(0, self.access.evidence.synchronous_replicas - 1)
         if len(self._list_missing()) > slack:
             return False
-        settled_ms = self.promoter.store_copy.steady_ms()
-        return settled_ms >= LIST_SETTLED_MS or not may_lack_members(
+        return self.promoter.has_settled_list() or not may_lack_members(
             self.replica_set, self.access, self.old_primary
         )
 
