Reset connections to members whose statement is given up

Cause: asyncio's abort() closes the socket without a reset unless input is unread. It discards what the transport holds, and the kernel goes on sending what it has. A PAUSE, RESUME or STEPDOWN that a partition held up and that was given up by time-out, cancellation or the close of a busy link so arrived when the partition ended, e.g. a RESUME of an abandoned promotion at members fenced by the next.

Change: LineConnection.abort sets SO_LINGER to zero before it closes. WireLink.close does so too while a response is outstanding, instead of sending TERMINATE behind the statement. Idle connections, and clients' connections with a written answer, close in order as before.

--- a/src/radishtrack/platform/lines.py
+++ b/src/radishtrack/platform/lines.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Final, cast
 
+from radishtrack.platform.sockets import limit_unacknowledged, reset_connection
+
 LINE_END: Final = b"\r\n"
 """End of a line; either byte alone may be part of the last field."""
 MAX_LINE_BYTES: Final = 1_048_576
@@ -15,9 +17,6 @@
 """Unread input at which the connection stops reading."""
 MAX_UNSENT_BYTES: Final = 4 * MAX_LINE_BYTES
 """Unsent output at which the connection to a peer that does not read is aborted."""
-USER_TIMEOUT_MS: Final = 3_000
-"""Time after which the kernel closes a connection whose peer acknowledges nothing;
-members close connections to unreachable hosts after the same time."""
 KEEPALIVE_INTERVAL_S: Final = 2
 """Interval of keep-alive probes, which end idle connections to unreachable hosts."""
 
@@ -45,6 +44,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             _set_options(sock)
+        limit_unacknowledged(transport)
         if self.on_open is not None:
             self.on_open(self)
 
@@ -121,10 +121,10 @@
         self._wake()
 
     def abort(self) -> None:
-        """Close without sending buffered output."""
+        """Reset the connection, so that unsent output does not arrive later."""
         self.on_end = None
         if self.transport is not None:
-            self.transport.abort()
+            reset_connection(self.transport)
         self._wake()
 
     def _pop_line(self, end: int) -> str:
@@ -152,7 +152,6 @@
 
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
--- a/src/radishtrack/platform/member_link.py
+++ b/src/radishtrack/platform/member_link.py
@@ -41,6 +41,8 @@
     """A connection to a member; implements `MemberLink`."""
 
     connection: LineConnection
+    is_running: bool = False
+    """Whether the response to a statement is outstanding."""
 
     @property
     def is_closed(self) -> bool:
@@ -58,6 +60,7 @@
         if self.is_closed:
             self.connection.close()
             raise LinkLost("connection was closed", is_sent=False)
+        self.is_running = True
         try:
             self.connection.write(encode_line(format_query(statement, min_position)))
             async with asyncio.timeout(timeout_ms / 1000):
@@ -76,13 +79,21 @@
             # The response may still arrive; the next statement must not read it.
             self.connection.abort()
             raise
+        finally:
+            self.is_running = False
 
     def watch_end(self, on_end: Callable[[], None]) -> None:
         """Call back once if the connection ends without `close`."""
         self.connection.on_end = on_end
 
     def close(self) -> None:
-        """Close the connection; the member rolls back an open transaction."""
+        """Close the connection; the member rolls back an open transaction.
+
+        A running statement is given up: unless it has arrived, it never does.
+        """
+        if self.is_running:
+            self.connection.abort()
+            return
         if not self.connection.is_closed:
             self.connection.write(encode_line("TERMINATE"))
         self.connection.close()
--- /dev/null
+++ b/src/radishtrack/platform/sockets.py
@@ -0,0 +1,40 @@
+"""Socket options that decide what becomes of bytes that were not acknowledged."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import Final
+
+USER_TIMEOUT_MS: Final = 3_000
+"""Time after which the kernel closes a connection whose peer acknowledges nothing;
+members close connections to unreachable hosts after the same time."""
+NO_LINGER: Final = struct.pack("ii", 1, 0)
+"""Makes `close` reset the connection and discard what the kernel has not delivered."""
+
+
+def limit_unacknowledged(transport: asyncio.BaseTransport) -> None:
+    """Close a connection whose peer acknowledges nothing for `USER_TIMEOUT_MS`."""
+    _set_option(transport, socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def reset_connection(transport: asyncio.WriteTransport) -> None:
+    """Reset a connection, so that none of its undelivered bytes arrives later.
+
+    `abort` alone discards only what the transport holds: the kernel goes on sending
+    what it has, which arrives when a partition ends.
+    """
+    _set_option(transport, socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
+
+def _set_option(
+    transport: asyncio.BaseTransport, level: int, option: int, value: int | bytes
+) -> None:
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        # The socket may be closed already.
+        with contextlib.suppress(OSError, ValueError):
+            sock.setsockopt(level, option, value)
