Reset HTTP connections whose request is given up

Cause: as for members, a promotion order or a store write that was given up while a partition held up its bytes arrived when the partition ended. A late order promotes a member that may have fallen behind since.

Change: an exchange that ends without a complete response, by time-out, error or cancellation, resets its connection. Idle connections and those with a complete response close in order.

--- a/src/radishtrack/platform/http_client.py
+++ b/src/radishtrack/platform/http_client.py
@@ -13,6 +13,8 @@
 import attrs
 import h11
 
+from radishtrack.platform.sockets import reset_connection
+
 READ_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 """Longest body of a response; lists come in pages of about 1 MB."""
@@ -128,10 +130,14 @@
         self.idle_since_s = _now_s()
         return HttpResponse(status, bytes(content), response_headers)
 
-    def abort(self) -> None:
-        """Close the connection at once."""
+    def close(self) -> None:
+        """Close the connection after a complete exchange."""
         self.writer.transport.abort()
 
+    def reset(self) -> None:
+        """Give up an exchange: what has not arrived of the request never does."""
+        reset_connection(self.writer.transport)
+
 
 @attrs.define(eq=False)
 class HttpClient:
@@ -205,24 +211,24 @@
         finally:
             # The response to an incomplete exchange could reach the next request.
             if connection is not None and not is_complete:
-                connection.abort()
+                connection.reset()
         if connection.is_reusable and len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
         else:
-            connection.abort()
+            connection.close()
         return response
 
     async def close(self) -> None:
         """Close the idle connections."""
         while self.idle:
-            self.idle.pop().abort()
+            self.idle.pop().close()
 
     def _take_idle(self) -> _Connection | None:
         while self.idle:
             connection = self.idle.pop()
             if connection.is_reusable:
                 return connection
-            connection.abort()
+            connection.close()
         return None
 
     async def _connect(self) -> _Connection:
--- a/tests/test_abandoned_requests.py
+++ b/tests/test_abandoned_requests.py
@@ -14,10 +14,12 @@
 import uvloop
 
 from radishtrack.group.status import Role
+from radishtrack.platform.http_client import HttpClient, HttpError
 from radishtrack.platform.lines import LineConnection
 from radishtrack.platform.member_link import WireLink, open_wire_link
+from radishtrack.platform.promotion_order import make_promote_member
 from radishtrack.pooler.catalog import Member
-from radishtrack.pooler.ports import LinkLost
+from radishtrack.pooler.ports import LinkLost, PromotionResult
 from radishtrack.pooler.statements import GetStatus, Run
 
 RECEIVE_BYTES = 4_096
@@ -191,3 +193,82 @@
         assert await receiver.drain() == (answer, False)
 
     run_with_receiver(make_loop, script)
+
+
+async def request_until_timeout(client: HttpClient) -> None:
+    with pytest.raises(HttpError) as error:
+        await send_long_request(client)
+    assert error.value.is_sent
+
+
+async def request_until_cancelled(client: HttpClient) -> None:
+    task = asyncio.create_task(send_long_request(client))
+    await asyncio.sleep(0.05)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+
+
+async def send_long_request(client: HttpClient) -> None:
+    body = b"x" * REQUEST_BYTES + END
+    await client.request("PUT", "/a", timeout_ms=TIMEOUT_MS, body=body)
+
+
+@pytest.mark.parametrize("make_loop", LOOPS)
+@pytest.mark.parametrize("lose", [request_until_timeout, request_until_cancelled])
+def test_http_request_that_was_given_up_does_not_arrive_later(
+    make_loop: Callable[[], asyncio.AbstractEventLoop],
+    lose: Callable[[HttpClient], Awaitable[None]],
+) -> None:
+    """A late order promoted a member that had fallen behind since."""
+
+    async def script(receiver: SlowReceiver) -> None:
+        accepting = asyncio.create_task(receiver.accept())
+        await lose(HttpClient(f"127.0.0.1:{receiver.port}"))
+        await accepting
+        await asyncio.sleep(0.05)
+        received, is_reset = await receiver.drain()
+        assert is_reset
+        assert END not in received
+
+    run_with_receiver(make_loop, script)
+
+
+@pytest.mark.parametrize("make_loop", LOOPS)
+def test_promotion_order_without_a_response_resets_its_connection(
+    make_loop: Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    async def script(receiver: SlowReceiver) -> None:
+        accepting = asyncio.create_task(receiver.accept())
+        promote = make_promote_member(f"127.0.0.1:{receiver.port}")
+        assert await promote("g", "m", "edge-1", 7) is PromotionResult.UNKNOWN
+        await accepting
+        _, is_reset = await receiver.drain()
+        assert is_reset
+
+    run_with_receiver(make_loop, script)
+
+
+@pytest.mark.parametrize("make_loop", LOOPS)
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_http_connection_without_a_request_is_closed_in_order(
+    make_loop: Callable[[], asyncio.AbstractEventLoop], is_kept: bool
+) -> None:
+    header = b"" if is_kept else b"Connection: close\r\n"
+
+    async def script(receiver: SlowReceiver) -> None:
+        accepting = asyncio.create_task(receiver.accept())
+        client = HttpClient(f"127.0.0.1:{receiver.port}")
+        task = asyncio.create_task(client.request("GET", "/a", timeout_ms=1_000.0))
+        await accepting
+        await receiver.receive()
+        await receiver.send(
+            b"HTTP/1.1 200 OK\r\n" + header + b"Content-Length: 2\r\n\r\n{}"
+        )
+        assert (await task).body == b"{}"
+        assert len(client.idle) == is_kept
+        await client.close()
+        _, is_reset = await receiver.drain()
+        assert not is_reset
+
+    run_with_receiver(make_loop, script)
