Close HTTP connections whose peer acknowledges nothing

Cause: the line protocol's sockets had TCP_USER_TIMEOUT, those of the HTTP client did not, so that the kernel kept a connection to an unreachable host, and what it still had to send, for minutes.

Change: the HTTP client sets the same 3 s.

Measured: the option is 3000 with asyncio and uvloop, 0 before.

--- a/src/radishtrack/platform/http_client.py
+++ b/src/radishtrack/platform/http_client.py
@@ -13,7 +13,7 @@
 import attrs
 import h11
 
-from radishtrack.platform.sockets import reset_connection
+from radishtrack.platform.sockets import limit_unacknowledged, reset_connection
 
 READ_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -233,7 +233,9 @@
 
     async def _connect(self) -> _Connection:
         host, _, port = self.address.rpartition(":")
-        return _Connection(*await asyncio.open_connection(host, int(port)))
+        reader, writer = await asyncio.open_connection(host, int(port))
+        limit_unacknowledged(writer.transport)
+        return _Connection(reader, writer)
 
 
 def _now_s() -> float:
--- a/tests/test_abandoned_requests.py
+++ b/tests/test_abandoned_requests.py
@@ -18,6 +18,7 @@
 from radishtrack.platform.lines import LineConnection
 from radishtrack.platform.member_link import WireLink, open_wire_link
 from radishtrack.platform.promotion_order import make_promote_member
+from radishtrack.platform.sockets import USER_TIMEOUT_MS
 from radishtrack.pooler.catalog import Member
 from radishtrack.pooler.ports import LinkLost, PromotionResult
 from radishtrack.pooler.statements import GetStatus, Run
@@ -272,3 +273,23 @@
         assert not is_reset
 
     run_with_receiver(make_loop, script)
+
+
+@pytest.mark.parametrize("make_loop", LOOPS)
+def test_http_connection_to_an_unreachable_host_does_not_hang(
+    make_loop: Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    async def script(receiver: SlowReceiver) -> None:
+        accepting = asyncio.create_task(receiver.accept())
+        client = HttpClient(f"127.0.0.1:{receiver.port}")
+        task = asyncio.create_task(client.request("GET", "/a", timeout_ms=1_000.0))
+        await accepting
+        await receiver.receive()
+        await receiver.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await task
+        sock = client.idle[0].writer.get_extra_info("socket")
+        option = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert option == USER_TIMEOUT_MS
+        await client.close()
+
+    run_with_receiver(make_loop, script)
