Reset connections with an outstanding order if the process is killed

Cause: the kernel sends on what a killed process leaves behind. An order to promote, PAUSE, RESUME or STEPDOWN that a partition held up arrived seconds after its sender's end, when another node had taken over.

Change: sockets are set to reset when they are closed while an HTTP request or one of these statements is outstanding, and to close in order once the response is complete.

--- a/src/radishtrack/platform/http_client.py
+++ b/src/radishtrack/platform/http_client.py
@@ -13,7 +13,11 @@
 import attrs
 import h11
 
-from radishtrack.platform.sockets import limit_unacknowledged, reset_connection
+from radishtrack.platform.sockets import (
+    limit_unacknowledged,
+    reset_connection,
+    set_reset_on_close,
+)
 
 READ_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -104,6 +108,8 @@
             data += protocol.send(h11.Data(data=body)) or b""
         data += protocol.send(h11.EndOfMessage()) or b""
         self.received_bytes = 0
+        # A request must not arrive after the end of the process that sent it, either.
+        set_reset_on_close(self.writer.transport, is_reset=True)
         self.writer.write(data)
         status, content = 0, bytearray()
         response_headers: dict[bytes, bytes] = {}
@@ -127,6 +133,7 @@
                 raise h11.RemoteProtocolError("connection closed before a response")
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
             protocol.start_next_cycle()
+        set_reset_on_close(self.writer.transport, is_reset=False)
         self.idle_since_s = _now_s()
         return HttpResponse(status, bytes(content), response_headers)
 
--- a/src/radishtrack/platform/lines.py
+++ b/src/radishtrack/platform/lines.py
@@ -7,7 +7,11 @@
 from collections.abc import Callable
 from typing import Final, cast
 
-from radishtrack.platform.sockets import limit_unacknowledged, reset_connection
+from radishtrack.platform.sockets import (
+    limit_unacknowledged,
+    reset_connection,
+    set_reset_on_close,
+)
 
 LINE_END: Final = b"\r\n"
 """End of a line; either byte alone may be part of the last field."""
@@ -113,6 +117,11 @@
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.transport.abort()
 
+    def set_reset_on_close(self, *, is_reset: bool) -> None:
+        """Choose whether output is lost that has not arrived when the socket closes."""
+        if self.transport is not None:
+            set_reset_on_close(self.transport, is_reset=is_reset)
+
     def close(self) -> None:
         """Close after sending buffered output."""
         self.on_end = None
--- a/src/radishtrack/platform/member_link.py
+++ b/src/radishtrack/platform/member_link.py
@@ -32,6 +32,8 @@
 
 STATUS_STATEMENTS: Final = (GetStatus, Fence, Unfence, StepDown)
 """Statements whose result is a status row."""
+ORDERS: Final = (Fence, Unfence, StepDown)
+"""Statements that must not arrive after the end of the process that sent them."""
 MAX_RESPONSE_LINES: Final = 10_000
 """Limit of the lines of a response, which bounds its memory."""
 
@@ -61,10 +63,15 @@
             self.connection.close()
             raise LinkLost("connection was closed", is_sent=False)
         self.is_running = True
+        is_order = isinstance(statement, ORDERS)
+        if is_order:
+            self.connection.set_reset_on_close(is_reset=True)
         try:
             self.connection.write(encode_line(format_query(statement, min_position)))
             async with asyncio.timeout(timeout_ms / 1000):
                 lines = await self._read_response()
+            if is_order:
+                self.connection.set_reset_on_close(is_reset=False)
             return parse_member_response(
                 lines, has_report=isinstance(statement, STATUS_STATEMENTS)
             )
--- a/src/radishtrack/platform/sockets.py
+++ b/src/radishtrack/platform/sockets.py
@@ -11,8 +11,8 @@
 USER_TIMEOUT_MS: Final = 3_000
 """Time after which the kernel closes a connection whose peer acknowledges nothing;
 members close connections to unreachable hosts after the same time."""
-NO_LINGER: Final = struct.pack("ii", 1, 0)
-"""Makes `close` reset the connection and discard what the kernel has not delivered."""
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER: Final = struct.pack("ii", 0, 0)
 
 
 def limit_unacknowledged(transport: asyncio.BaseTransport) -> None:
@@ -20,13 +20,19 @@
     _set_option(transport, socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def reset_connection(transport: asyncio.WriteTransport) -> None:
-    """Reset a connection, so that none of its undelivered bytes arrives later.
+def set_reset_on_close(transport: asyncio.BaseTransport, *, is_reset: bool) -> None:
+    """Choose whether the kernel resets a connection when its socket is closed.
 
-    `abort` alone discards only what the transport holds: the kernel goes on sending
-    what it has, which arrives when a partition ends.
+    Otherwise it goes on sending what it has, also after the process was killed, and
+    that arrives when a partition ends.
     """
-    _set_option(transport, socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    value = RESET_ON_CLOSE if is_reset else CLOSE_IN_ORDER
+    _set_option(transport, socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
+def reset_connection(transport: asyncio.WriteTransport) -> None:
+    """Reset a connection, so that none of its undelivered bytes arrives later."""
+    set_reset_on_close(transport, is_reset=True)
     transport.abort()
 
 
--- a/tests/test_abandoned_requests.py
+++ b/tests/test_abandoned_requests.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -21,7 +22,7 @@
 from radishtrack.platform.sockets import USER_TIMEOUT_MS
 from radishtrack.pooler.catalog import Member
 from radishtrack.pooler.ports import LinkLost, PromotionResult
-from radishtrack.pooler.statements import GetStatus, Run
+from radishtrack.pooler.statements import Fence, GetStatus, MemberStatement, Run
 
 RECEIVE_BYTES = 4_096
 REQUEST_BYTES = 400_000
@@ -153,17 +154,18 @@
 
 
 @pytest.mark.parametrize("make_loop", LOOPS)
-@pytest.mark.parametrize("has_run", [False, True])
+@pytest.mark.parametrize("statement", [None, GetStatus(), Fence(2)])
 def test_idle_connection_to_a_member_is_closed_in_order(
-    make_loop: Callable[[], asyncio.AbstractEventLoop], has_run: bool
+    make_loop: Callable[[], asyncio.AbstractEventLoop],
+    statement: MemberStatement | None,
 ) -> None:
     async def script(receiver: SlowReceiver) -> None:
         link = await open_link(receiver)
-        if has_run:
+        if statement is not None:
             task = asyncio.create_task(
-                link.run(GetStatus(), min_position=None, timeout_ms=1_000.0)
+                link.run(statement, min_position=None, timeout_ms=1_000.0)
             )
-            while b"STATUS" not in await receiver.receive():
+            while b"QUERY" not in await receiver.receive():
                 pass
             await receiver.send(b"ERROR BUSY m\r\nREADY I 1.1\r\n")
             await task
@@ -293,3 +295,50 @@
         await client.close()
 
     run_with_receiver(make_loop, script)
+
+
+SEND_AND_WAIT = """
+import asyncio, sys
+from radishtrack.group.status import Role
+from radishtrack.platform.http_client import HttpClient
+from radishtrack.platform.member_link import open_wire_link
+from radishtrack.pooler.catalog import Member
+from radishtrack.pooler.statements import Fence
+
+async def fence(port):
+    member = Member("m", "g", "127.0.0.1", port, "z", 2, False, Role.PRIMARY, 1)
+    link = await open_wire_link(member, "verksted", 5_000.0)
+    await link.run(Fence(2), min_position=None, timeout_ms=60_000.0)
+
+async def order(port):
+    client = HttpClient(f"127.0.0.1:{port}")
+    await client.request("POST", "/a", timeout_ms=60_000.0, body=b"x" * 400_000)
+
+asyncio.run({"fence": fence, "order": order}[sys.argv[1]](int(sys.argv[2])))
+"""
+
+
+@pytest.mark.parametrize("request_name", ["fence", "order"])
+def test_order_of_a_process_that_was_killed_does_not_arrive_later(
+    request_name: str,
+) -> None:
+    """The kernel sends on what a process leaves behind."""
+
+    async def script(receiver: SlowReceiver) -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", SEND_AND_WAIT, request_name, str(receiver.port)
+        )
+        try:
+            await receiver.accept()
+            if request_name == "fence":
+                await receiver.receive()
+                await receiver.send(b"READY I 1.1\r\n")
+            await receiver.receive()
+            await asyncio.sleep(0.1)
+        finally:
+            process.kill()
+            await process.wait()
+        _, is_reset = await receiver.drain()
+        assert is_reset
+
+    run_with_receiver(asyncio.new_event_loop, script)
