Ignore what was requested before a member's process was replaced

Cause: reports carry no start time. One that was requested before a node learned of a restart, by its own poll or by the node that relays reports, was accepted after it, and so were positions of statements. An empty process then counted as one that has received a position: for the replica set, which drops a holder once others have its commits, and for reads.

Change: evidence keeps for each member the time from which requests count. It is set when the process or the address changes, and when a member is added to a list that is not the node's first. The entry is dropped with the member.

Not covered: a node that has just started accepts relayed reports of a process that the relay has not yet learned to be replaced, until its own first poll; that needs the start of the process in the message.

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -107,13 +107,19 @@
     ended_ms: dict[str, float] = attrs.field(factory=dict)
     """When processes of members were found to have ended; what one had received may be
     in no other log."""
+    counted_from_ms: dict[str, float] = attrs.field(factory=dict)
+    """Time from which reports and positions of a member count, if it has been replaced
+    by another process of its name: what was requested before may be the earlier one's.
+    """
 
     def set_members(self, names: frozenset[str]) -> None:
         """Replace the list of members and discard the reports of others."""
         self.former = (self.former | self.members) - names
         self.members = names
         for name in set(self.observations) - names:
-            self.discard_member(name)
+            self._forget(name)
+        for name in self.counted_from_ms.keys() - names:
+            del self.counted_from_ms[name]
 
     def record_restart(self, member: str, now_ms: float) -> None:
         """Record that a member runs as another process, which may lack its log.
@@ -123,15 +129,19 @@
         """
         self.incomplete.pop(member, None)
         self.ended_ms[member] = now_ms
-        self.discard_member(member)
+        self.discard_member(member, now_ms)
 
     def record_end(self, member: str, now_ms: float) -> None:
         """Record that a member that was removed has ended."""
         self.former.discard(member)
         self.ended_ms[member] = now_ms
 
-    def discard_member(self, member: str) -> None:
-        """Discard a member's report and applied position after a restart or removal."""
+    def discard_member(self, member: str, now_ms: float) -> None:
+        """Discard what was requested from a member before now."""
+        self._forget(member)
+        self.counted_from_ms[member] = now_ms
+
+    def _forget(self, member: str) -> None:
         self.observations.pop(member, None)
         self.applied.pop(member, None)
 
@@ -149,6 +159,8 @@
         now_ms : float
             Current time in milliseconds.
         """
+        if self._is_of_earlier_process(report.member, requested_ms):
+            return False
         previous = self.observations.get(report.member)
         if previous is not None and previous.requested_ms > requested_ms:
             return False
@@ -171,6 +183,8 @@
 
     def observe_position(self, member: str, position: Position, at_ms: float) -> None:
         """Record a member's position from a response requested at `at_ms`."""
+        if self._is_of_earlier_process(member, at_ms):
+            return
         self._record_applied(member, position)
         if member != self.primary or position.term > self.term:
             return
@@ -179,6 +193,9 @@
         if at_ms >= self.led_since_ms:
             self._sample_primary(position, at_ms)
 
+    def _is_of_earlier_process(self, member: str, requested_ms: float) -> bool:
+        return requested_ms < self.counted_from_ms.get(member, -math.inf)
+
     def _record_applied(self, member: str, position: Position) -> None:
         self.applied[member] = max(position, self.applied.get(member, position))
 
--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -171,6 +171,7 @@
             Latest time at which the list before this one was confirmed; None if this is
             the first.
         """
+        is_first = listed_before_ms is None
         if listed_before_ms is None:
             listed_before_ms = now_ms - LEAVING_USE_MS + STARTED_USE_MS
         for member in members:
@@ -183,6 +184,9 @@
         for member in listed.values():
             self.unlisted_ms.pop(member.name, None)
             is_leaving = member.name in self.leaving
+            if member.name not in self.pools and not is_first:
+                # An earlier process may have had its name, and be polled elsewhere.
+                self.evidence.discard_member(member.name, now_ms)
             self._set_member(attrs.evolve(member, is_leaving=is_leaving))
         for name in self.pools.keys() - listed.keys():
             self.unlisted_ms.setdefault(name, now_ms)
@@ -476,7 +480,7 @@
             if pool.member.process != member.process:
                 self.evidence.record_restart(member.name, self.clock.now_ms())
             else:
-                self.evidence.discard_member(member.name)
+                self.evidence.discard_member(member.name, self.clock.now_ms())
             pool.capacity = self.placement.make_capacity(member.slots)
         pool.member = member
 
