Don't take the refusals and answers of an earlier process for a later one's

Cause: when a member's process or address was replaced while a node connected to the earlier one, the connection was used for the later one. A refused connection to the earlier address recorded the end of the later process, which a promotion then does not count once it is dispensable.

Change: the pool compares process and address after connecting; it closes a connection to an earlier process, and a refusal by one says nothing.

--- a/src/radishtrack/pooler/member_pool.py
+++ b/src/radishtrack/pooler/member_pool.py
@@ -37,6 +37,7 @@
 """Time limit for setting a value or preparing, which need no slot of the member."""
 SERVICE_SMOOTHING: Final = 0.1
 """Weight of the newest statement in the moving average of the service time."""
+REPLACED_REASON: Final = "the member was replaced while it was connected to"
 
 
 def _do_nothing() -> None:
@@ -301,18 +302,33 @@
         if is_at_limit and self.idle and not self.sharing.keep_idle(self):
             self._close_one_idle()
         self.opening += 1
+        member = self.member
         try:
-            link = await self.open_link(self.member, organisation, CONNECT_TIMEOUT_MS)
+            link = await self.open_link(member, organisation, CONNECT_TIMEOUT_MS)
         except LinkRefused as error:
+            if not self._is_same_process(member):
+                # It says nothing about the later process.
+                raise LinkRefused(REPLACED_REASON) from error
             if error.is_full:
                 self.sharing.record_refusal(self)
             raise
         finally:
             self.opening -= 1
+        if not self._is_same_process(member):
+            link.close()
+            raise LinkRefused(REPLACED_REASON)
         link.watch_end(self.on_link_end)
         self.last_response_ms = self.clock.now_ms()
         return PooledLink(link, organisation)
 
+    def _is_same_process(self, member: Member) -> bool:
+        present = self.member
+        return (present.process, present.host, present.port) == (
+            member.process,
+            member.host,
+            member.port,
+        )
+
     def _close_one_idle(self) -> None:
         self.idle.pop(self.sharing.choose_idle(self)).link.close()
 
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -21,7 +21,6 @@
     GetStatus,
     MemberResponse,
     MemberStatement,
-    Refusal,
     TransactionState,
 )
 from radishtrack.session.position import Position
@@ -110,12 +109,8 @@
         return report.position if report is not None else None
 
 
-def respond(
-    report: MemberReport | None, refusal: Refusal | None = None
-) -> MemberResponse:
-    return MemberResponse(
-        state=TransactionState.IDLE, position=None, refusal=refusal, report=report
-    )
+def respond(report: MemberReport | None) -> MemberResponse:
+    return MemberResponse(state=TransactionState.IDLE, report=report)
 
 
 @pytest.fixture
@@ -230,3 +225,47 @@
     answering.set()
     await poll
     assert group.find_position("b") is None
+
+
+async def test_connection_that_was_being_opened_to_an_earlier_process_is_not_used(
+    group: Group,
+) -> None:
+    """Its answers were taken for those of the later process."""
+
+    async def answer(_statement: MemberStatement) -> MemberResponse:
+        return respond(make_report("b", FULL))
+
+    group.answer = answer
+    group.opening.clear()
+    poll = asyncio.create_task(group.poll("b"))
+    while not group.opened:
+        await asyncio.sleep(0)
+    restart(group, 2_000.0, port=7_001)
+    group.opening.set()
+    await poll
+    assert group.find_position("b") is None
+    assert group.access.pools["b"].open_count == 0
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        LinkRefused("refused", has_no_listener=True),
+        LinkRefused("wrong member", is_wrong_member=True),
+    ],
+)
+async def test_process_has_not_ended_if_the_address_of_an_earlier_one_refuses(
+    group: Group, refusal: LinkRefused
+) -> None:
+    """A member that runs was taken for ended, and promotions counted without it."""
+    group.refusal = refusal
+    group.opening.clear()
+    poll = asyncio.create_task(group.poll("b"))
+    while not group.opened:
+        await asyncio.sleep(0)
+    restart(group, 2_000.0, port=7_001)
+    group.opening.set()
+    await poll
+    pool = group.access.pools["b"]
+    assert pool.ended_ms is None
+    assert pool.is_reachable
