Don't count a member's last report before its end once it responds again

Cause: a refused connection records the end of a member's process, and any response cleared it. If the response had no report (a busy member), the last report before the end counted again, although the process that responds may be a later one without the log whose entry is not there yet. The replica set then dropped a holder whose commits only that report had.

Change: when a member responds after an end, its earlier report is set aside. It still shows that the next one lacks the log, but counts for nothing else.

Measured: with two replicas found to have ended and one of them busy, the other was dropped from the holders before; now it stays until the first one reports the position (2 of 2 new tests failed before).

--- a/src/radishtrack/pooler/evidence.py
+++ b/src/radishtrack/pooler/evidence.py
@@ -107,6 +107,9 @@
     ended_ms: dict[str, float] = attrs.field(factory=dict)
     """When processes of members were found to have ended; what one had received may be
     in no other log."""
+    before_end: dict[str, Observation] = attrs.field(factory=dict)
+    """Last report of each member that was found to have ended, has responded since, and
+    has not reported yet."""
     counted_from_ms: dict[str, float] = attrs.field(factory=dict)
     """Time from which reports and positions of a member count, if it has been replaced
     by another process of its name: what was requested before may be the earlier one's.
@@ -116,7 +119,7 @@
         """Replace the list of members and discard the reports of others."""
         self.former = (self.former | self.members) - names
         self.members = names
-        for name in set(self.observations) - names:
+        for name in (self.observations.keys() | self.before_end.keys()) - names:
             self._forget(name)
         for name in self.counted_from_ms.keys() - names:
             del self.counted_from_ms[name]
@@ -131,6 +134,16 @@
         self.ended_ms[member] = now_ms
         self.discard_member(member, now_ms)
 
+    def record_return(self, member: str, ended_ms: float) -> None:
+        """Record that a member responds that was found to have ended at `ended_ms`.
+
+        It may run as another process, which may lack the log.
+        """
+        last = self.observations.get(member)
+        if last is not None and last.requested_ms < ended_ms:
+            self.discard_member(member, ended_ms)
+            self.before_end[member] = last
+
     def record_end(self, member: str, now_ms: float) -> None:
         """Record that a member that was removed has ended."""
         self.former.discard(member)
@@ -143,6 +156,7 @@
 
     def _forget(self, member: str) -> None:
         self.observations.pop(member, None)
+        self.before_end.pop(member, None)
         self.applied.pop(member, None)
 
     def observe_report(
@@ -166,7 +180,8 @@
             return False
         # The report may end what a later copy of the store has prolonged.
         self.proven_until_ms = max(self.proven_until_ms, self.valid_until_ms())
-        self._check_log(previous, report)
+        before_end = self.before_end.pop(report.member, None)
+        self._check_log(previous or before_end, report)
         self.observations[report.member] = Observation(report, requested_ms)
         changed = self._follow_term(report, now_ms)
         # A report that completes the evidence also proves the primary's earlier report.
--- a/src/radishtrack/pooler/monitor.py
+++ b/src/radishtrack/pooler/monitor.py
@@ -234,7 +234,9 @@
 
 def _record_response(access: GroupAccess, pool: MemberPool, now_ms: float) -> None:
     pool.last_response_ms = now_ms
-    pool.ended_ms = None
+    if pool.ended_ms is not None:
+        access.evidence.record_return(pool.member.name, pool.ended_ms)
+        pool.ended_ms = None
     pool.failures = 0
     if not pool.is_reachable:
         pool.is_reachable = True
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -16,11 +16,13 @@
 from radishtrack.pooler.catalog import GroupSettings, Member, MemberReport
 from radishtrack.pooler.group_access import GroupAccess, make_group_access
 from radishtrack.pooler.monitor import request_report
-from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink
+from radishtrack.pooler.ports import LinkLost, LinkRefused, MemberLink, ReplicaSet
+from radishtrack.pooler.replica_set import ReplicaSetTracker
 from radishtrack.pooler.statements import (
     GetStatus,
     MemberResponse,
     MemberStatement,
+    Refusal,
     TransactionState,
 )
 from radishtrack.session.position import Position
@@ -88,7 +90,7 @@
         await self.opening.wait()
         if refusal is not None:
             raise refusal
-        return ScriptedLink(self.answer)
+        return ScriptedLink(lambda statement: self.answer(statement))
 
     def list_members(self, *members: Member, is_first: bool = False) -> None:
         now_ms = self.time.value_ms
@@ -109,8 +111,12 @@
         return report.position if report is not None else None
 
 
-def respond(report: MemberReport | None) -> MemberResponse:
-    return MemberResponse(state=TransactionState.IDLE, report=report)
+def respond(
+    report: MemberReport | None, refusal: Refusal | None = None
+) -> MemberResponse:
+    return MemberResponse(
+        state=TransactionState.IDLE, position=None, refusal=refusal, report=report
+    )
 
 
 @pytest.fixture
@@ -269,3 +275,41 @@
     pool = group.access.pools["b"]
     assert pool.ended_ms is None
     assert pool.is_reachable
+
+
+@pytest.mark.parametrize(("position", "is_needed"), [(EMPTY, True), (FULL, False)])
+async def test_last_report_before_an_end_does_not_count_after_it(
+    group: Group, position: Position, is_needed: bool
+) -> None:
+    """A member without its log stood in for one that alone had acknowledged commits."""
+    tracker = ReplicaSetTracker()
+    record: ReplicaSet | None = None
+
+    def update() -> set[str]:
+        nonlocal record
+        group.time.value_ms += 100.0
+        record = tracker.update(record, group.access, group.time.value_ms)
+        assert record is not None
+        return {process.name for process in record.holders}
+
+    async def refuse(_statement: MemberStatement) -> MemberResponse:
+        return respond(None, Refusal.BUSY)
+
+    async def report(_statement: MemberStatement) -> MemberResponse:
+        return respond(make_report("b", position))
+
+    assert update() == set("abc")
+    group.refusal = LinkRefused("refused", has_no_listener=True)
+    await group.poll("b")
+    await group.poll("c")
+    group.time.value_ms += 100.0
+    group.observe("a", FULL, group.time.value_ms)
+    assert update() == set("abc")
+    group.refusal, group.answer = None, refuse
+    await group.poll("b")
+    assert group.access.pools["b"].ended_ms is None
+    assert update() == set("abc")
+    group.answer = report
+    await group.poll("b")
+    assert ("c" in update()) == is_needed
+    assert ("b" in group.access.evidence.incomplete) == is_needed
