Lift no fences of a promotion that another node has started

RESUME names no term, so one that belongs to an earlier promotion lifted the fences of the next: an attempt that failed after its claim had ended (4.4 s after its start, each step within its limit), and a monitor that corrected a member by what it had read before the next PAUSE. The mark of the order keeps nodes from acknowledging then, but members committed what the promotion rolled back.

An attempt unfences only while its claim lasts, since no other node claims the duty before; the rest is left to the next attempt or the monitors.

--- a/src/radishtrack/pooler/group_access.py
+++ b/src/radishtrack/pooler/group_access.py
@@ -132,6 +132,8 @@
     """When a member disappeared from the store's list, by name."""
     leaving: dict[str, LeavingMember] = attrs.field(factory=dict)
     """Members that are leaving or have left, by name."""
+    corrections: set[asyncio.Task[object]] = attrs.field(factory=set)
+    """Statements to members that missed a promotion, as long as they run."""
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set and replaced whenever a report arrives."""
     poll_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -405,6 +407,15 @@
             plan = find_plan()
         return plan
 
+    def withdraw_evidence(self) -> None:
+        """Invalidate the evidence for a promotion that has fenced the members.
+
+        A correction that is under way could lift these fences.
+        """
+        self.evidence.withdraw(self.clock.now_ms())
+        for task in self.corrections:
+            task.cancel()
+
     def request_poll(self) -> None:
         """Make the monitors poll now."""
         self.poll_requested.set()
--- a/src/radishtrack/pooler/monitor.py
+++ b/src/radishtrack/pooler/monitor.py
@@ -120,7 +120,17 @@
                 member_term=report.term,
                 fenced_term=report.fenced_term,
             )
-            await self._request_report(pool, correction)
+            await self._correct(pool, correction)
+
+    async def _correct(self, pool: MemberPool, correction: MemberStatement) -> None:
+        """Run a correction until a promotion starts; then it is given up."""
+        task = asyncio.create_task(self._request_report(pool, correction))
+        self.access.corrections.add(task)
+        try:
+            await asyncio.wait((task,))
+        finally:
+            task.cancel()
+            self.access.corrections.discard(task)
 
     async def _request_report(
         self, pool: MemberPool, statement: MemberStatement
--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -488,7 +488,7 @@
                 return Vote(request, await self.promoter.vote(database, member))
             case WithdrawBelief(request, database):
                 access = self.find_group(database)
-                access.evidence.withdraw(self.clock.now_ms())
+                access.withdraw_evidence()
                 commits = access.evidence.acknowledged
                 return BeliefWithdrawn(request, commits.least.term)
             case WithdrawEvidence(request, database):
@@ -514,17 +514,17 @@
                 return None
 
     def _withdraw_evidence(self, request: int, group: str) -> EvidenceWithdrawn:
-        now_ms = self.clock.now_ms()
-        evidence = self.find_group(group).evidence
-        evidence.withdraw(now_ms)
-        least, most = evidence.acknowledged.least, evidence.acknowledged.most
+        access = self.find_group(group)
+        access.withdraw_evidence()
+        commits = access.evidence.acknowledged
+        least, most = commits.least, commits.most
         return EvidenceWithdrawn(
             request,
             least.term,
             least.sequence,
             most.term,
             most.sequence,
-            now_ms - self.options.process_started_ms,
+            self.clock.now_ms() - self.options.process_started_ms,
         )
 
 
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Awaitable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Final
@@ -53,7 +54,7 @@
     count_required_fences,
     needs_outside_successor,
 )
-from radishtrack.pooler.promotion_duty import Claim
+from radishtrack.pooler.promotion_duty import DUTY_LEASE_MS, Claim
 from radishtrack.pooler.replica_set import (
     find_term_primary,
     list_ended_members,
@@ -105,6 +106,7 @@
     promoter: Promoter
     access: GroupAccess
     reason: PromotionReason
+    claim: Claim | None = None
     term: int = 0
     """Term that the successor will lead."""
     old_primary: str = ""
@@ -136,7 +138,7 @@
         if self._serves_at_present() and not self._knows_all_members():
             # A list that may be short is complete within seconds.
             return self._withhold() if self._list_missing() else UNSETTLED_LIST
-        claim = await self.promoter.duty.claim()
+        claim = self.claim = await self.promoter.duty.claim()
         if claim is None:
             return "another node holds the duty"
         self.term = self.access.evidence.term + 1
@@ -257,7 +259,7 @@
 
     async def give_up(self, claim: Claim) -> str:
         """End an attempt whose claim was lost; return why."""
-        duty = self.promoter.duty
+        self.claim, duty = claim, self.promoter.duty
         if duty.is_outdated(claim) and not duty.is_taken_over():
             # No node takes over before the lease of a lost claim has ended.
             await self._unfence(self.old_primary)
@@ -443,8 +445,8 @@
         The list of nodes must be read after the members were fenced: a node that
         registers later can't obtain evidence of the old term.
         """
-        evidence, clock = self.access.evidence, self.promoter.clock
-        evidence.withdraw(clock.now_ms())
+        clock = self.promoter.clock
+        self.access.withdraw_evidence()
         is_complete = await self.promoter.store_copy.read_records()
         responses = await self._request_withdrawals()
         nodes = list(self._list_acknowledgements(responses))
@@ -528,8 +530,15 @@
         }
 
     async def _unfence(self, except_member: str) -> None:
+        """Unfence the members before another node may claim the duty and fence them."""
+        if self.claim is None:
+            return
         names = [name for name in self.access.pools if name != except_member]
-        await self._request_reports(names, Unfence())
+        lease_end_ms = self.claim.requested_ms + DUTY_LEASE_MS
+        remaining_ms = lease_end_ms - self.promoter.clock.now_ms()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
+                await self._request_reports(names, Unfence())
 
     async def _await_primary(self, member: str) -> bool:
         clock, evidence = self.promoter.clock, self.access.evidence
