--- /dev/null
+++ b/tests/promotion_faults.py
@@ -0,0 +1,318 @@
+"""Random faults of members, nodes, store and network for `promotion_fleet`."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from tests.promotion_members import PLATFORM, STORE, FleetMember
+
+if TYPE_CHECKING:
+    from tests.promotion_fleet import PromotionFleet
+
+Fault = Callable[["PromotionFleet"], Awaitable[None]]
+MAX_PAUSE_MS: Final = 2_500.0
+"""Longest pause between the starts of two faults."""
+
+
+def _pick_replica(fleet: PromotionFleet) -> FleetMember | None:
+    replicas = [
+        member
+        for member in fleet.group.members.values()
+        if member.is_up and not member.is_primary and member.name != fleet.group.leader
+    ]
+    return fleet.random.choice(replicas) if replicas else None
+
+
+def _pick_any(fleet: PromotionFleet) -> FleetMember | None:
+    members = [member for member in fleet.group.members.values() if member.is_up]
+    return fleet.random.choice(members) if members else None
+
+
+def _leader(fleet: PromotionFleet) -> FleetMember:
+    return fleet.group.members[fleet.group.leader]
+
+
+async def _pause(fleet: PromotionFleet, low_s: float, high_s: float) -> None:
+    await asyncio.sleep(fleet.random.uniform(low_s, high_s))
+
+
+def _start(fleet: PromotionFleet, member: FleetMember) -> None:
+    """Start a member's next process; a replica's has no log."""
+    was_primary = member.is_primary or member.name == fleet.group.leader
+    member.restart(keeps_log=was_primary)
+    member.is_closed = False
+    member.is_primary = member.name == fleet.group.leader
+    if not was_primary:
+        member.resumes_ms = fleet.now_ms() + 1_000_000.0 + fleet.random.uniform(50, 900)
+    fleet.note("member starts", member.name, member.process, member.position)
+    fleet.store.due_ms[member.name] = 0.0
+
+
+async def _crash(fleet: PromotionFleet, member: FleetMember | None, longest_s: float) -> None:
+    if member is None or not member.is_up:
+        return
+    fleet.note("member ends", member.name, member.process, member.position)
+    member.end()
+    await _pause(fleet, 0.2, longest_s)
+    _start(fleet, member)
+
+
+async def crash_replica(fleet: PromotionFleet) -> None:
+    await _crash(fleet, _pick_replica(fleet), 5.0)
+
+
+async def crash_primary(fleet: PromotionFleet) -> None:
+    await _crash(fleet, _leader(fleet), 8.0)
+
+
+async def crash_any(fleet: PromotionFleet) -> None:
+    await _crash(fleet, _pick_any(fleet), 4.0)
+
+
+async def close_port(fleet: PromotionFleet) -> None:
+    """Refuse connections while the process runs."""
+    member = _pick_any(fleet)
+    if member is None:
+        return
+    process = member.process
+    fleet.note("port closed", member.name)
+    member.is_closed = True
+    member.end_links()
+    await _pause(fleet, 0.5, 7.0)
+    member.is_closed = False
+    fleet.note("port open", member.name, process)
+
+
+async def make_deaf(fleet: PromotionFleet) -> None:
+    member = _pick_replica(fleet)
+    if member is None:
+        return
+    fleet.note("deaf", member.name)
+    member.is_deaf = True
+    await _pause(fleet, 0.5, 8.0)
+    member.is_deaf = False
+    fleet.note("hears", member.name)
+
+
+async def make_slow(fleet: PromotionFleet) -> None:
+    member = _pick_any(fleet)
+    if member is None:
+        return
+    member.slow_ms = fleet.random.choice((50.0, 150.0, 400.0, 900.0))
+    fleet.note("slow", member.name, member.slow_ms)
+    await _pause(fleet, 0.5, 6.0)
+    member.slow_ms = 0.0
+
+
+async def _cut(
+    fleet: PromotionFleet,
+    one: frozenset[str],
+    is_other: Callable[[str], bool],
+    text: str,
+    longest_s: float = 6.0,
+) -> None:
+    cut = (lambda name: name in one, is_other)
+    fleet.note("cut", text, ",".join(sorted(one)))
+    fleet.network.cuts.append(cut)
+    await _pause(fleet, 0.3, longest_s)
+    fleet.network.cuts.remove(cut)
+    fleet.note("cut ends", text, ",".join(sorted(one)))
+
+
+async def darken_member(fleet: PromotionFleet) -> None:
+    member = _pick_any(fleet)
+    if member is not None:
+        name = member.name
+        await _cut(fleet, frozenset({name}), lambda n: n != name, "dark")
+
+
+async def darken_primary(fleet: PromotionFleet) -> None:
+    name = fleet.group.leader
+    await _cut(fleet, frozenset({name}), lambda n: n != name, "dark")
+
+
+async def cut_replication(fleet: PromotionFleet) -> None:
+    replica, name = _pick_replica(fleet), fleet.group.leader
+    if replica is not None:
+        await _cut(fleet, frozenset({replica.name}), lambda n: n == name, f"from {name}")
+
+
+async def cut_from_nodes(fleet: PromotionFleet) -> None:
+    member = _pick_any(fleet)
+    count = fleet.random.randint(1, len(fleet.nodes))
+    nodes = fleet.random.sample(sorted(fleet.nodes), count)
+    if member is not None:
+        await _cut(
+            fleet,
+            frozenset({member.name}),
+            lambda n: n in nodes,
+            f"from nodes {','.join(sorted(nodes))}",
+        )
+
+
+async def cut_member_from_store(fleet: PromotionFleet) -> None:
+    member = _pick_any(fleet)
+    if member is not None:
+        await _cut(fleet, frozenset({member.name}), lambda n: n == STORE, "from store")
+
+
+async def cut_node_from_store(fleet: PromotionFleet) -> None:
+    count = fleet.random.randint(1, len(fleet.nodes))
+    nodes = frozenset(fleet.random.sample(sorted(fleet.nodes), count))
+    await _cut(fleet, nodes, lambda n: n in (STORE, PLATFORM), "from store and platform")
+
+
+async def cut_node_from_nodes(fleet: PromotionFleet) -> None:
+    name = fleet.random.choice(sorted(fleet.nodes))
+    others = fleet.nodes.keys() - {name}
+    await _cut(fleet, frozenset({name}), lambda n: n in others, "from other nodes")
+
+
+async def isolate_node(fleet: PromotionFleet) -> None:
+    name = fleet.random.choice(sorted(fleet.nodes))
+    others = fleet.nodes.keys() - {name}
+    await _cut(
+        fleet,
+        frozenset({name}),
+        lambda n: n in others or n in (STORE, PLATFORM),
+        "from nodes and store",
+    )
+
+
+async def stop_store(fleet: PromotionFleet) -> None:
+    store = fleet.store
+    if store.is_down:
+        return
+    store.is_down = True
+    store.is_silent = fleet.random.random() < 0.5
+    store.expires_while_down = fleet.random.random() < 0.5
+    fleet.note("store down", store.is_silent, store.expires_while_down)
+    await _pause(fleet, 0.5, 9.0)
+    store.is_down = False
+    fleet.note("store up")
+
+
+async def lose_writes(fleet: PromotionFleet) -> None:
+    fleet.store.lossy = 0.3
+    fleet.note("store loses writes")
+    await _pause(fleet, 1.0, 8.0)
+    fleet.store.lossy = 0.0
+    fleet.note("store loses nothing")
+
+
+async def lose_orders(fleet: PromotionFleet) -> None:
+    fleet.group.late_orders = 0.4
+    fleet.group.late_controls = 0.4
+    await _pause(fleet, 2.0, 12.0)
+    fleet.group.late_orders = fleet.group.late_controls = 0.0
+
+
+async def crash_node(fleet: PromotionFleet) -> None:
+    place = fleet.nodes[fleet.random.choice(sorted(fleet.nodes))]
+    if place.node is None:
+        return
+    fleet.end_node(place)
+    await _pause(fleet, 0.3, 4.0)
+    fleet.start_node(place)
+
+
+async def crash_nodes(fleet: PromotionFleet) -> None:
+    """End all nodes; nobody knows then what was acknowledged."""
+    places = [place for place in fleet.nodes.values() if place.node is not None]
+    for place in places:
+        fleet.end_node(place)
+    await _pause(fleet, 0.2, 2.0)
+    for place in places:
+        fleet.start_node(place)
+
+
+async def replace_replica(fleet: PromotionFleet) -> None:
+    """Lose a replica for good; another one starts, under a new name."""
+    member = _pick_replica(fleet)
+    if member is None:
+        return
+    fleet.note("member lost", member.name, member.process, member.position)
+    await _replace(fleet, member)
+
+
+async def _replace(fleet: PromotionFleet, member: FleetMember) -> None:
+    members = fleet.group.members
+    member.end()
+    del members[member.name]
+    number = 1 + max(int(name[1:]) for name in (*members, member.name))
+    await _pause(fleet, 0.3, 5.0)
+    while f"m{number}" in members:
+        number += 1
+    successor = FleetMember(
+        f"m{number}", process=0, is_up=False, names_own_term=member.names_own_term
+    )
+    members[successor.name] = successor
+    _start(fleet, successor)
+
+
+async def retire_member(fleet: PromotionFleet) -> None:
+    """Let a member leave; a primary waits for its successor."""
+    member = _pick_any(fleet)
+    if member is None or member.is_leaving:
+        return
+    member.is_leaving = True
+    fleet.note("leaving", member.name)
+    fleet.store.register(member)
+    await _pause(fleet, 3.0, 9.0)
+    while member.is_up and (member.is_primary or member.name == fleet.group.leader):
+        await asyncio.sleep(0.5)
+    if fleet.group.members.get(member.name) is not member or not member.is_up:
+        return
+    fleet.note("left", member.name, member.position)
+    fleet.store.remove(member.name)
+    await _replace(fleet, member)
+
+
+FAULTS: Final[tuple[tuple[Fault, int], ...]] = (
+    (crash_replica, 5),
+    (crash_primary, 4),
+    (crash_any, 2),
+    (close_port, 4),
+    (make_deaf, 5),
+    (make_slow, 2),
+    (darken_member, 2),
+    (darken_primary, 2),
+    (cut_replication, 2),
+    (cut_from_nodes, 3),
+    (cut_member_from_store, 2),
+    (cut_node_from_store, 2),
+    (cut_node_from_nodes, 2),
+    (isolate_node, 2),
+    (stop_store, 5),
+    (lose_writes, 2),
+    (lose_orders, 3),
+    (crash_node, 3),
+    (crash_nodes, 1),
+    (replace_replica, 3),
+    (retire_member, 2),
+)
+
+
+@attrs.define(eq=False)
+class FaultPlan:
+    """Starts random faults, which overlap, and waits for their ends."""
+
+    random: random.Random
+    duration_ms: float
+
+    async def run(self, fleet: PromotionFleet) -> None:
+        """Play the faults."""
+        until_ms = fleet.now_ms() + self.duration_ms
+        faults, weights = zip(*FAULTS, strict=True)
+        running: list[asyncio.Task[None]] = []
+        while fleet.now_ms() < until_ms:
+            await asyncio.sleep(self.random.uniform(0.05, MAX_PAUSE_MS / 1000))
+            (fault,) = self.random.choices(faults, weights)
+            running.append(asyncio.ensure_future(fault(fleet)))
+        for task in running:
+            await task
