--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Final
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 
@@ -14,9 +15,9 @@
 if TYPE_CHECKING:
     from tests.promotion_fleet import PromotionFleet
 
-Fault = Callable[["PromotionFleet"], Awaitable[None]]
-MAX_PAUSE_MS: Final = 2_500.0
-"""Longest pause between the starts of two faults."""
+Fault = Callable[["PromotionFleet"], Coroutine[Any, Any, None]]
+USED_FRACTION: Final = 0.5
+"""Part of the kinds of faults that one plan uses."""
 
 
 def _pick_replica(fleet: PromotionFleet) -> FleetMember | None:
@@ -43,6 +44,8 @@
 
 def _start(fleet: PromotionFleet, member: FleetMember) -> None:
     """Start a member's next process; a replica's has no log."""
+    if fleet.group.members.get(member.name) is not member:
+        return
     was_primary = member.is_primary or member.name == fleet.group.leader
     member.restart(keeps_log=was_primary)
     member.is_closed = False
@@ -75,10 +78,17 @@
 
 
 async def close_port(fleet: PromotionFleet) -> None:
-    """Refuse connections while the process runs."""
     member = _pick_any(fleet)
-    if member is None:
-        return
+    if member is not None:
+        await _close_port(fleet, member)
+
+
+async def close_primary(fleet: PromotionFleet) -> None:
+    await _close_port(fleet, _leader(fleet))
+
+
+async def _close_port(fleet: PromotionFleet, member: FleetMember) -> None:
+    """Refuse connections while the process runs."""
     process = member.process
     fleet.note("port closed", member.name)
     member.is_closed = True
@@ -90,8 +100,11 @@
 
 async def make_deaf(fleet: PromotionFleet) -> None:
     member = _pick_replica(fleet)
-    if member is None:
-        return
+    if member is not None:
+        await _make_deaf(fleet, member)
+
+
+async def _make_deaf(fleet: PromotionFleet, member: FleetMember) -> None:
     fleet.note("deaf", member.name)
     member.is_deaf = True
     await _pause(fleet, 0.5, 8.0)
@@ -116,11 +129,9 @@
     text: str,
     longest_s: float = 6.0,
 ) -> None:
-    cut = (lambda name: name in one, is_other)
     fleet.note("cut", text, ",".join(sorted(one)))
-    fleet.network.cuts.append(cut)
-    await _pause(fleet, 0.3, longest_s)
-    fleet.network.cuts.remove(cut)
+    with fleet.network.cut(one, is_other):
+        await _pause(fleet, 0.3, longest_s)
     fleet.note("cut ends", text, ",".join(sorted(one)))
 
 
@@ -185,16 +196,10 @@
 
 
 async def stop_store(fleet: PromotionFleet) -> None:
-    store = fleet.store
-    if store.is_down:
-        return
-    store.is_down = True
-    store.is_silent = fleet.random.random() < 0.5
-    store.expires_while_down = fleet.random.random() < 0.5
-    fleet.note("store down", store.is_silent, store.expires_while_down)
-    await _pause(fleet, 0.5, 9.0)
-    store.is_down = False
-    fleet.note("store up")
+    if not fleet.store.is_down:
+        _stop_store(fleet)
+        await _pause(fleet, 0.5, 9.0)
+        _start_store(fleet)
 
 
 async def lose_writes(fleet: PromotionFleet) -> None:
@@ -242,6 +247,8 @@
 
 async def _replace(fleet: PromotionFleet, member: FleetMember) -> None:
     members = fleet.group.members
+    if members.get(member.name) is not member or member.name == fleet.group.leader:
+        return
     member.end()
     del members[member.name]
     number = 1 + max(int(name[1:]) for name in (*members, member.name))
@@ -258,7 +265,16 @@
 async def retire_member(fleet: PromotionFleet) -> None:
     """Let a member leave; a primary waits for its successor."""
     member = _pick_any(fleet)
-    if member is None or member.is_leaving:
+    if member is not None:
+        await _retire(fleet, member)
+
+
+async def retire_primary(fleet: PromotionFleet) -> None:
+    await _retire(fleet, _leader(fleet))
+
+
+async def _retire(fleet: PromotionFleet, member: FleetMember) -> None:
+    if member.is_leaving:
         return
     member.is_leaving = True
     fleet.note("leaving", member.name)
@@ -273,6 +289,168 @@
     await _replace(fleet, member)
 
 
+async def hide_holder(fleet: PromotionFleet) -> None:
+    """Let one replica alone receive while it is hidden; then lose the primary."""
+    await _await_health(fleet)
+    holder, primary = _pick_replica(fleet), _leader(fleet)
+    if holder is None:
+        return
+    choose = fleet.random.choice
+    others = [
+        member
+        for member in fleet.group.members.values()
+        if member not in (holder, primary)
+    ]
+    hide = choose(("crash", "port", "nodes", "dark", "store", "replace", "none"))
+    when_down = choose(("before", "after", "later", "never"))
+    fleet.note("hide", holder.name, hide, when_down)
+    with contextlib.ExitStack() as stack:
+        if when_down == "before":
+            _stop_store(fleet)
+            await _pause(fleet, 0.0, 1.0)
+        holder = await _hide(fleet, holder, hide, stack)
+        if when_down == "after":
+            await _pause(fleet, 0.0, 1.5)
+            _stop_store(fleet)
+        await _pause(fleet, 0.0, choose((0.3, 4.0)))
+        for member in others:
+            member.is_deaf = True
+            stack.callback(setattr, member, "is_deaf", False)
+        fleet.note("deaf", *(member.name for member in others))
+        await _pause(fleet, 0.3, 4.0)
+        if when_down == "later":
+            _stop_store(fleet)
+            await _pause(fleet, 0.0, 2.0)
+        await _lose_primary(fleet, primary, holder, stack)
+        await _pause(fleet, 0.0, 1.0)
+        _start_store(fleet)
+        await _pause(fleet, 0.5, 5.0)
+        fleet.note("hide ends", holder.name)
+    await _pause(fleet, 0.5, 4.0)
+
+
+async def _await_health(fleet: PromotionFleet) -> None:
+    """Wait, for a limited time, until two replicas follow the leader."""
+    for _ in range(40):
+        leader = _leader(fleet)
+        followers = [
+            member
+            for member in fleet.group.members.values()
+            if member is not leader
+            and member.is_up
+            and not member.fenced_term
+            and member.term == leader.term
+        ]
+        if leader.is_up and len(followers) >= 2:
+            return
+        await asyncio.sleep(0.1)
+
+
+async def _hide(
+    fleet: PromotionFleet, member: FleetMember, how: str, stack: contextlib.ExitStack
+) -> FleetMember:
+    """Hide a member until the stack is closed; return it or its successor."""
+    one = frozenset({member.name})
+    match how:
+        case "crash":
+            await _crash(fleet, member, 1.5)
+        case "port":
+            member.is_closed = True
+            member.end_links()
+            stack.callback(setattr, member, "is_closed", False)
+        case "nodes":
+            stack.enter_context(fleet.network.cut(one, fleet.nodes.__contains__))
+        case "dark":
+            hidden = {*fleet.nodes, STORE}
+            stack.enter_context(fleet.network.cut(one, hidden.__contains__))
+        case "store":
+            stack.enter_context(fleet.network.cut(one, STORE.__eq__))
+        case "replace":
+            known = set(fleet.group.members)
+            await _replace(fleet, member)
+            names = sorted(fleet.group.members.keys() - known)
+            return fleet.group.members[names[0]] if names else member
+    return member
+
+
+async def _lose_primary(
+    fleet: PromotionFleet,
+    primary: FleetMember,
+    holder: FleetMember,
+    stack: contextlib.ExitStack,
+) -> None:
+    choose = fleet.random.choice
+    faults: list[Coroutine[Any, Any, None]] = []
+    match choose(("crash", "dark", "leave", "none", "port")):
+        case "crash":
+            faults.append(_crash(fleet, primary, 8.0))
+        case "dark":
+            faults.append(darken_primary(fleet))
+        case "leave":
+            faults.append(_retire(fleet, primary))
+        case "port":
+            faults.append(_close_port(fleet, primary))
+    match choose(("crash", "dark", "none", "none")):
+        case "crash":
+            faults.append(_crash(fleet, holder, 6.0))
+        case "dark":
+            name = holder.name
+            faults.append(_cut(fleet, frozenset({name}), lambda n: n != name, "dark"))
+    match choose(("one", "all", "none", "none", "none")):
+        case "one":
+            faults.append(crash_node(fleet))
+        case "all":
+            faults.append(crash_nodes(fleet))
+    fleet.random.shuffle(faults)
+    for fault in faults:
+        fleet.start(fault)
+        await _pause(fleet, 0.0, choose((0.1, 1.0)))
+
+
+def _stop_store(fleet: PromotionFleet) -> None:
+    store = fleet.store
+    store.is_down = True
+    store.is_silent = fleet.random.random() < 0.5
+    store.expires_while_down = fleet.random.random() < 0.5
+    fleet.note("store down", store.is_silent, store.expires_while_down)
+
+
+def _start_store(fleet: PromotionFleet) -> None:
+    if fleet.store.is_down:
+        fleet.store.is_down = False
+        fleet.note("store up")
+
+
+async def restart_fenced(fleet: PromotionFleet) -> None:
+    """End fences by restarts and late statements while a promotion is under way."""
+    fleet.group.late_controls = fleet.group.late_orders = 0.3
+    await _await_health(fleet)
+    fleet.start(fleet.random.choice(PRIMARY_FAULTS)(fleet))
+    until_ms = fleet.now_ms() + 6_000.0
+    while fleet.now_ms() < until_ms:
+        await asyncio.sleep(0.02)
+        fenced = [m for m in fleet.group.members.values() if m.is_up and m.fenced_term]
+        if not fenced:
+            continue
+        await _pause(fleet, 0.0, 0.3)
+        member = fleet.random.choice(fenced)
+        if fleet.random.random() < 0.5:
+            fleet.start(_crash(fleet, member, 0.4))
+        else:
+            fleet.note("late Unfence", member.name)
+            member.fenced_term = 0
+        await _pause(fleet, 0.0, 1.0)
+    fleet.group.late_controls = fleet.group.late_orders = 0.0
+
+
+STORIES: Final[tuple[Fault, ...]] = (hide_holder, hide_holder, restart_fenced)
+"""Faults that follow each other, as in promotions that lost commits."""
+PRIMARY_FAULTS: Final[tuple[Fault, ...]] = (
+    crash_primary,
+    darken_primary,
+    retire_primary,
+    close_primary,
+)
 FAULTS: Final[tuple[tuple[Fault, int], ...]] = (
     (crash_replica, 5),
     (crash_primary, 4),
@@ -300,7 +478,15 @@
 
 @attrs.define(eq=False)
 class FaultPlan:
-    """Starts random faults, which overlap, and waits for their ends."""
+    """Starts random faults, which overlap, and waits for their ends.
+
+    Parameters
+    ----------
+    random : Random
+        Chooses them.
+    duration_ms : float
+        Time in which faults start.
+    """
 
     random: random.Random
     duration_ms: float
@@ -308,11 +494,28 @@
     async def run(self, fleet: PromotionFleet) -> None:
         """Play the faults."""
         until_ms = fleet.now_ms() + self.duration_ms
-        faults, weights = zip(*FAULTS, strict=True)
-        running: list[asyncio.Task[None]] = []
+        match self.random.choice(("stories", "stories", "single", "both")):
+            case "stories":
+                await self._tell(fleet, until_ms)
+            case "single":
+                await self._scatter(fleet, until_ms, self.random.choice((0.8, 2.0)))
+            case "both":
+                await asyncio.gather(
+                    self._tell(fleet, until_ms), self._scatter(fleet, until_ms, 8.0)
+                )
+        while fleet.faults:
+            await asyncio.wait(fleet.faults)
+
+    async def _tell(self, fleet: PromotionFleet, until_ms: float) -> None:
+        while fleet.now_ms() < until_ms:
+            await self.random.choice(STORIES)(fleet)
+
+    async def _scatter(
+        self, fleet: PromotionFleet, until_ms: float, longest_s: float
+    ) -> None:
+        used = [item for item in FAULTS if self.random.random() < USED_FRACTION]
+        faults, weights = zip(*(used or FAULTS), strict=True)
         while fleet.now_ms() < until_ms:
-            await asyncio.sleep(self.random.uniform(0.05, MAX_PAUSE_MS / 1000))
+            await asyncio.sleep(self.random.uniform(0.05, longest_s))
             (fault,) = self.random.choices(faults, weights)
-            running.append(asyncio.ensure_future(fault(fleet)))
-        for task in running:
-            await task
+            fleet.start(fault(fleet))
--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -9,7 +9,7 @@
 import contextlib
 import random
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, Final
 from unittest import mock
 
@@ -158,6 +158,8 @@
     promotions: int = 0
     serving: set[asyncio.Task[None]] = attrs.field(factory=set)
     writing: set[asyncio.Task[None]] = attrs.field(factory=set)
+    faults: set[asyncio.Task[None]] = attrs.field(factory=set)
+    """Faults that have not ended yet."""
     statements: int = 0
     unknown: int = 0
     is_stuck: bool = False
@@ -178,6 +180,12 @@
         text = " ".join(str(word) for word in words)
         self.events.append(f"{self.now_ms() / 1000:8.3f} {text}")
 
+    def start(self, fault: Coroutine[Any, Any, None]) -> None:
+        """Start a fault that ends by itself."""
+        task = asyncio.create_task(fault)
+        self.faults.add(task)
+        task.add_done_callback(self.faults.discard)
+
     async def play(self, faults: FaultPlan | None = None) -> None:
         """Play the fleet's life with faults, and check it."""
         group_random = self.random
--- a/tests/promotion_members.py
+++ b/tests/promotion_members.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import contextvars
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterator
 from typing import Final
 
 import attrs
@@ -51,6 +52,18 @@
             (a(one) and b(other)) or (a(other) and b(one)) for a, b in self.cuts
         )
 
+    @contextlib.contextmanager
+    def cut(
+        self, one: Collection[str], is_other: Callable[[str], bool]
+    ) -> Iterator[None]:
+        """Drop the messages between two sets of processes."""
+        cut = (lambda name: name in one, is_other)
+        self.cuts.append(cut)
+        try:
+            yield
+        finally:
+            self.cuts.remove(cut)
+
 
 @attrs.define(eq=False)
 class FleetMember(ModelMember):
@@ -331,16 +344,21 @@
             self._serve(statement), context=contextvars.Context()
         )
         ended = asyncio.create_task(self.ended.wait())
+        loop = get_virtual_loop()
+        until_s = loop.time() + timeout_ms / 1000
         try:
             await asyncio.wait(
                 (serving, ended),
                 timeout=timeout_ms / 1000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            if serving.done() and not self.is_closed:
+                response = serving.result()
+                if response is not None:
+                    return response
+                await asyncio.wait((ended,), timeout=max(0.0, until_s - loop.time()))
         finally:
             ended.cancel()
-        if serving.done() and not self.is_closed:
-            return serving.result()
         reason = self.reason if self.is_closed else "no response in time"
         self.close()
         raise LinkLost(reason, is_sent=True)
@@ -351,7 +369,8 @@
     def _runs(self) -> bool:
         return self.member.is_up and self.member.process == self.process
 
-    async def _serve(self, statement: MemberStatement) -> MemberResponse:
+    async def _serve(self, statement: MemberStatement) -> MemberResponse | None:
+        """Run a statement; return None if there is no response."""
         group, member = self.group, self.member
         delay_ms = group.random.uniform(0.5, 4.0)
         delay_ms += group.random.uniform(0.0, member.slow_ms)
@@ -359,22 +378,23 @@
         is_late = False
         if not self._reaches():
             is_control = isinstance(statement, Fence | Unfence | StepDown)
-            if is_control and group.random.random() < group.late_controls:
-                is_late = True
-                await asyncio.sleep(group.random.uniform(0.3, 4.0))
-            if not is_late or not self._reaches():
-                await asyncio.Event().wait()
+            if not is_control or group.random.random() >= group.late_controls:
+                return None
+            is_late = True
+            await asyncio.sleep(group.random.uniform(0.3, 4.0))
+            if not self._reaches():
+                return None
         if not self._runs():
-            await asyncio.Event().wait()
+            return None
         if is_late:
             group.note("late", type(statement).__name__, member.name)
         response = await self._execute(statement)
         await asyncio.sleep(group.random.uniform(0.5, 4.0) / 1000)
         if is_late or not self._reaches() or not self._runs():
-            await asyncio.Event().wait()
+            return None
         return response
 
-    async def _execute(self, statement: MemberStatement) -> MemberResponse:
+    async def _execute(self, statement: MemberStatement) -> MemberResponse | None:
         group, member = self.group, self.member
         match statement:
             case GetStatus():
@@ -403,15 +423,13 @@
             member.name, member.term, member.fenced_term, role, member.position, 0.0
         )
 
-    async def _write(self, statement_id: str) -> MemberResponse:
+    async def _write(self, statement_id: str) -> MemberResponse | None:
         member = self.member
         if not member.is_primary:
             return MemberResponse(refusal=Refusal.READ_ONLY, position=member.position)
         entry = self.group.commit(member, statement_id)
-        while member.acknowledged < entry.sequence:
-            if not self._runs() or not entry.is_in(member.log):
-                await asyncio.Event().wait()
+        while self._runs() and entry.is_in(member.log):
+            if member.acknowledged >= entry.sequence:
+                return MemberResponse(signature="x", position=member.position)
             await member.changed.wait()
-        if not self._runs() or not entry.is_in(member.log):
-            await asyncio.Event().wait()
-        return MemberResponse(signature="x", position=member.position)
+        return None
