--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -56,7 +56,9 @@
     fleet.store.due_ms[member.name] = 0.0
 
 
-async def _crash(fleet: PromotionFleet, member: FleetMember | None, longest_s: float) -> None:
+async def _crash(
+    fleet: PromotionFleet, member: FleetMember | None, longest_s: float
+) -> None:
     if member is None or not member.is_up:
         return
     fleet.note("member ends", member.name, member.process, member.position)
@@ -150,7 +152,9 @@
 async def cut_replication(fleet: PromotionFleet) -> None:
     replica, name = _pick_replica(fleet), fleet.group.leader
     if replica is not None:
-        await _cut(fleet, frozenset({replica.name}), lambda n: n == name, f"from {name}")
+        await _cut(
+            fleet, frozenset({replica.name}), lambda n: n == name, f"from {name}"
+        )
 
 
 async def cut_from_nodes(fleet: PromotionFleet) -> None:
@@ -175,7 +179,9 @@
 async def cut_node_from_store(fleet: PromotionFleet) -> None:
     count = fleet.random.randint(1, len(fleet.nodes))
     nodes = frozenset(fleet.random.sample(sorted(fleet.nodes), count))
-    await _cut(fleet, nodes, lambda n: n in (STORE, PLATFORM), "from store and platform")
+    await _cut(
+        fleet, nodes, lambda n: n in (STORE, PLATFORM), "from store and platform"
+    )
 
 
 async def cut_node_from_nodes(fleet: PromotionFleet) -> None:
--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -16,6 +16,7 @@
 import attrs
 
 from radishtrack.errors import RequestError
+from radishtrack.events import Event
 from radishtrack.peer.link import LinkClosed
 from radishtrack.peer.messages import Message
 from radishtrack.peer.server import PeerHandlers
@@ -27,7 +28,6 @@
 from tests.member_model import Entry
 from tests.promotion_faults import FaultPlan
 from tests.promotion_members import (
-    GROUP,
     FleetMember,
     MemberGroup,
     Network,
@@ -35,6 +35,7 @@
 from tests.promotion_store import DATABASE, ModelStore, NodeStore
 from tests.virtual_time import (
     get_virtual_loop,
+    make_task_context,
     make_virtual_clock,
     run_in_virtual_time,
     task_owner,
@@ -47,6 +48,8 @@
 """Time after the last fault within which commits have to be acknowledged again."""
 WRITE_INTERVAL_MS: Final = 40.0
 PEER_PORT: Final = 7_000
+NOTED_EVENTS: Final = (1, 3)
+"""Thousands of the numbers of events that are recorded."""
 
 
 @attrs.frozen
@@ -65,6 +68,7 @@
     name: str
     process: int = 0
     node: Node | None = None
+    task: asyncio.Task[None] | None = None
     handlers: PeerHandlers | None = None
     links: list[_PeerLinkModel] = attrs.field(factory=list)
     context: Any = None
@@ -99,11 +103,11 @@
                 return
             value = await target.handlers.call(self.source, message)
             await asyncio.sleep(fleet.random.uniform(0.0005, 0.004))
-            if fleet.network.reaches(self.source, target.name):
-                if not response.done():
-                    response.set_result(value)
+            is_reached = fleet.network.reaches(self.source, target.name)
+            if is_reached and not response.done():
+                response.set_result(value)
 
-        context = target.context or task_owner_context("")
+        context = target.context or make_task_context("")
         task = asyncio.create_task(serve(), context=context)
         fleet.serving.add(task)
         task.add_done_callback(fleet.serving.discard)
@@ -133,15 +137,6 @@
         await self.closed.wait()
 
 
-def task_owner_context(owner: str) -> Any:
-    """Return a context whose tasks belong to a process."""
-    import contextvars
-
-    context = contextvars.Context()
-    context.run(task_owner.set, owner)
-    return context
-
-
 @attrs.define(eq=False)
 class PromotionFleet:
     """Nodes, members and clients, and what was acknowledged to these."""
@@ -211,12 +206,9 @@
         plan = faults or FaultPlan(self.random, FAULTS_MS)
         await plan.run(self)
         self.note("faults end")
-        end = len(self.acknowledged)
-        until_ms = self.now_ms() + RECOVERY_MS
-        while self.now_ms() < until_ms:
-            await asyncio.sleep(0.5)
-        recent = [a for a in self.acknowledged[end:] if a.at_ms > until_ms - 2_000.0]
-        self.is_stuck = not recent
+        await asyncio.sleep(RECOVERY_MS / 1000)
+        served = {a.node for a in self.acknowledged if a.at_ms > self.now_ms() - 2_000}
+        self.is_stuck = served != self.nodes.keys()
         self._check_all("end")
         for task in (*running, clients):
             task.cancel()
@@ -228,7 +220,7 @@
         place.process += 1
         clock = make_virtual_clock()
         record = NodeRecord(place.name, place.name, PEER_PORT, "z", place.process)
-        place.context = task_owner_context(place.owner)
+        place.context = make_task_context(place.owner)
 
         def make() -> Node:
             return make_node(
@@ -245,7 +237,7 @@
         place.node = place.context.run(make)
         assert place.node is not None
         self.note("start", place.owner)
-        asyncio.create_task(place.node.run(), context=place.context)
+        place.task = asyncio.create_task(place.node.run(), context=place.context)
 
     def end_node(self, place: FleetNode) -> None:
         """End a node's process, as a crash does."""
@@ -334,14 +326,13 @@
 
 
 @contextlib.contextmanager
-def _without_sockets(
-    fleet: PromotionFleet, *, logs: bool
-) -> Iterator[None]:
-    def log(event: Any, **fields: object) -> None:
-        if event.number in LOGGED:
-            owner = task_owner.get()
-            words = " ".join(f"{k}={v}" for k, v in fields.items())
-            fleet.note(f"[{owner}] R{event.number} {event.text}: {words}")
+def _replace_sockets(fleet: PromotionFleet) -> Iterator[None]:
+    """Replace links between nodes, and record the nodes' events."""
+
+    def log(event: Event, **fields: object) -> None:
+        if event.number // 1_000 in NOTED_EVENTS or event is Event.BACKGROUND_FAILED:
+            words = " ".join(f"{name}={value}" for name, value in fields.items())
+            fleet.note(f"[{task_owner.get()}] R{event.number} {event.text}: {words}")
 
     with contextlib.ExitStack() as stack:
         for name, value in (
@@ -349,24 +340,18 @@
             ("radishtrack.pooler.node.start_peer_server", fleet.start_peer_server),
         ):
             stack.enter_context(mock.patch(name, value))
-        for name in tuple(sys.modules):
-            if name.startswith("radishtrack.") and hasattr(
-                sys.modules[name], "log_event"
+        for module in tuple(sys.modules.values()):
+            if module.__name__.startswith("radishtrack.") and "log_event" in vars(
+                module
             ):
-                stack.enter_context(mock.patch.object(sys.modules[name], "log_event", log))
+                stack.enter_context(mock.patch.object(module, "log_event", log))
         yield
 
 
-LOGGED: Final = frozenset(
-    {1091, 3001, 3007, 3008, 3009, 3010, 3011, 3012, 3013, 3014, 3015, 3016, 3017}
-    | {3018, 3019, 3020, 3021, 3022, 1006}
-)
-
-
 def play(seed: int, make_plan: Callable[[], FaultPlan] | None = None) -> PromotionFleet:
     """Play the life of one fleet in virtual time; return what became of it."""
     fleet = PromotionFleet(seed)
-    with _without_sockets(fleet, logs=True):
+    with _replace_sockets(fleet):
         run_in_virtual_time(lambda: fleet.play(make_plan() if make_plan else None))
     return fleet
 
@@ -386,7 +371,9 @@
         for loss in fleet.losses:
             print(loss, flush=True)
         if fleet.is_stuck:
-            print(f"seed {seed}: no commit is acknowledged after the faults", flush=True)
+            print(
+                f"seed {seed}: no commit is acknowledged after the faults", flush=True
+            )
     print(
         f"{last - first + 1} seeds: {lost} with losses, {stuck} without recovery, "
         f"{promotions} promotions, {acknowledged} commits acknowledged"
--- a/tests/promotion_store.py
+++ b/tests/promotion_store.py
@@ -213,9 +213,7 @@
 
     async def list_members(self) -> tuple[Member, ...]:
         """Return the members' entries."""
-        return await self._call(
-            "members", lambda: tuple(self.store.entries.values())
-        )
+        return await self._call("members", lambda: tuple(self.store.entries.values()))
 
     async def list_evacuations(self) -> frozenset[str]:
         """Return no zones."""
@@ -306,5 +304,3 @@
     async def create_secret(self, secret: bytes) -> bytes:
         """Return the peers' secret."""
         return await self._call("secret", lambda: b"secret")
-
-
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -67,6 +67,13 @@
         return task
 
 
+def make_task_context(owner: str) -> contextvars.Context:
+    """Return a context whose tasks belong to a process."""
+    context = contextvars.Context()
+    context.run(task_owner.set, owner)
+    return context
+
+
 def get_virtual_loop() -> VirtualTimeLoop:
     """Return the running loop."""
     loop = asyncio.get_running_loop()
