--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -306,7 +306,7 @@
         member
         for member in fleet.group.members.values()
         if member not in (holder, primary)
-    ]
+    ][fleet.group.synchronous_replicas - 1 :]
     hide = choose(("crash", "port", "nodes", "dark", "store", "replace", "none"))
     when_down = choose(("before", "after", "later", "never"))
     fleet.note("hide", holder.name, hide, when_down)
--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -32,7 +32,7 @@
     MemberGroup,
     Network,
 )
-from tests.promotion_store import DATABASE, ModelStore, NodeStore
+from tests.promotion_store import DATABASE, ModelStore, NodeStore, make_catalog
 from tests.virtual_time import (
     get_virtual_loop,
     make_task_context,
@@ -184,7 +184,9 @@
     async def play(self, faults: FaultPlan | None = None) -> None:
         """Play the fleet's life with faults, and check it."""
         group_random = self.random
-        count = group_random.choice((3, 3, 3, 4))
+        count, replicas = group_random.choice(((3, 1), (3, 1), (3, 1), (4, 1), (4, 2)))
+        self.group.synchronous_replicas = replicas
+        self.store.catalog = make_catalog(replicas)
         own_term = group_random.random() < 0.5
         self.group.lifts_fences = group_random.random() < 0.5
         for number in range(1, count + 1):
--- a/tests/promotion_members.py
+++ b/tests/promotion_members.py
@@ -75,8 +75,8 @@
     is_leaving: bool = False
     slow_ms: float = 0.0
     """Longest additional delay of a response."""
-    acknowledged: int = 0
-    """Entries of its log that a replica has received, while it leads."""
+    received: dict[str, int] = attrs.field(factory=dict)
+    """Entries of its log that each replica has received, while it leads."""
     follows_since_ms: float = math.inf
     links: list[MemberLinkModel] = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -98,6 +98,7 @@
     def end(self) -> None:
         """End the process and its connections."""
         self.is_up = False
+        self.received.clear()
         self.notify()
         self.end_links()
 
@@ -124,6 +125,7 @@
     entries: dict[str, list[Entry]] = attrs.field(factory=dict)
     """Commits by the identifier of their statement."""
     entry_count: int = 0
+    synchronous_replicas: int = 1
     lifts_fences: bool = False
     """Whether a promotion ends the fences of replicas that reach the new primary."""
     late_controls: float = 0.0
@@ -206,7 +208,8 @@
         def acknowledge(received: int, receiver: str) -> None:
             runs = source.is_up and source.process == process and source.is_primary
             if runs and self.network.reaches(receiver, source.name):
-                source.acknowledged = max(source.acknowledged, received)
+                known = source.received.get(receiver, 0)
+                source.received[receiver] = max(known, received)
                 source.notify()
 
         self._later(0.5, 8.0, receive)
@@ -272,7 +275,7 @@
         self.term += 1
         self.leader = member.name
         member.is_primary, member.fenced_term, member.term = True, 0, self.term
-        member.acknowledged = len(member.log)
+        member.received.clear()
         self.on_promotion(member)
         self.on_change(member)
 
@@ -429,7 +432,8 @@
             return MemberResponse(refusal=Refusal.READ_ONLY, position=member.position)
         entry = self.group.commit(member, statement_id)
         while self._runs() and entry.is_in(member.log):
-            if member.acknowledged >= entry.sequence:
+            receivers = sum(n >= entry.sequence for n in member.received.values())
+            if receivers >= self.group.synchronous_replicas:
                 return MemberResponse(signature="x", position=member.position)
             await member.changed.wait()
         return None
--- a/tests/promotion_store.py
+++ b/tests/promotion_store.py
@@ -42,26 +42,24 @@
 CALL_TIMEOUT_MS: Final = 800.0
 LATE_WRITE_MS: Final = 3_000.0
 
-CATALOG: Final = Catalog(
-    1,
-    {
-        DATABASE: Route(
-            DATABASE, GROUP, ReadClass.STRICT, 0.0, 2_000.0, 400.0, 0, is_open=True
-        )
-    },
-    {},
-    {},
-    {GROUP: GroupSettings(GROUP, 32, 1)},
-    3_000.0,
+ROUTE: Final = Route(
+    DATABASE, GROUP, ReadClass.STRICT, 0.0, 2_000.0, 400.0, 0, is_open=True
 )
 
 
+def make_catalog(synchronous_replicas: int) -> Catalog:
+    """Return a configuration with one group and one route."""
+    settings = GroupSettings(GROUP, 32, synchronous_replicas)
+    return Catalog(1, {DATABASE: ROUTE}, {}, {}, {GROUP: settings}, 3_000.0)
+
+
 @attrs.define(eq=False)
 class ModelStore:
     """Objects and members' entries; nodes use it by `NodeStore`."""
 
     random: random.Random
     network: Network
+    catalog: Catalog = attrs.field(factory=lambda: make_catalog(1))
     revision: int = 1
     is_down: bool = False
     expires_while_down: bool = False
@@ -209,7 +207,7 @@
 
     async def read_catalog(self) -> Catalog | None:
         """Return the configuration."""
-        return await self._call("configuration", lambda: CATALOG)
+        return await self._call("configuration", lambda: self.store.catalog)
 
     async def list_members(self) -> tuple[Member, ...]:
         """Return the members' entries."""
