--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -11,6 +11,7 @@
 import attrs
 
 from tests.promotion_members import PLATFORM, STORE, FleetMember
+from tests.virtual_time import get_virtual_loop
 
 if TYPE_CHECKING:
     from tests.promotion_fleet import PromotionFleet
@@ -232,6 +233,19 @@
     fleet.start_node(place)
 
 
+async def freeze_node(fleet: PromotionFleet) -> None:
+    """Suspend a node's process; it goes on later without knowing."""
+    place = fleet.nodes[fleet.random.choice(sorted(fleet.nodes))]
+    owner, loop = place.owner, get_virtual_loop()
+    if place.node is None or owner in loop.held:
+        return
+    fleet.note("frozen", owner)
+    loop.freeze(owner)
+    await _pause(fleet, 0.1, fleet.random.choice((1.0, 3.0, 8.0)))
+    loop.thaw(owner)
+    fleet.note("goes on", owner)
+
+
 async def crash_nodes(fleet: PromotionFleet) -> None:
     """End all nodes; nobody knows then what was acknowledged."""
     places = [place for place in fleet.nodes.values() if place.node is not None]
@@ -433,11 +447,22 @@
     await _await_health(fleet)
     fleet.start(fleet.random.choice(PRIMARY_FAULTS)(fleet))
     until_ms = fleet.now_ms() + 6_000.0
+    others = [
+        isolate_node,
+        cut_node_from_store,
+        cut_node_from_nodes,
+        freeze_node,
+        make_deaf,
+    ]
     while fleet.now_ms() < until_ms:
         await asyncio.sleep(0.02)
         fenced = [m for m in fleet.group.members.values() if m.is_up and m.fenced_term]
         if not fenced:
             continue
+        if others and fleet.random.random() < 0.3:
+            fault = fleet.random.choice(others)
+            others.remove(fault)
+            fleet.start(fault(fleet))
         await _pause(fleet, 0.0, 0.3)
         member = fleet.random.choice(fenced)
         if fleet.random.random() < 0.5:
@@ -477,6 +502,7 @@
     (lose_orders, 3),
     (crash_node, 3),
     (crash_nodes, 1),
+    (freeze_node, 4),
     (replace_replica, 3),
     (retire_member, 2),
 )
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -6,12 +6,15 @@
 import contextvars
 import selectors
 from collections.abc import Callable, Coroutine, Generator
-from typing import Any, Final, TypeVar
+from typing import Any, Final, TypeVar, TypeVarTuple, Unpack
 from weakref import WeakSet
 
+import attrs
+
 from radishtrack.clock import Clock
 
 T = TypeVar("T")
+Ts = TypeVarTuple("Ts")
 
 START_S: Final = 1_000.0
 """Time at the start; code under test must not take it for a time before its start."""
@@ -36,6 +39,28 @@
         return []
 
 
+@attrs.define(eq=False)
+class _OwnedCall:
+    """A call in a process, which is held while that is suspended."""
+
+    loop: VirtualTimeLoop
+    owner: str
+    callback: Callable[..., object]
+    args: tuple[Any, ...]
+    context: contextvars.Context | None
+    handle: asyncio.Handle | None = None
+
+    def run(self) -> None:
+        """Call the function now or when the process goes on."""
+        if self.handle is not None and self.handle.cancelled():
+            return
+        held = self.loop.held.get(self.owner)
+        if held is None:
+            self.callback(*self.args)
+        else:
+            held.append(self)
+
+
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """The loop; its tasks are recorded by `task_owner`."""
 
@@ -43,6 +68,7 @@
         self.jumping = _JumpingSelector()
         super().__init__(self.jumping)
         self.owned: dict[str, WeakSet[asyncio.Task[Any]]] = {}
+        self.held: dict[str, list[_OwnedCall]] = {}
         self.set_task_factory(self._make_task)
 
     def time(self) -> float:
@@ -54,6 +80,55 @@
         for task in sorted(self.owned.pop(owner, ()), key=lambda t: t.get_name()):
             task.cancel()
 
+    def freeze(self, owner: str) -> None:
+        """Suspend a process until `thaw`."""
+        self.held[owner] = []
+
+    def thaw(self, owner: str) -> None:
+        """Let a process go on with all that happened meanwhile."""
+        for call in self.held.pop(owner, ()):
+            self.call_soon(call.run, context=call.context)
+
+    def call_soon(
+        self,
+        callback: Callable[[Unpack[Ts]], object],
+        *args: Unpack[Ts],
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Handle:
+        """Call a function soon, unless its process is suspended."""
+        call = self._make_call(callback, args, context)
+        if call is None:
+            return super().call_soon(callback, *args, context=context)
+        call.handle = super().call_soon(call.run, context=context)
+        return call.handle
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[[Unpack[Ts]], object],
+        *args: Unpack[Ts],
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Call a function at a time, unless its process is suspended then."""
+        call = self._make_call(callback, args, context)
+        if call is None:
+            return super().call_at(when, callback, *args, context=context)
+        handle = super().call_at(when, call.run, context=context)
+        call.handle = handle
+        return handle
+
+    def _make_call(
+        self,
+        callback: Callable[..., object],
+        args: tuple[Any, ...],
+        context: contextvars.Context | None,
+    ) -> _OwnedCall | None:
+        """Return the call if it belongs to a process."""
+        owner = task_owner.get() if context is None else context.get(task_owner, "")
+        if not owner or getattr(callback, "__func__", None) is _OwnedCall.run:
+            return None
+        return _OwnedCall(self, owner, callback, args, context)
+
     def _make_task(
         self,
         loop: asyncio.AbstractEventLoop,
