--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -6,7 +6,7 @@
 import contextvars
 import selectors
 from collections.abc import Callable, Coroutine, Generator
-from typing import Any, Final, TypeVar, TypeVarTuple, Unpack
+from typing import Any, Final, TypeVar, TypeVarTuple
 from weakref import WeakSet
 
 import attrs
@@ -91,8 +91,8 @@
 
     def call_soon(
         self,
-        callback: Callable[[Unpack[Ts]], object],
-        *args: Unpack[Ts],
+        callback: Callable[[*Ts], object],
+        *args: *Ts,
         context: contextvars.Context | None = None,
     ) -> asyncio.Handle:
         """Call a function soon, unless its process is suspended."""
@@ -105,8 +105,8 @@
     def call_at(
         self,
         when: float,
-        callback: Callable[[Unpack[Ts]], object],
-        *args: Unpack[Ts],
+        callback: Callable[[*Ts], object],
+        *args: *Ts,
         context: contextvars.Context | None = None,
     ) -> asyncio.TimerHandle:
         """Call a function at a time, unless its process is suspended then."""
