--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -76,7 +76,8 @@
         return self.jumping.now_s
 
     def cancel_owned(self, owner: str) -> None:
-        """Cancel all tasks of a process."""
+        """Cancel all tasks of a process, also of a suspended one."""
+        self.thaw(owner)
         for task in sorted(self.owned.pop(owner, ()), key=lambda t: t.get_name()):
             task.cancel()
 
