--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -48,6 +48,8 @@
 """Time after the last fault within which commits have to be acknowledged again."""
 WRITE_INTERVAL_MS: Final = 40.0
 PEER_PORT: Final = 7_000
+SUMMARY_SEEDS: Final = 20
+"""Seeds after which `main` prints what was seen so far."""
 NOTED_EVENTS: Final = (1, 3)
 """Thousands of the numbers of events that are recorded."""
 
@@ -368,18 +370,18 @@
         stuck += fleet.is_stuck
         promotions += fleet.promotions
         acknowledged += len(fleet.acknowledged)
-        if first == last:
-            print("\n".join(fleet.events))
-        for loss in fleet.losses:
-            print(loss, flush=True)
+        lines = list(fleet.losses)
         if fleet.is_stuck:
-            print(
-                f"seed {seed}: no commit is acknowledged after the faults", flush=True
+            lines.append(f"seed {seed}: no commit is acknowledged after the faults")
+        if first == last:
+            lines = [*fleet.events, *lines]
+        if seed == last or (seed - first) % SUMMARY_SEEDS == SUMMARY_SEEDS - 1:
+            lines.append(
+                f"{seed - first + 1} seeds: {lost} with losses, {stuck} without "
+                f"recovery, {promotions} promotions, {acknowledged} commits"
             )
-    print(
-        f"{last - first + 1} seeds: {lost} with losses, {stuck} without recovery, "
-        f"{promotions} promotions, {acknowledged} commits acknowledged"
-    )
+        for line in lines:
+            print(line, flush=True)
 
 
 if __name__ == "__main__":
