--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -54,6 +54,9 @@
 """Thousands of the numbers of events that are recorded."""
 
 
+RunFaults = Callable[["PromotionFleet"], Coroutine[Any, Any, None]]
+
+
 @attrs.frozen
 class Acknowledgement:
     """A commit that a node has acknowledged to a client."""
@@ -183,7 +186,7 @@
         self.faults.add(task)
         task.add_done_callback(self.faults.discard)
 
-    async def play(self, faults: FaultPlan | None = None) -> None:
+    async def play(self, run_faults: RunFaults | None) -> None:
         """Play the fleet's life with faults, and check it."""
         group_random = self.random
         count, replicas = group_random.choice(((3, 1), (3, 1), (3, 1), (4, 1), (4, 2)))
@@ -207,8 +210,8 @@
             self.start_node(place)
         clients = asyncio.create_task(self._run_clients())
         await asyncio.sleep(START_MS / 1000)
-        plan = faults or FaultPlan(self.random, FAULTS_MS)
-        await plan.run(self)
+        run_faults = run_faults or FaultPlan(self.random, FAULTS_MS).run
+        await run_faults(self)
         self.note("faults end")
         await asyncio.sleep(RECOVERY_MS / 1000)
         served = {a.node for a in self.acknowledged if a.at_ms > self.now_ms() - 2_000}
@@ -352,11 +355,19 @@
         yield
 
 
-def play(seed: int, make_plan: Callable[[], FaultPlan] | None = None) -> PromotionFleet:
-    """Play the life of one fleet in virtual time; return what became of it."""
+def play(seed: int, run_faults: RunFaults | None = None) -> PromotionFleet:
+    """Play the life of one fleet in virtual time; return what became of it.
+
+    Parameters
+    ----------
+    seed : int
+        Chooses the fleet, its delays and, by default, the faults.
+    run_faults : callable, optional
+        Plays other faults.
+    """
     fleet = PromotionFleet(seed)
     with _replace_sockets(fleet):
-        run_in_virtual_time(lambda: fleet.play(make_plan() if make_plan else None))
+        run_in_virtual_time(lambda: fleet.play(run_faults))
     return fleet
 
 
