Show that replicas fenced by lost nodes never receive again

The primary served, so each attempt was withheld before it claimed the duty and ended the fences. The replicas therefore received nothing, the missing holder stayed in the record, and no commit was acknowledged until the end. The test fails until the attempt ends such fences.

--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -43,7 +43,7 @@
     await asyncio.sleep(fleet.random.uniform(low_s, high_s))
 
 
-def _start(fleet: PromotionFleet, member: FleetMember) -> None:
+def start_member(fleet: PromotionFleet, member: FleetMember) -> None:
     """Start a member's next process; a replica's has no log."""
     if fleet.group.members.get(member.name) is not member:
         return
@@ -65,7 +65,7 @@
     fleet.note("member ends", member.name, member.process, member.position)
     member.end()
     await _pause(fleet, 0.2, longest_s)
-    _start(fleet, member)
+    start_member(fleet, member)
 
 
 async def crash_replica(fleet: PromotionFleet) -> None:
@@ -279,7 +279,7 @@
         f"m{number}", process=0, is_up=False, names_own_term=member.names_own_term
     )
     members[successor.name] = successor
-    _start(fleet, successor)
+    start_member(fleet, successor)
 
 
 async def retire_member(fleet: PromotionFleet) -> None:
--- a/tests/test_promotion_fleet.py
+++ b/tests/test_promotion_fleet.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from tests.promotion_fleet import play
+from tests.promotion_faults import start_member
+from tests.promotion_fleet import PromotionFleet, play
 
 SEEDS = range(1, 5)
 
@@ -19,3 +22,30 @@
     assert fleet.promotions or fleet.acknowledged
     assert not fleet.losses
     assert not fleet.is_stuck, "no commits are acknowledged after the faults"
+
+
+async def _lose_promoters(fleet: PromotionFleet) -> None:
+    """End all nodes while they fence replicas, of which one has lost its log."""
+    behind, holder = fleet.group.members["m2"], fleet.group.members["m3"]
+    behind.is_deaf = True
+    await asyncio.sleep(2.0)
+    holder.end()
+    await asyncio.sleep(0.1)
+    start_member(fleet, holder)
+    behind.fenced_term = holder.fenced_term = 2
+    behind.is_deaf = False
+    for place in fleet.nodes.values():
+        fleet.end_node(place)
+    await asyncio.sleep(0.5)
+    for place in fleet.nodes.values():
+        fleet.start_node(place)
+
+
+def test_replicas_that_lost_nodes_have_fenced_receive_again() -> None:
+    """The primary could not commit, and promotions were withheld before fences ended.
+
+    Its replicas never received what the lost member had, which was missing for good.
+    """
+    fleet = play(3, _lose_promoters)
+    assert not fleet.losses
+    assert not fleet.is_stuck
