--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -17,6 +17,8 @@
     from tests.promotion_fleet import PromotionFleet
 
 Fault = Callable[["PromotionFleet"], Coroutine[Any, Any, None]]
+MIN_STAYING: Final = 3
+"""Members of which one may leave."""
 USED_FRACTION: Final = 0.5
 """Part of the kinds of faults that one plan uses."""
 
@@ -49,7 +51,7 @@
         return
     was_primary = member.is_primary or member.name == fleet.group.leader
     member.restart(keeps_log=was_primary)
-    member.is_closed = False
+    member.is_closed = member.is_leaving = False
     member.is_primary = member.name == fleet.group.leader
     if not was_primary:
         member.resumes_ms = fleet.now_ms() + 1_000_000.0 + fleet.random.uniform(50, 900)
@@ -294,15 +296,19 @@
 
 
 async def _retire(fleet: PromotionFleet, member: FleetMember) -> None:
-    if member.is_leaving:
+    staying = [m for m in fleet.group.members.values() if not m.is_leaving]
+    if member.is_leaving or len(staying) < MIN_STAYING:
         return
+    process = member.process
     member.is_leaving = True
     fleet.note("leaving", member.name)
     fleet.store.register(member)
     await _pause(fleet, 3.0, 9.0)
     while member.is_up and (member.is_primary or member.name == fleet.group.leader):
         await asyncio.sleep(0.5)
-    if fleet.group.members.get(member.name) is not member or not member.is_up:
+    if not member.is_up or member.process != process:
+        return
+    if fleet.group.members.get(member.name) is not member:
         return
     fleet.note("left", member.name, member.position)
     fleet.store.remove(member.name)
