--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -211,6 +211,13 @@
         _start_store(fleet)
 
 
+async def slow_store(fleet: PromotionFleet) -> None:
+    fleet.store.slow_ms = fleet.random.choice((200.0, 600.0, 1_000.0))
+    fleet.note("store slow", fleet.store.slow_ms)
+    await _pause(fleet, 1.0, 8.0)
+    fleet.store.slow_ms = 0.0
+
+
 async def lose_writes(fleet: PromotionFleet) -> None:
     fleet.store.lossy = 0.3
     fleet.note("store loses writes")
@@ -459,6 +466,8 @@
         cut_node_from_nodes,
         freeze_node,
         make_deaf,
+        make_slow,
+        slow_store,
     ]
     while fleet.now_ms() < until_ms:
         await asyncio.sleep(0.02)
@@ -504,6 +513,7 @@
     (cut_node_from_nodes, 2),
     (isolate_node, 2),
     (stop_store, 5),
+    (slow_store, 2),
     (lose_writes, 2),
     (lose_orders, 3),
     (crash_node, 3),
--- a/tests/promotion_store.py
+++ b/tests/promotion_store.py
@@ -65,6 +65,8 @@
     expires_while_down: bool = False
     is_silent: bool = False
     """Whether it does not respond at all while it is down."""
+    slow_ms: float = 0.0
+    """Longest additional delay of a response."""
     lossy: float = 0.0
     """Probability that a write gets no response; it may take effect, also later."""
     entries: dict[str, Member] = attrs.field(factory=dict)
@@ -144,7 +146,9 @@
 
     async def _call(self, step: str, effect: Callable[[], T]) -> T:
         store = self.store
-        await asyncio.sleep(store.random.uniform(0.002, 0.015))
+        delay_ms = store.random.uniform(2.0, 15.0)
+        delay_ms += store.random.uniform(0.0, store.slow_ms)
+        await asyncio.sleep(delay_ms / 1000)
         is_reached = store.network.reaches(self.node, STORE)
         if not is_reached or store.is_down:
             if store.is_silent or not is_reached:
