End the fences of lost nodes also if a promotion is withheld

A group acknowledged nothing any more although its primary served: nodes that ended had fenced both replicas, one of which had lost its log. Each later attempt was withheld, as the lost log was missing, before it claimed the duty, and only attempts that have claimed it end fences. The replicas received nothing, so the lost log stayed missing.

A withheld attempt beside a serving primary now claims the duty and unfences the members first, unless an order may still take effect.

--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -136,6 +136,8 @@
             return "the store can't confirm the list of members"
         await self._read_replica_set()
         if self._serves_at_present() and not self._knows_all_members():
+            if self.access.evidence.fenced_members():
+                await self._end_abandoned_fences()
             # A list that may be short is complete within seconds.
             return self._withhold() if self._list_missing() else UNSETTLED_LIST
         claim = self.claim = await self.promoter.duty.claim()
@@ -155,6 +157,14 @@
             await self._unfence(self.old_primary)
             raise
 
+    async def _end_abandoned_fences(self) -> None:
+        """Unfence replicas that a lost node has fenced, so that they receive again."""
+        self.claim = await self.promoter.duty.claim()
+        self.term = self.access.evidence.term + 1
+        last = await self.promoter.store_copy.store.find_order(self.access.name)
+        if self._find_pending(last.order) is None:
+            await self._unfence(self.old_primary)
+
     async def _order_successor(self, claim: Claim, fenced_ms: float) -> str:
         """Choose a successor among the fenced members, and order its promotion."""
         last = await self.promoter.store_copy.store.find_order(self.access.name)
