Give no term out again that a member has

After the platform came back from a backup without the record of a term, and no node that knew it was left, a promotion gave the same term to another member. Replicas of two primaries of one term then count for each other's commits, which a later promotion can leave out.

The election ignored members that were in the new term and elected among the others. Such a member now ends the attempt as superseded; the record has to be written again, by a node that knows it or by the operator.

--- a/src/radishtrack/group/promotion.py
+++ b/src/radishtrack/group/promotion.py
@@ -166,6 +166,13 @@
 ) -> Iterator[Action]:
     has_timed_out = False
     match message:
+        case MemberFenced(status) if status.term >= attempt.new_term:
+            # Another attempt was recorded, or the platform has lost its record: the
+            # same term must not be given out again.
+            attempt.end(
+                "superseded", f"{status.member} is in term {status.term} already"
+            )
+            return
         case MemberFenced(status):
             attempt.fenced[status.member] = status
             attempt.pending_members.discard(status.member)
--- a/src/radishtrack/group/promotion_state.py
+++ b/src/radishtrack/group/promotion_state.py
@@ -50,7 +50,11 @@
     ("elected", Step.FENCING, Step.RECORDING),
     ("recorded", Step.RECORDING, Step.INSTALLING),
     ("installed", Step.INSTALLING, Step.DONE),
-    ("superseded", (Step.READING, Step.RECORDING, Step.INSTALLING), Step.LOST),
+    (
+        "superseded",
+        (Step.READING, Step.FENCING, Step.RECORDING, Step.INSTALLING),
+        Step.LOST,
+    ),
     (
         "gave_up",
         (Step.SUSPECT, Step.VOTING, Step.READING, Step.FENCING, Step.INSTALLING),
--- a/tests/test_group_promotion.py
+++ b/tests/test_group_promotion.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from random import Random
 
 import attrs
 import pytest
@@ -270,6 +271,29 @@
     assert isinstance(actions[0], messages.RecordGroup)
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_a_term_that_a_member_has_is_not_given_out_again(seed: int) -> None:
+    """Replicas of two primaries of one term confirmed each other's commits."""
+    random = Random(seed)
+    members, platform = make_model(random.choice((3, 5)))
+    lost_record = platform.group
+    primary, *others = random.sample(sorted(members), len(members))
+    for name in (primary, *others[: platform.group.fence_quorum - 1]):
+        members[name].fenced_term = 2
+    start = (TermStart(1, 0), TermStart(2, 0))
+    second = attrs.evolve(lost_record, term=2, primary=primary, history=start)
+    run_steps(members[primary], promote_steps(second))
+    joined = others[: random.randrange(len(others) // 2)]
+    for name in joined:
+        run_steps(members[name], follow_steps(second))
+        members[name].replicate(members[primary], 10)
+    attempt = make_promotion_attempt(platform.group, "p-1", VOTERS)
+    driver = Driver(members, platform, attempt)
+    driver.run(messages.FencingAbandoned())
+    assert attempt.state is Step.LOST
+    assert platform.group == lost_record
+
+
 def test_members_with_a_lower_term_discard_before_they_are_fenced() -> None:
     """Guards against an election that restores a commit reported as not run."""
     driver = make_driver()
