Change the members of a group only with its term

After operators had replaced a member in groups/<database>, a promotion could leave out acknowledged commits: a commit of primary a and replica b was left to c and d once the list was a, c, d and a was gone. Nodes that had not read the new list went on to confirm commits by b.

The list took effect within the term, so the majorities that confirm and those that end a term did not meet. The record now names the members of the term beside those that operators want. The wanted list becomes that of a new term when enough of its members have the log; the first node in placement order starts that term, and writes the list into a record that lacks it. A node keeps the list that it knows of a term.

The election of c and d returned c before, and nobody now.

--- a/src/radishtrack/group/detection.py
+++ b/src/radishtrack/group/detection.py
@@ -161,7 +161,7 @@
     ) -> None:
         """Compare the members' latest statuses with the group's record."""
         has_fenced = any(
-            status.member in group.members
+            status.member in group.all_members
             and status.fenced_term > group.term
             and not is_in_service(status, group)
             for status in statuses
--- a/src/radishtrack/group/election.py
+++ b/src/radishtrack/group/election.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from radishtrack.group.status import Group, MemberStatus
+from radishtrack.group.status import Group, MemberStatus, count_next_holders
 
 
 @attrs.define(frozen=True)
@@ -19,10 +19,13 @@
         Name of the member.
     start_sequence : int
         Length of the log with which the new term begins.
+    members : tuple of str
+        The members of the new term, if they are others than those of the last one.
     """
 
     member: str
     start_sequence: int
+    members: tuple[str, ...] = ()
 
 
 @attrs.define(frozen=True)
@@ -90,13 +93,18 @@
     Elected or NotElected
         The member and where the new term begins, or why no member was chosen.
     """
-    fenced = {
+    all_fenced = {
         status.member: status
         for status in statuses
-        if status.member in group.members
+        if _has_log_of_group(status, group)
         and status.fenced_term == new_term
         and status.term < new_term
     }
+    fenced = {
+        member: status
+        for member, status in all_fenced.items()
+        if member in group.members
+    }
     if len(fenced) < group.fence_quorum:
         return NotElected(
             f"{len(fenced)} of {len(group.members)} members fenced for term "
@@ -106,11 +114,15 @@
     max_sequence = max(kept_sequence(status, group) for status in fenced.values())
     # A member that still holds changes which an earlier promotion left out would
     # restore them; it has to discard them before it is fenced, see `discard_limit`.
-    candidates = [
+    complete = [
         status
-        for status in fenced.values()
+        for status in all_fenced.values()
         if status.position.sequence == kept_sequence(status, group) == max_sequence
     ]
+    members = group.members
+    if _can_change_members(all_fenced.values(), group, max_sequence):
+        members = group.next_members
+    candidates = [status for status in complete if status.member in members]
     if not candidates:
         return NotElected(
             "the most advanced fenced member has changes to discard first"
@@ -120,7 +132,8 @@
         # The replaced primary ranks after members with an equal log because most
         # voters cannot reach it.
         return (
-            status.member in leaving,
+            status.member in leaving
+            or (bool(group.next_members) and status.member not in group.next_members),
             status.member == group.primary,
             status.member,
         )
@@ -128,4 +141,35 @@
     # A leaving member that is strictly ahead is still elected: it may be the only
     # fenced member that holds an acknowledged commit, and losing the commit is worse
     # than a second promotion when the member leaves.
-    return Elected(min(candidates, key=preference).member, max_sequence)
+    chosen = min(candidates, key=preference).member
+    if members == group.members:
+        return Elected(chosen, max_sequence)
+    return Elected(chosen, max_sequence, members)
+
+
+def _has_log_of_group(status: MemberStatus, group: Group) -> bool:
+    # A member that is new in the list has joined the term only with a matching log.
+    return status.member in group.members or (
+        status.member in group.next_members and status.term == group.term
+    )
+
+
+def _can_change_members(
+    fenced: Iterable[MemberStatus], group: Group, start_sequence: int
+) -> bool:
+    """Return whether each majority of the next members contains the new term's log.
+
+    One of the holders must be a possible primary: without changes that only it has.
+    """
+    if not group.next_members:
+        return False
+    kept = [
+        (status.position.sequence, kept_sequence(status, group))
+        for status in fenced
+        if status.member in group.next_members
+    ]
+    holders = sum(sequence >= start_sequence for _, sequence in kept)
+    return (
+        holders >= count_next_holders(group)
+        and (start_sequence, start_sequence) in kept
+    )
--- a/src/radishtrack/group/promotion.py
+++ b/src/radishtrack/group/promotion.py
@@ -143,9 +143,9 @@
                 attempt.end("superseded", f"term {group.term} is recorded already")
                 return
             attempt.group = group
-            attempt.pending_members = set(group.members)
+            attempt.pending_members = set(group.all_members)
             attempt.enter_step("read", now_ms)
-            yield FenceMembers(group.members, group, attempt.new_term)
+            yield FenceMembers(group.all_members, group, attempt.new_term)
         case PrimaryResponded() if not attempt.is_takeover:
             attempt.end("gave_up", "the primary responds again")
         case PlatformDidNotRespond():
@@ -182,7 +182,10 @@
             has_timed_out = True
     # The attempt began because the primary is unresponsive; waiting for its response
     # would lengthen the write outage by a whole timeout.
-    optional_members = set() if attempt.is_takeover else {attempt.group.primary}
+    optional_members: set[str] = set()
+    if not attempt.is_takeover:
+        new = {*attempt.group.next_members} - {*attempt.group.members}
+        optional_members = {attempt.group.primary, *new}
     if not attempt.pending_members <= optional_members and not has_timed_out:
         return
     choice = elect(
@@ -203,7 +206,7 @@
             attempt.restart_timeout(now_ms)
             missing = tuple(
                 member
-                for member in attempt.group.members
+                for member in attempt.group.all_members
                 if member not in attempt.fenced
             )
             attempt.pending_members = set(missing)
@@ -216,6 +219,8 @@
         attempt.group,
         term=attempt.new_term,
         primary=elected.member,
+        members=elected.members or attempt.group.members,
+        next_members=() if elected.members else attempt.group.next_members,
         history=(*attempt.group.history, start),
         attempt=attempt.attempt_id,
     )
--- a/src/radishtrack/group/status.py
+++ b/src/radishtrack/group/status.py
@@ -62,11 +62,15 @@
     primary : str
         The member promoted for the term.
     members : tuple of str
-        All members.
+        The members by which the term confirms commits and is ended.
     history : tuple of TermStart
         Where each term began.
     attempt : str
         Identifier of the promotion attempt that wrote this record.
+    next_members : tuple of str
+        The members that operators want; empty if these are `members`. A later term
+        begins with them, since a change within a term would leave its commits to
+        members that no longer count.
     """
 
     database: str
@@ -76,8 +80,27 @@
     members: tuple[str, ...]
     history: History = ()
     attempt: str = ""
+    next_members: tuple[str, ...] = ()
 
     @property
     def fence_quorum(self) -> int:
         """Number of members whose fencing ends a term: a majority."""
-        return len(self.members) // 2 + 1
+        return count_majority(self.members)
+
+    @property
+    def all_members(self) -> tuple[str, ...]:
+        """The members of this and of the next term."""
+        return tuple(dict.fromkeys((*self.members, *self.next_members)))
+
+
+def count_majority(members: tuple[str, ...]) -> int:
+    """Return how many members are a majority."""
+    return len(members) // 2 + 1
+
+
+def count_next_holders(group: Group) -> int:
+    """Return how many of the next members must hold the log before they count.
+
+    With this many, each majority of the next members contains one of them.
+    """
+    return len(group.next_members) - count_majority(group.next_members) + 1
--- a/src/radishtrack/group/switchover.py
+++ b/src/radishtrack/group/switchover.py
@@ -1,4 +1,4 @@
-"""Conditions for a planned change of primary when the primary is leaving.
+"""Conditions for a planned change of term: a leaving primary, or other members.
 
 The primary is fenced first, so that it commits nothing more; once a replica has its
 whole log, an ordinary promotion elects that replica. The write outage lasts for the lag
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.group.status import Group, MemberStatus, Role, count_next_holders
 
 MAX_LAG_CHANGES: Final = 1_000
 """A replica further behind would take too long to catch up with a fenced primary."""
@@ -32,7 +32,7 @@
     rank : int
         This node's rank in the placement order; only rank 0 starts the change.
     """
-    if rank != 0 or group.primary not in leaving:
+    if rank != 0 or not (group.next_members or group.primary in leaving):
         return False
     in_service = {
         status.member: status
@@ -43,6 +43,10 @@
     if primary is None:
         return False
     needed = primary.position.sequence - MAX_LAG_CHANGES
+    if group.next_members:
+        return _count_next(in_service.values(), group, needed) >= count_next_holders(
+            group
+        )
     return any(
         status.position.sequence >= needed
         for status in _iterate_successors(in_service.values(), group, leaving)
@@ -55,7 +59,14 @@
     statuses: Iterable[MemberStatus],
     leaving: frozenset[str],
 ) -> bool:
-    """Return whether a replica that is not leaving has all of the primary's log."""
+    """Return whether the members that stay have all of the primary's log.
+
+    This is one replica, or enough of the next members if the list changes.
+    """
+    if group.next_members:
+        sequence = fenced_primary.position.sequence
+        holders = _count_next((fenced_primary, *statuses), group, sequence)
+        return holders >= count_next_holders(group)
     return any(
         status.position >= fenced_primary.position
         for status in _iterate_successors(statuses, group, leaving)
@@ -63,6 +74,17 @@
     )
 
 
+def _count_next(statuses: Iterable[MemberStatus], group: Group, sequence: int) -> int:
+    holders = {
+        status.member
+        for status in statuses
+        if status.member in group.next_members
+        and status.term == group.term
+        and status.position.sequence >= sequence
+    }
+    return len(holders)
+
+
 def _iterate_successors(
     statuses: Iterable[MemberStatus], group: Group, leaving: frozenset[str]
 ) -> Iterable[MemberStatus]:
--- a/src/radishtrack/proxy/group_store.py
+++ b/src/radishtrack/proxy/group_store.py
@@ -72,7 +72,7 @@
             result = await client.put_resolving(
                 KIND,
                 group.database,
-                format_record(record),
+                format_record(attrs.evolve(record, has_term_members=True)),
                 expected_version,
                 group.attempt,
                 priority=Priority.PROMOTION,
--- a/src/radishtrack/proxy/promoter.py
+++ b/src/radishtrack/proxy/promoter.py
@@ -48,7 +48,7 @@
     VotesReceived,
 )
 from radishtrack.group.promotion_state import Step
-from radishtrack.group.record import GroupRecord
+from radishtrack.group.record import GroupRecord, keep_term_members
 from radishtrack.group.status import Group, MemberStatus, Role
 from radishtrack.proxy.group_store import (
     GroupStore,
@@ -96,6 +96,7 @@
         self.switchover = Switchover(context, monitor, commands)
         self.repaired_ms: dict[str, float] = {}
         self.record_read_ms = 0.0
+        self.members_recorded_ms = 0.0
         self.attempt: PromotionAttempt | None = None
         self.messages: asyncio.Queue[Message] = asyncio.Queue()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -124,6 +125,7 @@
         current = self.record.group
         if record.group.version <= current.version or record.group.term < current.term:
             return
+        record = keep_term_members(record, self.record)
         self.record = record
         self.monitor.update_group(record.group, record.endpoints)
 
@@ -151,6 +153,23 @@
         restored = attrs.evolve(group, version=written)
         self.update_record(attrs.evolve(self.record, group=restored))
 
+    def _record_term_members(self, now_ms: float) -> None:
+        """Write the members of the term, if the platform's object lacks them."""
+        is_due = now_ms - self.members_recorded_ms >= PAUSE_MS
+        if self.record.has_term_members or self.context.get_rank() != 0 or not is_due:
+            return
+        self.members_recorded_ms = now_ms
+        self._spawn(self._write_term_members())
+
+    async def _write_term_members(self) -> None:
+        try:
+            async with asyncio.timeout(PLATFORM_TIMEOUT_MS / 1000):
+                await self.store.write(self.record, self.record.group.version)
+                record = await self.store.read(self.database)
+        except (StoreConflictError, StoreUnavailableError, TimeoutError):
+            return
+        self.update_record(record)
+
     async def _run(self) -> None:
         while True:
             trigger = self._find_trigger(self.monitor.clock.now_ms())
@@ -161,6 +180,7 @@
                     trigger = FencingAbandoned()
             if trigger is None:
                 self._repair(self.monitor.clock.now_ms())
+                self._record_term_members(self.monitor.clock.now_ms())
                 await asyncio.sleep(TICK_MS / 1000)
                 continue
             await self._run_attempt(trigger)
@@ -268,7 +288,16 @@
             case FollowMember(member):
                 self._spawn(self._follow(member))
             case AdoptGroup(group):
-                self.update_record(attrs.evolve(self.record, group=group))
+                self.update_record(
+                    GroupRecord(
+                        group,
+                        {
+                            member: endpoint
+                            for member, endpoint in self.record.endpoints.items()
+                            if member in group.all_members
+                        },
+                    )
+                )
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -300,6 +329,7 @@
             # The platform has lost the record of the known term.
             self.restore_record(record.group.version)
         self.update_record(record)
+        record = keep_term_members(record, self.record)
         messages.put_nowait(GroupRead(record.group))
 
     async def _write_group(self, group: Group, expected_version: int) -> None:
--- a/src/radishtrack/proxy/slots.py
+++ b/src/radishtrack/proxy/slots.py
@@ -19,7 +19,7 @@
 from radishtrack.config.document import Document
 from radishtrack.config.model import Database
 from radishtrack.events import Event, log_event
-from radishtrack.group.record import GroupRecord
+from radishtrack.group.record import GroupRecord, keep_term_members
 from radishtrack.membership.nodes import Node
 from radishtrack.membership.placement import Placement
 from radishtrack.proxy.holder import Holder
@@ -83,6 +83,7 @@
                 if promoter is not None:
                     promoter.restore_record(record.group.version)
                 return
+            record = keep_term_members(record, current)
         self.records[name] = record
         backend = self.holder.databases.get(name)
         if backend is not None:
--- a/tests/test_group_decisions.py
+++ b/tests/test_group_decisions.py
@@ -8,6 +8,7 @@
 
 import math
 
+import attrs
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -40,6 +41,7 @@
     GroupRecord,
     RecordError,
     format_record,
+    keep_term_members,
     parse_record,
 )
 from radishtrack.group.status import Group, MemberStatus, Role
@@ -250,3 +252,63 @@
     del value[field]
     with pytest.raises(RecordError):
         parse_record("strekk-db", 7, value)
+
+
+def replace_member(former: str, new: str) -> GroupRecord:
+    """Return the record after operators replaced a member in the platform's object."""
+    value = format_record(make_record())
+    value["members"][new] = value["members"].pop(former)
+    return parse_record("strekk-db", 8, value)
+
+
+def test_a_promotion_counts_a_replaced_member_until_its_term_ends() -> None:
+    """A commit of a and b was lost: c and d had become a majority at once."""
+    record = replace_member("b", "d")
+    assert set(record.group.members) == {"a", "b", "c"}
+    assert set(record.endpoints) == {"a", "b", "c", "d"}
+    statuses = parse_round("c:2/3/R/14 d:2/3/R/14").statuses.values()
+    assert isinstance(elect(statuses, record.group, 3), NotElected)
+    confirmed = parse_round("a:2/2/P/15 d:2/2/R/15")
+    assert confirmed_position(confirmed, record.group) is None
+
+
+@pytest.mark.parametrize(
+    ("statuses", "expected"),
+    [
+        ("a:2/3/P/15 c:2/3/R/15 d:2/3/R/12", Elected("c", 15, ("a", "c", "d"))),
+        ("a:2/3/P/15 c:2/3/R/14 d:2/3/R/15", Elected("d", 15, ("a", "c", "d"))),
+        ("b:2/3/R/15 c:2/3/R/15 d:2/3/R/15", Elected("c", 15, ("a", "c", "d"))),
+        ("b:2/3/R/15 c:2/3/R/15 d:2/3/R/14", Elected("c", 15)),
+        ("b:2/3/R/15 c:2/3/R/14 d:2/3/R/15", Elected("b", 15)),
+        ("b:2/3/R/15 c:2/3/R/15 d:1/3/R/15", Elected("c", 15)),
+    ],
+    ids=[
+        "two of three have the log",
+        "the new member has the log",
+        "the primary is missing",
+        "only one has the log",
+        "only the new member has the log",
+        "the new member has not joined",
+    ],
+)
+def test_members_change_with_a_term_once_enough_of_them_have_its_log(
+    statuses: str, expected: Elected
+) -> None:
+    fenced = parse_round(statuses).statuses.values()
+    elected = elect(fenced, replace_member("b", "d").group, 3)
+    assert isinstance(elected, Elected)
+    assert attrs.evolve(elected, members=tuple(sorted(elected.members))) == expected
+
+
+def test_a_list_without_the_members_of_the_term_counts_from_the_next_term() -> None:
+    """Operators may write the object before or without the list of the term."""
+    record = replace_member("b", "d")
+    value = format_record(record)
+    del value["term_members"]
+    written = parse_record("strekk-db", 9, value)
+    assert not written.has_term_members
+    kept = keep_term_members(written, make_record())
+    assert set(kept.group.members) == {"a", "b", "c"}
+    assert set(kept.group.next_members) == {"a", "c", "d"}
+    assert set(kept.endpoints) == {"a", "b", "c", "d"}
+    assert parse_record("strekk-db", 9, format_record(kept)).group == kept.group
--- a/tests/test_group_failover.py
+++ b/tests/test_group_failover.py
@@ -334,6 +334,43 @@
         assert restored.group.version > stored.group.version > record.group.version
 
 
+@pytest.mark.parametrize("names_term_members", [True, False])
+async def test_replaced_member_leaves_with_a_term_that_keeps_its_commits(
+    tmp_path: Path, names_term_members: bool
+) -> None:
+    """A change within a term left its commits to members that no longer counted."""
+    async with run_fleet(tmp_path) as fleet:
+        status = await fleet.write("a", "CREATE TABLE orders (number INT PRIMARY KEY)")
+        source = f"127.0.0.1:{fleet.members['a'].port}"
+        settings = MemberSettings(
+            "d", tmp_path / "d", source=source, password=PASSWORD, term=1
+        )
+        fleet.members["d"] = await start_member(settings)
+        record = await fleet.read()
+        endpoints = {
+            name: make_endpoint(fleet.members[name]) for name in ("a", "c", "d")
+        }
+        value = format_record(record)
+        listed = GroupRecord(
+            attrs.evolve(record.group, members=tuple(endpoints)), endpoints
+        )
+        value["members"] = format_record(listed)["members"]
+        if not names_term_members:
+            del value["term_members"]
+        await fleet.client.put("groups", DATABASE, value, record.group.version)
+        for promoter in fleet.promoters.values():
+            promoter.update_record(await fleet.read())
+            assert set(promoter.record.group.members) == {"a", "b", "c"}
+        changed = await fleet.wait_for_term(2)
+        assert set(changed.group.members) == {"a", "c", "d"}
+        assert not changed.group.next_members
+        for promoter in fleet.promoters.values():
+            promoter.update_record(changed)
+            assert set(promoter.monitor.tasks) == {"a", "c", "d"}
+        primary = fleet.members[changed.group.primary].member
+        assert primary.log.sequence >= status.position.sequence
+
+
 async def read_settled(fleet: Fleet) -> GroupRecord:
     """Return the record as soon as the restored platform is used again."""
     async with asyncio.timeout(20):
--- a/tests/test_switchover.py
+++ b/tests/test_switchover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from radishtrack.group.status import Group, MemberStatus, Role
@@ -71,3 +72,35 @@
 ) -> None:
     fenced = make_status("m1", 100, fenced=4)
     assert has_caught_up(fenced, GROUP, (fenced, replica), leaving) is expected
+
+
+CHANGED = attrs.evolve(GROUP, next_members=("m1", "m3", "m4"))
+
+
+@pytest.mark.parametrize(
+    ("statuses", "expected"),
+    [
+        ((*NORMAL, make_status("m4", 0)), True),
+        ((*NORMAL[:2], make_status("m4", 70)), True),
+        (NORMAL[:2], False),
+        ((*NORMAL[:2], make_status("m4", 100, term=2, fenced=2)), False),
+        (NORMAL[1:], False),
+    ],
+    ids=["one stays", "a new one", "none", "not joined", "primary unresponsive"],
+)
+def test_conditions_for_a_change_of_members(
+    statuses: tuple[MemberStatus, ...], expected: bool
+) -> None:
+    assert should_switch_over(CHANGED, statuses, frozenset(), 0) is expected
+    assert not should_switch_over(CHANGED, statuses, frozenset(), 1)
+
+
+@pytest.mark.parametrize(("member", "expected"), [("m2", False), ("m3", True)])
+def test_members_change_once_two_of_three_have_the_log(
+    member: str, expected: bool
+) -> None:
+    fenced = make_status("m1", 100, fenced=4)
+    caught_up = has_caught_up(
+        fenced, CHANGED, [fenced, make_status(member, 100)], frozenset()
+    )
+    assert caught_up is expected
