Promote no member that lost its log after its election

A member that restarted under its name without its log, after it was recorded as the primary of a term, was promoted with an empty log, by the attempt or later by the repair of the recorded primary. Its replicas have longer logs, so they confirmed commits that they did not have.

A promotion now reads the member's status first: its log has to have the length with which the term begins. Otherwise the term's primary stays unhealthy, and the next attempt elects another member.

test_member_that_lost_its_log_after_its_fence_is_not_promoted failed before and passes now; test_group_promotion.py, test_group_model.py and test_group_failover.py pass.

--- a/src/radishtrack/group/member_steps.py
+++ b/src/radishtrack/group/member_steps.py
@@ -74,7 +74,18 @@
 
 
 def promote_steps(group: Group) -> Steps:
-    """Make the recorded primary accept writes in the recorded term."""
+    """Make the recorded primary accept writes in the recorded term.
+
+    A member without exactly the log with which the term begins has lost it since it was
+    fenced, and is not promoted.
+    """
+    status = yield ReadStatus()
+    start = next(
+        (start.sequence for start in group.history if start.term == group.term),
+        status.position.sequence,
+    )
+    if status.term < group.term and status.position.sequence != start:
+        return status
     return (yield Promote(group.term))
 
 
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -55,6 +55,11 @@
                 self.role, self.source = Role.REPLICA, primary
         return self.status()
 
+    def restart_without_data(self) -> None:
+        """Start again under the same name, as an empty replica of the first term."""
+        self.role, self.log = Role.REPLICA, []
+        self.term = self.fenced_term = self.follow_term = 1
+
     def _require(self, condition: bool) -> None:
         if not condition:
             raise RefusedStatement(self.name)
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -53,7 +53,7 @@
 )
 from radishtrack.group.promotion import PromotionAttempt, make_promotion_attempt
 from radishtrack.group.record import GroupRecord, format_record, parse_record
-from radishtrack.group.status import Group, MemberStatus
+from radishtrack.group.status import Group, MemberStatus, Role
 from radishtrack.session.position import Position, is_contained
 
 DELIVERIES = (
@@ -344,7 +344,11 @@
         responses: dict[str, Callable[[MemberStatus], messages.Message]] = {
             "fence_steps": messages.MemberFenced,
             "follow_steps": lambda status: messages.MemberFollowed(name),
-            "promote_steps": lambda status: messages.MemberPromoted(name),
+            "promote_steps": lambda status: (
+                messages.MemberPromoted(name)
+                if status.role is Role.PRIMARY
+                else messages.MemberRefused(name, "not primary")
+            ),
         }
         make_response = responses[steps.__name__]
 
--- a/tests/test_group_promotion.py
+++ b/tests/test_group_promotion.py
@@ -24,7 +24,7 @@
 )
 from radishtrack.group.promotion import PromotionAttempt, make_promotion_attempt
 from radishtrack.group.promotion_state import Step
-from radishtrack.group.status import Group, MemberStatus
+from radishtrack.group.status import Group, MemberStatus, Role
 from radishtrack.session.position import TermStart
 
 scenarios("features/promotion_attempt.feature")
@@ -89,9 +89,15 @@
                 fault = self.pop_fault("promote")
                 if fault == "raced":
                     self.record_competing_term()
+                if fault == "without data":
+                    self.members[name].restart_without_data()
+                    fault = ""
                 steps = promote_steps(group)
                 self.command(
-                    name, steps, lambda _: messages.MemberPromoted(name), fault
+                    name,
+                    steps,
+                    lambda status: make_promoted(status, group),
+                    fault,
                 )
             case messages.FollowMember(name, group):
                 is_up = self.members[name].is_up
@@ -176,6 +182,13 @@
         return member.fenced_term > self.attempt.new_term
 
 
+def make_promoted(status: MemberStatus, group: Group) -> messages.Message:
+    """Return the response of `MemberCommands.promote`, which checks the status."""
+    if status.term != group.term or status.role is not Role.PRIMARY:
+        return messages.MemberRefused(status.member, "not primary")
+    return messages.MemberPromoted(status.member)
+
+
 def run_steps(member: ModelMember, steps: Steps) -> MemberStatus:
     statement = next(steps)
     while True:
@@ -294,6 +307,16 @@
     assert platform.group == lost_record
 
 
+def test_member_that_lost_its_log_after_its_fence_is_not_promoted() -> None:
+    """An empty primary's commits were confirmed by replicas with longer logs."""
+    driver = make_driver()
+    driver.faults = [("promote", "without data")]
+    driver.run(messages.PrimarySuspected())
+    assert driver.attempt.state is Step.FAILED
+    assert driver.platform.group.primary == "c"
+    assert driver.members["c"].role is Role.REPLICA
+
+
 def test_members_with_a_lower_term_discard_before_they_are_fenced() -> None:
     """Guards against an election that restores a commit reported as not run."""
     driver = make_driver()
