Promote no primary again that its replicas have joined

A primary that lost its data in a term that had begun with an empty log was promoted again in this term by the repair of the recorded primary: an empty log is the one with which the term begins. Its replicas have what it lost, and their logs diverge.

A replica in the term shows that the primary was promoted before. It is then left alone: it stays unhealthy, and the next term elects a replica.

--- a/src/radishtrack/group/detection.py
+++ b/src/radishtrack/group/detection.py
@@ -45,6 +45,18 @@
     return status.role is Role.PRIMARY and status.term == group.term
 
 
+def was_promoted(statuses: Iterable[MemberStatus], group: Group) -> bool:
+    """Return whether a replica shows that the recorded primary was promoted.
+
+    A replica joins a term only after its primary did. A primary of a lower term has
+    then lost its data, and must not be promoted again.
+    """
+    return any(
+        status.member != group.primary and status.term == group.term
+        for status in statuses
+    )
+
+
 @attrs.define
 class Suspicion:
     """Time of the last healthy status and of refused connections, by member."""
--- a/src/radishtrack/proxy/promoter.py
+++ b/src/radishtrack/proxy/promoter.py
@@ -20,6 +20,7 @@
     SUSPICION_MS,
     FencingWatch,
     start_delay_ms,
+    was_promoted,
 )
 from radishtrack.group.promotion import PromotionAttempt, make_promotion_attempt
 from radishtrack.group.promotion_messages import (
@@ -395,10 +396,10 @@
             elif _needs_repair(status, group) and self._claim_repair(
                 status.member, now_ms
             ):
-                is_primary = status.member == group.primary
-                self._spawn(
-                    self._promote() if is_primary else self._follow(status.member)
-                )
+                if status.member != group.primary:
+                    self._spawn(self._follow(status.member))
+                elif not was_promoted(self.monitor.latest_statuses.values(), group):
+                    self._spawn(self._promote())
 
     def _claim_repair(self, member: str, now_ms: float) -> bool:
         """Return whether a repair is due, and record its time if so."""
--- a/tests/test_group_decisions.py
+++ b/tests/test_group_decisions.py
@@ -22,6 +22,7 @@
     is_healthy_status,
     make_vote_tally,
     start_delay_ms,
+    was_promoted,
 )
 from radishtrack.group.election import Elected, NotElected, elect
 from radishtrack.group.evidence import (
@@ -187,6 +188,22 @@
     assert is_healthy_status(parse_status(status), make_group(3, 0, 9)) is expected
 
 
+@pytest.mark.parametrize(
+    ("statuses", "expected"),
+    [
+        ("a:1/2/R/9 b:1/2/R/9", False),
+        ("a:0/0/R/0 b:2/2/R/9", True),
+        ("a:2/2/P/9 b:1/2/R/9", False),
+    ],
+)
+def test_primary_that_replicas_have_joined_is_not_promoted_again(
+    statuses: str, expected: bool
+) -> None:
+    """An empty primary of a term that began without a log would lead its replicas."""
+    members = parse_round(statuses).statuses.values()
+    assert was_promoted(members, make_group(3, 0, 0)) is expected
+
+
 def test_start_delay_grows_with_the_rank() -> None:
     assert [start_delay_ms(rank) for rank in range(3)] == [0.0, 500.0, 1000.0]
 
