Elect no member below what is known to be confirmed

A replica that came back empty under its old name counted as a member of the fence quorum: a commit of the primary and this replica was left out by the next promotion, which elected the other replica.

A promotion decided from the members alone, and did not ask what had been acknowledged. Each monitor now keeps the position up to which it has seen commits confirmed; before an attempt records the new term, it asks the voters for theirs (an additional field of Record, so earlier nodes neither send nor mind it). An election below is none, and fails with this reason until a member with the commits is there. A confirmed position of the new term or a later one ends the attempt.

--- a/src/radishtrack/backend/monitor.py
+++ b/src/radishtrack/backend/monitor.py
@@ -22,7 +22,12 @@
     Suspicion,
     is_healthy_status,
 )
-from radishtrack.group.evidence import ServeReplicas, StatusRound, choose_strict
+from radishtrack.group.evidence import (
+    ServeReplicas,
+    StatusRound,
+    choose_strict,
+    confirmed_position,
+)
 from radishtrack.group.freshness import FreshnessSamples, make_freshness_samples
 from radishtrack.group.outcome import CommitOutcome, StillUnknown, resolve_commit
 from radishtrack.group.status import Group, MemberStatus
@@ -70,6 +75,8 @@
         self.round_waiters: set[RoundWaiter] = set()
         self.scheduled_round: asyncio.Future[StatusRound] | None = None
         self.unreachable: set[str] = set()
+        self.confirmed = Position(0, 0)
+        """Term and sequence up to which commits are known to be confirmed."""
         self.is_running = False
 
     @property
@@ -356,6 +363,7 @@
         now_ms = self.clock.now_ms()
         polled = PolledStatus(status, sent_ms)
         self.board.record(polled)
+        self._record_confirmed(status)
         if is_healthy_status(status, self.group):
             self.suspicion.record_healthy_status(member, now_ms)
         if member == self.group.primary:
@@ -369,6 +377,13 @@
         self._settle_rounds()
         self._settle_commits(polled)
 
+    def _record_confirmed(self, status: MemberStatus) -> None:
+        if status.position.sequence <= self.confirmed.sequence:
+            return
+        position = confirmed_position(self.board.collect(-math.inf), self.group)
+        if position is not None and position.sequence > self.confirmed.sequence:
+            self.confirmed = Position(self.group.term, position.sequence)
+
     def _record_failure(self, member: str, error: BaseException) -> None:
         if member not in self.unreachable and self.is_suspected(member):
             self.unreachable.add(member)
--- a/src/radishtrack/group/election.py
+++ b/src/radishtrack/group/election.py
@@ -74,6 +74,7 @@
     group: Group,
     new_term: int,
     leaving: frozenset[str] = frozenset(),
+    confirmed_sequence: int = 0,
 ) -> Elected | NotElected:
     """Choose the most advanced fenced member.
 
@@ -87,6 +88,9 @@
         The term for which the members were fenced.
     leaving : frozenset of str
         Members that are being taken out of service.
+    confirmed_sequence : int
+        A sequence up to which commits are known to be confirmed. Members that keep
+        their logs have it; one that started again without its log may not.
 
     Returns
     -------
@@ -112,6 +116,11 @@
         )
 
     max_sequence = max(kept_sequence(status, group) for status in fenced.values())
+    if max_sequence < confirmed_sequence:
+        return NotElected(
+            f"the fenced members have commits up to {max_sequence}, and commits up to "
+            f"{confirmed_sequence} are confirmed"
+        )
     # A member that still holds changes which an earlier promotion left out would
     # restore them; it has to discard them before it is fenced, see `discard_limit`.
     complete = [
--- a/src/radishtrack/group/promotion.py
+++ b/src/radishtrack/group/promotion.py
@@ -14,7 +14,9 @@
 from radishtrack.group.promotion_messages import (
     Action,
     AdoptGroup,
+    CollectConfirmed,
     CollectVotes,
+    ConfirmedReceived,
     DeadlinePassed,
     FenceMembers,
     FencingAbandoned,
@@ -178,6 +180,11 @@
             attempt.pending_members.discard(status.member)
         case MemberUnreachable(member) | MemberRefused(member):
             attempt.pending_members.discard(member)
+        case ConfirmedReceived(position) if position.term >= attempt.new_term:
+            attempt.end("superseded", f"term {position.term} has confirmed commits")
+            return
+        case ConfirmedReceived(position):
+            attempt.confirmed = position
         case DeadlinePassed():
             has_timed_out = True
     # The attempt began because the primary is unresponsive; waiting for its response
@@ -186,12 +193,23 @@
     if not attempt.is_takeover:
         new = {*attempt.group.next_members} - {*attempt.group.members}
         optional_members = {attempt.group.primary, *new}
-    if not attempt.pending_members <= optional_members and not has_timed_out:
+    has_waited = has_timed_out or attempt.confirmed is not None
+    if not attempt.pending_members <= optional_members and not has_waited:
         return
     choice = elect(
-        attempt.fenced.values(), attempt.group, attempt.new_term, attempt.leaving
+        attempt.fenced.values(),
+        attempt.group,
+        attempt.new_term,
+        attempt.leaving,
+        0 if attempt.confirmed is None else attempt.confirmed.sequence,
     )
     match choice:
+        case Elected() if not attempt.has_asked_confirmed:
+            attempt.has_asked_confirmed = True
+            attempt.restart_timeout(now_ms)
+            yield CollectConfirmed()
+        case Elected() if attempt.confirmed is None and not has_timed_out:
+            return
         case Elected():
             attempt.new_group = _make_new_group(attempt, choice)
             attempt.enter_step("elected", now_ms)
--- a/src/radishtrack/group/promotion_messages.py
+++ b/src/radishtrack/group/promotion_messages.py
@@ -7,6 +7,7 @@
 import attrs
 
 from radishtrack.group.status import Group, MemberStatus
+from radishtrack.session.position import Position
 
 
 @attrs.define(frozen=True)
@@ -31,6 +32,13 @@
     votes: Mapping[str, bool]
 
 
+@attrs.define(frozen=True)
+class ConfirmedReceived:
+    """The highest position that the responding voters know to be confirmed."""
+
+    position: Position
+
+
 @attrs.define(frozen=True)
 class GroupRead:
     """The platform returned the group's record."""
@@ -101,6 +109,7 @@
     | FencingAbandoned
     | PrimaryResponded
     | VotesReceived
+    | ConfirmedReceived
     | GroupRead
     | GroupRecorded
     | RecordConflicted
@@ -119,6 +128,14 @@
     """Request the votes of all voters on whether the primary is unreachable."""
 
 
+@attrs.define(frozen=True)
+class CollectConfirmed:
+    """Request from all voters the position up to which commits are confirmed.
+
+    The response lacks voters that do not answer soon.
+    """
+
+
 @attrs.define(frozen=True)
 class ReadGroup:
     """Read the group's record from the platform."""
@@ -204,6 +221,7 @@
 
 Action = (
     CollectVotes
+    | CollectConfirmed
     | ReadGroup
     | FenceMembers
     | RecordGroup
--- a/src/radishtrack/group/promotion_state.py
+++ b/src/radishtrack/group/promotion_state.py
@@ -10,6 +10,7 @@
 
 from radishtrack.group.detection import VoteTally
 from radishtrack.group.status import Group, MemberStatus
+from radishtrack.session.position import Position
 
 STEP_TIMEOUT_MS: Final = 500.0
 """Timeout for the responses of one step. Every step can use it twice within the limit
@@ -99,6 +100,9 @@
     backoff_ms: float = MINIMUM_BACKOFF_MS
     fenced: dict[str, MemberStatus] = attrs.field(factory=dict)
     pending_members: set[str] = attrs.field(factory=set)
+    confirmed: Position | None = None
+    """Up to where voters know commits to be confirmed; None before they responded."""
+    has_asked_confirmed: bool = False
     new_group: Group | None = None
     is_promoted: bool = False
     followers: set[str] = attrs.field(factory=set)
--- a/src/radishtrack/proxy/assembly.py
+++ b/src/radishtrack/proxy/assembly.py
@@ -40,6 +40,7 @@
 from radishtrack.proxy.usage_reports import UsageReports
 from radishtrack.proxy.votes import Votes
 from radishtrack.routing.statement import make_classifier
+from radishtrack.session.position import Position
 from radishtrack.settings import Settings
 from radishtrack.usage.counter import make_usage_counter
 from radishtrack.usage.report import make_reporter
@@ -195,6 +196,9 @@
         async def request_votes(name: str, member: str) -> dict[str, bool]:
             return await votes.request(list_voters(), name, member)
 
+        async def request_confirmed(name: str) -> tuple[Position, ...]:
+            return await votes.request_confirmed(list_voters(), name)
+
         def list_leaving_members() -> frozenset[str]:
             backend = slots.holder.databases.get(database.name)
             return backend.list_leaving_members() if backend else frozenset()
@@ -208,6 +212,7 @@
             store,
             MemberCommands(make_connect(votes.login.password)),
             request_votes,
+            request_confirmed,
         )
 
     return make_database_promoter
--- a/src/radishtrack/proxy/promoter.py
+++ b/src/radishtrack/proxy/promoter.py
@@ -26,7 +26,9 @@
 from radishtrack.group.promotion_messages import (
     Action,
     AdoptGroup,
+    CollectConfirmed,
     CollectVotes,
+    ConfirmedReceived,
     DeadlinePassed,
     FenceMembers,
     FencingAbandoned,
@@ -56,8 +58,13 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from radishtrack.proxy.promoter_context import PromoterContext, RequestVotes
+from radishtrack.proxy.promoter_context import (
+    PromoterContext,
+    RequestConfirmed,
+    RequestVotes,
+)
 from radishtrack.proxy.switchover import Switchover
+from radishtrack.session.position import Position
 
 TICK_MS: Final = 100.0
 """Time between two checks of the members' statuses."""
@@ -68,6 +75,9 @@
 PLATFORM_TIMEOUT_MS: Final = 500.0
 """Timeout of a call to the platform, which is one step of an attempt."""
 
+CONFIRMED_TIMEOUT_MS: Final = 250.0
+"""Timeout of the request for confirmed positions, which every promotion waits for."""
+
 VOTES_TIMEOUT_MS: Final = 1_500.0
 """Timeout of the request for votes; longer than a step, so that the other votes count
 even if one voter is down."""
@@ -84,6 +94,7 @@
         store: GroupStore,
         commands: MemberCommands,
         request_votes: RequestVotes,
+        request_confirmed: RequestConfirmed,
     ) -> None:
         self.context = context
         self.record = record
@@ -91,6 +102,7 @@
         self.store = store
         self.commands = commands
         self.request_votes = request_votes
+        self.request_confirmed = request_confirmed
         self.fencing = FencingWatch()
         self.suspected_ms: float | None = None
         self.not_before_ms = 0.0
@@ -277,6 +289,8 @@
         match action:
             case CollectVotes():
                 self._spawn(self._collect_votes(self.record.group.primary))
+            case CollectConfirmed():
+                self._spawn(self._collect_confirmed())
             case ReadGroup():
                 self._spawn(self._read_group())
             case FenceMembers(members, _, term):
@@ -316,6 +330,19 @@
         votes[self.context.node] = self.monitor.is_suspected(primary)
         messages.put_nowait(VotesReceived(votes))
 
+    async def _collect_confirmed(self) -> None:
+        messages = self.messages
+        positions = [self.monitor.confirmed]
+        try:
+            async with asyncio.timeout(CONFIRMED_TIMEOUT_MS / 1000):
+                positions.extend(await self.request_confirmed(self.database))
+        except (OSError, TimeoutError):
+            pass
+        # Every later term keeps what one confirmed, so the sequences are of one log.
+        term = max(position.term for position in positions)
+        sequence = max(position.sequence for position in positions)
+        messages.put_nowait(ConfirmedReceived(Position(term, sequence)))
+
     async def _read_group(self) -> None:
         messages = self.messages
         try:
@@ -430,6 +457,7 @@
     store: GroupStore,
     commands: MemberCommands,
     request_votes: RequestVotes,
+    request_confirmed: RequestConfirmed,
 ) -> Promoter:
     """Return a promoter that has not been started.
 
@@ -448,10 +476,15 @@
     request_votes : callable
         Takes database and member; returns, for each voter that responded, whether the
         member is unreachable from it.
+    request_confirmed : callable
+        Takes a database; returns the position up to which each voter that responded
+        knows commits to be confirmed.
 
     Returns
     -------
     Promoter
         Call `start` in a running event loop.
     """
-    return Promoter(context, record, monitor, store, commands, request_votes)
+    return Promoter(
+        context, record, monitor, store, commands, request_votes, request_confirmed
+    )
--- a/src/radishtrack/proxy/promoter_context.py
+++ b/src/radishtrack/proxy/promoter_context.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 import attrs
 
+from radishtrack.session.position import Position
+
 RequestVotes = Callable[[str, str], Awaitable[Mapping[str, bool]]]
 """Takes database and member; returns, for each voter that responded, whether the member
 is unreachable from it."""
 
+RequestConfirmed = Callable[[str], Awaitable[Iterable[Position]]]
+"""Takes a database; returns the position up to which each other voter that responded
+knows commits to be confirmed."""
+
 
 @attrs.define(frozen=True)
 class PromoterContext:
--- a/src/radishtrack/proxy/votes.py
+++ b/src/radishtrack/proxy/votes.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import itertools
-from typing import Final
+from collections.abc import Mapping
+from typing import Any, Final
 
 import attrs
 import cbor2
@@ -17,10 +18,12 @@
 from radishtrack.peer.messages import Record, RecordRequest, Vote, VoteRequest
 from radishtrack.proxy.router import Router
 from radishtrack.proxy.slots import Slots
+from radishtrack.session.position import Position
 from radishtrack.settings import DatabaseLogin
 
 PROBE_TIMEOUT_S: Final = 0.4
 RECORD_CHECK_INTERVAL_S: Final = 0.25
+RECORD_TIMEOUT_S: Final = 0.2
 RECENT_RESPONSE_MS: Final = 300.0
 
 
@@ -76,6 +79,36 @@
             if is_unreachable is not None
         }
 
+    async def request_confirmed(
+        self, voters: tuple[str, ...], database: str
+    ) -> tuple[Position, ...]:
+        """Return up to where the other voters know commits to be confirmed.
+
+        Parameters
+        ----------
+        voters : tuple of str
+            All voters of the database.
+        database : str
+            The database.
+
+        Returns
+        -------
+        tuple of Position
+            Position of each voter that responded in time.
+        """
+        requests = [
+            asyncio.create_task(self._request_record(name, database))
+            for name in voters
+            if name != self.router.node.id
+        ]
+        if not requests:
+            return ()
+        responded, pending = await asyncio.wait(requests, timeout=RECORD_TIMEOUT_S)
+        for request in pending:
+            request.cancel()
+        positions = (request.result() for request in responded)
+        return tuple(position for position in positions if position is not None)
+
     async def handle_vote_request(self, request: VoteRequest) -> Vote:
         """Return whether a member is unreachable from this node.
 
@@ -85,11 +118,19 @@
         return Vote(request.request, not is_reachable)
 
     def handle_record_request(self, request: RecordRequest) -> Record:
-        """Return this node's record of a group; version 0 if it has none."""
+        """Return this node's record of a group; version 0 if it has none.
+
+        The value has the position up to which this node knows commits to be confirmed.
+        """
         record = self.slots.records.get(request.database)
         if record is None:
             return Record(request.request, 0, b"")
-        value = cbor2.dumps(format_record(record))
+        fields = format_record(record)
+        backend = self.slots.holder.databases.get(request.database)
+        if backend is not None:
+            confirmed = backend.monitor.confirmed
+            fields["confirmed"] = [confirmed.term, confirmed.sequence]
+        value = cbor2.dumps(fields)
         return Record(request.request, record.group.version, value)
 
     async def follow_terms(self) -> None:
@@ -109,7 +150,7 @@
         others = [name for name in names if name != self.router.node.id]
         await asyncio.gather(*(self._request_record(name, database) for name in others))
 
-    async def _request_record(self, name: str, database: str) -> None:
+    async def _request_record(self, name: str, database: str) -> Position | None:
         number = next(self.numbers)
         try:
             link = await self.router.get_link(name)
@@ -117,15 +158,18 @@
                 RecordRequest(number, database), number, 2 * PROBE_TIMEOUT_S
             )
         except LinkClosed:
-            return
+            return None
         if isinstance(response, Record) and response.version:
             try:
                 value = cbor2.loads(response.value)
                 record = parse_record(database, response.version, value)
+                confirmed = _parse_confirmed(value)
             except (RecordError, cbor2.CBORDecodeError, ValueError) as error:
                 log_event(Event.PEER_REFUSED, peer=name, reason=error)
-                return
+                return None
             self.slots.update_record(record)
+            return confirmed
+        return None
 
     async def _request_vote(self, name: str, database: str, member: str) -> bool | None:
         number = next(self.numbers)
@@ -160,3 +204,11 @@
         except MEMBER_ERRORS:
             return False
         return True
+
+
+def _parse_confirmed(value: Mapping[str, Any]) -> Position:
+    try:
+        term, sequence = value.get("confirmed", (0, 0))
+        return Position(int(term), int(sequence))
+    except (TypeError, ValueError) as error:
+        raise RecordError(f"confirmed position can not be read: {error!r}") from error
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -56,9 +56,9 @@
         return self.status()
 
     def restart_without_data(self) -> None:
-        """Start again under the same name, as an empty replica of the first term."""
-        self.role, self.log = Role.REPLICA, []
-        self.term = self.fenced_term = self.follow_term = 1
+        """Start again under the same name, empty and in no term."""
+        self.role, self.source, self.log = Role.REPLICA, "", []
+        self.term = self.fenced_term = self.follow_term = 0
 
     def _require(self, condition: bool) -> None:
         if not condition:
--- a/tests/test_group_decisions.py
+++ b/tests/test_group_decisions.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import math
+from types import SimpleNamespace
 
 import attrs
+import cbor2
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from radishtrack.backend.endpoint import MemberEndpoint
+from radishtrack.clock import ManualTime, make_manual_clock
 from radishtrack.group.detection import (
     ABANDONED_MS,
     SUSPICION_MS,
@@ -46,6 +49,8 @@
     parse_record,
 )
 from radishtrack.group.status import Group, MemberStatus, Role
+from radishtrack.peer.messages import Record, RecordRequest
+from radishtrack.proxy.votes import Votes
 from radishtrack.session.position import Position, TermStart
 
 scenarios("features/group_decisions.feature")
@@ -329,3 +334,41 @@
     assert set(kept.group.next_members) == {"a", "c", "d"}
     assert set(kept.endpoints) == {"a", "b", "c", "d"}
     assert parse_record("strekk-db", 9, format_record(kept)).group == kept.group
+
+
+@pytest.mark.parametrize(
+    ("confirmed", "expected"),
+    [([2, 14], (Position(2, 14),)), (None, (Position(0, 0),)), ([2], ()), (7, ())],
+    ids=["known", "earlier version", "short", "no list"],
+)
+async def test_voters_tell_up_to_where_commits_are_confirmed(
+    confirmed: object, expected: tuple[Position, ...]
+) -> None:
+    """A promotion did not ask what had been acknowledged."""
+    record = make_record()
+    backend = SimpleNamespace(monitor=SimpleNamespace(confirmed=Position(2, 14)))
+    votes = Votes(
+        make_manual_clock(ManualTime()),
+        SimpleNamespace(),  # type: ignore[arg-type]
+        SimpleNamespace(node=SimpleNamespace(id="p")),  # type: ignore[arg-type]
+        SimpleNamespace(  # type: ignore[arg-type]
+            records={"strekk-db": record},
+            holder=SimpleNamespace(databases={"strekk-db": backend}),
+            update_record=lambda _: None,
+        ),
+    )
+
+    async def call(request: RecordRequest, _number: int, _timeout_s: float) -> Record:
+        response = votes.handle_record_request(request)
+        value = cbor2.loads(response.value)
+        assert value["confirmed"] == [2, 14]
+        value["confirmed"] = confirmed
+        if confirmed is None:
+            del value["confirmed"]
+        return attrs.evolve(response, value=cbor2.dumps(value))
+
+    async def get_link(_: str) -> object:
+        return SimpleNamespace(call=call)
+
+    votes.router.get_link = get_link  # type: ignore[method-assign,assignment]
+    assert await votes.request_confirmed(("p", "q"), "strekk-db") == expected
--- a/tests/test_group_failover.py
+++ b/tests/test_group_failover.py
@@ -29,6 +29,7 @@
     choose_strict,
 )
 from radishtrack.group.outcome import Confirmed, DidNotRun, StillUnknown
+from radishtrack.group.promotion_state import Step
 from radishtrack.group.record import GroupRecord, format_record
 from radishtrack.group.status import Group, MemberStatus, Role
 from radishtrack.objects.client import PlatformClient, make_platform_client
@@ -39,7 +40,7 @@
 )
 from radishtrack.proxy.promoter import Promoter, make_promoter
 from radishtrack.proxy.promoter_context import PromoterContext
-from radishtrack.session.position import TermStart
+from radishtrack.session.position import Position, TermStart
 from radishtrack_standins.member import MemberSettings, RunningMember, start_member
 from radishtrack_standins.platform import RunningPlatform, start_platform
 
@@ -141,6 +142,9 @@
     async def request_votes(_: str, member: str) -> Mapping[str, bool]:
         return {name: monitors[name].is_suspected(member) for name in monitors}
 
+    async def request_confirmed(_: str) -> list[Position]:
+        return [monitor.confirmed for monitor in monitors.values()]
+
     promoters: dict[str, Promoter] = {}
     for rank, node in enumerate(NODES[:2]):
         monitors[node] = make_monitor(
@@ -157,6 +161,7 @@
             store,
             MemberCommands(connect),
             request_votes,
+            request_confirmed,
         )
         promoters[node].start()
     try:
@@ -256,6 +261,33 @@
         assert not fleet.members["a"].member.state.is_primary
 
 
+async def test_replica_that_lost_its_log_is_not_promoted_without_it(
+    tmp_path: Path,
+) -> None:
+    """Commits of a and b were lost: b came back empty, and c had not received them."""
+    async with run_fleet(tmp_path) as fleet:
+        members = {name: fleet.members[name].member for name in ("a", "b", "c")}
+        monitor = fleet.monitors["p"]
+        members["c"].faults.set(cut_replication=True)
+        status = await fleet.write("a", "CREATE TABLE orders (number INT PRIMARY KEY)")
+        deadline_ms = fleet.clock.now_ms() + 5_000
+        outcome = await monitor.wait_confirmed(status.position, 1, deadline_ms)
+        assert outcome == Confirmed()
+        members["b"].faults.set(cut_replication=True)
+        members["a"].faults.set(freeze=True)
+        async with members["b"].group_lock, members["b"].log.write_lock:
+            await members["b"].log.truncate(0)
+        promoter = fleet.promoters["p"]
+        async with asyncio.timeout(20):
+            while promoter.attempt is None or promoter.attempt.state is not Step.FAILED:
+                await asyncio.sleep(0.02)
+        assert "confirmed" in promoter.attempt.reason
+        assert (await fleet.read()).group.term == 1
+        for member in members.values():
+            member.faults.set(freeze=False, cut_replication=False)
+        assert (await fleet.wait_for_term(2)).group.primary == "a"
+
+
 async def test_fencing_abandoned_by_a_promoter_is_completed(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -26,6 +26,7 @@
 from group_model import ModelMember, ModelPlatform, RefusedStatement, make_model
 from radishtrack.backend.endpoint import MemberEndpoint
 from radishtrack.group import promotion_messages as messages
+from radishtrack.group.detection import was_promoted
 from radishtrack.group.evidence import (
     ServePrimary,
     ServeReplicas,
@@ -149,6 +150,7 @@
         self.requests: list[Request] = []
         self.acknowledged: set[int] = set()
         self.discarded: set[int] = set()
+        self.confirmed = Position(0, 0)
         self.next_number = 1
         self.attempts = 0
         self.steps = 0
@@ -218,6 +220,9 @@
         for name in promoter.group.all_members:
             steps = follow_steps(promoter.group)
             if name == promoter.group.primary:
+                statuses = (member.status() for member in self.members.values())
+                if was_promoted(statuses, promoter.group):
+                    continue
                 steps = promote_steps(promoter.group)
             self._command(promoter, name, steps, lambda message: None)
         self._run_jobs(promoter, random)
@@ -278,6 +283,8 @@
         match action:
             case messages.CollectVotes():
                 deliver(messages.VotesReceived(dict.fromkeys(VOTERS, True)))
+            case messages.CollectConfirmed():
+                deliver(messages.ConfirmedReceived(self._find_confirmed()))
             case messages.ReadGroup():
                 promoter.add("", lambda delivery: self._read(deliver, delivery))
             case messages.RecordGroup(group, version):
@@ -297,6 +304,10 @@
             case messages.AdoptGroup(group):
                 promoter.group = group
 
+    def _find_confirmed(self) -> Position:
+        """Return what voters report: nothing, since members that keep logs suffice."""
+        return Position(0, 0)
+
     def _read(self, deliver: Callable[[messages.Message], None], delivery: str) -> None:
         if not self.platform.is_up or delivery in ("lost", "response lost"):
             deliver(messages.PlatformDidNotRespond())
@@ -457,13 +468,21 @@
                 self._check_read(request, request.commit_numbers)
             case Confirmed():
                 self._check_current(request)
-                self.acknowledged.add(request.number)
+                self._acknowledge(request)
             case RanInHistory() if not request.is_read:
-                self.acknowledged.add(request.number)
+                self._acknowledge(request)
             case DidNotRun() if not request.is_read:
                 self.discarded.add(request.number)
         self.requests.remove(request)
 
+    def _acknowledge(self, request: Request) -> None:
+        assert request.position is not None
+        self.acknowledged.add(request.number)
+        self.confirmed = Position(
+            max(self.confirmed.term, request.group.term),
+            max(self.confirmed.sequence, request.position.sequence),
+        )
+
     def _choose(self, request: Request) -> None:
         status_round = StatusRound(0.0, request.statuses)
         names: tuple[str, ...] = ()
@@ -576,6 +595,43 @@
         self.platform.group = changed.group
 
 
+class LostLogMachine(GroupMachine):
+    """Members start again without their logs while another one has all commits.
+
+    Not covered: a member that loses its fence with its log while a promotion counts it
+    or a node with an outdated record sends it statements, and strict reads.
+    """
+
+    mix: ClassVar[dict[str, int]] = MIX | {"lose_log": 1, "read_strictly": 0}
+
+    def _lose_log(self, _: int, random: Random) -> None:
+        name = random.choice(self.names)
+        is_copied = any(
+            self.acknowledged <= other.commit_numbers()
+            and len(other.log) >= self.confirmed.sequence
+            for other in self.members.values()
+            if other.name != name
+        )
+        is_used = self.members[name].status().is_fenced or any(
+            job.member == name for promoter in self.promoters for job in promoter.jobs
+        )
+        is_counted = any(
+            name in promoter.attempt.fenced
+            for promoter in self.promoters
+            if promoter.attempt is not None
+        )
+        if is_copied and not is_used and not is_counted:
+            self.members[name].restart_without_data()
+
+    def _repair(self, index: int, random: Random) -> None:
+        if self.promoters[index].attempt is None:
+            self.promoters[index].group = self.platform.group
+            super()._repair(index, random)
+
+    def _find_confirmed(self) -> Position:
+        return self.confirmed
+
+
 class FiveMemberMachine(GroupMachine):
     """Five members, of which the primary and one replica are no quorum."""
 
@@ -583,7 +639,7 @@
 
 
 @pytest.mark.parametrize(
-    "machine", [GroupMachine, FiveMemberMachine, ChangingMembersMachine]
+    "machine", [GroupMachine, FiveMemberMachine, ChangingMembersMachine, LostLogMachine]
 )
 def test_no_schedule_loses_an_acknowledged_commit(
     machine: type[GroupMachine],
--- a/tests/test_group_promotion.py
+++ b/tests/test_group_promotion.py
@@ -25,7 +25,7 @@
 from radishtrack.group.promotion import PromotionAttempt, make_promotion_attempt
 from radishtrack.group.promotion_state import Step
 from radishtrack.group.status import Group, MemberStatus, Role
-from radishtrack.session.position import TermStart
+from radishtrack.session.position import Position, TermStart
 
 scenarios("features/promotion_attempt.feature")
 
@@ -41,6 +41,8 @@
     platform: ModelPlatform
     attempt: PromotionAttempt
     faults: list[tuple[str, str]] = attrs.field(factory=list)
+    confirmed: Position = attrs.field(factory=lambda: Position(1, 3))
+    """Up to where the voters know commits to be confirmed."""
     now_ms: float = 0.0
     inbox: deque[messages.Message] = attrs.field(factory=deque)
     late_updates: list[messages.RecordGroup] = attrs.field(factory=list)
@@ -69,6 +71,9 @@
         match action:
             case messages.CollectVotes():
                 self.vote(self.pop_fault("vote"))
+            case messages.CollectConfirmed():
+                if self.pop_fault("confirmed") != "silent":
+                    self.inbox.append(messages.ConfirmedReceived(self.confirmed))
             case messages.ReadGroup():
                 is_reread = self.attempt.state is Step.RECORDING
                 self.read(self.pop_fault("read again" if is_reread else "read"))
@@ -281,6 +286,8 @@
     for name in ("b", "c"):
         status = run_steps(driver.members[name], fence_steps(driver.platform.group, 2))
         actions = driver.attempt.handle(messages.MemberFenced(status), 3.0)
+    assert actions == (messages.CollectConfirmed(),)
+    actions = driver.attempt.handle(messages.ConfirmedReceived(Position(1, 3)), 4.0)
     assert isinstance(actions[0], messages.RecordGroup)
 
 
@@ -317,6 +324,30 @@
     assert driver.members["c"].role is Role.REPLICA
 
 
+def test_member_that_lost_its_log_does_not_stand_for_a_confirmed_commit() -> None:
+    """Commit 3 was lost: c had it and started again, empty, before its fence."""
+    driver = make_driver()
+    driver.members["c"].restart_without_data()
+    driver.run(messages.PrimarySuspected())
+    assert driver.attempt.state is Step.FAILED
+    assert "confirmed" in driver.attempt.reason
+    assert driver.platform.group.term == 1
+    driver.members["a"].is_up = True
+    attempt = make_promotion_attempt(driver.platform.group, "p-2", VOTERS)
+    second_driver = Driver(driver.members, driver.platform, attempt)
+    second_driver.run(messages.FencingAbandoned())
+    assert attempt.state is Step.DONE
+    assert driver.platform.group.primary == "a"
+
+
+def test_confirmed_commits_of_a_later_term_end_the_attempt() -> None:
+    driver = make_driver()
+    driver.confirmed = Position(2, 4)
+    driver.run(messages.PrimarySuspected())
+    assert driver.attempt.state is Step.LOST
+    assert driver.platform.group.term == 1
+
+
 def test_members_with_a_lower_term_discard_before_they_are_fenced() -> None:
     """Guards against an election that restores a commit reported as not run."""
     driver = make_driver()
@@ -342,8 +373,19 @@
     members["a"].is_up = False
     detected_ms = POLL_INTERVAL_MS + SUSPICION_MS
     attempt = make_promotion_attempt(platform.group, "p-1", VOTERS)
-    driver = Driver(members, platform, attempt, now_ms=detected_ms)
-    steps = ("vote", "read", "fence", "record", "read again", "promote", "follow")
+    driver = Driver(
+        members, platform, attempt, now_ms=detected_ms, confirmed=Position(1, 1)
+    )
+    steps = (
+        "vote",
+        "read",
+        "fence",
+        "confirmed",
+        "record",
+        "read again",
+        "promote",
+        "follow",
+    )
     driver.faults = [(step, "silent") for step in steps]
     driver.run(messages.PrimarySuspected())
     assert attempt.state is Step.DONE
