--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -74,6 +74,7 @@
     "continue_request": 4,
     "refresh": 4,
     "stop_or_restart": 1,
+    "mark_leaving": 1,
     "start_attempt": 1,
     "continue_jobs": 3,
     "replace_primary": 2,
@@ -150,6 +151,7 @@
         self.requests: list[Request] = []
         self.acknowledged: set[int] = set()
         self.discarded: set[int] = set()
+        self.leaving: frozenset[str] = frozenset()
         self.confirmed = Position(0, 0)
         self.next_number = 1
         self.attempts = 0
@@ -189,6 +191,10 @@
             member.is_up = random.random() < 0.8
         self.platform.is_up = random.random() < 0.8
 
+    def _mark_leaving(self, _: int, random: Random) -> None:
+        count = random.choice((0, 0, 1, 2))
+        self.leaving = frozenset(random.sample(self.names, count))
+
     def _refresh(self, index: int, random: Random) -> None:
         if random.random() < 0.5:
             self.holder_groups[index] = self.platform.group
@@ -249,7 +255,7 @@
     def _start(self, promoter: Promoter, first: messages.Message) -> None:
         self.attempts += 1
         promoter.attempt = make_promotion_attempt(
-            promoter.group, f"attempt {self.attempts}", VOTERS
+            promoter.group, f"attempt {self.attempts}", VOTERS, self.leaving
         )
         self._deliver(promoter, promoter.attempt, first)
 
