--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,6 +4,8 @@
 
 from typing import Any, cast
 
+import attrs
+
 from radishtrack.group.record import GroupRecord
 from radishtrack.group.status import Group
 from radishtrack.proxy.slots import Slots
@@ -42,3 +44,22 @@
     slots.update_record(make_record(1, make_revision(2, 7)))
     assert slots.records[DATABASE].group.term == 2
     assert promoter.restored == [make_revision(2, 7)]
+
+
+def test_members_that_operators_replaced_count_until_the_term_ends() -> None:
+    """Within the term, commits of the replaced member were left to the new list."""
+    unused = cast(Any, None)
+    slots = Slots(unused, unused, unused, unused, unused, unused)
+    slots.holder = cast(Any, type("Holder", (), {"databases": {}}))
+    known = make_record(2, 9)
+    slots.update_record(known)
+    listed = attrs.evolve(make_record(2, 10).group, members=("a", "b"))
+    slots.update_record(GroupRecord(listed, {}, has_term_members=False))
+    group = slots.records[DATABASE].group
+    assert (group.version, group.members, group.next_members) == (
+        10,
+        ("a",),
+        ("a", "b"),
+    )
+    slots.update_record(GroupRecord(attrs.evolve(listed, term=3, version=11), {}))
+    assert slots.records[DATABASE].group.members == ("a", "b")
