Count on the answers of all nodes only if all are known

A promotion without missing members lost acknowledged commits: a node that had acknowledged them was unknown to the promoter. It took itself to know all nodes since 4.5 s after its start. One that was removed before its first read of the store, or that came and went while it was suspended or the store away, was neither asked nor taken into account, and may serve without the store for seconds.

The time is now counted from the last pause of 2.5 s in the reads of the store's records, also for the wait until evidence has expired.

--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -27,7 +27,7 @@
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, PromotionDuty
 from radishtrack.pooler.rank import rank_node
 from radishtrack.pooler.statements import GetStatus
-from radishtrack.pooler.store_copy import StoreCopy
+from radishtrack.pooler.store_copy import DEPARTURE_MS, StoreCopy
 from radishtrack.pooler.tasks import start_task
 
 CHECK_INTERVAL_MS: Final = 100.0
@@ -176,6 +176,15 @@
             now_ms=now_ms,
         )
 
+    def knows_nodes_since_ms(self) -> float:
+        """Return the time since which this node knows all nodes with evidence.
+
+        One that was removed from the store before this node read the list, or in an
+        outage, may have some for `DEPARTURE_MS`.
+        """
+        steady_since_ms = self.clock.now_ms() - self.store_copy.steady_ms()
+        return max(self.started_ms, steady_since_ms) + DEPARTURE_MS
+
     def has_settled_list(self) -> bool:
         """Return whether the store's list has all members that run."""
         return self.store_copy.steady_ms() >= LIST_SETTLED_MS
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -464,12 +464,10 @@
             nodes.append(NodeAcknowledgements(AcknowledgedRange(), math.inf))
         acknowledged = merge_acknowledgements(nodes)
         # A process that is not running has no evidence, and one that starts discards
-        # what it had when it begins to listen. If this node started recently, it may
-        # not know nodes that were removed shortly before.
-        age_ms = clock.now_ms() - self.promoter.started_ms
+        # what it had when it begins to listen.
         if (
             is_complete
-            and age_ms > DEPARTURE_MS
+            and clock.now_ms() > self.promoter.knows_nodes_since_ms()
             and all(
                 isinstance(response, EvidenceWithdrawn | BeliefWithdrawn | NotRunning)
                 for response in responses.values()
@@ -508,8 +506,7 @@
         """Yield what this node and the others have acknowledged."""
         promoter = self.promoter
         now_ms = promoter.clock.now_ms()
-        # This node may not know those that were removed before it started.
-        known_ms = promoter.started_ms + DEPARTURE_MS
+        known_ms = promoter.knows_nodes_since_ms()
         yield NodeAcknowledgements(self.access.evidence.acknowledged, known_ms)
         for response in responses.values():
             match response:
--- a/src/radishtrack/pooler/store_copy.py
+++ b/src/radishtrack/pooler/store_copy.py
@@ -62,8 +62,8 @@
 """Time for which a removed node still counts. It either sees within 1.3 s that its
 record is missing, or refuses all keys once its copy is 3 s old; the rest is margin."""
 STEADY_PAUSE_MS: Final = 2_500.0
-"""Pause between confirmations of the copy that counts as an outage of the store, in
-which entries of members may expire."""
+"""Pause between reads of the records that counts as an outage of the store, in which
+entries of members may expire and nodes come and go."""
 LOOKUP_WAIT_MS: Final = 400.0
 """Longest wait of a client for the first read of a starting node, or for a lookup;
 clients come back after a refusal in about this time."""
@@ -144,7 +144,7 @@
     announcements_ms: float | None = None
     """The same for the announced terms, which need no new configuration."""
     steady_since_ms: float = math.inf
-    """Since when the copy has been confirmed without a long pause."""
+    """Since when the records have been read without a long pause."""
     is_available: bool = True
     is_outdated: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the store has a later revision than the copy."""
@@ -488,10 +488,11 @@
         return self.clock.now_ms() - self.confirmed_ms
 
     def steady_ms(self) -> float:
-        """Return for how long the store has responded; negative before the first."""
-        if self.age_ms() > STEADY_PAUSE_MS:
+        """Return for how long the records have been read without a long pause."""
+        now_ms, last_ms = self.clock.now_ms(), self.announcements_ms
+        if last_ms is None or now_ms - last_ms > STEADY_PAUSE_MS:
             return -math.inf
-        return self.clock.now_ms() - self.steady_since_ms
+        return now_ms - self.steady_since_ms
 
     def record_own_read(self, requested_ms: float) -> None:
         """Count a read of the store as confirmation, unless it may lack writes."""
@@ -556,16 +557,16 @@
 
     def record_announcements(self, requested_ms: float) -> None:
         """Record that the announced terms equalled the store's at a time."""
-        if self.announcements_ms is None or requested_ms > self.announcements_ms:
+        last_ms = self.announcements_ms
+        if last_ms is None or requested_ms > last_ms:
+            if last_ms is None or requested_ms - last_ms > STEADY_PAUSE_MS:
+                self.steady_since_ms = requested_ms
             self.announcements_ms = requested_ms
 
     def record_confirmation(self, requested_ms: float) -> None:
         """Record that the copy equalled the store at a time."""
         self.record_announcements(requested_ms)
         if self.confirmed_ms is None or requested_ms > self.confirmed_ms:
-            previous_ms = -math.inf if self.confirmed_ms is None else self.confirmed_ms
-            if requested_ms - previous_ms > STEADY_PAUSE_MS:
-                self.steady_since_ms = requested_ms
             self.confirmed_ms = requested_ms
             self.has_copy.set()
             if requested_ms >= self.settling.settled_ms and self.evacuated.release():
--- a/tests/pooler_simulation.py
+++ b/tests/pooler_simulation.py
@@ -19,6 +19,7 @@
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.node import Node, NodeOptions, make_node
 from radishtrack.pooler.request_log import make_request_log
+from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.revision import make_revision
 from radishtrack_standins import platform_objects
 from radishtrack_standins.cluster import find_free_ports
@@ -167,6 +168,12 @@
                 other.term = member.term
 
 
+def make_old(node: Node) -> None:
+    """Let a node have run for so long that it knows all nodes that may serve."""
+    node.promoter.started_ms -= DEPARTURE_MS
+    node.store_copy.steady_since_ms -= DEPARTURE_MS
+
+
 @asynccontextmanager
 async def open_simulation(nodes: int = 1) -> AsyncIterator[Simulation]:
     """Start a store, three members and nodes; wait until the nodes can serve."""
--- a/tests/test_overlapping_fences.py
+++ b/tests/test_overlapping_fences.py
@@ -20,12 +20,12 @@
     MemberStatement,
     Unfence,
 )
-from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.session.position import Position
 from tests.pooler_simulation import (
     GROUP,
     RunningNode,
     Simulation,
+    make_old,
     open_simulation,
     wait_until,
 )
@@ -96,7 +96,7 @@
 
 def sort_by_rank(simulation: Simulation) -> list[RunningNode]:
     for running in simulation.nodes:
-        running.node.promoter.started_ms -= DEPARTURE_MS
+        make_old(running.node)
     return sorted(simulation.nodes, key=lambda n: n.node.promoter._rank(GROUP))
 
 
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -18,7 +18,6 @@
 from radishtrack.pooler.promotion import PromotionReason
 from radishtrack.pooler.promotion_attempt import PromotionAttempt
 from radishtrack.pooler.promotion_duty import PROMOTION_DUTY, RENEW_AFTER_MS
-from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.revision import get_era
 from radishtrack.session.position import Position
 from radishtrack_standins.cluster import find_free_ports
@@ -27,6 +26,7 @@
     Client,
     Simulation,
     make_config,
+    make_old,
     open_simulation,
     wait_until,
 )
@@ -63,8 +63,7 @@
     """
     async with open_simulation() as simulation:
         client = await simulation.connect(simulation.nodes[0], "orders")
-        promoter = simulation.nodes[0].node.promoter
-        promoter.started_ms -= DEPARTURE_MS
+        make_old(simulation.nodes[0].node)
         unresponsive = await asyncio.start_server(
             _read_without_responding, "127.0.0.1", 0
         )
@@ -507,7 +506,7 @@
         simulation.store.on_order = restart_before_promotion
         for running in simulation.nodes:
             # No copy is read after the announcement while the store is slow.
-            running.node.promoter.started_ms -= DEPARTURE_MS
+            make_old(running.node)
         simulation.register(simulation.primary, state="draining")
         await _wait_for(is_ordered)
         simulation.store.faults.delay_s = 0.5
--- a/tests/test_promoted_behind.py
+++ b/tests/test_promoted_behind.py
@@ -10,12 +10,12 @@
 from collections.abc import Collection
 
 from radishtrack.pooler.group_access import UNLISTED_EXPIRY_MS
-from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack_standins.line_member import LineMember
 from tests.pooler_simulation import (
     GROUP,
     Client,
     Simulation,
+    make_old,
     open_simulation,
     wait_until,
 )
@@ -119,7 +119,7 @@
     async with open_simulation(nodes=2) as simulation:
         await await_record(simulation)
         for running in simulation.nodes:
-            running.node.promoter.started_ms -= DEPARTURE_MS
+            make_old(running.node)
         client = await simulation.connect(simulation.nodes[0], "orders")
         assert await write(client, 3) == 3
         await restart_third(simulation)
@@ -207,7 +207,7 @@
     async with open_simulation(nodes=2) as simulation:
         await await_record(simulation)
         for running in simulation.nodes:
-            running.node.promoter.started_ms -= DEPARTURE_MS
+            make_old(running.node)
         client = await simulation.connect(simulation.nodes[0], "orders")
         replicate_to(simulation, ["i-2", "i-3"])
         close_port(simulation.members["i-3"])
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -25,12 +25,12 @@
     find_term_primary,
     list_missing_holders,
 )
-from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.session.position import Position
 from tests.pooler_simulation import (
     GROUP,
     Client,
     Simulation,
+    make_old,
     open_simulation,
     wait_until,
 )
@@ -292,7 +292,7 @@
         for running in simulation.nodes:
             # All nodes that may have acknowledged commits are known to one that runs
             # for longer than a removed node may serve.
-            running.node.promoter.started_ms -= DEPARTURE_MS
+            make_old(running.node)
         client = await simulation.connect(simulation.nodes[0], "orders")
         assert (await client.execute("WRITE 1 x"))[0].startswith("COMPLETE")
         simulation.members["i-1"].replicas = [simulation.members["i-2"]]
