Give no order whose mark may have expired

With slow calls of the store up to 6.2 s could pass from the mark of an order to the order, while nodes and other promoters count it as lapsed 5 s after they have read the mark: they could prove the old term again, or order another member, before it took effect.

An order is given within 5 s of its mark, and counts as lapsed after 7 s.

--- a/src/radishtrack/pooler/order_mark.py
+++ b/src/radishtrack/pooler/order_mark.py
@@ -11,9 +11,11 @@
 
 import attrs
 
-ORDER_EXPIRY_MS: Final = 5_000.0
-"""Time after which an order that has not taken effect never will. The platform takes
-some hundred milliseconds, and the connection of an unanswered order is reset."""
+ORDER_WINDOW_MS: Final = 5_000.0
+"""Time after its mark within which an order may be given."""
+ORDER_EXPIRY_MS: Final = 7_000.0
+"""Time after its mark from which on an order takes no effect any more. The platform
+needs some hundred milliseconds, and an unanswered order is reset after 0.8 s."""
 ORDER_PREFIX: Final = "order:"
 """Marks share the mapping of announced terms, which earlier versions of this program
 pass on unchanged."""
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -36,6 +36,7 @@
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import request_report
 from radishtrack.pooler.order_mark import (
+    ORDER_WINDOW_MS,
     PromotionOrder,
     get_order_term,
     make_next_mark,
@@ -183,19 +184,24 @@
             name = pending.member or "another member"
             return f"an earlier order to promote {name} may still take effect"
         # Nodes that confirm their copy of the store from now on read the mark.
+        marked_ms = self.promoter.clock.now_ms()
         stored = await self._record_order(candidate.member, last)
         if stored is None:
-            return await self.give_up(claim)
+            await self._unfence(self.old_primary)
+            return "another node has marked an order"
         try:
-            return await self._order_marked(claim, fenced_ms, candidate.member, stored)
+            expires_ms = marked_ms + ORDER_WINDOW_MS
+            return await self._order_marked(
+                claim, fenced_ms, candidate.member, expires_ms
+            )
         finally:
             if not self.is_ordered and pending is None:
                 await self._void_order(stored)
 
     async def _order_marked(
-        self, claim: Claim, fenced_ms: float, candidate: str, stored: StoredOrder
+        self, claim: Claim, fenced_ms: float, candidate: str, expires_ms: float
     ) -> str:
-        """Order a successor; the store has the mark of an order for the candidate."""
+        """Order the candidate, for which the store has a mark, before that expires."""
         self.acknowledged = await self._withdraw_evidence(fenced_ms)
         if not await self.promoter.duty.renew(claim):
             return await self.give_up(claim)
@@ -213,9 +219,10 @@
             # The store names the member of an order before it is given.
             await self._unfence(self.old_primary)
             return f"{candidate} has lost its fence or its log"
-        if not self.promoter.duty.may_order(claim):
+        is_marked = self.promoter.clock.now_ms() < expires_ms
+        if not (is_marked and self.promoter.duty.may_order(claim)):
             await self._unfence(self.old_primary)
-            return "the claim is too old to order the promotion"
+            return "the claim or the mark is too old to order the promotion"
         return await self._order(successor, claim)
 
     async def _record_order(self, member: str, last: StoredOrder) -> StoredOrder | None:
