--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -26,12 +26,12 @@
 from radishtrack.pooler.session import ClientSession
 from radishtrack.pooler.statements import Run
 from tests.member_model import Entry
-from tests.promotion_faults import FaultPlan
 from tests.promotion_members import (
     FleetMember,
     MemberGroup,
     Network,
 )
+from tests.promotion_plan import FaultPlan
 from tests.promotion_store import DATABASE, ModelStore, NodeStore, make_catalog
 from tests.virtual_time import (
     get_virtual_loop,
