Log by which proof a member is ordered

A decision with fewer fenced members than the group needs looked like a contradiction in event 3019. The attempt's docstring states both proofs.

--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -1,9 +1,21 @@
-"""One attempt to replace a group's primary, from the votes to the order."""
+"""One attempt to replace a group's primary, from the votes to the order.
+
+A member is ordered only if its log is proven to have every acknowledged commit, by one
+of two proofs:
+
+- members: all members are known that may have received commits, and enough of them are
+  fenced to have every acknowledged commit between them;
+- nodes: all nodes are known that may have acknowledged commits, and the log has what
+  they tell. Fewer fenced members suffice for it, so an attempt goes on with those.
+
+In both cases no node may have acknowledged a commit that the log lacks.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import enum
 import math
 from collections.abc import Awaitable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Final
@@ -84,6 +96,15 @@
 INVALIDATE_TIMEOUT_MS: Final = 200.0
 """Time limit for nodes to confirm; without a confirmation the promoter waits until the
 node's evidence has expired."""
+
+
+class Proof(enum.Enum):
+    """Why a log is known to have every acknowledged commit."""
+
+    MEMBERS = "members"
+    NODES = "nodes"
+
+
 UNSETTLED_LIST: Final = "the store may not list all members yet"
 """Outcome of an attempt soon after an outage of the store."""
 
@@ -117,6 +138,8 @@
     )
     missing: tuple[MemberProcess, ...] = ()
     """Processes without which the promotion was withheld."""
+    proof: Proof | None = None
+    """Proof for the chosen successor; None if there is none."""
     is_ordered: bool = False
     """Whether an order was sent and not refused."""
     is_withheld: bool = False
@@ -384,23 +407,21 @@
     def _choose(
         self, fenced: Mapping[str, MemberReport], preferred: str
     ) -> MemberReport | None:
-        """Return a member whose log has every acknowledged commit, or None.
-
-        Either all members are known that may have received commits, or all nodes are
-        that may have acknowledged some.
-        """
+        """Return a member whose log has every acknowledged commit, or None."""
         has_replicas = self.access.evidence.synchronous_replicas > 0
         if self._knows_all_members():
             successor = self._choose_by_position(fenced, preferred=preferred)
             if successor is not None and not (
                 has_replicas and self.acknowledged.excludes(successor.position)
             ):
+                self.proof = Proof.MEMBERS
                 return successor
         successor = self._choose_by_position(fenced, needed=1, preferred=preferred)
         if successor is None or not has_replicas:
             return None
         contained_ms = self.access.evidence.find_contained_ms(successor.position)
         if self.acknowledged.is_covered(successor.position, contained_ms):
+            self.proof = Proof.NODES
             return successor
         return None
 
@@ -445,6 +466,8 @@
             members=",".join(sorted(self.access.pools)),
             missing=",".join(f"{p.name}/{p.started_ms}" for p in self._list_missing()),
             ended=",".join(sorted(list_ended_members(self.replica_set, self.access))),
+            proof="none" if self.proof is None else self.proof.value,
+            required=self._count_required(fenced),
             knows_all_members=self._knows_all_members(),
             acknowledged_least=_format_position(commits.least),
             acknowledged_most=_format_position(commits.most),
