--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -24,27 +24,17 @@
 
 from radishtrack.events import Event, log_event
 from radishtrack.group.status import Role
-from radishtrack.peer.messages import (
-    BeliefWithdrawn,
-    EvidenceWithdrawn,
-    Message,
-    Vote,
-    VoteRequest,
-    WithdrawBelief,
-    WithdrawEvidence,
-)
+from radishtrack.peer.messages import Vote, VoteRequest
 from radishtrack.pooler.acknowledgements import (
     AcknowledgedRange,
     FleetAcknowledgements,
-    NodeAcknowledgements,
-    merge_acknowledgements,
 )
 from radishtrack.pooler.catalog import MemberProcess, MemberReport
 from radishtrack.pooler.evacuation.succession import (
     list_evacuated_members,
     order_fences,
 )
-from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
+from radishtrack.pooler.evidence_withdrawal import withdraw_evidence
 from radishtrack.pooler.group_access import GroupAccess
 from radishtrack.pooler.monitor import request_report
 from radishtrack.pooler.order_mark import (
@@ -54,7 +44,6 @@
     make_next_mark,
     make_void_mark,
 )
-from radishtrack.pooler.peers import NotRunning
 from radishtrack.pooler.ports import (
     PromotionResult,
     ReplicaSet,
@@ -75,7 +64,6 @@
     may_lack_members,
 )
 from radishtrack.pooler.statements import Fence, GetStatus, MemberStatement, Unfence
-from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.session.position import Position
 
 if TYPE_CHECKING:
@@ -93,9 +81,6 @@
 milliseconds."""
 CONFIRM_POLL_MS: Final = 40.0
 """Interval of polls whether the promoted member is the primary."""
-INVALIDATE_TIMEOUT_MS: Final = 200.0
-"""Time limit for nodes to confirm; without a confirmation the promoter waits until the
-node's evidence has expired."""
 
 
 class Proof(enum.Enum):
@@ -108,8 +93,6 @@
 UNSETTLED_LIST: Final = "the store may not list all members yet"
 """Outcome of an attempt soon after an outage of the store."""
 
-_Response = Message | NotRunning | None
-
 
 @attrs.define(eq=False)
 class PromotionAttempt:
@@ -225,7 +208,9 @@
         self, claim: Claim, fenced_ms: float, candidate: str, expires_ms: float
     ) -> str:
         """Order the candidate, for which the store has a mark, before that expires."""
-        self.acknowledged = await self._withdraw_evidence(fenced_ms)
+        self.acknowledged = await withdraw_evidence(
+            self.promoter, self.access, fenced_ms
+        )
         if not await self.promoter.duty.renew(claim):
             return await self.give_up(claim)
         # A member may have joined before all were fenced.
@@ -477,85 +462,6 @@
             primary=self.old_primary or "none",
         )
 
-    async def _withdraw_evidence(self, fenced_ms: float) -> FleetAcknowledgements:
-        """Wait until no node has valid evidence of the old term.
-
-        Returns what the nodes have acknowledged.
-
-        The list of nodes must be read after the members were fenced: a node that
-        registers later can't obtain evidence of the old term.
-        """
-        clock = self.promoter.clock
-        self.access.withdraw_evidence()
-        is_complete = await self.promoter.store_copy.read_records()
-        responses = await self._request_withdrawals()
-        nodes = list(self._list_acknowledgements(responses))
-        if not is_complete:
-            nodes.append(NodeAcknowledgements(AcknowledgedRange(), math.inf))
-        acknowledged = merge_acknowledgements(nodes)
-        # A process that is not running has no evidence, and one that starts discards
-        # what it had when it begins to listen.
-        if (
-            is_complete
-            and clock.now_ms() > self.promoter.knows_nodes_since_ms()
-            and all(
-                isinstance(response, EvidenceWithdrawn | BeliefWithdrawn | NotRunning)
-                for response in responses.values()
-            )
-        ):
-            return acknowledged
-        remaining_ms = fenced_ms + EVIDENCE_VALID_MS - clock.now_ms()
-        await asyncio.sleep(max(0.0, remaining_ms) / 1000)
-        return acknowledged
-
-    async def _request_withdrawals(self) -> dict[str, _Response]:
-        """Request all nodes to withdraw their evidence; return the responses."""
-        peers, group = self.promoter.peers, self.access.name
-        responses = await peers.request_all(
-            lambda request: WithdrawEvidence(request, group), INVALIDATE_TIMEOUT_MS
-        )
-        silent = [node for node in peers.others() if responses.get(node.name) is None]
-        # Earlier versions of this program know only the other message.
-        repeated = await asyncio.gather(
-            *(
-                peers.send_request(
-                    node,
-                    lambda request: WithdrawBelief(request, group),
-                    INVALIDATE_TIMEOUT_MS,
-                )
-                for node in silent
-            )
-        )
-        return responses | {
-            node.name: response for node, response in zip(silent, repeated, strict=True)
-        }
-
-    def _list_acknowledgements(
-        self, responses: Mapping[str, _Response]
-    ) -> Iterator[NodeAcknowledgements]:
-        """Yield what this node and the others have acknowledged."""
-        promoter = self.promoter
-        now_ms = promoter.clock.now_ms()
-        known_ms = promoter.knows_nodes_since_ms()
-        yield NodeAcknowledgements(self.access.evidence.acknowledged, known_ms)
-        for response in responses.values():
-            match response:
-                case EvidenceWithdrawn():
-                    commits = AcknowledgedRange(
-                        Position(response.least_term, response.least_sequence),
-                        Position(response.most_term, response.most_sequence),
-                    )
-                    yield NodeAcknowledgements(commits, now_ms - response.running_ms)
-                case BeliefWithdrawn(_, acknowledged_term):
-                    commits = AcknowledgedRange(Position(acknowledged_term, 0))
-                    yield NodeAcknowledgements(commits, math.inf)
-                case _:
-                    yield NodeAcknowledgements(AcknowledgedRange(), math.inf)
-        for departure in promoter.store_copy.departed.values():
-            if departure.node.name not in responses:
-                ended_ms = departure.at_ms + DEPARTURE_MS
-                yield NodeAcknowledgements(AcknowledgedRange(), ended_ms)
-
     async def _read_fenced(self) -> dict[str, MemberReport]:
         """Return new reports of fenced members; a restart removes a member's fence."""
         names = [name for name in self.access.pools if name != self.old_primary]
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -13,6 +13,7 @@
 from radishtrack.pooler.acknowledgements import AcknowledgedRange
 from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
+from radishtrack.pooler.evidence_withdrawal import withdraw_evidence
 from radishtrack.pooler.group_access import LEAVING_USE_MS, STARTED_USE_MS
 from radishtrack.pooler.promoter import CHECK_INTERVAL_MS, PromotionState
 from radishtrack.pooler.promotion import PromotionReason
@@ -476,8 +477,7 @@
         assert first.find_group(GROUP).evidence.acknowledged.least.term == 1
         access = second.find_group(GROUP)
         fenced_ms = second.clock.now_ms()
-        attempt = PromotionAttempt(second.promoter, access, PromotionReason.UNREACHABLE)
-        acknowledged = await attempt._withdraw_evidence(fenced_ms)
+        acknowledged = await withdraw_evidence(second.promoter, access, fenced_ms)
         assert acknowledged.commits == AcknowledgedRange(Position(1, 1), Position(1, 1))
 
 
--- a/tests/test_promotion_orders.py
+++ b/tests/test_promotion_orders.py
@@ -19,6 +19,7 @@
 from radishtrack.pooler.acknowledgements import AcknowledgedRange
 from radishtrack.pooler.catalog import MemberReport
 from radishtrack.pooler.evidence import GroupEvidence
+from radishtrack.pooler.evidence_withdrawal import request_withdrawals
 from radishtrack.pooler.order_mark import (
     ORDER_EXPIRY_MS,
     PromotionOrder,
@@ -27,8 +28,6 @@
     make_void_mark,
     name_order,
 )
-from radishtrack.pooler.promotion import PromotionReason
-from radishtrack.pooler.promotion_attempt import PromotionAttempt
 from radishtrack.session.position import Position
 from tests.pooler_simulation import GROUP, Simulation, open_simulation, wait_until
 
@@ -157,12 +156,9 @@
 
     async with open_simulation(nodes=2) as simulation:
         node = simulation.nodes[0].node
-        attempt = PromotionAttempt(
-            node.promoter, node.find_group(GROUP), PromotionReason.UNREACHABLE
-        )
-        (response,) = (await attempt._request_withdrawals()).values()
+        (response,) = (await request_withdrawals(node.peers, GROUP)).values()
         assert isinstance(response, EvidenceWithdrawn)
         monkeypatch.setattr(server, "decode", decode_known)
         async with asyncio.timeout(2.0):
-            (response,) = (await attempt._request_withdrawals()).values()
+            (response,) = (await request_withdrawals(node.peers, GROUP)).values()
         assert isinstance(response, BeliefWithdrawn)
