--- a/tests/test_promotion_fleet.py
+++ b/tests/test_promotion_fleet.py
@@ -49,3 +49,27 @@
     fleet = play(3, _lose_promoters)
     assert not fleet.losses
     assert not fleet.is_stuck
+
+
+async def _lose_all_witnesses(fleet: PromotionFleet) -> None:
+    """End all nodes and the primary while only a replica that they miss receives."""
+    primary, behind, hidden = (fleet.group.members[name] for name in ("m1", "m2", "m3"))
+    with fleet.network.cut({hidden.name}, lambda name: name != primary.name):
+        await asyncio.sleep(12.0)
+        behind.is_deaf = True
+        await asyncio.sleep(1.0)
+        for place in fleet.nodes.values():
+            fleet.end_node(place)
+        primary.end()
+        await asyncio.sleep(0.5)
+        behind.is_deaf = False
+        for place in fleet.nodes.values():
+            fleet.start_node(place)
+        await asyncio.sleep(6.0)
+    start_member(fleet, primary)
+
+
+def test_a_member_that_only_its_primary_reaches_is_not_given_up() -> None:
+    fleet = play(3, _lose_all_witnesses)
+    assert fleet.acknowledged
+    assert not fleet.losses
