--- a/src/radishtrack/pooler/monitor.py
+++ b/src/radishtrack/pooler/monitor.py
@@ -128,6 +128,8 @@
         self.access.corrections.add(task)
         try:
             await asyncio.wait((task,))
+            if not task.cancelled():
+                task.result()
         finally:
             task.cancel()
             self.access.corrections.discard(task)
