--- a/review/world2.py
+++ b/review/world2.py
@@ -407,6 +407,8 @@
         store.group = self
         self.members: dict[str, Member] = {}
         self.reads: dict[str, tuple[str, str, tuple[str, ...]]] = {}
+        self.isolated: set[str] = set()
+        """Members that no other member reaches."""
         self.promoted: list[tuple[float, str, tuple[str, ...]]] = []
         """Time, member and its log at each promotion that took effect."""
 
@@ -447,6 +449,7 @@
                 and other is not member
                 and other.role == "replica"
                 and other.term == term
+                and not self.isolated & {member.name, other.name}
             ]
             for other in followers:
                 if not other.fenced and len(other.log) < len(member.log):
@@ -472,7 +475,8 @@
         self.promoted.append((now_s(), member.name, tuple(e for _, e in member.log)))
         self.record.say(f"{member.name} leads term {member.term} from {member.position}")
         for other in self.members.values():
-            if other.is_running and other.role == "replica":
+            is_reached = not self.isolated & {member.name, other.name}
+            if other.is_running and other.role == "replica" and is_reached:
                 other.term, other.fenced = member.term, 0
                 other.take(member.log, LAG_S)
         member.beat()
@@ -480,8 +484,11 @@
             asyncio.get_running_loop().call_later(1.0, self.step_down, old)
 
     def step_down(self, member: Member) -> None:
-        """Make a replaced primary a replica."""
+        """Make a replaced primary a replica as soon as it reaches the new one."""
         primary = self.primary
+        if member.name in self.isolated:
+            asyncio.get_running_loop().call_later(1.0, self.step_down, member)
+            return
         if primary is None or primary is member or member.role != "primary":
             return
         member.role, member.term = "replica", primary.term
@@ -533,6 +540,8 @@
         self.store_path: Pipe | None = None
         self.peer_paths: dict[str, Pipe] = {}
         """Paths to the other nodes, by their names."""
+        self.member_paths: dict[str, Pipe] = {}
+        """Paths to members, by their names; members without one are reached directly."""
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -594,7 +603,10 @@
             await self.process.wait()
 
     async def cut(self) -> None:
-        """Cut this node off from the store and from all other nodes, with refusals."""
+        """Cut this node off from the store and from all other nodes, with refusals.
+
+        Paths to members are cut by the cases.
+        """
         for path in self._paths():
             await path.refuse()
 
@@ -653,6 +665,10 @@
                     path = Pipe(other.host, other.ports[2])
                     await path.open()
                     node.peer_paths[other.name] = path
+            for member in self.group.members.values():
+                path = Pipe(HOST, member.port)
+                await path.open()
+                node.member_paths[member.name] = path
             view = await self.store.open(make_view(node))
             node.store_path = Pipe(HOST, view)
             await node.store_path.open()
@@ -745,11 +761,14 @@
 
     def show(kind: str, stored: dict) -> dict:
         name = stored["meta"]["name"].removeprefix("node.")
-        path = node.peer_paths.get(name)
-        if path is None or "port" not in stored["spec"]:
+        path = (node.member_paths if kind == "servers" else node.peer_paths).get(name)
+        if path is None:
             return stored
         shown = copy.deepcopy(stored)
-        shown["spec"] |= {"host": HOST, "port": path.port}
+        if kind == "servers":
+            shown["spec"]["address"] = f"{HOST}:{path.port}"
+        elif "port" in shown["spec"]:
+            shown["spec"] |= {"host": HOST, "port": path.port}
         return shown
 
     return show
