--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A node that is cut off with refusals reads at a primary that was replaced."""
+"""Two nodes on the two sides of a split; one reads at a primary that was replaced."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 
 from world2 import World, run_case
 
-CUT_BEFORE_DRAIN_S = (0.2, 0.1, 0.0, 0.2, 0.1, 0.0, 0.2, 0.1)
-"""Time from the cut to the report of the primary that it is draining, by round."""
-CUT_S = 3.5
+CUT_S = 4.0
+ROUNDS = 6
+PAUSE_S = 11.5
 
 
 async def play(world: World, has_trouble: bool) -> list[str]:
@@ -31,22 +31,32 @@
     for _ in range(3):
         world.spawn(world.run_client(reading, "READ a1", 0.03, note_read))
     await asyncio.sleep(2.0)
-    for number, before_s in enumerate(CUT_BEFORE_DRAIN_S):
+    for _ in range(ROUNDS):
         primary = world.group.primary
         assert primary is not None
-        release = asyncio.create_task(
-            world.group.release(primary.name, f"i-{4 + number}")
-        )
-        await asyncio.sleep(1.0 - before_s)
+        # One side: the primary and the reading node. The other: all else.
+        paths = [
+            path
+            for node in world.nodes
+            for name, path in node.member_paths.items()
+            if (name == primary.name) != (node is reading)
+        ]
         if has_trouble:
-            world.record.say(f"{reading.name} is cut off")
+            world.record.say(f"{primary.name} and {reading.name} are cut off from all else")
+            world.group.isolated.add(primary.name)
+            primary.reaches_store = False
             await reading.cut()
+            for path in paths:
+                await path.refuse()
         await asyncio.sleep(CUT_S)
         if has_trouble:
+            for path in paths:
+                await path.open()
             await reading.join()
-            world.record.say(f"{reading.name} is reachable again")
-        await release
-        await asyncio.sleep(7.0)
+            primary.reaches_store = True
+            world.group.isolated.clear()
+            world.record.say("the cut has ended")
+        await asyncio.sleep(PAUSE_S)
     return list(find_stale(world, reads))
 
 
