--- a/src/radishtrack/events.py
+++ b/src/radishtrack/events.py
@@ -50,6 +50,7 @@
         "members and commits that a promotion has counted",
     )
     MEMBER_ENDED = (3020, "info", "member's process was taken for ended")
+    EVIDENCE_WITHDRAWN = (3021, "info", "nodes asked to withdraw their evidence")
     MEMBER_FOLLOWS = (3008, "info", "member told to follow the primary")
     RATES_HELD = (4004, "info", "node holds the organisations' rates")
     LISTING_INVALID = (4003, "warning", "entry in the platform's store is not usable")
--- a/src/radishtrack/pooler/evidence_withdrawal.py
+++ b/src/radishtrack/pooler/evidence_withdrawal.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING, Final
 
+from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import (
     BeliefWithdrawn,
     EvidenceWithdrawn,
@@ -33,6 +34,9 @@
 """Time limit for nodes to confirm; without a confirmation the promoter waits until the
 node's evidence has expired."""
 
+LOGGED_NODES: Final = 5
+"""Nodes without a confirmation that an event names, of each kind."""
+
 Response = Message | NotRunning | None
 
 
@@ -57,6 +61,7 @@
     access.withdraw_evidence()
     is_complete = await promoter.store_copy.read_records()
     responses = await request_withdrawals(promoter.peers, access.name)
+    _log_responses(access.name, responses, clock.now_ms() - fenced_ms)
     nodes = list(_list_acknowledgements(promoter, access, responses))
     if not is_complete:
         nodes.append(NodeAcknowledgements(AcknowledgedRange(), math.inf))
@@ -123,3 +128,20 @@
         if departure.node.name not in responses:
             ended_ms = departure.at_ms + DEPARTURE_MS
             yield NodeAcknowledgements(AcknowledgedRange(), ended_ms)
+
+
+def _log_responses(
+    group: str, responses: Mapping[str, Response], elapsed_ms: float
+) -> None:
+    refused = [
+        name for name, value in responses.items() if isinstance(value, NotRunning)
+    ]
+    silent = [name for name, value in responses.items() if value is None]
+    log_event(
+        Event.EVIDENCE_WITHDRAWN,
+        group=group,
+        confirmed=len(responses) - len(refused) - len(silent),
+        refused=",".join(refused[:LOGGED_NODES]),
+        silent=",".join(silent[:LOGGED_NODES]),
+        elapsed_ms=round(elapsed_ms),
+    )
