Don't take a refused connection to a node for the end of its process

Cause: a promotion asks all nodes to withdraw their evidence, and counted a refused connection as a confirmation. A cut may refuse connections as well; the node behind it runs, reads on at the old primary, and its evidence is valid for 2 s from the fence. With silent cuts the promoter waits, and nothing is stale. Change: only a node's own confirmation counts. Nodes that have not confirmed are asked again every 250 ms until the evidence from before the fence has expired, so one that was restarted, or whose cut ends, is not waited for longer than needed.

--- a/src/radishtrack/pooler/evidence_withdrawal.py
+++ b/src/radishtrack/pooler/evidence_withdrawal.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import TYPE_CHECKING, Final
 
 from radishtrack.events import Event, log_event
@@ -21,9 +21,10 @@
     NodeAcknowledgements,
     merge_acknowledgements,
 )
+from radishtrack.pooler.catalog import NodeRecord
 from radishtrack.pooler.evidence import EVIDENCE_VALID_MS
 from radishtrack.pooler.group_access import GroupAccess
-from radishtrack.pooler.peers import NotRunning, Peers
+from radishtrack.pooler.peers import MakeMessage, Peers, Refused
 from radishtrack.pooler.store_copy import DEPARTURE_MS
 from radishtrack.session.position import Position
 
@@ -31,13 +32,14 @@
     from radishtrack.pooler.promoter import Promoter
 
 INVALIDATE_TIMEOUT_MS: Final = 200.0
-"""Time limit for nodes to confirm; without a confirmation the promoter waits until the
-node's evidence has expired."""
-
+"""Time limit for nodes to confirm."""
+REPEAT_MS: Final = 250.0
+"""Pause before nodes that have not confirmed are asked again. A node that was restarted
+confirms as soon as it listens."""
 LOGGED_NODES: Final = 5
 """Nodes without a confirmation that an event names, of each kind."""
 
-Response = Message | NotRunning | None
+Response = Message | Refused | None
 
 
 async def withdraw_evidence(
@@ -45,8 +47,10 @@
 ) -> FleetAcknowledgements:
     """Wait until no node has valid evidence of a term; return what they acknowledged.
 
-    The list of nodes must be read after the members were fenced: a node that
-    registers later can't obtain evidence of the old term.
+    That is the case once every node has confirmed it, or else when the evidence from
+    before the fence has expired. A refused connection confirms nothing, since the node
+    may run behind a cut. The list of nodes must be read after the members were fenced:
+    a node that registers later can't obtain evidence of the old term.
 
     Parameters
     ----------
@@ -57,53 +61,82 @@
     fenced_ms : float
         Time in milliseconds at which its members were fenced.
     """
-    clock = promoter.clock
+    clock, peers = promoter.clock, promoter.peers
+    expires_ms = fenced_ms + EVIDENCE_VALID_MS
     access.withdraw_evidence()
     is_complete = await promoter.store_copy.read_records()
-    responses = await request_withdrawals(promoter.peers, access.name)
+    nodes = {node.name: node for node in peers.others()}
+    responses = await request_withdrawals(peers, access.name, nodes.values())
+    while (remaining_ms := expires_ms - clock.now_ms()) > 0:
+        unconfirmed = [
+            name for name, response in responses.items() if not _is_confirmed(response)
+        ]
+        knows_nodes = clock.now_ms() > promoter.knows_nodes_since_ms()
+        if is_complete and knows_nodes and not unconfirmed:
+            break
+        await asyncio.sleep(min(REPEAT_MS, remaining_ms) / 1000)
+        timeout_ms = min(INVALIDATE_TIMEOUT_MS, expires_ms - clock.now_ms())
+        if unconfirmed and timeout_ms > 0:
+            # A restarted node may listen elsewhere.
+            nodes |= {node.name: node for node in peers.others() if node.name in nodes}
+            responses |= await request_withdrawals(
+                peers, access.name, [nodes[name] for name in unconfirmed], timeout_ms
+            )
     _log_responses(access.name, responses, clock.now_ms() - fenced_ms)
-    nodes = list(_list_acknowledgements(promoter, access, responses))
+    acknowledged = list(_list_acknowledgements(promoter, access, responses))
     if not is_complete:
-        nodes.append(NodeAcknowledgements(AcknowledgedRange(), math.inf))
-    acknowledged = merge_acknowledgements(nodes)
-    # A process that is not running has no evidence, and one that starts discards
-    # what it had when it begins to listen.
-    if (
-        is_complete
-        and clock.now_ms() > promoter.knows_nodes_since_ms()
-        and all(
-            isinstance(response, EvidenceWithdrawn | BeliefWithdrawn | NotRunning)
-            for response in responses.values()
-        )
-    ):
-        return acknowledged
-    remaining_ms = fenced_ms + EVIDENCE_VALID_MS - clock.now_ms()
-    await asyncio.sleep(max(0.0, remaining_ms) / 1000)
-    return acknowledged
-
-
-async def request_withdrawals(peers: Peers, group: str) -> dict[str, Response]:
-    """Request all nodes to withdraw their evidence; return the responses by name."""
-    responses = await peers.request_all(
-        lambda request: WithdrawEvidence(request, group), INVALIDATE_TIMEOUT_MS
+        acknowledged.append(NodeAcknowledgements(AcknowledgedRange(), math.inf))
+    return merge_acknowledgements(acknowledged)
+
+
+async def request_withdrawals(
+    peers: Peers,
+    group: str,
+    nodes: Iterable[NodeRecord],
+    timeout_ms: float = INVALIDATE_TIMEOUT_MS,
+) -> dict[str, Response]:
+    """Request nodes to withdraw their evidence; return the responses by name.
+
+    Parameters
+    ----------
+    peers : Peers
+        Links to the other nodes.
+    group : str
+        Name of the group.
+    nodes : iterable of NodeRecord
+        The nodes.
+    timeout_ms : float
+        Time limit in milliseconds of each of two requests: earlier versions of this
+        program know only the second one.
+    """
+    asked = tuple(nodes)
+    responses = await _request(
+        peers, asked, lambda request: WithdrawEvidence(request, group), timeout_ms
     )
-    silent = [node for node in peers.others() if responses.get(node.name) is None]
-    # Earlier versions of this program know only the other message.
-    repeated = await asyncio.gather(
-        *(
-            peers.send_request(
-                node,
-                lambda request: WithdrawBelief(request, group),
-                INVALIDATE_TIMEOUT_MS,
-            )
-            for node in silent
-        )
+    silent = [node for node in asked if responses[node.name] is None]
+    return responses | await _request(
+        peers, silent, lambda request: WithdrawBelief(request, group), timeout_ms
     )
-    return responses | {
-        node.name: response for node, response in zip(silent, repeated, strict=True)
+
+
+async def _request(
+    peers: Peers,
+    nodes: Sequence[NodeRecord],
+    make_message: MakeMessage,
+    timeout_ms: float,
+) -> dict[str, Response]:
+    responses = await asyncio.gather(
+        *(peers.send_request(node, make_message, timeout_ms) for node in nodes)
+    )
+    return {
+        node.name: response for node, response in zip(nodes, responses, strict=True)
     }
 
 
+def _is_confirmed(response: Response) -> bool:
+    return isinstance(response, EvidenceWithdrawn | BeliefWithdrawn)
+
+
 def _list_acknowledgements(
     promoter: Promoter, access: GroupAccess, responses: Mapping[str, Response]
 ) -> Iterator[NodeAcknowledgements]:
@@ -133,9 +166,7 @@
 def _log_responses(
     group: str, responses: Mapping[str, Response], elapsed_ms: float
 ) -> None:
-    refused = [
-        name for name, value in responses.items() if isinstance(value, NotRunning)
-    ]
+    refused = [name for name, value in responses.items() if isinstance(value, Refused)]
     silent = [name for name, value in responses.items() if value is None]
     log_event(
         Event.EVIDENCE_WITHDRAWN,
--- a/src/radishtrack/pooler/peers.py
+++ b/src/radishtrack/pooler/peers.py
@@ -19,8 +19,12 @@
 
 
 @attrs.frozen
-class NotRunning:
-    """The peer's host refused the connection because no process listens there."""
+class Refused:
+    """The connection to the peer was refused.
+
+    This does not show that its process has ended: a network between the two may refuse
+    connections as well, and open ones at the other side live on.
+    """
 
 
 MakeMessage = Callable[[int], Message]
@@ -61,12 +65,12 @@
 
     async def send_request(
         self, node: NodeRecord, make_message: MakeMessage, timeout_ms: float
-    ) -> Message | NotRunning | None:
+    ) -> Message | Refused | None:
         """Send a request to one peer and return its response.
 
         Returns
         -------
-        Message, NotRunning or None
+        Message, Refused or None
             None if the peer can't be reached, the link is lost or the response is late.
         """
         try:
@@ -81,14 +85,14 @@
         except LinkClosed as error:
             await self._drop(node.name)
             if isinstance(error.__cause__, ConnectionRefusedError):
-                return NotRunning()
+                return Refused()
             return None
         except TimeoutError:
             return None
 
     async def request_all(
         self, make_message: MakeMessage, timeout_ms: float
-    ) -> dict[str, Message | NotRunning | None]:
+    ) -> dict[str, Message | Refused | None]:
         """Send a request to all registered peers; return the responses by node name."""
         nodes = self.others()
         responses = await asyncio.gather(
@@ -116,8 +120,7 @@
             now_ms = self.clock.now_ms()
             if failed_ms is not None and now_ms - failed_ms < RETRY_LINK_MS:
                 return None
-            # A refused connection causes no pause: it costs one round trip only, and
-            # shows that the process is not running.
+            # A refused connection causes no pause: it costs one round trip only.
             self.failed_ms[node.name] = now_ms
             try:
                 link = await open_link(
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -21,7 +21,7 @@
     RATES_DUTY,
     CoordinatorFailover,
 )
-from radishtrack.pooler.peers import NotRunning, Peers
+from radishtrack.pooler.peers import Peers, Refused
 from radishtrack.pooler.ports import Duty
 from radishtrack.pooler.rate_limit import RateLimiter, RateToken
 from radishtrack.pooler.shares import (
@@ -256,7 +256,7 @@
             response = await self.peers.send_request(
                 record, SharesReturned, EXCHANGE_TIMEOUT_MS
             )
-            is_returned = isinstance(response, SharesGranted | NotRunning)
+            is_returned = isinstance(response, SharesGranted | Refused)
         if is_returned:
             self._end_delegation()
 
@@ -332,7 +332,7 @@
         response = await self.peers.send_request(
             record, make_request, EXCHANGE_TIMEOUT_MS
         )
-        if isinstance(response, NotRunning):
+        if isinstance(response, Refused):
             self.failover.record_end()
         return response if isinstance(response, SharesGranted) else None
 
--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -47,6 +47,9 @@
 RECOVERY_MS: Final = 15_000.0
 """Time after the last fault within which commits have to be acknowledged again."""
 WRITE_INTERVAL_MS: Final = 40.0
+READ_INTERVAL_MS: Final = 20.0
+CHECKED_COMMITS: Final = 20
+"""Latest commits acknowledged before a read that it has to see."""
 PEER_PORT: Final = 7_000
 SUMMARY_SEEDS: Final = 20
 """Seeds after which `main` prints what was seen so far."""
@@ -92,9 +95,12 @@
     process: int
     incarnation: int
     closed: bool = False
+    pending: set[asyncio.Future[Message | None]] = attrs.field(factory=set)
 
     async def call(self, message: Message, request: int, timeout_s: float) -> Message:
         response: asyncio.Future[Message | None] = asyncio.Future()
+        self.pending.add(response)
+        response.add_done_callback(self.pending.discard)
         fleet, target = self.fleet, self.target
 
         async def serve() -> None:
@@ -125,6 +131,13 @@
             raise LinkClosed("connection lost")
         return value
 
+    def reset(self) -> None:
+        """End the connection as a cut that refuses connections does."""
+        self.closed = True
+        for response in tuple(self.pending):
+            if not response.done():
+                response.set_result(None)
+
     async def close(self) -> None:
         self.closed = True
 
@@ -147,6 +160,7 @@
     """Nodes, members and clients, and what was acknowledged to these."""
 
     seed: int
+    has_readers: bool = False
     random: random.Random = attrs.field(init=False)
     network: Network = attrs.field(factory=Network)
     store: ModelStore = attrs.field(init=False)
@@ -155,6 +169,12 @@
     acknowledged: list[Acknowledgement] = attrs.field(factory=list)
     events: list[str] = attrs.field(factory=list)
     losses: list[str] = attrs.field(factory=list)
+    stale: list[str] = attrs.field(factory=list)
+    """Reads that lacked a commit which was acknowledged before they were sent."""
+    reads: int = 0
+    """Reads that were answered."""
+    read_sent_ms: dict[str, float] = attrs.field(factory=dict)
+    peer_links: list[_PeerLinkModel] = attrs.field(factory=list)
     promotions: int = 0
     serving: set[asyncio.Task[None]] = attrs.field(factory=set)
     writing: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -170,6 +190,8 @@
         self.group = MemberGroup(
             self.random, self.network, self.note, self._check, self.store.register
         )
+        self.group.on_read = self._check_read
+        self.network.on_refusal = self._reset_links
 
     def now_ms(self) -> float:
         """Return the time since the start."""
@@ -208,7 +230,9 @@
         ]
         for place in self.nodes.values():
             self.start_node(place)
-        clients = asyncio.create_task(self._run_clients())
+        clients = [asyncio.create_task(self._run_clients())]
+        if self.has_readers:
+            clients.append(asyncio.create_task(self._run_readers()))
         await asyncio.sleep(START_MS / 1000)
         run_faults = run_faults or FaultPlan(self.random, FAULTS_MS).run
         await run_faults(self)
@@ -217,7 +241,7 @@
         served = {a.node for a in self.acknowledged if a.at_ms > self.now_ms() - 2_000}
         self.is_stuck = served != self.nodes.keys()
         self._check_all("end")
-        for task in (*running, clients):
+        for task in (*running, *clients):
             task.cancel()
         for place in self.nodes.values():
             self.end_node(place)
@@ -258,12 +282,25 @@
         """Connect a node to another one."""
         target = self.nodes[address.partition(":")[0]]
         await asyncio.sleep(self.random.uniform(0.0005, 0.004))
+        if self.network.refuses(source, target.name):
+            raise LinkClosed("refused") from ConnectionRefusedError()
         if not self.network.reaches(source, target.name):
             await asyncio.sleep(1.0)
             raise LinkClosed("no connection")
         if target.handlers is None:
             raise LinkClosed("refused") from ConnectionRefusedError()
-        return _PeerLinkModel(self, source, target, target.process, target.process)
+        link = _PeerLinkModel(self, source, target, target.process, target.process)
+        self.peer_links.append(link)
+        return link
+
+    def _reset_links(self) -> None:
+        """Reset the connections that cuts refuse now."""
+        for member in self.group.members.values():
+            member.reset_links(self.network)
+        for link in self.peer_links:
+            if self.network.refuses(link.source, link.target.name):
+                link.reset()
+        self.peer_links = [link for link in self.peer_links if not link.closed]
 
     async def start_peer_server(
         self, host: str, _port: int, _name: str, _secret: bytes, handlers: PeerHandlers
@@ -285,21 +322,62 @@
             self.writing.add(task)
             task.add_done_callback(self.writing.discard)
 
-    async def _write(self, place: FleetNode) -> None:
+    async def _run_readers(self) -> None:
+        while True:
+            await asyncio.sleep(READ_INTERVAL_MS / 1000)
+            for place in self.nodes.values():
+                if place.handlers is not None:
+                    task = asyncio.create_task(self._read(place), context=place.context)
+                    self.writing.add(task)
+                    task.add_done_callback(self.writing.discard)
+
+    async def _run_statement(self, place: FleetNode, statement: Run) -> bool:
+        """Run a statement in a session of its own; return whether it succeeded."""
         node = place.node
         assert node is not None
-        self.statements += 1
-        statement = Run(f"q{self.statements}", "WRITE 1 x", is_write=True)
         session = await node.open_session(DATABASE, None)
         if not isinstance(session, ClientSession):
-            return
+            return False
         try:
             response = await session.handle(statement)
         except RequestError:
-            return
+            return False
         finally:
             await node.close_session(session)
-        if response.refusal is not None:
+        return response.refusal is None
+
+    async def _read(self, place: FleetNode) -> None:
+        self.statements += 1
+        statement = Run(f"q{self.statements}", "READ 1", is_write=False)
+        self.read_sent_ms[statement.statement_id] = self.now_ms()
+        self.reads += await self._run_statement(place, statement)
+        del self.read_sent_ms[statement.statement_id]
+
+    def _check_read(self, statement_id: str, member: FleetMember) -> None:
+        sent_ms = self.read_sent_ms.get(statement_id)
+        if sent_ms is None:
+            # The client has given the statement up.
+            return
+        earlier = [a for a in self.acknowledged if a.at_ms < sent_ms]
+        leader = self.group.members[self.group.leader]
+        missing = [
+            a
+            for a in earlier[-CHECKED_COMMITS:]
+            if a.entry.is_in(leader.log) and not a.entry.is_in(member.log)
+        ]
+        if missing:
+            last = missing[-1]
+            self.note("STALE", member.name, statement_id)
+            self.stale.append(
+                f"seed {self.seed}, {self.now_ms() / 1000:.3f} s: {member.name} ran a "
+                f"read without {last.entry.term}.{last.entry.sequence}, acknowledged "
+                f"by {last.node} at {last.at_ms / 1000:.3f}"
+            )
+
+    async def _write(self, place: FleetNode) -> None:
+        self.statements += 1
+        statement = Run(f"q{self.statements}", "WRITE 1 x", is_write=True)
+        if not await self._run_statement(place, statement):
             return
         (entry,) = self.group.entries[statement.statement_id]
         self.acknowledged.append(Acknowledgement(entry, place.name, self.now_ms()))
@@ -355,7 +433,9 @@
         yield
 
 
-def play(seed: int, run_faults: RunFaults | None = None) -> PromotionFleet:
+def play(
+    seed: int, run_faults: RunFaults | None = None, *, has_readers: bool = False
+) -> PromotionFleet:
     """Play the life of one fleet in virtual time; return what became of it.
 
     Parameters
@@ -364,8 +444,10 @@
         Chooses the fleet, its delays and, by default, the faults.
     run_faults : callable, optional
         Plays other faults.
+    has_readers : bool
+        Whether clients read at all nodes.
     """
-    fleet = PromotionFleet(seed)
+    fleet = PromotionFleet(seed, has_readers)
     with _replace_sockets(fleet):
         run_in_virtual_time(lambda: fleet.play(run_faults))
     return fleet
--- a/tests/promotion_members.py
+++ b/tests/promotion_members.py
@@ -38,27 +38,54 @@
 LATE_ORDER_MS: Final = 2_000.0
 
 
+@attrs.frozen(eq=False)
+class Cut:
+    """Two sets of processes between which no messages pass."""
+
+    is_one: Callable[[str], bool]
+    is_other: Callable[[str], bool]
+    refuses: bool
+
+    def separates(self, one: str, other: str) -> bool:
+        """Return whether two processes are on different sides."""
+        return (self.is_one(one) and self.is_other(other)) or (
+            self.is_one(other) and self.is_other(one)
+        )
+
+
 @attrs.define(eq=False)
 class Network:
     """Which processes reach each other; all do at first."""
 
-    cuts: list[tuple[Callable[[str], bool], Callable[[str], bool]]] = attrs.field(
-        factory=list
-    )
+    cuts: list[Cut] = attrs.field(factory=list)
+    on_refusal: Callable[[], None] = lambda: None
+    """Called when a cut begins that refuses connections."""
 
     def reaches(self, one: str, other: str) -> bool:
         """Return whether messages pass between two processes."""
-        return not any(
-            (a(one) and b(other)) or (a(other) and b(one)) for a, b in self.cuts
-        )
+        return not any(cut.separates(one, other) for cut in self.cuts)
+
+    def refuses(self, one: str, other: str) -> bool:
+        """Return whether connections between two processes are refused by a cut."""
+        return any(cut.refuses and cut.separates(one, other) for cut in self.cuts)
 
     @contextlib.contextmanager
     def cut(
-        self, one: Collection[str], is_other: Callable[[str], bool]
+        self,
+        one: Collection[str],
+        is_other: Callable[[str], bool],
+        *,
+        refuses: bool = False,
     ) -> Iterator[None]:
-        """Drop the messages between two sets of processes."""
-        cut = (lambda name: name in one, is_other)
+        """Drop the messages between two sets of processes.
+
+        With `refuses`, open connections are reset and new ones refused, as if no
+        process listened; otherwise both are silent.
+        """
+        cut = Cut(lambda name: name in one, is_other, refuses)
         self.cuts.append(cut)
+        if refuses:
+            self.on_refusal()
         try:
             yield
         finally:
@@ -102,6 +129,13 @@
         self.notify()
         self.end_links()
 
+    def reset_links(self, network: Network) -> None:
+        """End the connections that cuts refuse now."""
+        for link in tuple(self.links):
+            if network.refuses(link.node, self.name):
+                link.lose("connection reset")
+                self.links.remove(link)
+
     def end_links(self) -> None:
         """End the open connections."""
         for link in tuple(self.links):
@@ -132,6 +166,8 @@
     """Probability that a lost fence or its removal takes effect later."""
     late_orders: float = 0.0
     """Probability that an order takes effect late, and that its response is lost."""
+    on_read: Callable[[str, FleetMember], None] = lambda _statement, _member: None
+    """Called with a statement's identifier when a member runs a read."""
 
     async def run(self) -> None:
         """Replicate; never returns."""
@@ -287,6 +323,8 @@
         model = self.members.get(member.name)
         if model is None:
             raise LinkRefused("Connection refused", has_no_listener=True)
+        if self.network.refuses(node, member.name):
+            raise LinkRefused("Connection refused", has_no_listener=True)
         if not self.network.reaches(node, member.name):
             await asyncio.sleep(timeout_ms / 1000)
             raise LinkRefused(f"no connection within {timeout_ms:.0f} ms")
@@ -323,9 +361,8 @@
 
     def lose(self, reason: str) -> None:
         """End the connection from the member's side, if the node can learn of it."""
-        if self.is_closed or not self.group.network.reaches(
-            self.node, self.member.name
-        ):
+        network, names = self.group.network, (self.node, self.member.name)
+        if self.is_closed or not (network.reaches(*names) or network.refuses(*names)):
             return
         self.reason = reason
         self.is_closed = True
@@ -415,6 +452,9 @@
                     group._depose(member)
             case Run(statement_id, _, True):
                 return await self._write(statement_id)
+            case Run(statement_id, _, False):
+                group.on_read(statement_id, member)
+                return MemberResponse(signature="x", position=member.position)
             case _:
                 return MemberResponse(signature="x", position=member.position)
         return MemberResponse(report=self._make_report(), position=member.position)
--- a/tests/promotion_store.py
+++ b/tests/promotion_store.py
@@ -151,7 +151,8 @@
         await asyncio.sleep(delay_ms / 1000)
         is_reached = store.network.reaches(self.node, STORE)
         if not is_reached or store.is_down:
-            if store.is_silent or not is_reached:
+            is_refused = store.network.refuses(self.node, STORE)
+            if not is_refused and (store.is_silent or not is_reached):
                 await asyncio.sleep(CALL_TIMEOUT_MS / 1000)
             raise StoreUnavailable(step, "no response", is_effect_unknown=True)
         return effect()
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -21,7 +21,7 @@
 )
 from radishtrack.pooler.catalog import Catalog, Member, NodeRecord, Organisation
 from radishtrack.pooler.coordinator_failover import RATES_DUTY
-from radishtrack.pooler.peers import NotRunning
+from radishtrack.pooler.peers import Refused
 from radishtrack.pooler.ports import Duty, FleetListing, StoreUnavailable
 from radishtrack.pooler.rate_exchange import RateExchange, make_rate_exchange
 from radishtrack.pooler.store_copy import StoreCopy
@@ -189,7 +189,7 @@
             return None
         if process is None or self.time.value_ms < process.ready_ms:
             is_refused = self.random.random() < self.refusal_share
-            return NotRunning() if is_refused else None
+            return Refused() if is_refused else None
         if (
             process.is_isolated
             or self.processes[sender].is_isolated
--- a/tests/test_promotion_orders.py
+++ b/tests/test_promotion_orders.py
@@ -156,9 +156,11 @@
 
     async with open_simulation(nodes=2) as simulation:
         node = simulation.nodes[0].node
-        (response,) = (await request_withdrawals(node.peers, GROUP)).values()
+        nodes = node.peers.others()
+        (response,) = (await request_withdrawals(node.peers, GROUP, nodes)).values()
         assert isinstance(response, EvidenceWithdrawn)
         monkeypatch.setattr(server, "decode", decode_known)
         async with asyncio.timeout(2.0):
-            (response,) = (await request_withdrawals(node.peers, GROUP)).values()
+            responses = await request_withdrawals(node.peers, GROUP, nodes)
+            (response,) = responses.values()
         assert isinstance(response, BeliefWithdrawn)
