Let delegations to a coordinator that refuses connections expire

What callers could get: more than their rate. A node that changes to another rate coordinator ends its delegation to the earlier one if that responds, and took a refused connection for a response. A coordinator behind a cut that refuses connections still counts the delegation for up to 1 s, so the shares were used twice. Change: only an answer ends the delegation early. A refused connection still lets nodes replace the coordinator without the wait for an unresponsive one, which costs nothing but the change.

--- a/src/radishtrack/pooler/coordinator_failover.py
+++ b/src/radishtrack/pooler/coordinator_failover.py
@@ -75,9 +75,9 @@
     """When the coordinator's copy of the store was confirmed, by its last response."""
     probe_confirmed_ms: float = 0.0
     """When an indirect probe last showed that the coordinator responds."""
-    ended_duty: Duty | None = None
-    """Record of a coordinator whose process was found to have ended."""
-    ended_ms: float = 0.0
+    refusing_duty: Duty | None = None
+    """Record of a coordinator to which connections are refused."""
+    refused_ms: float = 0.0
     """When that was found."""
     can_serve: Callable[[], bool] = _serve_always
     """Returns whether other nodes can reach this one as coordinator."""
@@ -95,15 +95,16 @@
         self.last_response_ms = self.clock.now_ms()
         self.copy_confirmed_ms = requested_ms - copy_age_ms
 
-    def record_end(self) -> None:
-        """Record that the coordinator's host refuses connections.
+    def record_refusal(self) -> None:
+        """Record that connections to the coordinator are refused.
 
-        No process listens there, so the one that was the coordinator has ended and
-        counts no more delegations.
+        Its process has probably ended, so it is replaced without the wait for an
+        unresponsive one. If it runs behind a cut, two nodes act as coordinators for a
+        while, and each grants only what is delegated to it.
         """
         duty = self.store_copy.duties.find(RATES_DUTY).duty
-        if duty != self.ended_duty:
-            self.ended_duty, self.ended_ms = duty, self.clock.now_ms()
+        if duty != self.refusing_duty:
+            self.refusing_duty, self.refused_ms = duty, self.clock.now_ms()
 
     def response_age_ms(self) -> float:
         """Return the time since the coordinator last responded to this node."""
@@ -139,16 +140,18 @@
         observed = self.store_copy.duties.find(RATES_DUTY)
         if observed.duty.holder == self.name:
             return False
-        has_ended = observed.duty.holder == NO_HOLDER
-        due_ms = observed.observed_ms
-        if observed.duty == self.ended_duty:
-            has_ended, due_ms = True, self.ended_ms
-        if not has_ended:
+        needs_probes = False
+        if observed.duty == self.refusing_duty:
+            due_ms = self.refused_ms
+        elif observed.duty.holder == NO_HOLDER:
+            due_ms = observed.observed_ms
+        else:
+            needs_probes = True
             due_ms = max(self.last_response_ms, observed.observed_ms) + LOST_AFTER_MS
         due_ms += self._rank() * RANK_DELAY_MS
         if self.clock.now_ms() < due_ms:
             return False
-        if not has_ended and not await self.is_loss_confirmed(due_ms):
+        if needs_probes and not await self.is_loss_confirmed(due_ms):
             return False
         return await self._claim(observed.duty)
 
--- a/src/radishtrack/pooler/rate_exchange.py
+++ b/src/radishtrack/pooler/rate_exchange.py
@@ -203,8 +203,8 @@
 
     def _retry_pause_ms(self) -> float:
         """Return the pause after an exchange without a response."""
-        ended_duty = self.failover.ended_duty
-        if ended_duty == self.store_copy.duties.find(RATES_DUTY).duty:
+        refusing_duty = self.failover.refusing_duty
+        if refusing_duty == self.store_copy.duties.find(RATES_DUTY).duty:
             # This node's turn to replace the coordinator comes soon.
             return RANK_DELAY_MS / 2
         return EXCHANGE_INTERVAL_MS
@@ -245,8 +245,8 @@
     async def return_shares(self) -> None:
         """End the delegation to an earlier coordinator, if that responds.
 
-        A coordinator that is not running grants nothing; with an unresponsive one, the
-        node has to wait until the delegation expires.
+        Otherwise it may still count the delegation, also if connections to it are
+        refused, and the node has to wait until that expires.
         """
         earlier, self.delegated_to = self.delegated_to, ""
         self.counted_elsewhere_until_ms = self.limiter.delegated_until_ms
@@ -256,7 +256,7 @@
             response = await self.peers.send_request(
                 record, SharesReturned, EXCHANGE_TIMEOUT_MS
             )
-            is_returned = isinstance(response, SharesGranted | Refused)
+            is_returned = isinstance(response, SharesGranted)
         if is_returned:
             self._end_delegation()
 
@@ -333,7 +333,7 @@
             record, make_request, EXCHANGE_TIMEOUT_MS
         )
         if isinstance(response, Refused):
-            self.failover.record_end()
+            self.failover.record_refusal()
         return response if isinstance(response, SharesGranted) else None
 
     def follow_duty(self) -> None:
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -145,6 +145,8 @@
     loss: float
     refusal_share: float = 0.7
     """Share of requests to a stopped process that its host refuses."""
+    cut_refusal_share: float = 0.0
+    """Share of requests to or from an isolated process that are refused."""
     time: ManualTime = attrs.field(factory=lambda: ManualTime(10_000.0))
     store: SharedStore = attrs.field(factory=SharedStore)
     processes: dict[str, Process] = attrs.field(factory=dict)
@@ -190,10 +192,11 @@
         if process is None or self.time.value_ms < process.ready_ms:
             is_refused = self.random.random() < self.refusal_share
             return Refused() if is_refused else None
+        if process.is_isolated or self.processes[sender].is_isolated:
+            is_refused = self.random.random() < self.cut_refusal_share
+            return Refused() if is_refused else None
         if (
-            process.is_isolated
-            or self.processes[sender].is_isolated
-            or self.time.value_ms < process.frozen_until_ms
+            self.time.value_ms < process.frozen_until_ms
             or self.random.random() < self.loss
         ):
             return None
--- a/tests/test_rate_restarts.py
+++ b/tests/test_rate_restarts.py
@@ -175,3 +175,35 @@
         assert find_holder(fleet) != ended
 
     asyncio.run(play_kill())
+
+
+def count_used_parts(fleet: RateFleet) -> float:
+    """Return the sum of the parts of a rate that processes may use at present."""
+    now_ms = fleet.time.value_ms
+    used = 0.0
+    for process in fleet.processes.values():
+        rates = process.rates
+        if now_ms >= rates.limiter.delegated_until_ms:
+            used += 1 / len(rates.store_copy.nodes)
+        if rates.coordinator is not None:
+            used += rates.coordinator._delegated_part(now_ms)
+    return used
+
+
+@pytest.mark.parametrize("refusal_share", [0.0, 1.0])
+def test_no_share_is_used_twice_beside_a_coordinator_behind_a_cut(
+    refusal_share: float,
+) -> None:
+    """Refused connections ended delegations which a running coordinator counted."""
+
+    async def play_cut() -> None:
+        fleet = RateFleet(1, 0.0, cut_refusal_share=refusal_share)
+        for number in range(4):
+            fleet.start(f"edge-{number}")
+        await fleet.advance(5_000)
+        fleet.processes[find_holder(fleet)].is_isolated = True
+        for _ in range(100):
+            await fleet.advance(20)
+            assert count_used_parts(fleet) <= 1 + 1e-9
+
+    asyncio.run(play_cut())
