Require that a successor has what was acknowledged until the withdrawal

Cause: the proof by members took a log that ends below the newest acknowledged commit. It compared with the lower bound only, which overlapping commits leave behind, and the list of members lacked a replica that had started again behind a cut from the store. That one went on confirming commits between the fence and the withdrawal of the nodes' evidence. Change: a log is proven first by what the nodes tell, or by what the old primary has once no node acknowledges commits any more. While that primary serves, the successor's fence is lifted for up to 0.3 s until it has received that, and it is fenced again.

--- a/src/radishtrack/pooler/evidence_withdrawal.py
+++ b/src/radishtrack/pooler/evidence_withdrawal.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import TYPE_CHECKING, Final
 
+import attrs
+
 from radishtrack.events import Event, log_event
 from radishtrack.peer.messages import (
     BeliefWithdrawn,
@@ -42,10 +44,27 @@
 Response = Message | Refused | None
 
 
+@attrs.frozen
+class Withdrawal:
+    """What is known once no node has valid evidence of a term any more.
+
+    Parameters
+    ----------
+    acknowledged : FleetAcknowledgements
+        What the nodes have acknowledged.
+    is_confirmed : bool
+        Whether every node has confirmed it, so that none acknowledges commits before
+        the order that the store has marked has taken effect or was given up.
+    """
+
+    acknowledged: FleetAcknowledgements
+    is_confirmed: bool
+
+
 async def withdraw_evidence(
     promoter: Promoter, access: GroupAccess, fenced_ms: float
-) -> FleetAcknowledgements:
-    """Wait until no node has valid evidence of a term; return what they acknowledged.
+) -> Withdrawal:
+    """Wait until no node has valid evidence of a term.
 
     That is the case once every node has confirmed it, or else when the evidence from
     before the fence has expired. A refused connection confirms nothing, since the node
@@ -67,12 +86,14 @@
     is_complete = await promoter.store_copy.read_records()
     nodes = {node.name: node for node in peers.others()}
     responses = await request_withdrawals(peers, access.name, nodes.values())
-    while (remaining_ms := expires_ms - clock.now_ms()) > 0:
+    while True:
         unconfirmed = [
             name for name, response in responses.items() if not _is_confirmed(response)
         ]
         knows_nodes = clock.now_ms() > promoter.knows_nodes_since_ms()
-        if is_complete and knows_nodes and not unconfirmed:
+        is_confirmed = is_complete and knows_nodes and not unconfirmed
+        remaining_ms = expires_ms - clock.now_ms()
+        if is_confirmed or remaining_ms <= 0:
             break
         await asyncio.sleep(min(REPEAT_MS, remaining_ms) / 1000)
         timeout_ms = min(INVALIDATE_TIMEOUT_MS, expires_ms - clock.now_ms())
@@ -86,7 +107,7 @@
     acknowledged = list(_list_acknowledgements(promoter, access, responses))
     if not is_complete:
         acknowledged.append(NodeAcknowledgements(AcknowledgedRange(), math.inf))
-    return merge_acknowledgements(acknowledged)
+    return Withdrawal(merge_acknowledgements(acknowledged), is_confirmed)
 
 
 async def request_withdrawals(
--- a/src/radishtrack/pooler/promoter.py
+++ b/src/radishtrack/pooler/promoter.py
@@ -255,7 +255,8 @@
             term=evidence.term,
             reason=reason.value,
         )
-        attempt = PromotionAttempt(self, access, reason)
+        assert state.reason_since_ms is not None
+        attempt = PromotionAttempt(self, access, reason, state.reason_since_ms)
         try:
             outcome = await attempt.run()
         except StoreUnavailable as error:
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -1,14 +1,18 @@
 """One attempt to replace a group's primary, from the votes to the order.
 
 A member is ordered only if its log is proven to have every acknowledged commit, by one
-of two proofs:
+of three proofs:
 
-- members: all members are known that may have received commits, and enough of them are
-  fenced to have every acknowledged commit between them;
 - nodes: all nodes are known that may have acknowledged commits, and the log has what
-  they tell. Fewer fenced members suffice for it, so an attempt goes on with those.
+  they tell. Fewer fenced members suffice for it, so an attempt goes on with those;
+- primary: the log has what the old primary had when no node acknowledged commits any
+  more. While that primary serves, the successor may receive what it lacks;
+- members: all members are known that may have received commits, and enough of them are
+  fenced to have every acknowledged commit between them.
 
-In both cases no node may have acknowledged a commit that the log lacks.
+The first two hold whoever has confirmed the commits, also a member that is on no list.
+With the third, the log must also have what the nodes that respond have acknowledged, by
+the upper bound as long as an unlisted member may still appear, and by the lower one.
 """
 
 from __future__ import annotations
@@ -80,13 +84,22 @@
 milliseconds."""
 CONFIRM_POLL_MS: Final = 40.0
 """Interval of polls whether the promoted member is the primary."""
+UNLISTED_WAIT_MS: Final = 6_000.0
+"""Time after which no unlisted member is expected to appear: a cut from the store ends
+within 5 s, and the member registers with its next heartbeat."""
+CATCH_UP_MS: Final = 300.0
+"""Longest wait until a successor has received what a serving primary has; replicas
+receive within milliseconds."""
+CATCH_UP_POLL_MS: Final = 20.0
+"""Interval of polls of its position."""
 
 
 class Proof(enum.Enum):
     """Why a log is known to have every acknowledged commit."""
 
-    MEMBERS = "members"
     NODES = "nodes"
+    PRIMARY = "primary"
+    MEMBERS = "members"
 
 
 UNSETTLED_LIST: Final = "the store may not list all members yet"
@@ -105,11 +118,14 @@
         The group.
     reason : PromotionReason
         Why its primary is replaced.
+    since_ms : float
+        Since when there is a reason, in milliseconds.
     """
 
     promoter: Promoter
     access: GroupAccess
     reason: PromotionReason
+    since_ms: float
     claim: Claim | None = None
     term: int = 0
     """Term that the successor will lead."""
@@ -118,6 +134,10 @@
     acknowledged: FleetAcknowledgements = attrs.field(
         factory=lambda: FleetAcknowledgements(AcknowledgedRange(), math.inf)
     )
+    is_withdrawn: bool = False
+    """Whether all nodes have confirmed that they acknowledge no more commits."""
+    final_position: Position | None = None
+    """Position of the old primary after that; None if it is not known."""
     missing: tuple[MemberProcess, ...] = ()
     """Processes without which the promotion was withheld."""
     proof: Proof | None = None
@@ -207,14 +227,16 @@
         self, claim: Claim, fenced_ms: float, candidate: str, expires_ms: float
     ) -> str:
         """Order the candidate, for which the store has a mark, before that expires."""
-        self.acknowledged = await withdraw_evidence(
-            self.promoter, self.access, fenced_ms
-        )
+        withdrawal = await withdraw_evidence(self.promoter, self.access, fenced_ms)
+        self.acknowledged = withdrawal.acknowledged
+        self.is_withdrawn = withdrawal.is_confirmed
         if not await self.promoter.duty.renew(claim):
             return await self.give_up(claim)
         # A member may have joined before all were fenced.
         await self._read_replica_set()
-        fenced = await self._read_fenced()
+        fenced: Mapping[str, MemberReport] = await self._read_fenced()
+        if self._may_lack_commits(fenced, candidate):
+            fenced = await self._let_catch_up(fenced, candidate)
         successor = self._choose(fenced, candidate)
         self._log_decision(fenced, successor)
         if self.access.evidence.term >= self.term:
@@ -392,20 +414,82 @@
     ) -> MemberReport | None:
         """Return a member whose log has every acknowledged commit, or None."""
         has_replicas = self.access.evidence.synchronous_replicas > 0
-        if self._knows_all_members():
-            successor = self._choose_by_position(fenced, preferred=preferred)
-            if successor is not None and not (
-                has_replicas and self.acknowledged.excludes(successor.position)
-            ):
-                self.proof = Proof.MEMBERS
-                return successor
         successor = self._choose_by_position(fenced, needed=1, preferred=preferred)
-        if successor is None or not has_replicas:
+        if successor is not None and has_replicas:
+            self.proof = self._find_proof(successor.position)
+            if self.proof is not None:
+                return successor
+        if not self._knows_all_members():
+            return None
+        successor = self._choose_by_position(fenced, preferred=preferred)
+        if successor is None or (
+            has_replicas and self._lacks_told_commits(successor.position)
+        ):
             return None
-        contained_ms = self.access.evidence.find_contained_ms(successor.position)
-        if self.acknowledged.is_covered(successor.position, contained_ms):
-            self.proof = Proof.NODES
-            return successor
+        self.proof = Proof.MEMBERS
+        return successor
+
+    def _find_proof(self, position: Position) -> Proof | None:
+        """Return what proves a log by its end alone, whoever received commits."""
+        contained_ms = self.access.evidence.find_contained_ms(position)
+        if self.acknowledged.is_covered(position, contained_ms):
+            return Proof.NODES
+        if self.final_position is not None and position >= self.final_position:
+            return Proof.PRIMARY
+        return None
+
+    def _lacks_told_commits(self, position: Position) -> bool:
+        """Return whether a log may lack what nodes tell that they have acknowledged."""
+        waited_ms = self.promoter.clock.now_ms() - self.since_ms
+        if waited_ms >= UNLISTED_WAIT_MS:
+            return self.acknowledged.excludes(position)
+        return self.acknowledged.may_exclude(position)
+
+    def _may_lack_commits(
+        self, fenced: Mapping[str, MemberReport], candidate: str
+    ) -> bool:
+        """Return whether a candidate may lack commits that it can still receive."""
+        if candidate not in fenced or not self.access.evidence.synchronous_replicas:
+            return False
+        can_receive = self.is_withdrawn and self._serves_at_present()
+        return can_receive and self._find_proof(fenced[candidate].position) is None
+
+    async def _let_catch_up(
+        self, fenced: Mapping[str, MemberReport], candidate: str
+    ) -> Mapping[str, MemberReport]:
+        """Let a candidate receive what the old primary has; return the fenced members.
+
+        Between the fence and the withdrawal, nodes may acknowledge commits that only a
+        member has received which is on no list.
+        """
+        target = await self._read_final_position()
+        if target is None:
+            return fenced
+        self.final_position = target
+        if fenced[candidate].position >= target:
+            return fenced
+        await self._request_reports([candidate], Unfence())
+        until_ms = self.promoter.clock.now_ms() + CATCH_UP_MS
+        while self.promoter.clock.now_ms() < until_ms:
+            (report,) = await self._request_reports([candidate], GetStatus()) or (None,)
+            if report is not None and report.position >= target:
+                break
+            await asyncio.sleep(CATCH_UP_POLL_MS / 1000)
+        await self._request_reports([candidate], Fence(self.term))
+        return await self._read_fenced()
+
+    async def _read_final_position(self) -> Position | None:
+        """Return the position of the old primary if it still leads its term."""
+        until_ms = self.promoter.clock.now_ms() + CATCH_UP_MS
+        while self.promoter.clock.now_ms() < until_ms:
+            reports = await self._request_reports([self.old_primary], GetStatus())
+            if reports:
+                (report,) = reports
+                is_primary = report.role is Role.PRIMARY
+                is_in_term = report.term == self.access.evidence.term
+                return report.position if is_primary and is_in_term else None
+            # Only the connection may have ended.
+            await asyncio.sleep(CATCH_UP_POLL_MS / 1000)
         return None
 
     def _choose_by_position(
--- a/tests/test_pooler_failover.py
+++ b/tests/test_pooler_failover.py
@@ -144,7 +144,9 @@
         access = simulation.nodes[0].node.find_group(GROUP)
         claim = await promoter.duty.claim()
         assert claim is not None
-        attempt = PromotionAttempt(promoter, access, PromotionReason.UNREACHABLE)
+        attempt = PromotionAttempt(
+            promoter, access, PromotionReason.UNREACHABLE, promoter.clock.now_ms()
+        )
         attempt.term, attempt.old_primary = access.evidence.term + 1, "i-1"
         await attempt.fence()
         fenced = [simulation.members[name] for name in ("i-2", "i-3")]
@@ -477,8 +479,9 @@
         assert first.find_group(GROUP).evidence.acknowledged.least.term == 1
         access = second.find_group(GROUP)
         fenced_ms = second.clock.now_ms()
-        acknowledged = await withdraw_evidence(second.promoter, access, fenced_ms)
-        assert acknowledged.commits == AcknowledgedRange(Position(1, 1), Position(1, 1))
+        withdrawal = await withdraw_evidence(second.promoter, access, fenced_ms)
+        commits = withdrawal.acknowledged.commits
+        assert commits == AcknowledgedRange(Position(1, 1), Position(1, 1))
 
 
 async def test_no_commit_is_acknowledged_after_a_fenced_replica_restarts() -> None:
--- /dev/null
+++ b/tests/test_unlisted_members.py
@@ -0,0 +1,107 @@
+"""Guards against promotions that lose commits which an unlisted replica confirmed.
+
+A replica that starts behind a cut from the store receives, but no list names it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests.promotion_faults import start_member
+from tests.promotion_fleet import PromotionFleet, play
+from tests.promotion_members import STORE, FleetMember
+
+WRITE_PAUSE_S = 0.02
+WRITE_MS = 120.0
+"""Longest time of a write before its commit, so that many writes overlap."""
+
+
+async def _write_often(fleet: PromotionFleet) -> None:
+    while True:
+        await asyncio.sleep(WRITE_PAUSE_S)
+        for place in fleet.nodes.values():
+            if place.handlers is not None:
+                task = asyncio.create_task(fleet._write(place), context=place.context)
+                fleet.writing.add(task)
+                task.add_done_callback(fleet.writing.discard)
+
+
+def _add_member(fleet: PromotionFleet, name: str) -> FleetMember:
+    first = fleet.group.members[fleet.group.leader]
+    member = FleetMember(
+        name, process=0, is_up=False, names_own_term=first.names_own_term
+    )
+    fleet.group.members[name] = member
+    start_member(fleet, member)
+    return member
+
+
+async def _release_beside_unlisted(fleet: PromotionFleet) -> None:
+    """Release the primary while a replica has started again behind a cut."""
+    members = fleet.group.members
+    primary = members[fleet.group.leader]
+    replica = next(m for m in members.values() if m is not primary)
+    with contextlib.ExitStack() as stack:
+        hidden = {replica.name, "m8"}
+        stack.enter_context(fleet.network.cut(hidden, STORE.__eq__))
+        primary.slow_ms = WRITE_MS
+        writing = asyncio.create_task(_write_often(fleet))
+        stack.callback(writing.cancel)
+        await asyncio.sleep(1.6)
+        fleet.note("ends behind the cut", replica.name)
+        replica.end()
+        del members[replica.name]
+        await asyncio.sleep(0.7)
+        _add_member(fleet, "m8")
+        _add_member(fleet, "m9")
+        await asyncio.sleep(1.0)
+        primary.is_leaving = True
+        fleet.note("leaving", primary.name)
+        fleet.store.register(primary)
+        await asyncio.sleep(1.7)
+    await asyncio.sleep(4.0)
+    primary.end()
+    fleet.store.remove(primary.name)
+    await asyncio.sleep(1.0)
+
+
+async def _crash_beside_unlisted(fleet: PromotionFleet) -> None:
+    """Crash the primary while a replica that no list has named confirms commits."""
+    primary = fleet.group.members[fleet.group.leader]
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(fleet.network.cut({"m8"}, STORE.__eq__))
+        primary.slow_ms = WRITE_MS
+        writing = asyncio.create_task(_write_often(fleet))
+        stack.callback(writing.cancel)
+        await asyncio.sleep(1.6)
+        _add_member(fleet, "m8")
+        await asyncio.sleep(fleet.random.uniform(0.2, 1.8))
+        fleet.note("ends", primary.name)
+        primary.end()
+        await asyncio.sleep(2.0)
+    await asyncio.sleep(6.0)
+    start_member(fleet, primary)
+
+
+@pytest.mark.parametrize("seed", [2, 3, 7, 11])
+def test_commits_that_an_unlisted_replica_confirmed_are_not_lost(seed: int) -> None:
+    """Nodes acknowledged them between the fence and the withdrawal of evidence."""
+    fleet = play(seed, _release_beside_unlisted)
+    assert fleet.promotions
+    assert fleet.acknowledged
+    assert fleet.losses == []
+    assert not fleet.is_stuck
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_an_unlisted_replica_is_awaited_after_a_crash_of_its_primary(
+    seed: int,
+) -> None:
+    """A log that may lack acknowledged commits was promoted as all were listed."""
+    fleet = play(seed, _crash_beside_unlisted)
+    assert fleet.promotions
+    assert fleet.losses == []
+    assert not fleet.is_stuck
