Keep the hint of a refusal that coincides with the timeout of its wait

What callers saw: a true refusal without the time to retry. Change: the timeout passes the queue's refusal on. The new test lets both be overdue at once and failed before.

--- a/src/radishtrack/admission/gate.py
+++ b/src/radishtrack/admission/gate.py
@@ -171,7 +171,11 @@
         except BaseException as error:
             refused = self._cancel_wait(permit)
             if isinstance(error, TimeoutError):
-                raise _make_refusal(refused) from None
+                # The queue may have refused the request in the same iteration of the
+                # loop, and then knows no more when to retry.
+                is_refused = future.done() and not future.cancelled()
+                refusal = future.exception() if is_refused else None
+                raise refusal or _make_refusal(refused) from None
             raise
 
     def _cancel_wait(self, permit: Permit) -> QueueRefused:
--- a/tests/test_work_queue.py
+++ b/tests/test_work_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import random
 
 import attrs
@@ -210,6 +211,37 @@
         assert not waiting or queue.running >= queue.limit_per_organisation()
 
 
+def test_a_wait_that_times_out_as_the_queue_refuses_it_contains_a_hint() -> None:
+    """The entry was gone when the wait timed out, and clients got no time to retry."""
+
+    async def run() -> None:
+        clock = make_system_clock()
+        gate = Gate[PermitQueue](clock, make_work_queue(1))
+        interval_ms = gate.queue.check_interval_ms
+        assert interval_ms is not None
+
+        async def wait(limit_ms: float) -> str:
+            now_ms = clock.now_ms()
+            work = Work(1, now_ms + 1_000.0, WorkKind.READ)
+            try:
+                async with gate.connection("o", now_ms + limit_ms, work):
+                    await asyncio.sleep(0.3)
+            except RequestError as error:
+                return error.failure.message
+            return "ran"
+
+        first = asyncio.create_task(wait(5_000.0))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(wait(interval_ms + 5.0))
+        await asyncio.sleep(0)
+        # Both the check of the queue and the timeout are overdue then.
+        time.sleep((interval_ms + 20.0) / 1000)
+        assert "; retry after " in await second
+        assert await first == "ran"
+
+    asyncio.run(run())
+
+
 def test_refusals_of_a_gate_are_true_and_contain_a_hint() -> None:
     """Displaced work ends at once as not run; other work keeps its connection."""
 
