Read the rest of a refused packet before the connection is closed

Cause, shown by a test that sends the packet slowly: the node wrote the error and closed while input was unread, which resets the connection; the client's next bytes failed before it read the error. Change: the rest of the packet is read and dropped, for at most 5 s. The new test failed before (broken pipe).

--- a/src/radishtrack/frontend/connection.py
+++ b/src/radishtrack/frontend/connection.py
@@ -24,10 +24,22 @@
 PACKET_TOO_LARGE: Final = 1153
 WRITE_TIMEOUT_S: Final = 30.0
 CLOSE_DELAY_S: Final = 0.1
+DISCARD_TIMEOUT_S: Final = 5.0
+"""Longest wait for the rest of a packet that is refused."""
 
 
 class PacketTooLarge(Exception):
-    """Raised when a client sends a packet that exceeds the size limit."""
+    """Raised when a client sends a packet that exceeds the size limit.
+
+    Parameters
+    ----------
+    size, limit : int
+        Size of the packet and the limit, in bytes.
+    """
+
+    def __init__(self, size: int, limit: int) -> None:
+        super().__init__(f"packet of {size} bytes; the limit is {limit}")
+        self.size = size
 
 
 @attrs.define(slots=False)
@@ -69,11 +81,16 @@
             If `count` exceeds the limit.
         """
         if count > self.max_packet_bytes:
-            raise PacketTooLarge(
-                f"packet of {count} bytes; the limit is {self.max_packet_bytes}"
-            )
+            raise PacketTooLarge(count, self.max_packet_bytes)
         return await self.reader.readexactly(count)
 
+    async def discard(self, count: int) -> None:
+        """Read and drop up to `count` bytes, for at most `DISCARD_TIMEOUT_S`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while count > 0 and (data := await self.reader.read(count)):
+                    count -= len(data)
+
 
 @attrs.define(slots=False)
 class TimedWriter:
@@ -215,6 +232,9 @@
             await super().command_phase()
         except PacketTooLarge as error:
             await self.stream.write(self.error(msg=error, code=PACKET_TOO_LARGE))
+            # A close with unread input resets the connection, and the client may lose
+            # the error.
+            await self.stream.reader.discard(error.size)
         except (asyncio.IncompleteReadError, ConnectionError):
             return
 
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -449,6 +449,23 @@
     assert catch_error_code(insert, connection, "x" * 2_000_000) == 1153
 
 
+def test_error_for_a_statement_over_the_limit_reaches_a_slow_client(
+    cluster: Cluster,
+) -> None:
+    """The close with unread input reset the connection before the error was read."""
+    connection = connect(cluster, autocommit=True)
+    size = 2_000_000
+    connection._sock.sendall(size.to_bytes(3, "little") + b"\0\x03")
+    for _ in range(10):
+        time.sleep(0.05)
+        connection._sock.sendall(b" " * ((size - 1) // 10))
+    connection._sock.sendall(b" " * ((size - 1) % 10))
+    connection._next_seq_id = 1
+    with pytest.raises(pymysql.err.Error) as caught:
+        connection._read_packet()
+    assert caught.value.args[0] == 1153
+
+
 def test_prepared_statement(connection: Any) -> None:
     """PyMySQL has no prepared statements, so the test writes the packets."""
     number = insert(connection, "prepared")
