--- a/src/radishtrack_standins/cluster.py
+++ b/src/radishtrack_standins/cluster.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,8 @@
 
 PEER_SECRET: Final = "demonstration-secret-of-the-fleet"
 START_TIMEOUT_S: Final = 20.0
+EPHEMERAL_PORTS: Final = Path("/proc/sys/net/ipv4/ip_local_port_range")
+MAX_PORT_CHECKS: Final = 1_000
 HOST: Final = "127.0.0.1"
 
 
@@ -400,14 +403,23 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return distinct free ports; another process may bind one before its use."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            listener = stack.enter_context(socket.socket())
-            listener.bind((HOST, 0))
-            ports.append(int(listener.getsockname()[1]))
-        return ports
+    """Return distinct free ports.
+
+    They are below the range from which the system assigns ports, so neither a listener
+    nor a connection without a port of its own takes one before it is bound.
+    """
+    low = int(EPHEMERAL_PORTS.read_text().split()[0])
+    candidates = random.sample(range(low // 2, low), MAX_PORT_CHECKS)
+    ports: list[int] = []
+    for port in candidates:
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                listener.bind((HOST, port))
+                ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise RuntimeError("no free ports")
 
 
 def make_group_value(cluster: Cluster) -> dict[str, Any]:
--- a/tests/test_work_queue.py
+++ b/tests/test_work_queue.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 import random
+import time
 
 import attrs
 import pytest
