--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -1,25 +1,14 @@
 """One attempt to replace a group's primary, from the votes to the order.
 
-A member is ordered only if its log is proven to have every acknowledged commit, by one
-of three proofs:
-
-- nodes: all nodes are known that may have acknowledged commits, and the log has what
-  they tell. Fewer fenced members suffice for it, so an attempt goes on with those;
-- primary: the log has what the old primary had when no node acknowledged commits any
-  more. While that primary serves, the successor may receive what it lacks;
-- members: all members are known that may have received commits, and enough of them are
-  fenced to have every acknowledged commit between them.
-
-The first two hold whoever has confirmed the commits, also a member that is on no list.
-With the third, the log must also have what the nodes that respond have acknowledged, by
-the upper bound as long as an unlisted member may still appear, and by the lower one.
+A member is ordered only if its log is proven to have every acknowledged commit; see
+`log_proof`. Where its end proves that, fewer fenced members suffice, so an attempt goes
+on with those. While the old primary serves, the successor may receive what it lacks.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import enum
 import math
 from collections.abc import Awaitable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Final
@@ -40,6 +29,11 @@
 )
 from radishtrack.pooler.evidence_withdrawal import withdraw_evidence
 from radishtrack.pooler.group_access import GroupAccess
+from radishtrack.pooler.log_proof import (
+    Proof,
+    find_position_proof,
+    lacks_told_commits,
+)
 from radishtrack.pooler.monitor import request_report
 from radishtrack.pooler.order_mark import (
     ORDER_WINDOW_MS,
@@ -84,9 +78,6 @@
 milliseconds."""
 CONFIRM_POLL_MS: Final = 40.0
 """Interval of polls whether the promoted member is the primary."""
-UNLISTED_WAIT_MS: Final = 6_000.0
-"""Time after which no unlisted member is expected to appear: a cut from the store ends
-within 5 s, and the member registers with its next heartbeat."""
 CATCH_UP_MS: Final = 300.0
 """Longest wait until a successor has received what a serving primary has; replicas
 receive within milliseconds."""
@@ -94,14 +85,6 @@
 """Interval of polls of its position."""
 
 
-class Proof(enum.Enum):
-    """Why a log is known to have every acknowledged commit."""
-
-    NODES = "nodes"
-    PRIMARY = "primary"
-    MEMBERS = "members"
-
-
 UNSETTLED_LIST: Final = "the store may not list all members yet"
 """Outcome of an attempt soon after an outage of the store."""
 
@@ -430,20 +413,16 @@
         return successor
 
     def _find_proof(self, position: Position) -> Proof | None:
-        """Return what proves a log by its end alone, whoever received commits."""
-        contained_ms = self.access.evidence.find_contained_ms(position)
-        if self.acknowledged.is_covered(position, contained_ms):
-            return Proof.NODES
-        if self.final_position is not None and position >= self.final_position:
-            return Proof.PRIMARY
-        return None
+        return find_position_proof(
+            position,
+            self.acknowledged,
+            self.access.evidence.find_contained_ms(position),
+            self.final_position,
+        )
 
     def _lacks_told_commits(self, position: Position) -> bool:
-        """Return whether a log may lack what nodes tell that they have acknowledged."""
         waited_ms = self.promoter.clock.now_ms() - self.since_ms
-        if waited_ms >= UNLISTED_WAIT_MS:
-            return self.acknowledged.excludes(position)
-        return self.acknowledged.may_exclude(position)
+        return lacks_told_commits(position, self.acknowledged, waited_ms)
 
     def _may_lack_commits(
         self, fenced: Mapping[str, MemberReport], candidate: str
--- /dev/null
+++ b/tests/test_log_proof.py
@@ -0,0 +1,66 @@
+"""Guards which logs a promotion takes for complete."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from radishtrack.pooler.acknowledgements import (
+    AcknowledgedRange,
+    FleetAcknowledgements,
+)
+from radishtrack.pooler.log_proof import (
+    UNLISTED_WAIT_MS,
+    Proof,
+    find_position_proof,
+    lacks_told_commits,
+)
+from radishtrack.session.position import Position
+
+BOUNDS = AcknowledgedRange(Position(2, 5), Position(2, 9))
+TOLD = FleetAcknowledgements(BOUNDS, 100.0)
+SILENT = FleetAcknowledgements(BOUNDS, math.inf)
+
+
+@pytest.mark.parametrize(
+    ("acknowledged", "sequence", "contained_ms", "final", "proof"),
+    [
+        (TOLD, 9, 100.0, None, Proof.NODES),
+        # Overlapping commits may lie between the bounds.
+        (TOLD, 8, 100.0, None, None),
+        # A node's earlier process may have acknowledged more.
+        (TOLD, 9, 99.0, None, None),
+        (SILENT, 9, 1e9, None, None),
+        (SILENT, 12, -math.inf, 12, Proof.PRIMARY),
+        (SILENT, 11, -math.inf, 12, None),
+    ],
+)
+def test_a_log_is_proven_by_its_end(
+    acknowledged: FleetAcknowledgements,
+    sequence: int,
+    contained_ms: float,
+    final: int | None,
+    proof: Proof | None,
+) -> None:
+    final_position = None if final is None else Position(2, final)
+    found = find_position_proof(
+        Position(2, sequence), acknowledged, contained_ms, final_position
+    )
+    assert found is proof
+
+
+@pytest.mark.parametrize(
+    ("sequence", "waited_ms", "lacks"),
+    [
+        (9, 0.0, False),
+        (8, 0.0, True),
+        # A member that no list has would have registered.
+        (8, UNLISTED_WAIT_MS, False),
+        (4, UNLISTED_WAIT_MS, True),
+    ],
+)
+def test_a_log_below_what_nodes_tell_waits_for_unlisted_members(
+    sequence: int, waited_ms: float, lacks: bool
+) -> None:
+    assert lacks_told_commits(Position(2, sequence), SILENT, waited_ms) is lacks
