Log by which position a promotion has proven a log

A comment of the MySQL side took a refused connection for a fact about the member; there it starts a vote only.

--- a/src/radishtrack/group/detection.py
+++ b/src/radishtrack/group/detection.py
@@ -17,8 +17,9 @@
 """Time without a healthy status after which a member is suspected."""
 
 REFUSED_SUSPICION_MS: Final = 500.0
-"""Time of refused connections after which a member is suspected. A refusal shows that
-the host runs without the member, so this can be shorter than `SUSPICION_MS`."""
+"""Time of refused connections after which a member is suspected. Usually its host runs
+without it then, so this can be shorter than `SUSPICION_MS`. A network may refuse
+connections as well, so a promotion needs votes and fences in any case."""
 
 VOTE_LIFETIME_MS: Final = 1_500.0
 """Time for which a vote counts; an older one may no longer be true."""
--- a/src/radishtrack/pooler/promotion_attempt.py
+++ b/src/radishtrack/pooler/promotion_attempt.py
@@ -499,6 +499,7 @@
     ) -> None:
         commits = self.acknowledged.commits
         now_ms = self.promoter.clock.now_ms()
+        final = self.final_position
         log_event(
             Event.PROMOTION_DECIDED,
             group=self.access.name,
@@ -518,7 +519,9 @@
             acknowledged_age_ms=round(min(now_ms - self.acknowledged.since_ms, now_ms))
             if math.isfinite(self.acknowledged.since_ms)
             else "unknown",
+            is_withdrawn=self.is_withdrawn,
             primary=self.old_primary or "none",
+            primary_position="unknown" if final is None else _format_position(final),
         )
 
     async def _read_fenced(self) -> dict[str, MemberReport]:
