--- a/src/radishtrack/pooler/node.py
+++ b/src/radishtrack/pooler/node.py
@@ -263,9 +263,8 @@
     def _find_known_ms(self) -> float:
         """Return the time up to which this node knows all announced promotions.
 
-        A promoter does not wait for a node that it can't reach because it is starting,
-        nor for one that is not registered, so a copy that was read before either says
-        nothing.
+        A promoter does not ask a node that is not registered, and one that is starting
+        can't respond to it, so a copy that was read before either says nothing.
         """
         known_ms, since_ms = self.store_copy.announcements_ms, self.listening_since_ms
         if since_ms is None or known_ms is None:
--- a/tests/test_unlisted_members.py
+++ b/tests/test_unlisted_members.py
@@ -86,6 +86,26 @@
     start_member(fleet, primary)
 
 
+async def _cut_off_with_unlisted(fleet: PromotionFleet) -> None:
+    """Cut off the primary, a node and a replica that no list has named."""
+    primary = fleet.group.members[fleet.group.leader]
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(fleet.network.cut({"m8"}, STORE.__eq__))
+        primary.slow_ms = WRITE_MS
+        writing = asyncio.create_task(_write_often(fleet))
+        stack.callback(writing.cancel)
+        await asyncio.sleep(1.6)
+        _add_member(fleet, "m8")
+        await asyncio.sleep(fleet.random.uniform(0.2, 1.8))
+        side = {primary.name, "m8", sorted(fleet.nodes)[-1]}
+        stack.enter_context(
+            fleet.network.cut(side, lambda name: name not in side, refuses=True)
+        )
+        fleet.note("cut off", *sorted(side))
+        await asyncio.sleep(2.0)
+    await asyncio.sleep(5.0)
+
+
 @pytest.mark.parametrize("seed", [2, 3, 7, 11])
 def test_commits_that_an_unlisted_replica_confirmed_are_not_lost(seed: int) -> None:
     """Nodes acknowledged them between the fence and the withdrawal of evidence."""
@@ -105,3 +125,10 @@
     assert fleet.promotions
     assert fleet.losses == []
     assert not fleet.is_stuck
+
+
+def test_commits_of_a_node_behind_a_cut_with_an_unlisted_replica_are_not_lost() -> None:
+    """The node can't tell what it acknowledged, and all listed members are fenced."""
+    fleet = play(4, _cut_off_with_unlisted)
+    assert fleet.promotions
+    assert fleet.losses == []
