End the virtual fleet's release of a member that restarts meanwhile

A released primary had crashed and started again before it had a successor. The fault 'retire' waited for the successor of the earlier process; no fault was left that would change the primary, and the test waits for all faults. The product was at rest and served.

The fault now ends with the process that was released. The fleet waits 60 s of virtual time for its faults and then fails; it also ends its nodes when a play fails, which hung as well.

--- a/tests/promotion_faults.py
+++ b/tests/promotion_faults.py
@@ -307,9 +307,12 @@
     fleet.note("leaving", member.name)
     fleet.store.register(member)
     await pause(fleet, 3.0, 9.0)
-    while member.is_up and (member.is_primary or member.name == fleet.group.leader):
+    while member.is_up and member.process == process:
+        if not member.is_primary and member.name != fleet.group.leader:
+            break
         await asyncio.sleep(0.5)
-    if not member.is_up or member.process != process:
+    else:
+        # It has ended before a successor was found; its next process stays.
         return
     if fleet.group.members.get(member.name) is not member:
         return
--- a/tests/promotion_fleet.py
+++ b/tests/promotion_fleet.py
@@ -44,6 +44,8 @@
 START_MS: Final = 8_000.0
 """Time without faults, in which the nodes start."""
 FAULTS_MS: Final = 40_000.0
+FAULT_LIMIT_S: Final = 60.0
+"""Time within which a fault ends by itself."""
 RECOVERY_MS: Final = 15_000.0
 """Time after the last fault within which commits have to be acknowledged again."""
 WRITE_INTERVAL_MS: Final = 40.0
@@ -208,6 +210,18 @@
         self.faults.add(task)
         task.add_done_callback(self.faults.discard)
 
+    async def end_faults(self) -> None:
+        """Wait until the faults that were started have ended.
+
+        Raises
+        ------
+        TimeoutError
+            If one of them does not end.
+        """
+        async with asyncio.timeout(FAULT_LIMIT_S):
+            while self.faults:
+                await asyncio.wait(self.faults)
+
     async def play(self, run_faults: RunFaults | None) -> None:
         """Play the fleet's life with faults, and check it."""
         group_random = self.random
@@ -233,18 +247,22 @@
         clients = [asyncio.create_task(self._run_clients())]
         if self.has_readers:
             clients.append(asyncio.create_task(self._run_readers()))
-        await asyncio.sleep(START_MS / 1000)
-        run_faults = run_faults or FaultPlan(self.random, FAULTS_MS).run
-        await run_faults(self)
-        self.note("faults end")
-        await asyncio.sleep(RECOVERY_MS / 1000)
-        served = {a.node for a in self.acknowledged if a.at_ms > self.now_ms() - 2_000}
-        self.is_stuck = served != self.nodes.keys()
-        self._check_all("end")
-        for task in (*running, *clients):
-            task.cancel()
-        for place in self.nodes.values():
-            self.end_node(place)
+        try:
+            await asyncio.sleep(START_MS / 1000)
+            run_faults = run_faults or FaultPlan(self.random, FAULTS_MS).run
+            await run_faults(self)
+            self.note("faults end")
+            await asyncio.sleep(RECOVERY_MS / 1000)
+            served = {
+                a.node for a in self.acknowledged if a.at_ms > self.now_ms() - 2_000
+            }
+            self.is_stuck = served != self.nodes.keys()
+            self._check_all("end")
+        finally:
+            for task in (*running, *clients):
+                task.cancel()
+            for place in self.nodes.values():
+                self.end_node(place)
 
     def start_node(self, place: FleetNode) -> None:
         """Start a node's process."""
--- a/tests/promotion_plan.py
+++ b/tests/promotion_plan.py
@@ -238,8 +238,7 @@
                 await asyncio.gather(
                     self._tell(fleet, until_ms), self._scatter(fleet, until_ms, 8.0)
                 )
-        while fleet.faults:
-            await asyncio.wait(fleet.faults)
+        await fleet.end_faults()
 
     async def _tell(self, fleet: PromotionFleet, until_ms: float) -> None:
         while fleet.now_ms() < until_ms:
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -73,8 +73,7 @@
         )
         fleet.start(fault(fleet))
         await pause(fleet, 0.1, 2.5)
-    while fleet.faults:
-        await asyncio.wait(fleet.faults)
+    await fleet.end_faults()
 
 
 async def _split(fleet: PromotionFleet) -> None:
